Start the workspace with the shared vocabulary

Cause: nothing existed. The crates' public types are agreed first, so that the parts can be built side by side; bodies are the simplest that work.

--- /dev/null
+++ b/crates/fescueway_admission/src/lib.rs
@@ -0,0 +1,12 @@
+//! Admission at the host: what runs at the backend server now, what waits, what is refused.
+//!
+//! A [`TargetGate`] stands before one target. It takes the time and events and answers with
+//! typed messages; it does no I/O and reads no clock.
+
+mod gate_plan;
+mod target_gate;
+
+pub use crate::{
+    gate_plan::GatePlan,
+    target_gate::{GateAction, GateResult, RunEnd, TargetGate, TicketId},
+};
--- /dev/null
+++ b/crates/fescueway_config/src/service_plan.rs
@@ -0,0 +1,120 @@
+//! One service as the operators configured it.
+
+use std::{sync::Arc, time::Duration};
+
+use fescueway_core::{Idempotency, Priority, ServiceName};
+
+/// The checked configuration of one service at one site.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServicePlan {
+    /// The service.
+    pub name: ServiceName,
+    /// Values of the `Host` header that belong to the service; empty means all.
+    pub hosts: Vec<Arc<str>>,
+    /// Path prefixes that belong to the service, each starting with `/`. Never empty.
+    pub path_prefixes: Vec<Arc<str>>,
+    /// Rules for single routes; the first that matches applies.
+    pub routes: Vec<RoutePlan>,
+    /// What applies when no route matches. Its method and prefix match everything.
+    pub default_route: RoutePlan,
+    /// How the backend servers are probed.
+    pub probe: ProbePlan,
+    /// How often requests are offered again.
+    pub retry: RetryPlan,
+    /// What the operators promise.
+    pub objective: ObjectivePlan,
+    /// How idempotency keys are claimed.
+    pub claim: ClaimPlan,
+}
+
+/// What applies to the requests of one route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoutePlan {
+    /// The method, `None` for all.
+    pub method: Option<Arc<str>>,
+    /// Requests whose path starts with this belong to the route.
+    pub path_prefix: Arc<str>,
+    /// Whether such a request may run more than once.
+    pub idempotency: Idempotency,
+    /// Its place among waiting requests.
+    pub priority: Priority,
+    /// How long a caller waits. Never zero.
+    pub deadline: Duration,
+}
+
+/// How a service's backend servers are probed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProbePlan {
+    /// Backend time that probes may take for each target, in milliseconds per second.
+    pub budget_ms_per_s: f64,
+    /// The path of the load endpoint.
+    pub path: Arc<str>,
+    /// A probe without an answer after this long has failed. It is charged in full.
+    pub timeout: Duration,
+}
+
+/// How often requests are offered again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryPlan {
+    /// Retries and hedges as a share of the successes, from 0 to 1.
+    pub budget_share: f64,
+    /// Offers for one request in all. At least one.
+    pub max_offers: u8,
+    /// Whether idempotent requests are hedged.
+    pub is_hedging: bool,
+}
+
+/// What the operators promise for a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ObjectivePlan {
+    /// Share of requests that are answered in time, above 0 and below 1.
+    pub availability: f64,
+    /// An answer is in time when its first byte leaves within this long.
+    pub latency: Duration,
+    /// The length of the objective's window.
+    pub window: Duration,
+}
+
+/// How idempotency keys are claimed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClaimPlan {
+    /// Partitions of the key space, each with a home node. At least one.
+    pub partitions: u16,
+    /// How long a key is remembered.
+    pub retention: Duration,
+}
+
+impl ServicePlan {
+    /// Length of the longest prefix that matches, `None` when the service doesn't match.
+    #[must_use]
+    pub fn match_length(&self, host: &str, path: &str) -> Option<usize> {
+        let is_host = self.hosts.is_empty() || self.hosts.iter().any(|name| &**name == host);
+        if !is_host {
+            return None;
+        }
+        let prefixes = self
+            .path_prefixes
+            .iter()
+            .filter(|prefix| path.starts_with(&***prefix));
+        prefixes.map(|prefix| prefix.len()).max()
+    }
+
+    /// The rules for a request of this method and path.
+    #[must_use]
+    pub fn route_for(&self, method: &str, path: &str) -> &RoutePlan {
+        let found = self
+            .routes
+            .iter()
+            .find(|route| route.is_match(method, path));
+        found.unwrap_or(&self.default_route)
+    }
+}
+
+impl RoutePlan {
+    /// Whether a request of this method and path belongs to the route.
+    #[must_use]
+    pub fn is_match(&self, method: &str, path: &str) -> bool {
+        let is_method = self.method.as_deref().is_none_or(|own| own == method);
+        is_method && path.starts_with(&*self.path_prefix)
+    }
+}
--- /dev/null
+++ b/crates/fescueway_core/src/lib.rs
@@ -0,0 +1,24 @@
+//! The vocabulary that all fescueway crates share: names, ids, time, load and outcomes.
+//!
+//! Nothing here does I/O or reads a clock. The decision crates take a [`MonoTime`] as an
+//! argument, so that tests and benches run them under virtual time.
+
+mod load_report;
+mod mono_time;
+mod names;
+mod node_id;
+mod outcome;
+mod refusal;
+mod request_terms;
+mod target_record;
+
+pub use crate::{
+    load_report::LoadReport,
+    mono_time::MonoTime,
+    names::{DomainName, ServiceName, SiteName},
+    node_id::NodeId,
+    outcome::Outcome,
+    refusal::{Refusal, RefusalReason},
+    request_terms::{Idempotency, KeyDigest, Priority, RequestTerms},
+    target_record::{TargetRecord, TargetState},
+};
--- /dev/null
+++ b/crates/fescueway_core/src/outcome.rs
@@ -0,0 +1,27 @@
+//! What became of a request, as its caller is told.
+
+use serde::{Deserialize, Serialize};
+
+/// What became of a request, sent to the caller as `fescueway-outcome`.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// No byte of the request reached a backend server. Sending it again is safe.
+    NotRun,
+    /// A backend server ran the request and its answer follows.
+    Ran,
+    /// The request was handed over and its answer was lost. It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// The value of the `fescueway-outcome` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Ran => "ran",
+            Self::Unknown => "unknown",
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescueway_core/src/request_terms.rs
@@ -0,0 +1,55 @@
+//! What a request needs of the path: its priority, its deadline, and whether it may repeat.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ServiceName;
+
+/// Whether running a request twice does harm.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Idempotency {
+    /// The request may run more than once.
+    Idempotent,
+    /// The request runs at most once.
+    NonIdempotent,
+}
+
+/// The order in which waiting requests get a slot.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Priority {
+    /// Goes first.
+    High,
+    /// Goes after `High`.
+    Normal,
+    /// Goes last, but is never starved.
+    Low,
+}
+
+/// A digest of the caller's idempotency key, its service included.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct KeyDigest(pub [u8; 16]);
+
+/// What a request needs of the path. It travels with the request from node to node.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestTerms {
+    /// The service that the request is for.
+    pub service: ServiceName,
+    /// Whether the request may run more than once.
+    pub idempotency: Idempotency,
+    /// Its place among waiting requests.
+    pub priority: Priority,
+    /// Time left until the caller stops waiting.
+    pub time_left: Duration,
+    /// How many more offers may be made for this request, over all entries and depths.
+    pub offers_left: u8,
+    /// How many calls of services lie above this one; zero for a caller from outside.
+    pub depth: u8,
+    /// Digest of the caller's idempotency key, when it sent one.
+    pub key: Option<KeyDigest>,
+    /// Digest of method, path and body start, by which a request that crashes its backend
+    /// server is known again.
+    pub fingerprint: u64,
+}
--- /dev/null
+++ b/crates/fescueway_platform/src/lib.rs
@@ -0,0 +1,15 @@
+//! Client of the platform's store: etcd v3's JSON mapping over HTTP.
+//!
+//! The client is narrow on purpose, so that another store is one module. Every call has a
+//! deadline, and an error tells whether a write may have taken effect.
+
+mod store_error;
+mod store_types;
+
+pub use crate::{
+    store_error::{StoreError, StoreFault, StoreStep},
+    store_types::{
+        Compare, KeyRange, LeaseGrant, LeaseId, RangeReply, StoreOp, StoreTxn, StoreValue,
+        TxnReply, WatchBatch, WatchEvent,
+    },
+};
--- /dev/null
+++ b/crates/fescueway_routing/src/lib.rs
@@ -0,0 +1,16 @@
+//! Routing at the entry: which target gets a request next.
+//!
+//! A [`ServiceRouter`] holds one service's targets as this entry sees them. It takes the time, a
+//! random generator and events, and answers with an [`OfferPermit`] or a refusal. It does no I/O.
+
+mod offer_permit;
+mod route_event;
+mod routing_plan;
+mod service_router;
+
+pub use crate::{
+    offer_permit::{HandedOver, OfferPermit},
+    route_event::{OfferEnd, RouteEvent},
+    routing_plan::RoutingPlan,
+    service_router::{PickResult, ServiceRouter},
+};
--- /dev/null
+++ b/crates/fescueway_routing/src/routing_plan.rs
@@ -0,0 +1,30 @@
+//! Settings of one service's router.
+
+use std::time::Duration;
+
+/// Settings of one service's router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoutingPlan {
+    /// Offers for one request in all. At least one.
+    pub max_offers: u8,
+    /// Retries and hedges as a share of the successes, from 0 to 1.
+    pub budget_share: f64,
+    /// One-way trip to a target of another failure domain beyond that to one of the own.
+    pub domain_trip: Duration,
+    /// Targets in this entry's view at most.
+    pub subset_size: usize,
+    /// Whether idempotent requests are hedged.
+    pub is_hedging: bool,
+}
+
+impl Default for RoutingPlan {
+    fn default() -> Self {
+        Self {
+            max_offers: 3,
+            budget_share: 0.1,
+            domain_trip: Duration::from_micros(1_500),
+            subset_size: 32,
+            is_hedging: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescueway_testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/crates/fescueway_wire/src/offer_head.rs
@@ -0,0 +1,71 @@
+//! Heads of the streams on which an entry offers a request to a host.
+
+use std::sync::Arc;
+
+use fescueway_core::{LoadReport, NodeId, Outcome, Refusal, RequestTerms};
+use serde::{Deserialize, Serialize};
+
+/// One HTTP header field, its value as bytes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeaderField {
+    /// The field's name in lower case.
+    pub name: Arc<str>,
+    /// The field's value.
+    pub value: Vec<u8>,
+}
+
+/// Opens an offer: all of the request but its body, which follows as the stream's data.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OfferHead {
+    /// The entry.
+    pub entry: NodeId,
+    /// The host node that is meant; another one at its address refuses.
+    pub host: NodeId,
+    /// What the request needs.
+    pub terms: RequestTerms,
+    /// HTTP method.
+    pub method: Arc<str>,
+    /// Path and query.
+    pub target: Arc<str>,
+    /// HTTP authority.
+    pub authority: Arc<str>,
+    /// Header fields without hop-by-hop ones.
+    pub headers: Vec<HeaderField>,
+}
+
+/// The right to run a request with an idempotency key.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimGrant {
+    /// The home node that granted it.
+    pub home: NodeId,
+    /// Epoch of the home's tenure.
+    pub epoch: u64,
+}
+
+/// The host's answer to an offer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum AnswerHead {
+    /// The request did not run.
+    Refused {
+        /// Why, and when to come back.
+        refusal: Refusal,
+        /// The target's load.
+        load: LoadReport,
+    },
+    /// The backend server's answer; its body follows as the stream's data.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// Header fields without hop-by-hop ones.
+        headers: Vec<HeaderField>,
+        /// What became of the request.
+        outcome: Outcome,
+        /// The target's load.
+        load: LoadReport,
+    },
+    /// The request was handed over and its answer was lost.
+    Lost {
+        /// The target's load.
+        load: LoadReport,
+    },
+}
--- /dev/null
+++ b/crates/fescuewayd/src/main.rs
@@ -0,0 +1,2 @@
+//! To be written.
+fn main() {}
