Frame the messages between nodes

Nodes need a codec that strangers' bytes can't harm. Each message is one frame: version byte, length, bincode payload. The length is checked before anything is read and the codec's own limit bounds what a lying inner length allocates. Adds the control messages and the Accepted head, after which a large body follows.

--- a/crates/fescueway_wire/src/lib.rs
+++ b/crates/fescueway_wire/src/lib.rs
@@ -1,5 +1,17 @@
 //! Messages between nodes: bincode, with a version and size limits.
+//!
+//! A stream opens with one [`StreamHead`] and is answered with [`AnswerHead`]s or one
+//! [`ControlAnswer`], each as one frame. Bodies follow the heads as plain bytes.
 
+mod control_message;
+mod frame_codec;
 mod offer_head;
 
-pub use crate::offer_head::{AnswerHead, ClaimGrant, HeaderField, OfferHead};
+pub use crate::{
+    control_message::{ControlAnswer, ControlKind, ControlRequest, MAX_CONTROL_BYTES, StreamHead},
+    frame_codec::{
+        FrameError, MAX_HEAD_BYTES, MAX_PAYLOAD_BYTES, PREFIX_BYTES, WIRE_VERSION, decode_payload,
+        decode_prefix, encode_frame,
+    },
+    offer_head::{AnswerHead, ClaimGrant, HeaderField, OfferHead},
+};
--- a/crates/fescueway_wire/src/offer_head.rs
+++ b/crates/fescueway_wire/src/offer_head.rs
@@ -45,6 +45,8 @@
 /// The host's answer to an offer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum AnswerHead {
+    /// The request has a slot and a connection: send the body. Another head follows.
+    Accepted,
     /// The request did not run.
     Refused {
         /// Why, and when to come back.
