--- /dev/null
+++ b/crates/fescueway_proxy/src/body/answer_body.rs
@@ -0,0 +1,96 @@
+//! The body of an answer to a caller.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+
+use super::{BodyError, PeerBody};
+use crate::{
+    host::BackendBody,
+    peer::{LinkLease, PumpGuard},
+    proxy_state::OpenRequest,
+};
+
+/// Where the body of an answer comes from. An error aborts the stream.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// Written by this node.
+    Own(Bytes),
+    /// From a host on another node.
+    Peer {
+        /// The stream.
+        body: Box<PeerBody>,
+        /// The request's body, when it is still on its way.
+        pump: Option<PumpGuard>,
+        /// The stream's place on its connection.
+        lease: LinkLease,
+    },
+    /// From the backend server of this node.
+    Backend(Box<BackendBody>),
+}
+
+/// The body of an answer to a caller, counted as open until its end.
+#[derive(Debug)]
+pub struct CountedBody {
+    /// The body.
+    pub body: AnswerBody,
+    /// Counts it.
+    pub open: OpenRequest,
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match &mut *self {
+            Self::Own(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Own(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Peer { body, .. } => Pin::new(&mut **body).poll_frame(context),
+            Self::Backend(body) => Pin::new(&mut **body).poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Own(bytes) => bytes.is_empty(),
+            Self::Peer { body, .. } => body.is_end_stream(),
+            Self::Backend(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Own(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Peer { body, .. } => body.size_hint(),
+            Self::Backend(body) => body.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/body/body_error.rs
@@ -0,0 +1,34 @@
+//! Why a body ended before its end.
+
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+/// Why a body ended before its end. The stream that carries it is aborted.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// The caller's body broke off.
+    #[error("reading the caller's body: {0}")]
+    Caller(#[source] hyper::Error),
+    /// The backend server's answer broke off.
+    #[error("reading the answer of backend server {address}: {source}")]
+    Backend {
+        /// The backend server.
+        address: SocketAddr,
+        /// What the HTTP library says.
+        #[source]
+        source: hyper::Error,
+    },
+    /// A peer's stream broke off.
+    #[error("reading a stream of a peer: {0}")]
+    Peer(#[source] h2::Error),
+    /// No byte moved for too long.
+    #[error("reading a body: no byte within the time allowed")]
+    Idle,
+    /// The body is larger than allowed.
+    #[error("reading a body: more than {limit} bytes")]
+    TooLarge {
+        /// The limit in bytes.
+        limit: u64,
+    },
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/call_table.rs
@@ -0,0 +1,131 @@
+//! The calls that run at this node's backend servers, so that calls they make inherit from them.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use fescueway_core::{MonoTime, RequestTerms};
+
+/// What a call inherits from the one above it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ParentCall {
+    /// Time left until the caller of the one above stops waiting.
+    pub time_left: Duration,
+    /// Offers that the call may use.
+    pub offers_left: u8,
+    /// How many calls lie above.
+    pub depth: u8,
+}
+
+/// The calls that run at this node's backend servers. Cheap to clone.
+///
+/// A backend server learns the token of the call it serves by `fescueway-call` and sends it with
+/// the calls it makes through its own node. A token holds the node's secret, so a caller from
+/// outside can't make one up.
+#[derive(Clone, Debug)]
+pub struct CallTable(Arc<Mutex<TableState>>);
+
+/// What the clones of a [`CallTable`] share.
+#[derive(Debug)]
+struct TableState {
+    /// Known to this node's backend servers only.
+    secret: u128,
+    /// The number of the latest call.
+    last: u64,
+    /// Calls that run.
+    calls: BTreeMap<u64, RunningTerms>,
+}
+
+/// What the table keeps of a call.
+#[derive(Clone, Copy, Debug)]
+struct RunningTerms {
+    /// When its caller stops waiting.
+    deadline: MonoTime,
+    /// Offers left after the one that runs.
+    offers_left: u8,
+    /// How many calls lie above it.
+    depth: u8,
+}
+
+/// Keeps a call in the table.
+#[derive(Debug)]
+pub struct CallGuard {
+    /// The table.
+    table: CallTable,
+    /// The call's number.
+    number: u64,
+    /// What the backend server is told.
+    token: String,
+}
+
+impl CallTable {
+    /// An empty table whose tokens hold `secret`.
+    #[must_use]
+    pub fn new(secret: u128) -> Self {
+        Self(Arc::new(Mutex::new(TableState {
+            secret,
+            last: 0,
+            calls: BTreeMap::new(),
+        })))
+    }
+
+    /// Enters a call that begins at `now`, until the guard is dropped.
+    #[must_use]
+    pub fn enter(&self, terms: &RequestTerms, now: MonoTime) -> CallGuard {
+        let mut state = self.state();
+        state.last += 1;
+        let number = state.last;
+        let running = RunningTerms {
+            deadline: now + terms.time_left,
+            offers_left: terms.offers_left,
+            depth: terms.depth,
+        };
+        state.calls.insert(number, running);
+        let token = format!("{:032x}-{number:x}", state.secret);
+        drop(state);
+        CallGuard {
+            table: self.clone(),
+            number,
+            token,
+        }
+    }
+
+    /// What a call with this token inherits, `None` when no such call runs.
+    #[must_use]
+    pub fn find(&self, token: &str, now: MonoTime) -> Option<ParentCall> {
+        let (secret, number) = token.split_once('-')?;
+        let secret = u128::from_str_radix(secret, 16).ok()?;
+        let number = u64::from_str_radix(number, 16).ok()?;
+        let state = self.state();
+        if secret != state.secret {
+            return None;
+        }
+        let running = state.calls.get(&number)?;
+        Some(ParentCall {
+            time_left: running.deadline.since(now),
+            offers_left: running.offers_left.max(1),
+            depth: running.depth,
+        })
+    }
+
+    /// The state, locked.
+    fn state(&self) -> MutexGuard<'_, TableState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl CallGuard {
+    /// What the backend server is told.
+    #[must_use]
+    pub fn token(&self) -> &str {
+        &self.token
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.table.state().calls.remove(&self.number);
+    }
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -0,0 +1,164 @@
+//! Turns a caller's request into one that can be offered.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use fescueway_config::{RoutePlan, ServicePlan};
+use fescueway_core::{NodeId, RequestTerms};
+use http::{
+    HeaderMap, StatusCode, Uri,
+    header::{EXPECT, HOST},
+    request::Parts,
+};
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::{
+    body::{BodyError, RequestBody, SharedBody},
+    call_table::ParentCall,
+    headers,
+    offer_request::OfferRequest,
+    proxy_limits::ProxyLimits,
+    proxy_state::ProxyState,
+};
+
+/// A body up to this many bytes is read whole, so that it can be offered again.
+const BUFFERED_BYTES: u64 = 64 * 1_024;
+
+/// Calls of services above one another at most.
+pub const MAX_DEPTH: u8 = 8;
+
+/// What the request's head says of its place on the path.
+#[derive(Debug)]
+pub struct RequestHead {
+    /// HTTP authority.
+    pub authority: Arc<str>,
+    /// The call that made this one.
+    pub parent: Option<ParentCall>,
+    /// How long the caller waits, when it says so.
+    pub caller_time: Option<Duration>,
+    /// Whether the caller sends its body only after 100 (Continue).
+    pub is_expecting: bool,
+}
+
+impl RequestHead {
+    /// Reads the head of a request of `caller`, and removes what must not be passed on.
+    pub fn take(state: &ProxyState, parts: &mut Parts, caller: SocketAddr) -> Self {
+        let head = Self {
+            authority: authority(&parts.uri, &parts.headers),
+            parent: parent_call(state, &parts.headers, caller),
+            caller_time: caller_time(&parts.headers),
+            is_expecting: parts.headers.contains_key(EXPECT),
+        };
+        headers::strip_request(&mut parts.headers);
+        parts.headers.remove(HOST);
+        head
+    }
+
+    /// What the request needs, by the plan and the call above it.
+    pub fn terms(&self, plan: &ServicePlan, route: &RoutePlan) -> RequestTerms {
+        let parent_time = self.parent.map(|parent| parent.time_left);
+        let times = [Some(route.deadline), self.caller_time, parent_time];
+        let time_left = times.into_iter().flatten().min();
+        let offers = self.parent.map(|parent| parent.offers_left);
+        RequestTerms {
+            service: plan.name.clone(),
+            idempotency: route.idempotency,
+            priority: route.priority,
+            time_left: time_left.unwrap_or(route.deadline),
+            offers_left: offers.map_or(plan.retry.max_offers, |own| own.min(plan.retry.max_offers)),
+            depth: self.parent.map_or(0, |parent| parent.depth + 1),
+            key: None,
+            fingerprint: 0,
+        }
+    }
+}
+
+/// The request without its host, which each offer names.
+pub fn offer_request(
+    node: NodeId,
+    head: &RequestHead,
+    parts: Parts,
+    terms: RequestTerms,
+    body: RequestBody,
+) -> OfferRequest {
+    let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    OfferRequest {
+        entry: node,
+        host: node,
+        terms,
+        method: parts.method,
+        target: Arc::from(target),
+        authority: Arc::clone(&head.authority),
+        headers: Arc::new(parts.headers),
+        body,
+    }
+}
+
+/// The body: none, read whole when it is small, or to be read as the backend server takes it.
+/// A caller that expects 100 (Continue) sends nothing until then.
+///
+/// # Errors
+///
+/// The status to answer with.
+pub async fn request_body(
+    limits: &ProxyLimits,
+    incoming: Incoming,
+    is_expecting: bool,
+) -> Result<RequestBody, StatusCode> {
+    if incoming.is_end_stream() {
+        return Ok(RequestBody::Empty);
+    }
+    let length = incoming.size_hint().exact();
+    if length.is_some_and(|length| length > limits.body_bytes) {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let is_small = length.is_some_and(|length| length <= BUFFERED_BYTES);
+    let shared = SharedBody::new(incoming, limits.body_bytes, limits.body_idle);
+    let body = RequestBody::Streaming(shared);
+    if !is_small || is_expecting {
+        return Ok(body);
+    }
+    let read = body.collect().await.map_err(|error| body_status(&error))?;
+    Ok(RequestBody::Buffered(read.to_bytes()))
+}
+
+/// The status for a caller whose body broke off.
+fn body_status(error: &BodyError) -> StatusCode {
+    match error {
+        BodyError::Idle => StatusCode::REQUEST_TIMEOUT,
+        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        _ => StatusCode::BAD_REQUEST,
+    }
+}
+
+/// The authority that the request names.
+fn authority(uri: &Uri, headers: &HeaderMap) -> Arc<str> {
+    let named = uri.authority().map(|authority| authority.as_str());
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+    Arc::from(named.or(host).unwrap_or_default())
+}
+
+/// The host of an authority, without its port.
+pub fn host_name(authority: &str) -> &str {
+    match authority.rsplit_once(':') {
+        Some((host, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => host,
+        _ => authority,
+    }
+}
+
+/// The call that made this one: only a backend server of this node may name it.
+fn parent_call(state: &ProxyState, headers: &HeaderMap, caller: SocketAddr) -> Option<ParentCall> {
+    let address = caller.ip().to_canonical();
+    if !address.is_loopback() && !state.is_local_backend(address) {
+        return None;
+    }
+    let token = headers.get(headers::CALL)?.to_str().ok()?;
+    state.calls().find(token, state.now())
+}
+
+/// How long the caller waits, when it says so.
+fn caller_time(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(headers::TIME_LEFT)?.to_str().ok()?;
+    Some(Duration::from_millis(text.parse().ok()?))
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/entry/entry_server.rs
@@ -0,0 +1,95 @@
+//! Takes connections of callers.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc};
+
+use fescueway_telemetry::{emit, events::path};
+use hyper::service::service_fn;
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::conn::auto::Builder,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::answer_request::answer_request;
+use crate::{proxy_limits::ProxyLimits, proxy_state::ProxyState};
+
+/// Header fields of one request at most.
+const MAX_HEADERS: usize = 100;
+
+/// Streams of one HTTP/2 connection of a caller at once.
+const CALLER_STREAMS: u32 = 128;
+
+/// Takes connections of callers until `closing` is cancelled. What is in flight is finished.
+pub async fn serve_callers(state: ProxyState, listener: TcpListener, closing: CancellationToken) {
+    let places = Arc::new(Semaphore::new(state.limits().caller_connections));
+    let builder = Arc::new(server_builder(state.limits()));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.cancelled() => return,
+        };
+        match accepted {
+            Ok((socket, caller)) => {
+                let (state, closing) = (state.clone(), closing.clone());
+                let builder = Arc::clone(&builder);
+                state.tasks().clone().spawn(async move {
+                    serve_connection(state, &builder, socket, caller, closing).await;
+                    drop(place);
+                });
+            }
+            Err(error) => emit(&path::ACCEPT_FAILED, &[&"callers", &error]),
+        }
+    }
+}
+
+/// The HTTP server with its limits.
+fn server_builder(limits: &ProxyLimits) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes)
+        .max_headers(MAX_HEADERS);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(CALLER_STREAMS)
+        .max_header_list_size(limits.header_bytes as u32);
+    builder
+}
+
+/// Serves one connection.
+async fn serve_connection(
+    state: ProxyState,
+    builder: &Builder<TokioExecutor>,
+    socket: TcpStream,
+    caller: SocketAddr,
+    closing: CancellationToken,
+) {
+    // Without it answers are only slower.
+    let _ = socket.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let state = state.clone();
+        async move { Ok::<_, Infallible>(answer_request(&state, request, caller).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        emit(&path::CALLER_FAILED, &[&caller, &error]);
+    }
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/entry/mod.rs
@@ -0,0 +1,11 @@
+//! The entry's side: takes requests of callers and finds a host for each.
+
+mod answer_request;
+mod entry_request;
+mod entry_server;
+mod final_answer;
+mod hedge;
+mod offer_attempt;
+mod offer_loop;
+
+pub use self::entry_server::serve_callers;
--- /dev/null
+++ b/crates/fescueway_proxy/src/entry/offer_attempt.rs
@@ -0,0 +1,134 @@
+//! One offer, and what its end tells the router.
+
+use fescueway_core::{LoadReport, MonoTime, NodeId, Refusal, RequestTerms, ServiceName};
+use fescueway_routing::{HandedOver, OfferEnd, OfferPermit};
+use fescueway_telemetry::{emit, events::path};
+use http::Response;
+
+use crate::{
+    body::AnswerBody,
+    host::offer_locally,
+    offer_answer::OfferAnswer,
+    offer_request::OfferRequest,
+    peer::{offer_to_peer, unreachable_host},
+    proxy_state::ProxyState,
+};
+
+/// How an offer ended, with what may be done next.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// The backend server answers. The request may be offered again only if it is idempotent.
+    Answered(Response<AnswerBody>, HandedOver),
+    /// The request did not run and may be offered elsewhere.
+    Refused(Refusal, RequestTerms),
+    /// The answer was lost.
+    Lost(HandedOver),
+}
+
+/// Tells the router of an offer's end exactly once, as cancelled when it is dropped before.
+struct OpenOffer<'a> {
+    /// The node.
+    state: &'a ProxyState,
+    /// The service.
+    service: ServiceName,
+    /// The host.
+    node: NodeId,
+    /// When the offer began.
+    start: MonoTime,
+    /// How it ended.
+    end: OfferEnd,
+}
+
+/// Offers the request to the permit's host and waits for the head of the answer.
+pub async fn attempt(
+    state: &ProxyState,
+    permit: OfferPermit,
+    request: &OfferRequest,
+    deadline: MonoTime,
+) -> AttemptEnd {
+    let mut open = OpenOffer::begin(state, &permit);
+    let mut request = request.clone();
+    request.host = permit.node();
+    request.terms = permit.terms().clone();
+    request.terms.time_left = deadline.since(state.now());
+    let answer = send(state, &request).await;
+    open.report(&answer);
+    match answer {
+        OfferAnswer::Refused { refusal, .. } => {
+            let terms = permit.refused(&refusal);
+            AttemptEnd::Refused(refusal, terms)
+        }
+        OfferAnswer::Answered { response, .. } => {
+            AttemptEnd::Answered(response, permit.hand_over())
+        }
+        OfferAnswer::Lost { error, .. } => {
+            if let Some(error) = error {
+                emit(&path::ANSWER_LOST, &[&request.terms.service, &error]);
+            }
+            AttemptEnd::Lost(permit.hand_over())
+        }
+    }
+}
+
+/// Offers the request to its host, on this node or another.
+async fn send(state: &ProxyState, request: &OfferRequest) -> OfferAnswer {
+    if request.host == state.node() {
+        return offer_locally(state, request).await;
+    }
+    let address = state.routes().address(&request.terms.service, request.host);
+    match address {
+        Some(peer) => offer_to_peer(state.peers(), peer, request, state.limits().body_idle).await,
+        None => OfferAnswer::refused(unreachable_host(), None),
+    }
+}
+
+impl<'a> OpenOffer<'a> {
+    /// An offer begins.
+    fn begin(state: &'a ProxyState, permit: &OfferPermit) -> Self {
+        Self {
+            state,
+            service: permit.terms().service.clone(),
+            node: permit.node(),
+            start: state.now(),
+            end: OfferEnd::Cancelled,
+        }
+    }
+
+    /// The offer ended: takes in the load report.
+    fn report(&mut self, answer: &OfferAnswer) {
+        self.end = self.end_of(answer);
+        if let Some(load) = load_of(answer) {
+            let now = self.state.now();
+            let routes = self.state.routes();
+            routes.report_load(now, &self.service, self.node, load);
+        }
+    }
+
+    /// What the router is told of `answer`.
+    fn end_of(&self, answer: &OfferAnswer) -> OfferEnd {
+        match answer {
+            OfferAnswer::Refused { refusal, .. } => OfferEnd::Refused(*refusal),
+            OfferAnswer::Lost { .. } => OfferEnd::Lost,
+            OfferAnswer::Answered { response, .. } => OfferEnd::Answered {
+                latency: self.state.now().since(self.start),
+                is_failure: response.status().is_server_error(),
+            },
+        }
+    }
+}
+
+impl Drop for OpenOffer<'_> {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        let routes = self.state.routes();
+        routes.end_offer(now, &self.service, self.node, self.end);
+    }
+}
+
+/// The load report that came with `answer`.
+fn load_of(answer: &OfferAnswer) -> Option<LoadReport> {
+    match answer {
+        OfferAnswer::Answered { load, .. } => Some(*load),
+        OfferAnswer::Refused { load, .. } | OfferAnswer::Lost { load, .. } => *load,
+    }
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -0,0 +1,221 @@
+//! Offers a request until it is answered or given up.
+
+use std::{pin::pin, time::Duration};
+
+use fescueway_core::{
+    Idempotency, MonoTime, NodeId, Outcome, Refusal, RefusalReason, RequestTerms,
+};
+use fescueway_routing::{HandedOver, OfferPermit, PickResult};
+use http::{Response, StatusCode};
+use tokio::time::{sleep, timeout_at};
+
+use super::{
+    final_answer::{lost_answer, outcome_value, refused_answer},
+    hedge::{better_end, is_success},
+    offer_attempt::{AttemptEnd, attempt},
+};
+use crate::{
+    body::AnswerBody, headers, offer_request::OfferRequest, proxy_state::ProxyState,
+    request_record::RequestRecord,
+};
+
+/// Offers one request until it is answered or given up.
+#[derive(Debug)]
+pub struct OfferLoop<'a> {
+    /// The node.
+    state: &'a ProxyState,
+    /// The request.
+    request: OfferRequest,
+    /// When the caller stops waiting.
+    deadline: MonoTime,
+    /// Hosts that had an offer.
+    tried: Vec<NodeId>,
+    /// Offers that are left, hedges counted.
+    offers_left: u8,
+    /// The latest refusal by a host.
+    refusal: Option<Refusal>,
+    /// Whether the answer to an offer was lost, so that the request may have run.
+    is_lost: bool,
+    /// The latest answer that tells of a failure.
+    failure: Option<Response<AnswerBody>>,
+}
+
+impl<'a> OfferLoop<'a> {
+    /// A loop for a request that came at `start`.
+    #[must_use]
+    pub fn new(state: &'a ProxyState, request: OfferRequest, start: MonoTime) -> Self {
+        Self {
+            state,
+            deadline: start + request.terms.time_left,
+            offers_left: request.terms.offers_left,
+            request,
+            tried: Vec::new(),
+            refusal: None,
+            is_lost: false,
+            failure: None,
+        }
+    }
+
+    /// Offers the request until it is answered, given up or late. Each end has its answer at once.
+    pub async fn run(mut self, record: &mut RequestRecord) -> Response<AnswerBody> {
+        let deadline = self.state.clock().instant(self.deadline);
+        let ended = timeout_at(deadline, self.offer_on()).await;
+        record.offers = self.tried.len() as u32;
+        match ended {
+            Ok(Ok(response)) => answered(response, record),
+            Ok(Err(refusal)) => self.give_up(refusal, record),
+            Err(_elapsed) => self.give_up_late(record),
+        }
+    }
+
+    /// Offers the request until it is answered, or refused for good.
+    async fn offer_on(&mut self) -> Result<Response<AnswerBody>, Refusal> {
+        let mut terms = self.request.terms.clone();
+        loop {
+            let permit = self.pick(terms)?;
+            let end = self.attempt_hedged(permit).await;
+            terms = match end {
+                AttemptEnd::Refused(refusal, terms) => {
+                    self.refusal = Some(refusal);
+                    terms
+                }
+                AttemptEnd::Lost(handed_over) => {
+                    self.is_lost = true;
+                    self.retry(handed_over)?
+                }
+                AttemptEnd::Answered(response, handed_over) => {
+                    if !is_retryable(response.status()) {
+                        return Ok(response);
+                    }
+                    self.failure = Some(response);
+                    self.retry(handed_over)?
+                }
+            };
+            if !self.request.body.is_whole() {
+                return Err(spent());
+            }
+        }
+    }
+
+    /// The permit for the next offer.
+    fn pick(&mut self, mut terms: RequestTerms) -> Result<OfferPermit, Refusal> {
+        let now = self.state.now();
+        terms.time_left = self.deadline.since(now);
+        terms.offers_left = terms.offers_left.min(self.offers_left);
+        match self.state.routes().pick(now, terms, &self.tried) {
+            PickResult::Refuse(refusal) => Err(refusal),
+            PickResult::Offer(permit) => {
+                self.tried.push(permit.node());
+                self.offers_left = permit.terms().offers_left;
+                Ok(permit)
+            }
+        }
+    }
+
+    /// The terms for another offer after a hand-over; only an idempotent request has them.
+    fn retry(&self, handed_over: HandedOver) -> Result<RequestTerms, Refusal> {
+        handed_over.retry().ok_or_else(spent)
+    }
+
+    /// Makes an offer, and a second one when the first takes long.
+    async fn attempt_hedged(&mut self, permit: OfferPermit) -> AttemptEnd {
+        let (state, deadline) = (self.state, self.deadline);
+        let request = self.request.clone();
+        let terms = permit.terms().clone();
+        let delay = self.hedge_delay(&permit);
+        let mut first = pin!(attempt(state, permit, &request, deadline));
+        let Some(delay) = delay else {
+            return first.await;
+        };
+        tokio::select! {
+            end = first.as_mut() => return end,
+            () = sleep(delay) => {}
+        }
+        let Ok(permit) = self.pick(terms) else {
+            return first.await;
+        };
+        let mut second = pin!(attempt(state, permit, &request, deadline));
+        tokio::select! {
+            end = first.as_mut() => {
+                if is_success(&end) { end } else { better_end(end, second.await) }
+            }
+            end = second.as_mut() => {
+                if is_success(&end) { end } else { better_end(end, first.await) }
+            }
+        }
+    }
+
+    /// When to hedge the offer: idempotent requests without a body only.
+    fn hedge_delay(&self, permit: &OfferPermit) -> Option<Duration> {
+        let terms = permit.terms();
+        let is_hedged =
+            terms.idempotency == Idempotency::Idempotent && self.request.body.is_empty();
+        if !is_hedged {
+            return None;
+        }
+        let routes = self.state.routes();
+        routes.hedge_after(self.state.now(), terms, permit.node())
+    }
+
+    /// The answer to a request that won't be offered again.
+    fn give_up(self, refusal: Refusal, record: &mut RequestRecord) -> Response<AnswerBody> {
+        if let Some(failure) = self.failure {
+            return answered(failure, record);
+        }
+        if self.is_lost {
+            record.outcome = Some(Outcome::Unknown);
+            return lost_answer(StatusCode::BAD_GATEWAY);
+        }
+        // A host knows better than the entry why there is no place for the request.
+        let refusal = self.refusal.unwrap_or(refusal);
+        record.outcome = Some(Outcome::NotRun);
+        record.reason = Some(refusal.reason);
+        refused_answer(&refusal)
+    }
+
+    /// The answer to a request whose deadline passed.
+    fn give_up_late(self, record: &mut RequestRecord) -> Response<AnswerBody> {
+        if self.tried.is_empty() {
+            let late = refusal(RefusalReason::DeadlineTooShort);
+            return self.give_up(late, record);
+        }
+        // An offer is open: the host may have handed it over.
+        record.outcome = Some(Outcome::Unknown);
+        lost_answer(StatusCode::GATEWAY_TIMEOUT)
+    }
+}
+
+/// The backend server's answer as the caller gets it.
+fn answered(
+    mut response: Response<AnswerBody>,
+    record: &mut RequestRecord,
+) -> Response<AnswerBody> {
+    record.outcome = Some(Outcome::Ran);
+    let fields = response.headers_mut();
+    fields.insert(headers::OUTCOME, outcome_value(Outcome::Ran));
+    response
+}
+
+/// Whether another backend server may do better.
+fn is_retryable(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::INTERNAL_SERVER_ERROR
+            | StatusCode::BAD_GATEWAY
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::GATEWAY_TIMEOUT
+    )
+}
+
+/// The request can't be offered again.
+fn spent() -> Refusal {
+    refusal(RefusalReason::BudgetSpent)
+}
+
+/// A refusal by this entry.
+fn refusal(reason: RefusalReason) -> Refusal {
+    Refusal {
+        reason,
+        retry_after: Duration::from_secs(1),
+    }
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/headers.rs
@@ -0,0 +1,104 @@
+//! Header fields: what is removed, what is added, and how they travel between nodes.
+
+use std::sync::Arc;
+
+use fescueway_wire::HeaderField;
+use http::{
+    HeaderMap, HeaderName, HeaderValue,
+    header::{
+        CONNECTION, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRANSFER_ENCODING, UPGRADE,
+    },
+};
+
+/// Tells the caller what became of the request.
+pub const OUTCOME: HeaderName = HeaderName::from_static("fescueway-outcome");
+
+/// Tells the caller why the request was refused.
+pub const REASON: HeaderName = HeaderName::from_static("fescueway-reason");
+
+/// Names the call that a backend server is serving when it calls another service.
+pub const CALL: HeaderName = HeaderName::from_static("fescueway-call");
+
+/// Time left in milliseconds: from a caller it shortens the deadline, to a backend server it
+/// tells it.
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("fescueway-time-left-ms");
+
+/// Header fields that begin with this are fescueway's own.
+const OWN_PREFIX: &str = "fescueway-";
+
+/// Fields of one connection, not of the message (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 8] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Removes the fields of one connection, those that `Connection` names among them.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named = connection_options(headers);
+    for name in named {
+        headers.remove(name);
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+/// Removes what only one connection means and what only fescueway may say.
+pub fn strip_request(headers: &mut HeaderMap) {
+    strip_hop_by_hop(headers);
+    headers.remove(EXPECT);
+    strip_own(headers);
+}
+
+/// Removes what only one connection means and what only fescueway may say from an answer.
+pub fn strip_answer(headers: &mut HeaderMap) {
+    strip_hop_by_hop(headers);
+    strip_own(headers);
+}
+
+/// Removes fescueway's own fields.
+fn strip_own(headers: &mut HeaderMap) {
+    let is_own = |name: &&HeaderName| name.as_str().starts_with(OWN_PREFIX);
+    let own: Vec<_> = headers.keys().filter(is_own).cloned().collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// The field names that `Connection` lists.
+fn connection_options(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(CONNECTION).into_iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    texts
+        .flat_map(|text| text.split(','))
+        .filter_map(|option| option.trim().parse().ok())
+        .collect()
+}
+
+/// The fields as they travel between nodes.
+#[must_use]
+pub fn to_fields(headers: &HeaderMap) -> Vec<HeaderField> {
+    let field = |(name, value): (&HeaderName, &HeaderValue)| HeaderField {
+        name: Arc::from(name.as_str()),
+        value: value.as_bytes().to_vec(),
+    };
+    headers.iter().map(field).collect()
+}
+
+/// The fields as the HTTP libraries take them, `None` when one is no valid field.
+#[must_use]
+pub fn from_fields(fields: &[HeaderField]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for field in fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(&field.value).ok()?;
+        headers.append(name, value);
+    }
+    Some(headers)
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/host/backend_pool.rs
@@ -0,0 +1,261 @@
+//! Connections to one backend server, bounded by what it announced.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use fescueway_core::Idempotency;
+use http::{Request, Response};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{Builder, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, sleep, timeout},
+};
+
+use super::{BackendError, BackendStep};
+use crate::{body::HostBody, proxy_limits::ProxyLimits, task_group::TaskGroup};
+
+/// The largest read buffer of a connection to a backend server in bytes.
+const READ_BUFFER_BYTES: usize = 64 * 1_024;
+
+/// Connections to one backend server. Cheap to clone.
+///
+/// Invariant: never more connections are open than the backend server announced.
+#[derive(Clone, Debug)]
+pub struct BackendPool(Arc<PoolState>);
+
+/// What the clones of a [`BackendPool`] share.
+#[derive(Debug)]
+struct PoolState {
+    /// The backend server.
+    address: SocketAddr,
+    /// A permit for each connection that may be open.
+    permits: Arc<Semaphore>,
+    /// Connections without a request, the latest used last.
+    idle: Mutex<VecDeque<IdleConnection>>,
+    /// Limits.
+    limits: Arc<ProxyLimits>,
+    /// Runs the connections.
+    tasks: TaskGroup,
+    /// Whether the task that closes idle connections runs.
+    is_sweeping: AtomicBool,
+}
+
+/// A connection without a request.
+#[derive(Debug)]
+struct IdleConnection {
+    /// Sends the next request.
+    sender: SendRequest<HostBody>,
+    /// Since when it has none.
+    since: Instant,
+}
+
+/// A connection that is about to carry a request.
+#[derive(Debug)]
+pub struct BackendConnection {
+    /// Sends the request.
+    sender: SendRequest<HostBody>,
+    /// Whether it carried a request before, so that the backend server may be closing it.
+    is_reused: bool,
+}
+
+impl BackendPool {
+    /// A pool of at most `connections` connections to `address`.
+    #[must_use]
+    pub fn new(
+        address: SocketAddr,
+        connections: u32,
+        limits: Arc<ProxyLimits>,
+        tasks: TaskGroup,
+    ) -> Self {
+        Self(Arc::new(PoolState {
+            address,
+            permits: Arc::new(Semaphore::new(connections.max(1) as usize)),
+            idle: Mutex::default(),
+            limits,
+            tasks,
+            is_sweeping: AtomicBool::new(false),
+        }))
+    }
+
+    /// The backend server.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    /// A connection for a request.
+    ///
+    /// A kept-alive connection may be closing while the request is on its way, and then nobody
+    /// knows whether it ran. So a non-idempotent request always gets a fresh one.
+    ///
+    /// # Errors
+    ///
+    /// When the backend server can't be reached; nothing was sent then.
+    pub async fn checkout(&self, kind: Idempotency) -> Result<BackendConnection, BackendError> {
+        let reused = match kind {
+            Idempotency::Idempotent => self.take_idle(),
+            Idempotency::NonIdempotent => None,
+        };
+        match reused {
+            Some(sender) => Ok(BackendConnection {
+                sender,
+                is_reused: true,
+            }),
+            None => self.connect().await,
+        }
+    }
+
+    /// Sends `request` on `connection` and waits for the head of the answer.
+    ///
+    /// A kept-alive connection that closed before a byte was sent is replaced by a fresh one.
+    ///
+    /// # Errors
+    ///
+    /// When the backend server is gone; [`BackendError::is_unsent`] tells whether it may have run.
+    pub async fn send(
+        &self,
+        mut connection: BackendConnection,
+        request: Request<HostBody>,
+    ) -> Result<(Response<Incoming>, BackendConnection), BackendError> {
+        let mut failure = match connection.sender.try_send_request(request).await {
+            Ok(response) => return Ok((response, connection)),
+            Err(failure) => failure,
+        };
+        let unsent = failure.take_message();
+        let error = failure.into_error();
+        match unsent {
+            Some(request) if connection.is_reused => {
+                let mut fresh = self.connect().await?;
+                let sent = fresh.sender.try_send_request(request).await;
+                let response = sent.map_err(|mut failure| {
+                    let is_unsent = failure.take_message().is_some();
+                    self.send_error(is_unsent, &failure.into_error())
+                })?;
+                Ok((response, fresh))
+            }
+            unsent => Err(self.send_error(unsent.is_some(), &error)),
+        }
+    }
+
+    /// Takes back a connection whose answer was read to its end.
+    pub fn check_in(&self, connection: BackendConnection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        self.idle().push_back(IdleConnection {
+            sender: connection.sender,
+            since: Instant::now(),
+        });
+        self.sweep_later();
+    }
+
+    /// The error of a request that got no answer.
+    fn send_error(&self, is_unsent: bool, error: &hyper::Error) -> BackendError {
+        let step = if is_unsent {
+            BackendStep::Send
+        } else {
+            BackendStep::Receive
+        };
+        BackendError::new(step, self.0.address, error)
+    }
+
+    /// The latest used connection that can take a request.
+    fn take_idle(&self) -> Option<SendRequest<HostBody>> {
+        let mut idle = self.idle();
+        while let Some(connection) = idle.pop_back() {
+            if connection.sender.is_ready() {
+                return Some(connection.sender);
+            }
+        }
+        None
+    }
+
+    /// Opens a connection, closing an idle one when the backend server takes no more.
+    async fn connect(&self) -> Result<BackendConnection, BackendError> {
+        let error =
+            |detail: String| BackendError::new(BackendStep::Connect, self.0.address, &detail);
+        let connecting = timeout(self.0.limits.connect_timeout, self.handshake());
+        match connecting.await {
+            Ok(Ok(sender)) => Ok(BackendConnection {
+                sender,
+                is_reused: false,
+            }),
+            Ok(Err(detail)) => Err(error(detail)),
+            Err(elapsed) => Err(error(elapsed.to_string())),
+        }
+    }
+
+    /// Opens a connection, however long it takes.
+    async fn handshake(&self) -> Result<SendRequest<HostBody>, String> {
+        let permit = self.permit().await;
+        let socket = TcpStream::connect(self.0.address).await;
+        let socket = socket.map_err(|error| error.to_string())?;
+        // Without it requests are only slower.
+        let _ = socket.set_nodelay(true);
+        let (sender, connection) = Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(socket))
+            .await
+            .map_err(|error| error.to_string())?;
+        self.0.tasks.spawn(async move {
+            // How it ended is told to the request that it carried.
+            let _ = connection.await;
+            drop(permit);
+        });
+        Ok(sender)
+    }
+
+    /// The right to open one more connection.
+    async fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        let permits = &self.0.permits;
+        if let Ok(permit) = Arc::clone(permits).try_acquire_owned() {
+            return Some(permit);
+        }
+        drop(self.idle().pop_front());
+        Arc::clone(permits).acquire_owned().await.ok()
+    }
+
+    /// Runs the task that closes idle connections, while there are any.
+    fn sweep_later(&self) {
+        if self.0.is_sweeping.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let pool = self.clone();
+        self.0.tasks.spawn(async move {
+            let limit = pool.0.limits.connection_idle;
+            loop {
+                sleep(limit).await;
+                if pool.close_idle(limit) {
+                    break;
+                }
+            }
+            pool.0.is_sweeping.store(false, Ordering::Relaxed);
+        });
+    }
+
+    /// Closes what was not used for `limit`; tells whether nothing is left.
+    fn close_idle(&self, limit: Duration) -> bool {
+        let mut idle = self.idle();
+        idle.retain(|connection| {
+            !connection.sender.is_closed() && connection.since.elapsed() < limit
+        });
+        idle.is_empty()
+    }
+
+    /// The idle connections, locked.
+    fn idle(&self) -> MutexGuard<'_, VecDeque<IdleConnection>> {
+        self.0.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -0,0 +1,134 @@
+//! One run at the backend server, from its admission to the head of its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use fescueway_admission::RunEnd;
+use fescueway_core::{Idempotency, Refusal, RefusalReason};
+use http::{HeaderValue, Request, Response, header::HOST};
+use hyper::body::Incoming;
+
+use super::{
+    BackendBody, BackendError, HostTarget, RunTicket, backend_body::RunningCall,
+    backend_pool::BackendConnection,
+};
+use crate::{body::HostBody, headers, offer_request::HostRequest, proxy_state::ProxyState};
+
+/// A request that has a slot and a connection. No byte of it was sent.
+#[derive(Debug)]
+pub struct HostRun {
+    /// Its slot.
+    ticket: RunTicket,
+    /// Its connection.
+    connection: BackendConnection,
+}
+
+/// What became of a run.
+#[derive(Debug)]
+pub enum RunAnswer {
+    /// The backend server answers.
+    Answered(Response<BackendBody>),
+    /// No byte of the request was sent.
+    Refused(Refusal),
+    /// The answer was lost.
+    Lost(BackendError),
+}
+
+impl HostRun {
+    /// Waits for a slot and a connection.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, which proves that the request did not run.
+    pub async fn prepare(target: &Arc<HostTarget>, request: &HostRequest) -> Result<Self, Refusal> {
+        let ticket = target.admit(&request.terms).await?;
+        match target.pool().checkout(request.terms.idempotency).await {
+            Ok(connection) => Ok(Self { ticket, connection }),
+            Err(_unreachable) => {
+                ticket.finish(RunEnd::Lost);
+                Err(unreachable_backend())
+            }
+        }
+    }
+
+    /// The target.
+    pub fn target(&self) -> &Arc<HostTarget> {
+        self.ticket.target()
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    pub async fn run(
+        mut self,
+        state: ProxyState,
+        request: HostRequest,
+        body: HostBody,
+    ) -> RunAnswer {
+        let pool = self.ticket.target().pool().clone();
+        let call = state.calls().enter(&request.terms, state.now());
+        let is_kept = request.terms.idempotency == Idempotency::NonIdempotent;
+        let request = to_backend(request, body, call.token());
+        match pool.send(self.connection, request).await {
+            Ok((response, connection)) => {
+                let ticket = self.ticket;
+                let run = RunningCall {
+                    ticket,
+                    connection,
+                    call,
+                };
+                let idle = state.limits().body_idle;
+                RunAnswer::Answered(to_answer(response, run, is_kept, idle))
+            }
+            Err(error) => {
+                self.ticket.set_end(RunEnd::Lost);
+                if error.is_unsent() {
+                    RunAnswer::Refused(unreachable_backend())
+                } else {
+                    RunAnswer::Lost(error)
+                }
+            }
+        }
+    }
+}
+
+/// The request as the backend server gets it.
+fn to_backend(request: HostRequest, body: HostBody, token: &str) -> Request<HostBody> {
+    let time_left = request.terms.time_left.as_millis() as u64;
+    let mut headers = request.headers;
+    if let Ok(host) = HeaderValue::from_str(&request.authority) {
+        headers.insert(HOST, host);
+    }
+    if let Ok(token) = HeaderValue::from_str(token) {
+        headers.insert(headers::CALL, token);
+    }
+    headers.insert(headers::TIME_LEFT, HeaderValue::from(time_left));
+    let mut to_send = Request::new(body);
+    *to_send.method_mut() = request.method;
+    *to_send.uri_mut() = request.target;
+    *to_send.headers_mut() = headers;
+    to_send
+}
+
+/// The answer with a body that ends the run.
+fn to_answer(
+    response: Response<Incoming>,
+    run: RunningCall,
+    is_kept: bool,
+    idle: Duration,
+) -> Response<BackendBody> {
+    let is_failure = response.status().is_server_error();
+    let end = if is_failure {
+        RunEnd::Failed
+    } else {
+        RunEnd::Answered
+    };
+    let mut response = response.map(|incoming| BackendBody::new(incoming, run, is_kept, end, idle));
+    headers::strip_answer(response.headers_mut());
+    response
+}
+
+/// The refusal of a host whose backend server can't be reached.
+fn unreachable_backend() -> Refusal {
+    Refusal {
+        reason: RefusalReason::BackendUnreachable,
+        retry_after: Duration::from_secs(1),
+    }
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/host/host_target.rs
@@ -0,0 +1,262 @@
+//! A target of this node: its gate, those who wait at it, and its backend server.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use fescueway_admission::{GateAction, GatePlan, GateResult, RunEnd, TargetGate, TicketId};
+use fescueway_core::{LoadReport, MonoTime, Refusal, RequestTerms};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::sleep_until,
+};
+
+use super::{BackendPool, RunTicket};
+use crate::{mono_clock::MonoClock, proxy_limits::ProxyLimits, task_group::TaskGroup};
+
+/// A target of this node: its gate, those who wait at it, and its backend server.
+#[derive(Debug)]
+pub struct HostTarget {
+    /// Connections to the backend server.
+    pool: BackendPool,
+    /// The gate and those who wait at it.
+    state: Mutex<GateState>,
+    /// Tells the timer that the gate's next wake may have changed.
+    wake: Notify,
+    /// Tells the time.
+    clock: MonoClock,
+    /// Runs the timer.
+    tasks: TaskGroup,
+}
+
+/// The gate and those who wait at it.
+#[derive(Debug)]
+struct GateState {
+    /// Decides.
+    gate: TargetGate,
+    /// Those who wait. They hear `Ok` to run.
+    waiters: BTreeMap<TicketId, oneshot::Sender<Result<(), Refusal>>>,
+    /// The latest ticket.
+    last_ticket: u64,
+    /// Whether the timer runs.
+    is_timing: bool,
+}
+
+/// An offer that waits. Dropping it withdraws the offer.
+struct WaitingOffer {
+    /// The target.
+    target: Arc<HostTarget>,
+    /// Its number there.
+    ticket: TicketId,
+    /// Hears the gate's decision. `None` once it did.
+    decision: Option<oneshot::Receiver<Result<(), Refusal>>>,
+}
+
+impl HostTarget {
+    /// A target that starts cold.
+    #[must_use]
+    pub fn new(
+        address: SocketAddr,
+        connections: u32,
+        plan: GatePlan,
+        limits: Arc<ProxyLimits>,
+        tasks: TaskGroup,
+        clock: MonoClock,
+    ) -> Self {
+        Self {
+            pool: BackendPool::new(address, connections, limits, tasks.clone()),
+            state: Mutex::new(GateState {
+                gate: TargetGate::new(plan, clock.now()),
+                waiters: BTreeMap::new(),
+                last_ticket: 0,
+                is_timing: false,
+            }),
+            wake: Notify::new(),
+            clock,
+            tasks,
+        }
+    }
+
+    /// Connections to the backend server.
+    #[must_use]
+    pub fn pool(&self) -> &BackendPool {
+        &self.pool
+    }
+
+    /// Runs what outlives its request.
+    pub(crate) fn tasks(&self) -> &TaskGroup {
+        &self.tasks
+    }
+
+    /// The load to report.
+    #[must_use]
+    pub fn report(&self) -> LoadReport {
+        self.state().gate.report(self.clock.now())
+    }
+
+    /// Takes nothing new from now on; what runs is finished.
+    pub fn drain(&self) {
+        let mut state = self.state();
+        let actions = state.gate.drain(self.clock.now());
+        state.apply(self.clock.now(), actions);
+    }
+
+    /// Takes work again.
+    pub fn undrain(&self) {
+        self.state().gate.undrain(self.clock.now());
+    }
+
+    /// Whether nothing runs and nothing waits.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.state().gate.is_idle()
+    }
+
+    /// Changes the gate, as probes and the configuration do, and applies what follows.
+    pub fn with_gate(&self, change: impl FnOnce(&mut TargetGate, MonoTime) -> Vec<GateAction>) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let actions = change(&mut state.gate, now);
+        state.apply(now, actions);
+    }
+
+    /// Waits until the gate lets an offer run.
+    ///
+    /// # Errors
+    ///
+    /// The gate's refusal. Dropping the future withdraws the offer.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        terms: &RequestTerms,
+    ) -> Result<RunTicket, Refusal> {
+        let (ticket, decision) = self.offer(terms)?;
+        let mut waiting = WaitingOffer {
+            target: Arc::clone(self),
+            ticket,
+            decision: Some(decision),
+        };
+        waiting.wait().await?;
+        Ok(RunTicket::new(Arc::clone(self), ticket))
+    }
+
+    /// Puts an offer to the gate; its decision may already be there.
+    fn offer(
+        self: &Arc<Self>,
+        terms: &RequestTerms,
+    ) -> Result<(TicketId, oneshot::Receiver<Result<(), Refusal>>), Refusal> {
+        let mut state = self.state();
+        state.last_ticket += 1;
+        let ticket = TicketId(state.last_ticket);
+        let (sender, receiver) = oneshot::channel();
+        match state.gate.offer(self.clock.now(), ticket, terms) {
+            GateResult::Refuse(refusal) => return Err(refusal),
+            // The receiver is held above, so this can't fail.
+            GateResult::Run => drop(sender.send(Ok(()))),
+            GateResult::Wait => {
+                state.waiters.insert(ticket, sender);
+                self.time_later(&mut state);
+            }
+        }
+        Ok((ticket, receiver))
+    }
+
+    /// Ends a run.
+    pub(super) fn finish(&self, ticket: TicketId, end: RunEnd) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let actions = state.gate.finish(now, ticket, end);
+        state.apply(now, actions);
+        self.wake.notify_one();
+    }
+
+    /// Withdraws an offer that waits.
+    fn withdraw(&self, ticket: TicketId) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        if state.waiters.remove(&ticket).is_none() {
+            return;
+        }
+        let actions = state.gate.withdraw(now, ticket);
+        state.apply(now, actions);
+    }
+
+    /// Runs the gate's timer while something waits.
+    fn time_later(self: &Arc<Self>, state: &mut GateState) {
+        if state.is_timing {
+            self.wake.notify_one();
+            return;
+        }
+        state.is_timing = true;
+        let target = Arc::clone(self);
+        self.tasks.spawn(async move {
+            while let Some(time) = target.tick() {
+                tokio::select! {
+                    () = sleep_until(target.clock.instant(time)) => {}
+                    () = target.wake.notified() => {}
+                }
+            }
+        });
+    }
+
+    /// Lets the gate refuse what is late; tells when to do so again.
+    fn tick(&self) -> Option<MonoTime> {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let actions = state.gate.tick(now);
+        state.apply(now, actions);
+        let next = state.gate.next_wake();
+        state.is_timing = next.is_some();
+        next
+    }
+
+    /// The gate, locked.
+    fn state(&self) -> MutexGuard<'_, GateState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl GateState {
+    /// Tells those who wait what the gate decided.
+    fn apply(&mut self, now: MonoTime, actions: Vec<GateAction>) {
+        let mut pending = actions;
+        while let Some(action) = pending.pop() {
+            let (ticket, decision) = match action {
+                GateAction::Run(ticket) => (ticket, Ok(())),
+                GateAction::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            let waiter = self.waiters.remove(&ticket);
+            let is_told = waiter.is_some_and(|waiter| waiter.send(decision).is_ok());
+            if !is_told && decision.is_ok() {
+                pending.extend(self.gate.finish(now, ticket, RunEnd::Released));
+            }
+        }
+    }
+}
+
+impl WaitingOffer {
+    /// Waits for the gate's decision.
+    async fn wait(&mut self) -> Result<(), Refusal> {
+        let Some(receiver) = &mut self.decision else {
+            return Ok(());
+        };
+        // The gate's state outlives the offer, so the sender is never dropped unheard.
+        let decision = receiver.await.unwrap_or(Ok(()));
+        self.decision = None;
+        decision
+    }
+}
+
+impl Drop for WaitingOffer {
+    fn drop(&mut self) {
+        let Some(mut receiver) = self.decision.take() else {
+            return;
+        };
+        match receiver.try_recv() {
+            Ok(Ok(())) => self.target.finish(self.ticket, RunEnd::Released),
+            Ok(Err(_refused)) => {}
+            Err(_undecided) => self.target.withdraw(self.ticket),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/host/mod.rs
@@ -0,0 +1,21 @@
+//! The host's side: admits offers and runs them at the backend server beside it.
+
+mod backend_body;
+mod backend_error;
+mod backend_pool;
+mod host_offer;
+mod host_run;
+mod host_target;
+mod run_ticket;
+
+pub use self::{
+    backend_body::BackendBody,
+    backend_error::{BackendError, BackendStep},
+    backend_pool::BackendPool,
+    host_target::HostTarget,
+};
+pub(crate) use self::{
+    host_offer::{offer_locally, serve_offer},
+    host_run::HostRun,
+    run_ticket::RunTicket,
+};
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -1,1 +1,33 @@
-//! To be written.
+//! The path of a request: from the caller over the entry and the host to the backend server.
+//!
+//! A [`ProxyState`] holds what the path shares with the rest of the node. [`serve_callers`] is
+//! the entry, [`serve_peers`] the host; [`PeerPool`] connects them. Which target gets a request,
+//! and whether the host admits it, is decided in `fescueway_routing` and `fescueway_admission`:
+//! this crate moves the bytes.
+
+pub mod body;
+mod call_table;
+mod entry;
+mod headers;
+mod host;
+mod mono_clock;
+mod offer_answer;
+mod offer_request;
+mod peer;
+mod proxy_limits;
+mod proxy_state;
+mod request_record;
+mod route_table;
+mod task_group;
+
+pub use crate::{
+    entry::serve_callers,
+    host::{BackendBody, HostTarget},
+    mono_clock::MonoClock,
+    peer::{ControlTable, PeerError, PeerPool, PeerStep, serve_peers},
+    proxy_limits::ProxyLimits,
+    proxy_state::{BackendAnnouncement, ProxyOptions, ProxyState},
+    request_record::RequestRecord,
+    route_table::{RouteTable, TargetView},
+    task_group::TaskGroup,
+};
--- /dev/null
+++ b/crates/fescueway_proxy/src/offer_answer.rs
@@ -0,0 +1,40 @@
+//! What became of an offer.
+
+use fescueway_core::{LoadReport, Refusal};
+use http::Response;
+
+use crate::{body::AnswerBody, peer::PeerError};
+
+/// What became of an offer.
+#[derive(Debug)]
+pub enum OfferAnswer {
+    /// The request did not run.
+    Refused {
+        /// Why.
+        refusal: Refusal,
+        /// The host's load, when it answered.
+        load: Option<LoadReport>,
+    },
+    /// The backend server answers.
+    Answered {
+        /// Its answer.
+        response: Response<AnswerBody>,
+        /// The host's load.
+        load: LoadReport,
+    },
+    /// The request was handed over and its answer was lost.
+    Lost {
+        /// The host's load, when it answered.
+        load: Option<LoadReport>,
+        /// What went wrong on the way to the host, when it did not answer.
+        error: Option<PeerError>,
+    },
+}
+
+impl OfferAnswer {
+    /// The request did not run.
+    #[must_use]
+    pub fn refused(refusal: Refusal, load: Option<LoadReport>) -> Self {
+        Self::Refused { refusal, load }
+    }
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/peer/peer_offer.rs
@@ -0,0 +1,145 @@
+//! Offers a request to a host on another node.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use fescueway_core::{Refusal, RefusalReason};
+use fescueway_wire::{AnswerHead, MAX_HEAD_BYTES, StreamHead, encode_frame};
+use http::{Response, StatusCode};
+
+use super::{
+    FrameReader, PeerError, PeerPool, PeerStep, PumpGuard,
+    peer_error::PeerCause,
+    peer_pool::{OpenStream, receive},
+};
+use crate::{
+    body::{AnswerBody, RequestBody, pump_body},
+    headers,
+    offer_answer::OfferAnswer,
+    offer_request::OfferRequest,
+};
+
+/// Offers `request` to the host at `peer`.
+///
+/// A body that is not buffered is sent only after the host accepted, so that a refusal leaves it
+/// whole.
+pub async fn offer_to_peer(
+    pool: &PeerPool,
+    peer: SocketAddr,
+    request: &OfferRequest,
+    idle: Duration,
+) -> OfferAnswer {
+    match exchange(pool, peer, request, idle).await {
+        Ok(answer) => answer,
+        Err(error) if is_refusal(&error) => OfferAnswer::refused(unreachable_host(), None),
+        Err(error) => OfferAnswer::Lost {
+            load: None,
+            error: Some(error),
+        },
+    }
+}
+
+/// Whether the error proves that the request did not run.
+fn is_refusal(error: &PeerError) -> bool {
+    error.is_unsent() || matches!(error.cause, PeerCause::Status(_))
+}
+
+/// Sends the offer and waits for the answer's head.
+async fn exchange(
+    pool: &PeerPool,
+    peer: SocketAddr,
+    request: &OfferRequest,
+    idle: Duration,
+) -> Result<OfferAnswer, PeerError> {
+    let frame = encode_frame(&StreamHead::Offer(request.to_head()))
+        .map_err(|error| PeerError::new(PeerStep::Open, peer, error))?;
+    let mut stream = pool.open(peer).await?;
+    send_offer(&mut stream, frame, &request.body)?;
+    let OpenStream {
+        lease,
+        sender,
+        response,
+        ..
+    } = stream;
+    let error = |cause| PeerError::new(PeerStep::Receive, peer, cause);
+    let mut reader = FrameReader::new(receive(response).await.map_err(error)?);
+    let mut head = reader.read(MAX_HEAD_BYTES).await.map_err(error)?;
+    let mut pump = None;
+    if matches!(head, AnswerHead::Accepted) {
+        pump = Some(start_pump(sender, request.body.clone(), idle));
+        head = reader.read(MAX_HEAD_BYTES).await.map_err(error)?;
+    }
+    to_answer(head, reader, idle, pump, lease).map_err(error)
+}
+
+/// Sends the head, and the body when it is at hand.
+fn send_offer(
+    stream: &mut OpenStream,
+    frame: Vec<u8>,
+    body: &RequestBody,
+) -> Result<(), PeerError> {
+    let peer = stream.peer;
+    let error = |error: h2::Error| PeerError::new(PeerStep::Send, peer, error);
+    let sender = &mut stream.sender;
+    match body {
+        RequestBody::Empty => sender.send_data(frame.into(), true).map_err(error),
+        RequestBody::Streaming(_) => sender.send_data(frame.into(), false).map_err(error),
+        RequestBody::Buffered(bytes) => {
+            sender.send_data(frame.into(), false).map_err(error)?;
+            sender.send_data(Bytes::clone(bytes), true).map_err(error)
+        }
+    }
+}
+
+/// Sends the body while the answer is awaited, and on while it is read.
+fn start_pump(mut sender: h2::SendStream<Bytes>, body: RequestBody, idle: Duration) -> PumpGuard {
+    let task = tokio::spawn(async move {
+        // A body that breaks off resets the stream, which its reader reports.
+        let _ = pump_body(&mut sender, body, idle).await;
+    });
+    PumpGuard::new(task.abort_handle())
+}
+
+/// The answer that `head` opens.
+fn to_answer(
+    head: AnswerHead,
+    reader: FrameReader,
+    idle: Duration,
+    pump: Option<PumpGuard>,
+    lease: super::LinkLease,
+) -> Result<OfferAnswer, PeerCause> {
+    match head {
+        AnswerHead::Accepted => Err(PeerCause::Malformed),
+        AnswerHead::Refused { refusal, load } => Ok(OfferAnswer::refused(refusal, Some(load))),
+        AnswerHead::Lost { load } => Ok(OfferAnswer::Lost {
+            load: Some(load),
+            error: None,
+        }),
+        AnswerHead::Answered {
+            status,
+            headers,
+            load,
+            ..
+        } => {
+            let body = if reader.is_end() {
+                AnswerBody::Own(Bytes::new())
+            } else {
+                let body = Box::new(reader.into_body(idle));
+                AnswerBody::Peer { body, pump, lease }
+            };
+            let mut response = Response::new(body);
+            *response.status_mut() =
+                StatusCode::from_u16(status).map_err(|_invalid| PeerCause::Malformed)?;
+            *response.headers_mut() = headers::from_fields(&headers).ok_or(PeerCause::Malformed)?;
+            Ok(OfferAnswer::Answered { response, load })
+        }
+    }
+}
+
+/// The refusal of an entry that can't reach the host.
+pub fn unreachable_host() -> Refusal {
+    Refusal {
+        reason: RefusalReason::HostUnreachable,
+        retry_after: Duration::from_secs(1),
+    }
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -0,0 +1,393 @@
+//! What the path of requests shares with the rest of a node.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use fescueway_admission::GatePlan;
+use fescueway_config::SitePlan;
+use fescueway_core::{
+    DomainName, MonoTime, NodeId, ServiceName, SiteName, TargetRecord, TargetState,
+};
+use tokio::sync::watch;
+
+use crate::{
+    call_table::CallTable,
+    host::HostTarget,
+    mono_clock::MonoClock,
+    peer::{ControlTable, PeerPool},
+    proxy_limits::ProxyLimits,
+    request_record::RequestRecord,
+    route_table::RouteTable,
+    task_group::TaskGroup,
+};
+
+/// Hears of each request that got its answer's head.
+type RequestObserver = Arc<dyn Fn(&RequestRecord) + Send + Sync>;
+
+/// What a node's path starts with.
+#[derive(Clone, Debug)]
+pub struct ProxyOptions {
+    /// The node.
+    pub node: NodeId,
+    /// The failure domain of its VM.
+    pub domain: DomainName,
+    /// The site whose configuration it serves.
+    pub site: SiteName,
+    /// Where it takes streams from other nodes.
+    pub peer_address: SocketAddr,
+    /// Limits.
+    pub limits: ProxyLimits,
+    /// Seeds the choice of targets.
+    pub seed: u64,
+    /// Makes the tokens of calls unguessable.
+    pub secret: u128,
+}
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendAnnouncement {
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Requests that it can run at once. At least one.
+    pub slots: u32,
+    /// Connections that it accepts at once. At least one.
+    pub connections: u32,
+}
+
+/// What the path of requests shares with the rest of a node. Cheap to clone.
+#[derive(Clone)]
+pub struct ProxyState(Arc<SharedState>);
+
+/// What the clones of a [`ProxyState`] share.
+struct SharedState {
+    /// What the path started with.
+    options: ProxyOptions,
+    /// Limits.
+    limits: Arc<ProxyLimits>,
+    /// Tells the time.
+    clock: MonoClock,
+    /// Runs everything.
+    tasks: TaskGroup,
+    /// What is in force.
+    plan: Mutex<Arc<SitePlan>>,
+    /// Targets as the entry sees them.
+    routes: RouteTable,
+    /// Connections to peers.
+    peers: PeerPool,
+    /// Handlers of control messages.
+    controls: ControlTable,
+    /// Calls that run at the backend servers of this node.
+    calls: CallTable,
+    /// Targets of this node.
+    hosts: Mutex<BTreeMap<ServiceName, Arc<HostTarget>>>,
+    /// What the backend servers of this node announced.
+    announced: watch::Sender<Vec<TargetRecord>>,
+    /// Requests of callers that are not answered whole.
+    open_requests: Arc<AtomicUsize>,
+    /// Hears of each request.
+    observer: Mutex<Option<RequestObserver>>,
+}
+
+impl ProxyState {
+    /// The path of a node without configuration and targets.
+    #[must_use]
+    pub fn new(options: ProxyOptions, tasks: TaskGroup) -> Self {
+        let limits = Arc::new(options.limits.clone());
+        let clock = MonoClock::start();
+        let plan = SitePlan {
+            site: options.site.clone(),
+            services: BTreeMap::new(),
+        };
+        Self(Arc::new(SharedState {
+            limits: Arc::clone(&limits),
+            clock,
+            tasks: tasks.clone(),
+            plan: Mutex::new(Arc::new(plan)),
+            routes: RouteTable::new(options.domain.clone(), options.seed),
+            peers: PeerPool::new(limits, tasks, clock),
+            controls: ControlTable::default(),
+            calls: CallTable::new(options.secret),
+            hosts: Mutex::default(),
+            announced: watch::Sender::default(),
+            open_requests: Arc::default(),
+            observer: Mutex::default(),
+            options,
+        }))
+    }
+
+    /// The time.
+    #[must_use]
+    pub fn now(&self) -> MonoTime {
+        self.0.clock.now()
+    }
+
+    /// Tells the time to what needs a timer.
+    #[must_use]
+    pub fn clock(&self) -> MonoClock {
+        self.0.clock
+    }
+
+    /// The node.
+    #[must_use]
+    pub fn node(&self) -> NodeId {
+        self.0.options.node
+    }
+
+    /// What the path started with.
+    #[must_use]
+    pub fn options(&self) -> &ProxyOptions {
+        &self.0.options
+    }
+
+    /// Limits.
+    #[must_use]
+    pub fn limits(&self) -> &ProxyLimits {
+        &self.0.limits
+    }
+
+    /// Runs the node's tasks.
+    #[must_use]
+    pub fn tasks(&self) -> &TaskGroup {
+        &self.0.tasks
+    }
+
+    /// Connections to peers.
+    #[must_use]
+    pub fn peers(&self) -> &PeerPool {
+        &self.0.peers
+    }
+
+    /// Handlers of control messages.
+    #[must_use]
+    pub fn controls(&self) -> &ControlTable {
+        &self.0.controls
+    }
+
+    /// Targets as the entry sees them.
+    #[must_use]
+    pub fn routes(&self) -> &RouteTable {
+        &self.0.routes
+    }
+
+    /// Requests of callers that are not answered whole.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.0.open_requests.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn open_request(&self) -> OpenRequest {
+        self.0.open_requests.fetch_add(1, Ordering::Relaxed);
+        OpenRequest(Arc::clone(&self.0.open_requests))
+    }
+
+    /// Calls that run at the backend servers of this node.
+    pub(crate) fn calls(&self) -> &CallTable {
+        &self.0.calls
+    }
+}
+
+/// Configuration and targets.
+impl ProxyState {
+    /// What is in force.
+    #[must_use]
+    pub fn plan(&self) -> Arc<SitePlan> {
+        Arc::clone(&lock(&self.0.plan))
+    }
+
+    /// Puts a configuration in force, for requests that come from now on.
+    pub fn apply_plan(&self, plan: Arc<SitePlan>) {
+        self.0.routes.apply_plan(&plan);
+        *lock(&self.0.plan) = plan;
+    }
+
+    /// Adds or replaces a target of the fleet.
+    pub fn set_target(&self, record: &TargetRecord) {
+        self.0.routes.set_target(self.now(), record);
+    }
+
+    /// Forgets a target of the fleet.
+    pub fn remove_target(&self, node: NodeId, service: &ServiceName) {
+        self.0.routes.remove_target(node, service);
+    }
+
+    /// From now on `observer` hears of each request that got its answer's head.
+    pub fn observe(&self, observer: impl Fn(&RequestRecord) + Send + Sync + 'static) {
+        *lock(&self.0.observer) = Some(Arc::new(observer));
+    }
+
+    /// Tells the observer of a request.
+    pub(crate) fn record(&self, record: &RequestRecord) {
+        let observer = lock(&self.0.observer).clone();
+        if let Some(observer) = observer {
+            observer(record);
+        }
+    }
+}
+
+/// The backend servers beside this node.
+impl ProxyState {
+    /// What the backend servers of this node announced, as it changes.
+    #[must_use]
+    pub fn announced(&self) -> watch::Receiver<Vec<TargetRecord>> {
+        self.0.announced.subscribe()
+    }
+
+    /// A backend server takes work. Announced again unchanged it goes on as it was.
+    pub fn announce(&self, announcement: &BackendAnnouncement) {
+        let record = self.local_record(announcement);
+        let known = self.known_announcement(&announcement.service);
+        if known.is_some_and(|known| is_same(&known, &record))
+            && self.backend_address(&announcement.service) == Some(announcement.address)
+        {
+            return;
+        }
+        let target = HostTarget::new(
+            announcement.address,
+            announcement.connections,
+            GatePlan {
+                slots: announcement.slots,
+                ..GatePlan::default()
+            },
+            Arc::clone(&self.0.limits),
+            self.0.tasks.clone(),
+            self.0.clock,
+        );
+        self.hosts()
+            .insert(announcement.service.clone(), Arc::new(target));
+        self.publish(record);
+    }
+
+    /// A backend server left: its target is gone.
+    pub fn withdraw(&self, service: &ServiceName) {
+        if let Some(target) = self.hosts().remove(service) {
+            target.drain();
+        }
+        self.remove_target(self.node(), service);
+        self.0.announced.send_modify(|records| {
+            records.retain(|record| record.service != *service);
+        });
+    }
+
+    /// A backend server takes nothing new from now on. `false` when there is none.
+    pub fn drain(&self, service: &ServiceName) -> bool {
+        let Some(target) = self.host_target(service) else {
+            return false;
+        };
+        target.drain();
+        self.set_state(service, TargetState::Draining);
+        true
+    }
+
+    /// A backend server takes work again. `false` when there is none.
+    pub fn undrain(&self, service: &ServiceName) -> bool {
+        let Some(target) = self.host_target(service) else {
+            return false;
+        };
+        target.undrain();
+        self.set_state(service, TargetState::Serving);
+        true
+    }
+
+    /// Services whose backend server is beside this node.
+    #[must_use]
+    pub fn local_services(&self) -> Vec<ServiceName> {
+        self.hosts().keys().cloned().collect()
+    }
+
+    /// The target of this node that serves `service`.
+    #[must_use]
+    pub fn host_target(&self, service: &ServiceName) -> Option<Arc<HostTarget>> {
+        self.hosts().get(service).cloned()
+    }
+
+    /// Whether a backend server of this node has this address.
+    pub(crate) fn is_local_backend(&self, address: IpAddr) -> bool {
+        let hosts = self.hosts();
+        let mut addresses = hosts.values().map(|target| target.pool().address().ip());
+        addresses.any(|own| own == address)
+    }
+
+    /// The record of an announcement.
+    fn local_record(&self, announcement: &BackendAnnouncement) -> TargetRecord {
+        TargetRecord {
+            node: self.node(),
+            service: announcement.service.clone(),
+            peer_address: self.0.options.peer_address,
+            domain: self.0.options.domain.clone(),
+            slots: announcement.slots,
+            connections: announcement.connections,
+            state: TargetState::Starting,
+        }
+    }
+
+    /// What was announced for `service`.
+    fn known_announcement(&self, service: &ServiceName) -> Option<TargetRecord> {
+        let records = self.0.announced.borrow();
+        let mut records = records.iter();
+        records.find(|record| record.service == *service).cloned()
+    }
+
+    /// Where the backend server of `service` takes requests.
+    fn backend_address(&self, service: &ServiceName) -> Option<SocketAddr> {
+        Some(self.host_target(service)?.pool().address())
+    }
+
+    /// Changes the state in the record of `service`.
+    fn set_state(&self, service: &ServiceName, state: TargetState) {
+        if let Some(mut record) = self.known_announcement(service) {
+            record.state = state;
+            self.publish(record);
+        }
+    }
+
+    /// Tells a record to the entry and to those who watch.
+    fn publish(&self, record: TargetRecord) {
+        self.set_target(&record);
+        self.0.announced.send_modify(|records| {
+            records.retain(|known| known.service != record.service);
+            records.push(record);
+        });
+    }
+
+    /// The targets of this node, locked.
+    fn hosts(&self) -> MutexGuard<'_, BTreeMap<ServiceName, Arc<HostTarget>>> {
+        lock(&self.0.hosts)
+    }
+}
+
+/// Counts a request until it is answered whole.
+#[derive(Debug)]
+pub struct OpenRequest(Arc<AtomicUsize>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl std::fmt::Debug for ProxyState {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ProxyState")
+            .field("options", &self.0.options)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Whether two records differ in nothing but their state.
+fn is_same(known: &TargetRecord, record: &TargetRecord) -> bool {
+    known.slots == record.slots && known.connections == record.connections
+}
+
+/// The value, locked. A panic elsewhere leaves it whole: every change is one assignment.
+fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
+    value.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/request_record.rs
@@ -0,0 +1,22 @@
+//! What is known of a request when the head of its answer is sent.
+
+use std::time::Duration;
+
+use fescueway_core::{Outcome, RefusalReason, ServiceName};
+
+/// What is known of a request when the head of its answer is sent.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RequestRecord {
+    /// The service, `None` when none was configured for the request.
+    pub service: Option<ServiceName>,
+    /// HTTP status of the answer.
+    pub status: u16,
+    /// What became of the request, `None` before it is answered.
+    pub outcome: Option<Outcome>,
+    /// Why it was refused.
+    pub reason: Option<RefusalReason>,
+    /// From the request's head to the head of its answer.
+    pub latency: Duration,
+    /// Offers that were made.
+    pub offers: u32,
+}
--- /dev/null
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -0,0 +1,212 @@
+//! The targets of all services as this entry sees them.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use fescueway_config::{ServicePlan, SitePlan};
+use fescueway_core::{
+    DomainName, LoadReport, MonoTime, NodeId, Refusal, RefusalReason, RequestTerms, ServiceName,
+    TargetRecord,
+};
+use fescueway_routing::{OfferEnd, PickResult, RouteEvent, RoutingPlan, ServiceRouter};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+/// The targets of all services as this entry sees them.
+#[derive(Debug)]
+pub struct RouteTable(Mutex<TableState>);
+
+/// What the lock of a [`RouteTable`] guards.
+#[derive(Debug)]
+struct TableState {
+    /// The entry's failure domain.
+    domain: DomainName,
+    /// Draws the candidates.
+    random: Pcg64Mcg,
+    /// Services by name.
+    services: BTreeMap<ServiceName, ServiceRoutes>,
+    /// What is in force for services that have no target yet.
+    plans: BTreeMap<ServiceName, RoutingPlan>,
+}
+
+/// One service's targets.
+#[derive(Debug)]
+struct ServiceRoutes {
+    /// Decides.
+    router: ServiceRouter,
+    /// What the membership and the answers told.
+    targets: BTreeMap<NodeId, TargetView>,
+}
+
+/// A target as this entry sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetView {
+    /// What its node announced.
+    pub record: TargetRecord,
+    /// Its latest load report and when it came.
+    pub load: Option<(LoadReport, MonoTime)>,
+}
+
+impl RouteTable {
+    /// A table without targets for an entry in `domain`.
+    #[must_use]
+    pub fn new(domain: DomainName, seed: u64) -> Self {
+        Self(Mutex::new(TableState {
+            domain,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            services: BTreeMap::new(),
+            plans: BTreeMap::new(),
+        }))
+    }
+
+    /// Puts a configuration in force.
+    pub fn apply_plan(&self, plan: &SitePlan) {
+        let mut state = self.state();
+        let plans = plan.services.values();
+        state.plans = plans
+            .map(|plan| (plan.name.clone(), routing_plan(plan)))
+            .collect();
+        let TableState {
+            services, plans, ..
+        } = &mut *state;
+        for (name, routes) in services {
+            routes
+                .router
+                .set_plan(plans.get(name).cloned().unwrap_or_default());
+        }
+    }
+
+    /// Adds or replaces a target.
+    pub fn set_target(&self, now: MonoTime, record: &TargetRecord) {
+        let mut state = self.state();
+        let routes = state.routes(&record.service);
+        routes.router.set_target(now, record);
+        let view = TargetView {
+            record: record.clone(),
+            load: None,
+        };
+        let known = routes.targets.entry(record.node).or_insert(view);
+        known.record = record.clone();
+    }
+
+    /// Forgets a target.
+    pub fn remove_target(&self, node: NodeId, service: &ServiceName) {
+        if let Some(routes) = self.state().services.get_mut(service) {
+            routes.router.remove_target(node);
+            routes.targets.remove(&node);
+        }
+    }
+
+    /// Where a request goes next.
+    pub fn pick(&self, now: MonoTime, terms: RequestTerms, tried: &[NodeId]) -> PickResult {
+        let mut state = self.state();
+        let TableState {
+            random, services, ..
+        } = &mut *state;
+        match services.get_mut(&terms.service) {
+            Some(routes) => routes.router.pick(now, terms, tried, random),
+            None => PickResult::Refuse(no_target()),
+        }
+    }
+
+    /// When an offer to `node` should be hedged.
+    pub fn hedge_after(
+        &self,
+        now: MonoTime,
+        terms: &RequestTerms,
+        node: NodeId,
+    ) -> Option<Duration> {
+        let state = self.state();
+        let routes = state.services.get(&terms.service)?;
+        routes.router.hedge_after(now, terms, node)
+    }
+
+    /// Tells the router how an offer ended.
+    pub fn end_offer(&self, now: MonoTime, service: &ServiceName, node: NodeId, end: OfferEnd) {
+        if let Some(routes) = self.state().services.get_mut(service) {
+            let event = RouteEvent::OfferEnded { node, end };
+            routes.router.handle(now, event);
+        }
+    }
+
+    /// Tells the router of a load report.
+    pub fn report_load(
+        &self,
+        now: MonoTime,
+        service: &ServiceName,
+        node: NodeId,
+        report: LoadReport,
+    ) {
+        if let Some(routes) = self.state().services.get_mut(service) {
+            let event = RouteEvent::LoadReported { node, report };
+            routes.router.handle(now, event);
+            if let Some(view) = routes.targets.get_mut(&node) {
+                view.load = Some((report, now));
+            }
+        }
+    }
+
+    /// Where the target's host takes streams.
+    #[must_use]
+    pub fn address(&self, service: &ServiceName, node: NodeId) -> Option<SocketAddr> {
+        let state = self.state();
+        let view = state.services.get(service)?.targets.get(&node)?;
+        Some(view.record.peer_address)
+    }
+
+    /// Every target, by service and node.
+    #[must_use]
+    pub fn targets(&self) -> Vec<TargetView> {
+        let state = self.state();
+        let services = state.services.values();
+        services
+            .flat_map(|routes| routes.targets.values().cloned())
+            .collect()
+    }
+
+    /// The state, locked.
+    fn state(&self) -> MutexGuard<'_, TableState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl TableState {
+    /// The service's targets, none at first.
+    fn routes(&mut self, service: &ServiceName) -> &mut ServiceRoutes {
+        let Self {
+            services,
+            plans,
+            domain,
+            ..
+        } = self;
+        services.entry(service.clone()).or_insert_with(|| {
+            let plan = plans.get(service).cloned().unwrap_or_default();
+            ServiceRoutes {
+                router: ServiceRouter::new(plan, domain.clone()),
+                targets: BTreeMap::new(),
+            }
+        })
+    }
+}
+
+/// What a service's configuration means for its router.
+fn routing_plan(plan: &ServicePlan) -> RoutingPlan {
+    RoutingPlan {
+        max_offers: plan.retry.max_offers,
+        budget_share: plan.retry.budget_share,
+        is_hedging: plan.retry.is_hedging,
+        ..RoutingPlan::default()
+    }
+}
+
+/// The refusal of an entry that knows no target.
+fn no_target() -> Refusal {
+    Refusal {
+        reason: RefusalReason::NoTarget,
+        retry_after: Duration::from_secs(1),
+    }
+}
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -1,6 +1,44 @@
 //! Events of the path of a request: numbers from 1000.
 
+use log::Level;
+
 use crate::EventKind;
 
+/// A connection could not be accepted.
+pub const ACCEPT_FAILED: EventKind = EventKind {
+    number: 1000,
+    level: Level::Warn,
+    summary: "a connection could not be accepted",
+    fields: &["listener", "error"],
+    advice: "Raise the limit of open files, or lower the node's limits on connections.",
+};
+
+/// A peer's connection or message was refused.
+pub const PEER_REFUSED: EventKind = EventKind {
+    number: 1001,
+    level: Level::Warn,
+    summary: "a peer's bytes were refused",
+    fields: &["peer", "error"],
+    advice: "Find out what connects to the peer address; during an upgrade, finish it.",
+};
+
+/// A request was handed over and its answer was lost.
+pub const ANSWER_LOST: EventKind = EventKind {
+    number: 1002,
+    level: Level::Warn,
+    summary: "the answer of a backend server was lost",
+    fields: &["target", "error"],
+    advice: "See whether the backend server crashed or missed its deadline.",
+};
+
+/// A caller's connection ended with an error.
+pub const CALLER_FAILED: EventKind = EventKind {
+    number: 1003,
+    level: Level::Debug,
+    summary: "a caller's connection ended with an error",
+    fields: &["caller", "error"],
+    advice: "Nothing, unless there are many.",
+};
+
 /// Every event of this area.
-pub const ALL: &[&EventKind] = &[];
+pub const ALL: &[&EventKind] = &[&ACCEPT_FAILED, &PEER_REFUSED, &ANSWER_LOST, &CALLER_FAILED];
--- a/crates/fescueway_wire/src/offer_head.rs
+++ b/crates/fescueway_wire/src/offer_head.rs
@@ -31,6 +31,8 @@
     pub authority: Arc<str>,
     /// Header fields without hop-by-hop ones.
     pub headers: Vec<HeaderField>,
+    /// Whether the body is held back until [`AnswerHead::Accepted`]; otherwise it comes at once.
+    pub is_body_held: bool,
 }
 
 /// The right to run a request with an idempotency key.
--- /dev/null
+++ b/crates/fescuewayd/src/daemon_error.rs
@@ -0,0 +1,37 @@
+//! Why a daemon could not start.
+
+use std::{io, net::SocketAddr};
+
+use thiserror::Error;
+
+/// The step at which a daemon's start failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DaemonStep {
+    /// Binding the address for callers.
+    Callers,
+    /// Binding the address for other nodes.
+    Peers,
+    /// Binding the address for the backend servers of the VM.
+    Backends,
+    /// Binding the address for operators.
+    Operators,
+}
+
+/// Why a daemon could not start.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    /// An address can't be bound.
+    #[error("binding {address} for {step:?}: {source}")]
+    Bind {
+        /// What the address is for.
+        step: DaemonStep,
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system says.
+        #[source]
+        source: io::Error,
+    },
+    /// The operating system gives no random numbers.
+    #[error("drawing the node's identity: {0}")]
+    Random(getrandom::Error),
+}
--- /dev/null
+++ b/crates/fescuewayd/src/daemon_settings.rs
@@ -0,0 +1,62 @@
+//! Checked settings of one daemon.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use fescueway_config::SitePlan;
+use fescueway_core::{DomainName, SiteName};
+use fescueway_proxy::ProxyLimits;
+
+/// Checked settings of one daemon. A port of zero lets the operating system choose.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DaemonSettings {
+    /// The site that the node belongs to.
+    pub site: SiteName,
+    /// The failure domain of its VM.
+    pub domain: DomainName,
+    /// Where it takes requests of callers.
+    pub callers: SocketAddr,
+    /// Where it takes streams and datagrams of other nodes, who know it by this address.
+    pub peers: SocketAddr,
+    /// Where the backend servers of its VM announce themselves.
+    pub backends: SocketAddr,
+    /// Where operators look.
+    pub operators: SocketAddr,
+    /// Peers to join through. May hold the node's own address, which is passed over.
+    pub seed_peers: Vec<SocketAddr>,
+    /// Addresses of the platform's store; empty means that it runs without.
+    pub store: Vec<SocketAddr>,
+    /// Limits.
+    pub limits: ProxyLimits,
+    /// How long a stop waits for what is in flight.
+    pub stop_timeout: Duration,
+    /// A backend server that doesn't announce itself again within this long is gone.
+    pub announce_timeout: Duration,
+    /// What is in force from the start, until the store or a peer has something newer.
+    pub plan: Option<Arc<SitePlan>>,
+}
+
+impl DaemonSettings {
+    /// Settings for `site` in `domain` on ports of loopback that the operating system chooses.
+    #[must_use]
+    pub fn on_loopback(site: SiteName, domain: DomainName) -> Self {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            site,
+            domain,
+            callers: any_port,
+            peers: any_port,
+            backends: any_port,
+            operators: any_port,
+            seed_peers: Vec::new(),
+            store: Vec::new(),
+            limits: ProxyLimits::default(),
+            stop_timeout: Duration::from_secs(10),
+            announce_timeout: Duration::from_secs(10),
+            plan: None,
+        }
+    }
+}
