Add the store client and the stand-ins for the store and backend servers

Cause: rollout, command line and path all need a store and a backend server to work against, with the faults that they are to survive. Ruled out: one connection for each call, which costs a handshake a call, and retries inside the client, which would hide an unknown effect from its caller. Conclusion: an error tells nothing-sent apart from effect-unknown.

--- /dev/null
+++ b/crates/fescueway_platform/src/json_mapping.rs
@@ -0,0 +1,321 @@
+//! The JSON mapping of etcd v3's messages, as its HTTP gateway documents it.
+//!
+//! Bytes are base64, 64-bit integers are strings, and fields that hold their default are left out.
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{
+    Compare, KeyRange, LeaseId, RangeReply, StoreOp, StoreTxn, StoreValue, TxnReply, WatchBatch,
+    WatchEvent,
+};
+
+/// A header that comes with every answer.
+#[derive(Debug, Default, Deserialize)]
+pub(crate) struct RawHeader {
+    /// The store's revision.
+    #[serde(default)]
+    revision: RawInteger,
+}
+
+/// A 64-bit integer, sent as text or as a number.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RawInteger(i64);
+
+/// A key with its value.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawValue {
+    #[serde(default)]
+    key: String,
+    #[serde(default)]
+    value: String,
+    #[serde(default)]
+    mod_revision: RawInteger,
+    #[serde(default)]
+    version: RawInteger,
+    #[serde(default)]
+    lease: RawInteger,
+}
+
+/// The answer to a range request.
+#[derive(Debug, Default, Deserialize)]
+pub(crate) struct RawRange {
+    #[serde(default)]
+    header: RawHeader,
+    #[serde(default)]
+    kvs: Vec<RawValue>,
+}
+
+/// The answer to a transaction.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawTxn {
+    #[serde(default)]
+    header: RawHeader,
+    #[serde(default)]
+    succeeded: bool,
+    #[serde(default)]
+    responses: Vec<RawResponse>,
+}
+
+/// The answer to one step of a transaction.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawResponse {
+    response_range: Option<RawRange>,
+}
+
+/// The answer to a lease request.
+#[derive(Debug, Default, Deserialize)]
+pub(crate) struct RawLease {
+    /// The lease.
+    #[serde(default, rename = "ID")]
+    id: RawInteger,
+    /// Seconds until it lapses; zero when it has.
+    #[serde(default, rename = "TTL")]
+    time_to_live: RawInteger,
+}
+
+/// One answer of a stream.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawStreamed<T> {
+    /// The answer, when there is no error.
+    pub(crate) result: Option<T>,
+    /// The error.
+    #[serde(default)]
+    pub(crate) error: Option<Value>,
+}
+
+/// One answer of a watch.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawWatch {
+    #[serde(default)]
+    header: RawHeader,
+    /// Whether the store ended the watch.
+    #[serde(default)]
+    pub(crate) canceled: bool,
+    #[serde(default)]
+    compact_revision: RawInteger,
+    #[serde(default)]
+    events: Vec<RawEvent>,
+}
+
+/// One change that a watch tells of.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawEvent {
+    #[serde(default, rename = "type")]
+    kind: Option<String>,
+    kv: RawValue,
+}
+
+impl<'de> Deserialize<'de> for RawInteger {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        use serde::de::Error;
+        match Value::deserialize(deserializer)? {
+            Value::String(text) => text.parse().map(Self).map_err(D::Error::custom),
+            Value::Number(number) => number
+                .as_i64()
+                .map(Self)
+                .ok_or_else(|| D::Error::custom("not a 64-bit integer")),
+            other => Err(D::Error::custom(format!("not an integer: {other}"))),
+        }
+    }
+}
+
+impl RawLease {
+    /// The lease with the seconds until it lapses.
+    pub(crate) fn parts(&self) -> (LeaseId, u64) {
+        (
+            LeaseId(self.id.0),
+            u64::try_from(self.time_to_live.0).unwrap_or(0),
+        )
+    }
+}
+
+impl RawWatch {
+    /// The oldest revision that the store still holds, when the watch asked for an older one.
+    pub(crate) fn compacted(&self) -> Option<i64> {
+        (self.compact_revision.0 > 0).then_some(self.compact_revision.0)
+    }
+}
+
+impl TryFrom<RawValue> for StoreValue {
+    type Error = String;
+
+    fn try_from(raw: RawValue) -> Result<Self, String> {
+        Ok(Self {
+            key: decode_key(&raw.key)?,
+            value: decode_bytes(&raw.value)?,
+            mod_revision: raw.mod_revision.0,
+            version: raw.version.0,
+            lease: (raw.lease.0 != 0).then_some(LeaseId(raw.lease.0)),
+        })
+    }
+}
+
+impl TryFrom<RawRange> for RangeReply {
+    type Error = String;
+
+    fn try_from(raw: RawRange) -> Result<Self, String> {
+        let values = raw
+            .kvs
+            .into_iter()
+            .map(StoreValue::try_from)
+            .collect::<Result<_, _>>()?;
+        Ok(Self {
+            revision: raw.header.revision.0,
+            values,
+        })
+    }
+}
+
+impl TryFrom<RawTxn> for TxnReply {
+    type Error = String;
+
+    fn try_from(raw: RawTxn) -> Result<Self, String> {
+        let ranges = raw
+            .responses
+            .into_iter()
+            .filter_map(|response| response.response_range);
+        let reads = ranges.map(|range| RangeReply::try_from(range).map(|reply| reply.values));
+        Ok(Self {
+            is_success: raw.succeeded,
+            revision: raw.header.revision.0,
+            reads: reads.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl TryFrom<RawWatch> for WatchBatch {
+    type Error = String;
+
+    fn try_from(raw: RawWatch) -> Result<Self, String> {
+        let events = raw
+            .events
+            .into_iter()
+            .map(WatchEvent::try_from)
+            .collect::<Result<_, _>>()?;
+        Ok(Self {
+            revision: raw.header.revision.0,
+            events,
+        })
+    }
+}
+
+impl TryFrom<RawEvent> for WatchEvent {
+    type Error = String;
+
+    fn try_from(raw: RawEvent) -> Result<Self, String> {
+        if raw.kind.as_deref() == Some("DELETE") {
+            let key = decode_key(&raw.kv.key)?;
+            return Ok(Self::Delete {
+                key,
+                mod_revision: raw.kv.mod_revision.0,
+            });
+        }
+        raw.kv.try_into().map(Self::Put)
+    }
+}
+
+/// The JSON body of a range request. A `stale` read may be answered by a replica that lags.
+pub(crate) fn range_body(range: &KeyRange, is_stale_allowed: bool) -> Value {
+    let mut body = range_fields(range);
+    if is_stale_allowed {
+        body["serializable"] = json!(true);
+    }
+    body
+}
+
+/// The JSON body of a transaction.
+pub(crate) fn txn_body(txn: &StoreTxn) -> Value {
+    json!({
+        "compare": txn.compares.iter().map(compare_body).collect::<Vec<_>>(),
+        "success": txn.then.iter().map(op_body).collect::<Vec<_>>(),
+        "failure": txn.otherwise.iter().map(op_body).collect::<Vec<_>>(),
+    })
+}
+
+/// The JSON body that opens a watch at `from_revision`.
+pub(crate) fn watch_body(range: &KeyRange, from_revision: i64) -> Value {
+    let mut request = range_fields(range);
+    request["start_revision"] = json!(from_revision.to_string());
+    json!({ "create_request": request })
+}
+
+/// `key` and, for a prefix, `range_end`.
+fn range_fields(range: &KeyRange) -> Value {
+    match range {
+        KeyRange::Key(key) => json!({ "key": STANDARD.encode(key) }),
+        KeyRange::Prefix(prefix) => json!({
+            "key": STANDARD.encode(prefix),
+            "range_end": STANDARD.encode(prefix_end(prefix.as_bytes())),
+        }),
+    }
+}
+
+/// The first key after all keys that start with `prefix`.
+fn prefix_end(prefix: &[u8]) -> Vec<u8> {
+    let mut end = prefix.to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    // The protocol's word for "to the end of all keys".
+    vec![0]
+}
+
+/// The JSON form of one compare.
+fn compare_body(compare: &Compare) -> Value {
+    match compare {
+        Compare::Absent(key) => json!({
+            "key": STANDARD.encode(key),
+            "target": "CREATE",
+            "result": "EQUAL",
+            "create_revision": "0",
+        }),
+        Compare::ModRevision(key, revision) => json!({
+            "key": STANDARD.encode(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": revision.to_string(),
+        }),
+        Compare::Value(key, value) => json!({
+            "key": STANDARD.encode(key),
+            "target": "VALUE",
+            "result": "EQUAL",
+            "value": STANDARD.encode(value),
+        }),
+    }
+}
+
+/// The JSON form of one step.
+fn op_body(op: &StoreOp) -> Value {
+    match op {
+        StoreOp::Put { key, value, lease } => {
+            let mut put = json!({
+                "key": STANDARD.encode(key),
+                "value": STANDARD.encode(value),
+            });
+            if let Some(lease) = lease {
+                put["lease"] = json!(lease.0.to_string());
+            }
+            json!({ "request_put": put })
+        }
+        StoreOp::Delete(range) => json!({ "request_delete_range": range_fields(range) }),
+        StoreOp::Range(range) => json!({ "request_range": range_fields(range) }),
+    }
+}
+
+/// Bytes from base64.
+fn decode_bytes(text: &str) -> Result<Vec<u8>, String> {
+    STANDARD
+        .decode(text)
+        .map_err(|error| format!("not base64: {error}"))
+}
+
+/// A key from base64.
+fn decode_key(text: &str) -> Result<String, String> {
+    let bytes = decode_bytes(text)?;
+    String::from_utf8(bytes).map_err(|error| format!("a key is not UTF-8: {error}"))
+}
--- /dev/null
+++ b/crates/fescueway_platform/tests/store_calls.rs
@@ -0,0 +1,198 @@
+//! The store client against the stand-in, with its faults.
+
+use std::time::Duration;
+
+use fescueway_platform::{
+    Compare, KeyRange, StoreClient, StoreFault, StoreOp, StoreSettings, StoreTxn, WatchEvent,
+};
+use fescueway_testkit::{StoreFaults, StoreStub};
+
+const TIME_LEFT: Duration = Duration::from_secs(2);
+
+async fn start() -> (StoreStub, StoreClient) {
+    let store = StoreStub::start().await.expect("a free port");
+    let settings = StoreSettings::try_from(vec![store.address()]).expect("one address");
+    (store, StoreClient::new(settings))
+}
+
+fn put(key: &str, value: &str) -> StoreOp {
+    StoreOp::Put {
+        key: key.into(),
+        value: value.into(),
+        lease: None,
+    }
+}
+
+fn create(key: &str, value: &str) -> StoreTxn {
+    StoreTxn {
+        compares: vec![Compare::Absent(key.into())],
+        then: vec![put(key, value)],
+        otherwise: vec![StoreOp::Range(KeyRange::Key(key.into()))],
+    }
+}
+
+#[tokio::test]
+async fn of_two_creations_one_wins_and_the_other_reads_the_winner() {
+    let (_store, client) = start().await;
+    let first = client
+        .commit(&create("k", "one"), TIME_LEFT)
+        .await
+        .expect("up");
+    let second = client
+        .commit(&create("k", "two"), TIME_LEFT)
+        .await
+        .expect("up");
+    assert!(first.is_success);
+    assert!(!second.is_success);
+    assert_eq!(second.reads[0][0].value, b"one");
+}
+
+#[tokio::test]
+async fn a_lost_answer_leaves_the_effect_unknown_and_the_write_in_place() {
+    let (store, client) = start().await;
+    store.set_faults(StoreFaults {
+        lost_answers: 1,
+        ..StoreFaults::default()
+    });
+    let error = client
+        .commit(&create("k", "one"), TIME_LEFT)
+        .await
+        .expect_err("lost");
+    assert!(error.is_effect_unknown(), "{error}");
+    let reply = client
+        .range(&KeyRange::Key("k".into()), TIME_LEFT)
+        .await
+        .expect("up");
+    assert_eq!(reply.values[0].value, b"one");
+}
+
+#[tokio::test]
+async fn nothing_sent_is_told_apart_from_an_answer_lost() {
+    let (store, client) = start().await;
+    drop(store);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let error = client
+        .commit(&create("k", "one"), TIME_LEFT)
+        .await
+        .expect_err("gone");
+    assert!(matches!(error.fault, StoreFault::Unreachable(_)), "{error}");
+}
+
+#[tokio::test]
+async fn a_slow_store_is_given_up_at_the_deadline() {
+    let (store, client) = start().await;
+    store.set_faults(StoreFaults {
+        delay: Duration::from_secs(30),
+        ..StoreFaults::default()
+    });
+    let limit = Duration::from_millis(50);
+    let error = client
+        .range(&KeyRange::Key("k".into()), limit)
+        .await
+        .expect_err("late");
+    assert!(matches!(error.fault, StoreFault::AnswerLost(_)), "{error}");
+}
+
+#[tokio::test]
+async fn a_watch_resumes_without_a_gap_and_tells_of_compaction() {
+    let (store, client) = start().await;
+    let range = KeyRange::Prefix("a/".into());
+    let before = client.range(&range, TIME_LEFT).await.expect("up").revision;
+    let mut watch = client
+        .watch(&range, before + 1, TIME_LEFT)
+        .await
+        .expect("up");
+    client
+        .commit(&create("a/1", "one"), TIME_LEFT)
+        .await
+        .expect("up");
+    client
+        .commit(&create("b/1", "other"), TIME_LEFT)
+        .await
+        .expect("up");
+    let batch = watch
+        .next(TIME_LEFT)
+        .await
+        .expect("open")
+        .expect("a change");
+    assert!(matches!(&*batch.events, [WatchEvent::Put(value)] if value.key == "a/1"));
+
+    store.cut_watches();
+    watch.next(TIME_LEFT).await.expect_err("cut");
+    client
+        .commit(&create("a/2", "two"), TIME_LEFT)
+        .await
+        .expect("up");
+    let mut resumed = client
+        .watch(&range, batch.revision + 1, TIME_LEFT)
+        .await
+        .expect("up");
+    let missed = resumed
+        .next(TIME_LEFT)
+        .await
+        .expect("open")
+        .expect("the missed change");
+    assert!(matches!(&*missed.events, [WatchEvent::Put(value)] if value.key == "a/2"));
+
+    store.compact();
+    let mut late = client
+        .watch(&range, before + 1, TIME_LEFT)
+        .await
+        .expect("up");
+    let error = late.next(TIME_LEFT).await.expect_err("compacted");
+    assert!(matches!(error.fault, StoreFault::Compacted(_)), "{error}");
+}
+
+#[tokio::test]
+async fn a_lapsed_lease_takes_its_keys_along_and_is_not_kept() {
+    let (store, client) = start().await;
+    let grant = client
+        .grant_lease(Duration::from_secs(5), TIME_LEFT)
+        .await
+        .expect("up");
+    let bound = StoreOp::Put {
+        key: "k".into(),
+        value: vec![1],
+        lease: Some(grant.lease),
+    };
+    let txn = StoreTxn {
+        then: vec![bound],
+        ..StoreTxn::default()
+    };
+    client.commit(&txn, TIME_LEFT).await.expect("up");
+    client
+        .keep_lease(grant.lease, TIME_LEFT)
+        .await
+        .expect("alive");
+    store.expire_leases();
+    let error = client
+        .keep_lease(grant.lease, TIME_LEFT)
+        .await
+        .expect_err("lapsed");
+    assert_eq!(error.fault, StoreFault::LeaseLapsed);
+    let reply = client
+        .range(&KeyRange::Key("k".into()), TIME_LEFT)
+        .await
+        .expect("up");
+    assert!(reply.values.is_empty());
+}
+
+#[tokio::test]
+async fn calls_above_the_limit_are_refused_without_effect() {
+    let (store, client) = start().await;
+    store.set_faults(StoreFaults {
+        calls_per_second: Some(0),
+        ..StoreFaults::default()
+    });
+    let error = client
+        .commit(&create("k", "one"), TIME_LEFT)
+        .await
+        .expect_err("limited");
+    assert_eq!(error.fault, StoreFault::Limited);
+    store.set_faults(StoreFaults::default());
+    let reply = client
+        .range(&KeyRange::Key("k".into()), TIME_LEFT)
+        .await
+        .expect("up");
+    assert!(reply.values.is_empty());
+}
--- /dev/null
+++ b/crates/fescueway_testkit/src/backend_plan.rs
@@ -0,0 +1,49 @@
+//! How a backend server stand-in behaves.
+
+use std::time::Duration;
+
+/// What goes wrong at a backend server stand-in.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum BackendFault {
+    /// Every request is answered 500 at once.
+    FailFast,
+    /// Answers are cut after their first half.
+    CutShort,
+    /// Requests run, and the connection is cut in place of an answer.
+    LoseAnswers,
+    /// A connection takes one request; it is cut, and nothing runs, when a second one arrives.
+    CloseReused,
+}
+
+/// How a backend server stand-in behaves. It can be changed while it runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackendPlan {
+    /// Requests that run at once; more wait inside the backend server.
+    pub slots: u32,
+    /// Median time that a request takes at full speed.
+    pub service_time: Duration,
+    /// Spread of the service time: the sigma of its logarithm, zero for none.
+    pub spread: f64,
+    /// Service times are multiplied by this. Ten makes a straggler.
+    pub slowdown: f64,
+    /// What goes wrong, if anything.
+    pub fault: Option<BackendFault>,
+    /// Time that a probe takes at the load path.
+    pub probe_time: Duration,
+    /// Seed of the service times.
+    pub seed: u64,
+}
+
+impl Default for BackendPlan {
+    fn default() -> Self {
+        Self {
+            slots: 10,
+            service_time: Duration::from_millis(5),
+            spread: 0.0,
+            slowdown: 1.0,
+            fault: None,
+            probe_time: Duration::from_millis(1),
+            seed: 1,
+        }
+    }
+}
--- a/crates/fescueway_testkit/src/lib.rs
+++ b/crates/fescueway_testkit/src/lib.rs
@@ -1,1 +1,21 @@
-//! To be written.
+//! Stand-ins for what surrounds fescueway: the platform's store and backend servers.
+//!
+//! For tests, examples and benches only. Every server listens on loopback and ends when its
+//! handle is dropped.
+
+mod backend_plan;
+mod backend_server;
+mod backend_tally;
+mod backend_work;
+mod store_core;
+mod store_faults;
+mod store_server;
+mod store_watch;
+
+pub use crate::{
+    backend_plan::{BackendFault, BackendPlan},
+    backend_server::BackendStub,
+    backend_tally::BackendTally,
+    store_faults::{StoreFaults, StoreTally},
+    store_server::StoreStub,
+};
