Prove the thin path: in at one node, answered through the other

Two daemons and a backend server stand-in on loopback; a read and a booking enter the node without a backend server and come back whole. A second test holds the short-cut: a node with the only target opens no connection between nodes.

--- a/crates/fescueway_proxy/src/body/answer_body.rs
+++ b/crates/fescueway_proxy/src/body/answer_body.rs
@@ -48,9 +48,9 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        Pin::new(&mut self.body).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -68,13 +68,13 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Own(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Own(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Self::Peer { body, .. } => Pin::new(&mut **body).poll_frame(context),
-            Self::Backend(body) => Pin::new(&mut **body).poll_frame(context),
+            Self::Peer { body, .. } => Pin::new(&mut **body).poll_frame(cx),
+            Self::Backend(body) => Pin::new(&mut **body).poll_frame(cx),
         }
     }
 
--- a/crates/fescueway_proxy/src/body/body_pump.rs
+++ b/crates/fescueway_proxy/src/body/body_pump.rs
@@ -18,6 +18,10 @@
 ///
 /// A body that breaks off resets the stream, so the receiver never takes it for whole. So does a
 /// receiver that takes no byte for `idle`.
+///
+/// # Errors
+///
+/// When the body or the stream breaks off.
 pub async fn pump_body(
     stream: &mut SendStream<Bytes>,
     body: impl Body<Data = Bytes, Error = BodyError>,
--- a/crates/fescueway_proxy/src/body/host_body.rs
+++ b/crates/fescueway_proxy/src/body/host_body.rs
@@ -25,11 +25,11 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
-            Self::Local(body) => Pin::new(body).poll_frame(context),
-            Self::Peer(body) => Pin::new(&mut **body).poll_frame(context),
+            Self::Local(body) => Pin::new(body).poll_frame(cx),
+            Self::Peer(body) => Pin::new(&mut **body).poll_frame(cx),
         }
     }
 
--- a/crates/fescueway_proxy/src/body/peer_body.rs
+++ b/crates/fescueway_proxy/src/body/peer_body.rs
@@ -82,15 +82,15 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Poll::Ready(frame) = self.poll_any(context) {
+        if let Poll::Ready(frame) = self.poll_any(cx) {
             self.timer = None;
             return Poll::Ready(frame);
         }
         let idle = self.idle;
         let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(idle)));
-        ready!(timer.as_mut().poll(context));
+        ready!(timer.as_mut().poll(cx));
         Poll::Ready(Some(Err(BodyError::Idle)))
     }
 
--- a/crates/fescueway_proxy/src/body/request_body.rs
+++ b/crates/fescueway_proxy/src/body/request_body.rs
@@ -133,7 +133,7 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Empty => Poll::Ready(None),
@@ -142,7 +142,7 @@
                 *self = Self::Empty;
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
-            Self::Streaming(body) => body.with(|state| state.poll_frame(context)),
+            Self::Streaming(body) => body.with(|state| state.poll_frame(cx)),
         }
     }
 
--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -8,6 +8,7 @@
     HeaderMap, StatusCode, Uri,
     header::{EXPECT, HOST},
     request::Parts,
+    uri::Authority,
 };
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -134,7 +135,7 @@
 
 /// The authority that the request names.
 fn authority(uri: &Uri, headers: &HeaderMap) -> Arc<str> {
-    let named = uri.authority().map(|authority| authority.as_str());
+    let named = uri.authority().map(Authority::as_str);
     let host = headers.get(HOST).and_then(|host| host.to_str().ok());
     Arc::from(named.or(host).unwrap_or_default())
 }
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -81,14 +81,14 @@
                 }
                 AttemptEnd::Lost(handed_over) => {
                     self.is_lost = true;
-                    self.retry(handed_over)?
+                    retry_terms(handed_over)?
                 }
                 AttemptEnd::Answered(response, handed_over) => {
                     if !is_retryable(response.status()) {
                         return Ok(response);
                     }
                     self.failure = Some(response);
-                    self.retry(handed_over)?
+                    retry_terms(handed_over)?
                 }
             };
             if !self.request.body.is_whole() {
@@ -112,11 +112,6 @@
         }
     }
 
-    /// The terms for another offer after a hand-over; only an idempotent request has them.
-    fn retry(&self, handed_over: HandedOver) -> Result<RequestTerms, Refusal> {
-        handed_over.retry().ok_or_else(spent)
-    }
-
     /// Makes an offer, and a second one when the first takes long.
     async fn attempt_hedged(&mut self, permit: OfferPermit) -> AttemptEnd {
         let (state, deadline) = (self.state, self.deadline);
@@ -207,6 +202,11 @@
     )
 }
 
+/// The terms for another offer after a hand-over; only an idempotent request has them.
+fn retry_terms(handed_over: HandedOver) -> Result<RequestTerms, Refusal> {
+    handed_over.retry().ok_or_else(spent)
+}
+
 /// The request can't be offered again.
 fn spent() -> Refusal {
     refusal(RefusalReason::BudgetSpent)
--- a/crates/fescueway_proxy/src/host/backend_body.rs
+++ b/crates/fescueway_proxy/src/host/backend_body.rs
@@ -116,15 +116,15 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let Some(incoming) = &mut self.incoming else {
             return Poll::Ready(None);
         };
-        let Poll::Ready(frame) = Pin::new(incoming).poll_frame(context) else {
+        let Poll::Ready(frame) = Pin::new(incoming).poll_frame(cx) else {
             let idle = self.idle;
             let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(idle)));
-            ready!(timer.as_mut().poll(context));
+            ready!(timer.as_mut().poll(cx));
             self.fail();
             return Poll::Ready(Some(Err(BodyError::Idle)));
         };
--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -123,7 +123,7 @@
     let load = target.report();
     match answer {
         RunAnswer::Answered(response) => {
-            send_answer(response, load, state.limits().body_idle, reply).await;
+            send_answer(*response, load, state.limits().body_idle, reply).await;
         }
         RunAnswer::Refused(refusal) => refuse(reply, refusal, load),
         RunAnswer::Lost(error) => {
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub enum RunAnswer {
     /// The backend server answers.
-    Answered(Response<BackendBody>),
+    Answered(Box<Response<BackendBody>>),
     /// No byte of the request was sent.
     Refused(Refusal),
     /// The answer was lost.
@@ -75,7 +75,7 @@
                     call,
                 };
                 let idle = state.limits().body_idle;
-                RunAnswer::Answered(to_answer(response, run, is_kept, idle))
+                RunAnswer::Answered(Box::new(to_answer(response, run, is_kept, idle)))
             }
             Err(error) => {
                 self.ticket.set_end(RunEnd::Lost);
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -277,24 +277,22 @@
         });
     }
 
-    /// A backend server takes nothing new from now on. `false` when there is none.
-    pub fn drain(&self, service: &ServiceName) -> bool {
+    /// A backend server takes nothing new from now on. Nothing happens when there is none.
+    pub fn drain(&self, service: &ServiceName) {
         let Some(target) = self.host_target(service) else {
-            return false;
+            return;
         };
         target.drain();
         self.set_state(service, TargetState::Draining);
-        true
     }
 
-    /// A backend server takes work again. `false` when there is none.
-    pub fn undrain(&self, service: &ServiceName) -> bool {
+    /// A backend server takes work again. Nothing happens when there is none.
+    pub fn undrain(&self, service: &ServiceName) {
         let Some(target) = self.host_target(service) else {
-            return false;
+            return;
         };
         target.undrain();
         self.set_state(service, TargetState::Serving);
-        true
     }
 
     /// Services whose backend server is beside this node.
--- /dev/null
+++ b/crates/fescuewayd/tests/common/mod.rs
@@ -0,0 +1,144 @@
+//! What the tests of the path share: nodes on loopback and a plain HTTP client.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use fescueway_config::{
+    ClaimPlan, ObjectivePlan, ProbePlan, RetryPlan, RoutePlan, ServicePlan, SitePlan,
+};
+use fescueway_core::{DomainName, Idempotency, Priority, ServiceName, SiteName};
+use fescueway_proxy::BackendAnnouncement;
+use fescuewayd::{Daemon, DaemonSettings};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time::sleep};
+
+/// Longest wait for something that should happen soon.
+pub const SOON: Duration = Duration::from_secs(5);
+
+/// A service on every path: GET is idempotent, all else is not.
+pub fn plan(service: &str, deadline: Duration) -> Arc<SitePlan> {
+    let route = |method: Option<&str>, idempotency| RoutePlan {
+        method: method.map(Arc::from),
+        path_prefix: Arc::from("/"),
+        idempotency,
+        priority: Priority::Normal,
+        deadline,
+    };
+    let service = ServicePlan {
+        name: ServiceName::from(service),
+        hosts: Vec::new(),
+        path_prefixes: vec![Arc::from("/")],
+        routes: vec![route(Some("GET"), Idempotency::Idempotent)],
+        default_route: route(None, Idempotency::NonIdempotent),
+        probe: ProbePlan {
+            budget_ms_per_s: 0.0,
+            path: Arc::from("/load"),
+            timeout: Duration::from_millis(100),
+        },
+        retry: RetryPlan {
+            budget_share: 0.2,
+            max_offers: 3,
+            is_hedging: false,
+        },
+        objective: ObjectivePlan {
+            availability: 0.999,
+            latency: Duration::from_millis(100),
+            window: Duration::from_secs(3_600),
+        },
+        claim: ClaimPlan {
+            partitions: 1,
+            retention: Duration::from_secs(60),
+        },
+    };
+    let services = BTreeMap::from([(service.name.clone(), Arc::new(service))]);
+    Arc::new(SitePlan {
+        site: SiteName::from("test"),
+        services,
+    })
+}
+
+/// A node on loopback that knows the peers.
+pub async fn node(plan: &Arc<SitePlan>, seed_peers: &[SocketAddr]) -> Daemon {
+    let mut settings = DaemonSettings::on_loopback(SiteName::from("test"), DomainName::from("a"));
+    settings.plan = Some(Arc::clone(plan));
+    settings.seed_peers = seed_peers.to_vec();
+    Daemon::start(settings).await.expect("loopback has ports")
+}
+
+/// Announces a backend server to its node.
+pub fn announce(node: &Daemon, service: &str, address: SocketAddr) {
+    node.state().announce(&BackendAnnouncement {
+        service: ServiceName::from(service),
+        address,
+        slots: 10,
+        connections: 50,
+    });
+}
+
+/// Waits until `entry` knows `count` targets.
+pub async fn knows_targets(entry: &Daemon, count: usize) {
+    eventually("the entry knows its targets", || {
+        entry.state().routes().targets().len() == count
+    })
+    .await;
+}
+
+/// Waits until `is_so`.
+pub async fn eventually(what: &str, mut is_so: impl FnMut() -> bool) {
+    for _ in 0..500 {
+        if is_so() {
+            return;
+        }
+        sleep(SOON / 500).await;
+    }
+    panic!("not within {SOON:?}: {what}");
+}
+
+/// Sends one request on a connection of its own.
+pub async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    let socket = TcpStream::connect(address).await.expect("the node listens");
+    let (mut sender, connection) = http1::handshake(TokioIo::new(socket))
+        .await
+        .expect("a handshake sends nothing");
+    tokio::spawn(connection);
+    sender.send_request(request).await.expect("an answer")
+}
+
+/// A request without a body.
+pub fn get(path: &str) -> Request<Full<Bytes>> {
+    request("GET", path, &[], "")
+}
+
+/// A request.
+pub fn request(
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &'static str,
+) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "test");
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder.body(Full::from(body)).expect("a valid request")
+}
+
+/// The whole body as text.
+pub async fn text(response: Response<Incoming>) -> String {
+    let bytes = response.into_body().collect().await.expect("a whole body");
+    String::from_utf8_lossy(&bytes.to_bytes()).into_owned()
+}
+
+/// A header's value.
+pub fn header<'a>(response: &'a Response<Incoming>, name: &str) -> &'a str {
+    let value = response.headers().get(name);
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/fescuewayd/tests/two_nodes.rs
@@ -0,0 +1,47 @@
+//! A request enters one node and is answered through the other.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{announce, get, header, knows_targets, node, plan, request, send, text};
+use fescueway_testkit::{BackendPlan, BackendStub};
+
+#[tokio::test]
+async fn a_request_is_answered_through_the_other_node() {
+    let plan = plan("windows", Duration::from_secs(2));
+    let backend = BackendStub::start(BackendPlan::default())
+        .await
+        .expect("a port");
+    let entry = node(&plan, &[]).await;
+    let host = node(&plan, &[entry.addresses().peers]).await;
+    announce(&host, "windows", backend.address());
+    knows_targets(&entry, 1).await;
+
+    let read = request("GET", "/windows/7", &[("x-request-id", "r-1")], "");
+    let response = send(entry.addresses().callers, read).await;
+    assert_eq!(response.status(), 200);
+    assert_eq!(header(&response, "fescueway-outcome"), "ran");
+    let body = text(response).await;
+    assert!(body.contains("\"request_id\":\"r-1\""), "{body}");
+
+    let booking = request("POST", "/windows", &[], "a booking");
+    let response = send(entry.addresses().callers, booking).await;
+    assert_eq!(response.status(), 200);
+    assert!(text(response).await.contains("\"body_bytes\":9"));
+    assert_eq!(backend.tally().runs, 2);
+}
+
+#[tokio::test]
+async fn the_own_backend_server_needs_no_socket_between_nodes() {
+    let plan = plan("windows", Duration::from_secs(2));
+    let backend = BackendStub::start(BackendPlan::default())
+        .await
+        .expect("a port");
+    let node = node(&plan, &[]).await;
+    announce(&node, "windows", backend.address());
+
+    let response = send(node.addresses().callers, get("/windows/7")).await;
+    assert_eq!(response.status(), 200);
+    assert!(node.state().peers().connected().is_empty());
+}
