Check a base and its overlays as one whole

Cause: plans existed only as types; nothing read, merged or checked them.

A Document is JSON with comments that remembers the line of each field, so that a fault names file, line, field, what was found and what is allowed, and an unknown name gets the nearest known one. Overlays merge by RFC 7396; a fault of a field that an overlay gives points to the overlay. Both deployments are described in configs/.

serde_path_to_error is added for the path of a field that serde refuses; the other way, a deserializer of our own, is some 200 lines more.

Ruled out: routes as a list, because RFC 7396 replaces lists as a whole and an overlay could not change one route; a default for a route's idempotency, because its guess would run a booking twice.

Path prefixes now match whole segments: /bands held /bandstand before.

Shown by crates/fescueway_config/tests: 16 tests, among them three seeded properties (arbitrary bytes, broken documents, merge and digest).

--- /dev/null
+++ b/crates/fescueway_config/src/config_diff.rs
@@ -0,0 +1,102 @@
+//! What differs between two configurations.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fescueway_core::{ServiceName, SiteName};
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::{ConfigSet, RawService, ServicePlan};
+
+/// One field that differs between two configurations.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct ConfigChange {
+    /// The site.
+    pub site: SiteName,
+    /// The service.
+    pub service: ServiceName,
+    /// Path of the field below the service, empty for the service as a whole.
+    pub field: String,
+    /// The value before as JSON, `None` when the field is new.
+    pub before: Option<String>,
+    /// The value after as JSON, `None` when the field is gone.
+    pub after: Option<String>,
+}
+
+impl ConfigSet {
+    /// What changes from `self` to `next`, by site, service and field.
+    #[must_use]
+    pub fn diff(&self, next: &Self) -> Vec<ConfigChange> {
+        let before = fields_by_service(self);
+        let after = fields_by_service(next);
+        let keys: BTreeSet<_> = before.keys().chain(after.keys()).collect();
+        let none = BTreeMap::new();
+        let mut changes = Vec::new();
+        for (site, service) in keys {
+            let key = (site.clone(), service.clone());
+            let old = before.get(&key).unwrap_or(&none);
+            let new = after.get(&key).unwrap_or(&none);
+            changes.extend(changed_fields(&key, old, new));
+        }
+        changes
+    }
+}
+
+/// The fields of every service by path.
+fn fields_by_service(
+    config: &ConfigSet,
+) -> BTreeMap<(SiteName, ServiceName), BTreeMap<String, String>> {
+    let mut services = BTreeMap::new();
+    for site in config.sites().values() {
+        for (name, plan) in &site.services {
+            services.insert((site.site.clone(), name.clone()), fields_of(plan));
+        }
+    }
+    services
+}
+
+/// The fields of one service by path, as JSON.
+fn fields_of(plan: &ServicePlan) -> BTreeMap<String, String> {
+    let mut fields = BTreeMap::new();
+    // The raw type holds only strings, numbers and lists of them, which always have a JSON form.
+    let value = serde_json::to_value(RawService::from(plan)).unwrap_or_default();
+    collect_fields("", &value, &mut fields);
+    fields
+}
+
+/// Adds the fields of `value` below `path`. Lists count as one field.
+fn collect_fields(path: &str, value: &Value, fields: &mut BTreeMap<String, String>) {
+    let Value::Object(map) = value else {
+        fields.insert(path.to_owned(), value.to_string());
+        return;
+    };
+    for (name, inner) in map {
+        let path = if path.is_empty() {
+            name.clone()
+        } else {
+            format!("{path}.{name}")
+        };
+        collect_fields(&path, inner, fields);
+    }
+}
+
+/// The fields of one service that differ.
+fn changed_fields(
+    key: &(SiteName, ServiceName),
+    before: &BTreeMap<String, String>,
+    after: &BTreeMap<String, String>,
+) -> Vec<ConfigChange> {
+    let paths: BTreeSet<_> = before.keys().chain(after.keys()).collect();
+    let differing = paths
+        .into_iter()
+        .filter(|path| before.get(*path) != after.get(*path));
+    differing
+        .map(|path| ConfigChange {
+            site: key.0.clone(),
+            service: key.1.clone(),
+            field: path.clone(),
+            before: before.get(path).cloned(),
+            after: after.get(path).cloned(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/fescueway_config/src/config_set.rs
@@ -0,0 +1,117 @@
+//! The configuration of all sites as one whole.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use fescueway_core::{ServiceName, SiteName};
+
+use crate::{
+    ConfigError, Document, FieldFault, ServicePlan, ServiceValue, SitePlan, site_document,
+};
+
+/// The configuration of all sites as one whole: the base with each overlay merged into it.
+///
+/// Invariant: every service is valid, and no two services of a site claim the same path.
+///
+/// ```
+/// # use fescueway_config::{ConfigSet, Document};
+/// let base = Document::parse(
+///     "base.json",
+///     r#"{ "services": { "bands": { "path_prefixes": ["/bands"] } } }"#,
+/// )?;
+/// let overlay = Document::parse("bala.json", r#"{ "site": "bala" }"#)?;
+/// let config = ConfigSet::check(&base, &[overlay]).map_err(|errors| errors[0].clone())?;
+/// assert_eq!(config.service_values().len(), 1);
+/// # Ok::<(), fescueway_config::ConfigError>(())
+/// ```
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigSet {
+    /// What is in force at each site.
+    sites: BTreeMap<SiteName, SitePlan>,
+}
+
+impl ConfigSet {
+    /// Merges each overlay into the base (RFC 7396) and checks the results together.
+    ///
+    /// # Errors
+    ///
+    /// Every fault that was found, each once, in the order of the files. A fault of a field that
+    /// an overlay gives names the overlay, any other the base.
+    pub fn check(base: &Document, overlays: &[Document]) -> Result<Self, Vec<ConfigError>> {
+        let mut errors = Vec::new();
+        let mut sites = BTreeMap::new();
+        if overlays.is_empty() {
+            site_document::check_base(base, &mut errors);
+        }
+        for overlay in overlays {
+            if let Some(plan) = site_document::check_site(base, overlay, &mut errors) {
+                let site = plan.site.clone();
+                if sites.insert(site, plan).is_some() {
+                    errors.push(site_document::repeated_site(overlay));
+                }
+            }
+        }
+        if errors.is_empty() {
+            return Ok(Self { sites });
+        }
+        Err(distinct(errors))
+    }
+
+    /// The configuration of sites that were checked one by one.
+    #[must_use]
+    pub fn from_sites(sites: impl IntoIterator<Item = SitePlan>) -> Self {
+        let sites = sites.into_iter().map(|plan| (plan.site.clone(), plan));
+        Self {
+            sites: sites.collect(),
+        }
+    }
+
+    /// Reads a configuration back from the canonical forms of its services.
+    ///
+    /// # Errors
+    ///
+    /// When a value is not a valid service; the field begins with its site.
+    pub fn from_values<'a>(
+        values: impl IntoIterator<Item = (SiteName, &'a [u8])>,
+    ) -> Result<Self, FieldFault> {
+        let mut sites = BTreeMap::new();
+        for (site, bytes) in values {
+            let plan = ServicePlan::try_from(bytes).map_err(|mut fault| {
+                fault.field = format!("{site}: {}", fault.field);
+                fault
+            })?;
+            let entry = sites.entry(site.clone());
+            let services: &mut SitePlan = entry.or_insert_with(|| SitePlan::empty(site));
+            services.services.insert(plan.name.clone(), Arc::new(plan));
+        }
+        Ok(Self { sites })
+    }
+
+    /// What is in force at each site.
+    #[must_use]
+    pub fn sites(&self) -> &BTreeMap<SiteName, SitePlan> {
+        &self.sites
+    }
+
+    /// The canonical form of every service, with its digest.
+    #[must_use]
+    pub fn service_values(&self) -> BTreeMap<(SiteName, ServiceName), ServiceValue> {
+        let services = self.sites.values().flat_map(|site| {
+            let names = site.services.iter();
+            names.map(|(name, plan)| ((site.site.clone(), name.clone()), plan))
+        });
+        services
+            .map(|(key, plan)| (key, ServiceValue::from(&**plan)))
+            .collect()
+    }
+}
+
+/// The errors without repetitions: a fault of the base shows at every site.
+fn distinct(errors: Vec<ConfigError>) -> Vec<ConfigError> {
+    let mut kept = Vec::new();
+    for error in errors {
+        if !kept.contains(&error) {
+            kept.push(error);
+        }
+    }
+    kept
+}
--- /dev/null
+++ b/crates/fescueway_config/src/document.rs
@@ -0,0 +1,260 @@
+//! A JSON document with comments that remembers where each field stands.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jsonc_parser::{CollectOptions, ParseOptions, ast, common::Ranged};
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Number, Value};
+
+use crate::{ConfigError, ConfigStep, FieldFault, suggestion};
+
+/// A JSON document with comments that remembers where each field stands.
+///
+/// Comments and trailing commas are allowed, all else is JSON as in RFC 8259. The document does
+/// no I/O: the caller reads the text and names its file for error messages.
+///
+/// ```
+/// # use fescueway_config::Document;
+/// #[derive(Debug, serde::Deserialize)]
+/// #[serde(deny_unknown_fields)]
+/// struct RawTimer {
+///     period_ms: u32,
+/// }
+///
+/// let document = Document::parse("timer.json", "{\n  // Slow.\n  \"perod_ms\": 5\n}")?;
+/// let error = document.decode::<RawTimer>().unwrap_err();
+/// assert_eq!(error.line, 3);
+/// assert_eq!(error.suggestion.as_deref(), Some("period_ms"));
+/// # Ok::<(), fescueway_config::ConfigError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// The file that the text came from.
+    file: Arc<str>,
+    /// The content.
+    root: Value,
+    /// The line of each field by its path. The root has the empty path.
+    lines: BTreeMap<String, usize>,
+}
+
+impl Document {
+    /// Parses the text of `file`.
+    ///
+    /// # Errors
+    ///
+    /// When the text is not JSON with comments, or an object gives a name twice.
+    pub fn parse(file: impl Into<Arc<str>>, text: &str) -> Result<Self, ConfigError> {
+        let file = file.into();
+        let parsed =
+            jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &strict_options());
+        let parsed = parsed.map_err(|error| ConfigError {
+            step: ConfigStep::Syntax,
+            file: Arc::clone(&file),
+            line: error.line_display(),
+            fault: Box::new(FieldFault::new(
+                "",
+                format!("text that is not JSON ({})", error.kind()),
+                "JSON with comments",
+            )),
+            suggestion: None,
+        })?;
+        let mut walk = DocumentWalk::new(&file, text);
+        let root = match parsed.value {
+            Some(value) => walk.value("", value)?,
+            None => Value::Null,
+        };
+        let lines = walk.lines;
+        Ok(Self { file, root, lines })
+    }
+
+    /// Parses the bytes of `file`, which have to be UTF-8.
+    ///
+    /// # Errors
+    ///
+    /// As [`Document::parse`], and when the bytes are not UTF-8.
+    pub fn parse_bytes(file: impl Into<Arc<str>>, bytes: &[u8]) -> Result<Self, ConfigError> {
+        let file = file.into();
+        let text = std::str::from_utf8(bytes).map_err(|error| ConfigError {
+            step: ConfigStep::Syntax,
+            file: Arc::clone(&file),
+            line: bytes[..error.valid_up_to()]
+                .split(|byte| *byte == b'\n')
+                .count(),
+            fault: Box::new(FieldFault::new(
+                "",
+                format!("a byte that is not UTF-8 at offset {}", error.valid_up_to()),
+                "UTF-8",
+            )),
+            suggestion: None,
+        })?;
+        Self::parse(Arc::clone(&file), text)
+    }
+
+    /// The file that the text came from.
+    #[must_use]
+    pub fn file(&self) -> &Arc<str> {
+        &self.file
+    }
+
+    /// The content.
+    #[must_use]
+    pub fn root(&self) -> &Value {
+        &self.root
+    }
+
+    /// The content as a raw type.
+    ///
+    /// # Errors
+    ///
+    /// When a field is unknown, missing or of the wrong type.
+    pub fn decode<T: DeserializeOwned>(&self) -> Result<T, ConfigError> {
+        decode_value(&self.root).map_err(|fault| self.locate(ConfigStep::Shape, fault))
+    }
+
+    /// Adds file and line to a fault. A field that the document doesn't give is placed at the
+    /// object that it is missing from.
+    #[must_use]
+    pub fn locate(&self, step: ConfigStep, fault: FieldFault) -> ConfigError {
+        let suggestion = suggestion::for_fault(&fault);
+        ConfigError {
+            step,
+            file: Arc::clone(&self.file),
+            line: self.line_of(&fault.field),
+            fault: Box::new(fault),
+            suggestion,
+        }
+    }
+
+    /// The longest part of `path` that the document gives: the field itself, or the nearest
+    /// object around it.
+    #[must_use]
+    pub fn known_part<'p>(&self, path: &'p str) -> &'p str {
+        let mut part = path;
+        while !part.is_empty() && !self.lines.contains_key(part) {
+            part = part.rfind(['.', '[']).map_or("", |end| &part[..end]);
+        }
+        part
+    }
+
+    /// The line of the field at `path`, or of the nearest object around it.
+    fn line_of(&self, path: &str) -> usize {
+        let line = self.lines.get(self.known_part(path));
+        line.copied().unwrap_or(1)
+    }
+}
+
+/// Decodes a raw type, and names the field that is wrong.
+pub(crate) fn decode_value<T: DeserializeOwned>(value: &Value) -> Result<T, FieldFault> {
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let path = error.path().to_string();
+        let field = if path == "." { String::new() } else { path };
+        let message = error.inner().to_string();
+        match message.split_once(", expected ") {
+            Some((found, allowed)) => FieldFault::new(field, found, allowed),
+            None => FieldFault::new(field, message, "all required fields, each once"),
+        }
+    })
+}
+
+/// JSON as in RFC 8259 with comments and trailing commas.
+fn strict_options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_loose_object_property_names: false,
+        allow_trailing_commas: true,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+/// Turns a syntax tree into values, noting the line of each field.
+struct DocumentWalk<'a> {
+    /// The file, for errors.
+    file: &'a Arc<str>,
+    /// Offsets of the newlines, ascending.
+    newlines: Vec<usize>,
+    /// The line of each field by its path.
+    lines: BTreeMap<String, usize>,
+}
+
+impl<'a> DocumentWalk<'a> {
+    /// A walk over `text` that has not begun.
+    fn new(file: &'a Arc<str>, text: &str) -> Self {
+        Self {
+            file,
+            newlines: text.match_indices('\n').map(|found| found.0).collect(),
+            lines: BTreeMap::new(),
+        }
+    }
+
+    /// The value at `path`.
+    fn value(&mut self, path: &str, value: ast::Value<'_>) -> Result<Value, ConfigError> {
+        let line = self.line_at(value.start());
+        self.lines.entry(path.to_owned()).or_insert(line);
+        match value {
+            ast::Value::StringLit(text) => Ok(Value::String(text.value.into_owned())),
+            ast::Value::BooleanLit(flag) => Ok(Value::Bool(flag.value)),
+            ast::Value::NullKeyword(_) => Ok(Value::Null),
+            ast::Value::NumberLit(number) => self.number(path, number.value),
+            ast::Value::Array(array) => self.array(path, array),
+            ast::Value::Object(object) => self.object(path, object),
+        }
+    }
+
+    /// The number at `path`.
+    fn number(&self, path: &str, text: &str) -> Result<Value, ConfigError> {
+        let number = text.parse::<Number>();
+        number
+            .map(Value::Number)
+            .map_err(|error| self.error(path, format!("the number {text} ({error})"), "a number"))
+    }
+
+    /// The array at `path`.
+    fn array(&mut self, path: &str, array: ast::Array<'_>) -> Result<Value, ConfigError> {
+        let elements = array.elements.into_iter().enumerate();
+        let values =
+            elements.map(|(index, element)| self.value(&format!("{path}[{index}]"), element));
+        values.collect::<Result<Vec<_>, _>>().map(Value::Array)
+    }
+
+    /// The object at `path`.
+    fn object(&mut self, path: &str, object: ast::Object<'_>) -> Result<Value, ConfigError> {
+        let mut map = Map::new();
+        for property in object.properties {
+            let line = self.line_at(property.start());
+            let name = property.name.into_string();
+            let inner = if path.is_empty() {
+                name.clone()
+            } else {
+                format!("{path}.{name}")
+            };
+            if let Some(first) = self.lines.insert(inner.clone(), line) {
+                let found = format!("a second value, the first is in line {first}");
+                return Err(self.error(&inner, found, "each name once"));
+            }
+            map.insert(name, self.value(&inner, property.value)?);
+        }
+        Ok(Value::Object(map))
+    }
+
+    /// The line of the byte at `offset`, counted from 1.
+    fn line_at(&self, offset: usize) -> usize {
+        1 + self.newlines.partition_point(|newline| *newline < offset)
+    }
+
+    /// An error at a path whose line is noted.
+    fn error(&self, path: &str, found: String, allowed: &str) -> ConfigError {
+        ConfigError {
+            step: ConfigStep::Syntax,
+            file: Arc::clone(self.file),
+            line: self.lines.get(path).copied().unwrap_or(1),
+            fault: Box::new(FieldFault::new(path, found, allowed)),
+            suggestion: None,
+        }
+    }
+}
--- a/crates/fescueway_config/src/lib.rs
+++ b/crates/fescueway_config/src/lib.rs
@@ -1,11 +1,44 @@
-//! Configuration: a base file and an overlay per site, merged and checked into a [`SitePlan`].
+//! Configuration: a base file and an overlay per site, merged and checked as one whole.
 //!
-//! Raw documents become checked plans by `TryFrom`; a plan that exists is valid.
+//! A [`Document`] is JSON with comments that remembers where each field stands, so that an error
+//! names the file, the line and the field. [`ConfigSet::check`] merges a base with the overlays
+//! of all sites. Raw types become checked plans by `TryFrom`; a plan that exists is valid. The
+//! canonical form of a service ([`ServiceValue`]) is what the platform's store holds.
+//!
+//! Nothing here does I/O. The daemon reads its own settings with [`Document`] as well.
 
+mod config_diff;
+mod config_error;
+mod config_set;
+mod document;
+mod field_page;
+mod field_rule;
+mod raw_service;
+mod service_check;
 mod service_plan;
+mod service_rules;
+mod site_document;
 mod site_plan;
+mod stored_service;
+mod suggestion;
 
 pub use crate::{
-    service_plan::{ClaimPlan, ObjectivePlan, ProbePlan, RetryPlan, RoutePlan, ServicePlan},
+    config_diff::ConfigChange,
+    config_error::{ConfigError, ConfigStep, FieldFault},
+    config_set::ConfigSet,
+    document::Document,
+    field_page::service_table,
+    field_rule::{FieldRule, NumberRule, TextRule},
+    raw_service::{
+        RawClaim, RawDefaultRoute, RawLimit, RawLocality, RawObjective, RawProbe, RawRetry,
+        RawRoute, RawService,
+    },
+    service_plan::{
+        ClaimPlan, LimitPlan, LocalityPlan, ObjectivePlan, ProbePlan, RetryPlan, RoutePlan,
+        ServicePlan,
+    },
+    service_rules::SERVICE_RULES,
     site_plan::SitePlan,
+    stored_service::{ServiceDigest, ServiceValue, StoredService},
+    suggestion::nearest_name,
 };
--- /dev/null
+++ b/crates/fescueway_config/src/service_check.rs
@@ -0,0 +1,293 @@
+//! From a raw service to a checked one, and back to the raw form with all defaults filled in.
+
+use std::{cmp::Reverse, collections::BTreeMap, sync::Arc, time::Duration};
+
+use fescueway_core::{Idempotency, Priority};
+use serde_json::Number;
+
+use crate::{
+    ClaimPlan, FieldFault, LimitPlan, LocalityPlan, NumberRule, ObjectivePlan, ProbePlan,
+    RetryPlan, RoutePlan, ServicePlan, StoredService, TextRule,
+    raw_service::{
+        RawClaim, RawDefaultRoute, RawLimit, RawLocality, RawObjective, RawProbe, RawRetry,
+        RawRoute, RawService,
+    },
+    service_rules as rules,
+    stored_service::checked_name,
+};
+
+/// Seconds in a day.
+const DAY_S: u64 = 24 * 60 * 60;
+
+impl TryFrom<StoredService> for ServicePlan {
+    type Error = FieldFault;
+
+    fn try_from(stored: StoredService) -> Result<Self, FieldFault> {
+        let scope = format!("services.{}", stored.name);
+        let name = checked_name(scope.clone(), &stored.name)?;
+        let raw = stored.plan;
+        let default_route = default_route(&scope, &raw.default_route)?;
+        Ok(Self {
+            name,
+            hosts: hosts(&scope, &raw.hosts)?,
+            path_prefixes: path_prefixes(&scope, &raw.path_prefixes)?,
+            routes: routes(&scope, &raw.routes, &default_route)?,
+            default_route,
+            probe: probe(&scope, &raw.probe)?,
+            retry: retry(&scope, &raw.retry)?,
+            objective: objective(&scope, &raw.objective)?,
+            claim: claim(&scope, &raw.claim)?,
+            limit: limit(&scope, &raw.limit)?,
+            locality: locality(&scope, &raw.locality)?,
+        })
+    }
+}
+
+impl From<&ServicePlan> for RawService {
+    fn from(plan: &ServicePlan) -> Self {
+        let routes = plan.routes.iter();
+        Self {
+            hosts: texts(&plan.hosts),
+            path_prefixes: texts(&plan.path_prefixes),
+            default_route: RawDefaultRoute {
+                idempotency: Some(plan.default_route.idempotency),
+                priority: Some(plan.default_route.priority),
+                deadline_ms: millis(&rules::DEFAULT_DEADLINE, plan.default_route.deadline),
+            },
+            routes: routes.map(raw_route).collect(),
+            probe: RawProbe {
+                budget_ms_per_s: rules::PROBE_BUDGET.raw(plan.probe.budget_ms_per_s),
+                path: Some(plan.probe.path.to_string()),
+                timeout_ms: millis(&rules::PROBE_TIMEOUT, plan.probe.timeout),
+            },
+            retry: RawRetry {
+                budget_share: rules::RETRY_SHARE.raw(plan.retry.budget_share),
+                max_offers: rules::MAX_OFFERS.raw(plan.retry.max_offers.into()),
+                is_hedging: Some(plan.retry.is_hedging),
+            },
+            objective: RawObjective {
+                availability: rules::AVAILABILITY.raw(plan.objective.availability),
+                latency_ms: millis(&rules::OBJECTIVE_LATENCY, plan.objective.latency),
+                window_days: Some(Number::from(plan.objective.window.as_secs() / DAY_S)),
+            },
+            claim: RawClaim {
+                partitions: Some(Number::from(plan.claim.partitions)),
+                retention_s: Some(Number::from(plan.claim.retention.as_secs())),
+            },
+            limit: RawLimit {
+                max_body_bytes: Some(Number::from(plan.limit.max_body_bytes)),
+                queue_per_slot: rules::QUEUE_PER_SLOT.raw(plan.limit.queue_per_slot),
+            },
+            locality: RawLocality {
+                subset_size: Some(Number::from(plan.locality.subset_size)),
+                domain_trip_us: Some(Number::from(plan.locality.domain_trip.as_micros() as u64)),
+            },
+        }
+    }
+}
+
+/// A route with its name, in raw form.
+fn raw_route(route: &RoutePlan) -> (String, RawRoute) {
+    let raw = RawRoute {
+        method: route.method.as_deref().map(ToOwned::to_owned),
+        path_prefix: route.path_prefix.to_string(),
+        idempotency: route.idempotency,
+        priority: Some(route.priority),
+        deadline_ms: millis(&rules::DEFAULT_DEADLINE, route.deadline),
+    };
+    (route.name.to_string(), raw)
+}
+
+/// Shared texts as owned ones.
+fn texts(shared: &[Arc<str>]) -> Vec<String> {
+    shared.iter().map(ToString::to_string).collect()
+}
+
+/// A duration as the milliseconds of a rule.
+fn millis(rule: &NumberRule, duration: Duration) -> Option<Number> {
+    rule.raw(duration.as_millis() as f64)
+}
+
+/// A text that `is_allowed` accepts, or the fault of the rule.
+fn checked_text(
+    path: String,
+    text: &str,
+    rule: &TextRule,
+    is_allowed: impl Fn(&str) -> bool,
+) -> Result<Arc<str>, FieldFault> {
+    if is_allowed(text) {
+        return Ok(text.into());
+    }
+    Err(FieldFault::new(path, format!("{text:?}"), rule.allowed))
+}
+
+/// Whether `text` is a host name in lower case without a port.
+fn is_host(text: &str) -> bool {
+    let is_letter = |letter: u8| {
+        letter.is_ascii_lowercase() || letter.is_ascii_digit() || matches!(letter, b'.' | b'-')
+    };
+    !text.is_empty() && text.bytes().all(is_letter)
+}
+
+/// Whether `text` is an absolute path without a query.
+fn is_path(text: &str) -> bool {
+    let is_letter = |letter: u8| letter.is_ascii_graphic() && !matches!(letter, b'?' | b'#');
+    text.starts_with('/') && text.bytes().all(is_letter)
+}
+
+/// Whether `text` is a method in upper case.
+fn is_method(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|letter| letter.is_ascii_uppercase())
+}
+
+fn hosts(scope: &str, raw: &[String]) -> Result<Vec<Arc<str>>, FieldFault> {
+    let hosts = raw.iter().enumerate().map(|(index, host)| {
+        let path = format!("{scope}.{}[{index}]", rules::HOSTS.field);
+        checked_text(path, host, &rules::HOSTS, is_host)
+    });
+    hosts.collect()
+}
+
+fn path_prefixes(scope: &str, raw: &[String]) -> Result<Vec<Arc<str>>, FieldFault> {
+    let field = format!("{scope}.{}", rules::PATH_PREFIXES.field);
+    if raw.is_empty() {
+        return Err(FieldFault::new(field, "none", rules::PATH_PREFIXES.allowed));
+    }
+    let prefixes = raw.iter().enumerate().map(|(index, prefix)| {
+        let path = format!("{field}[{index}]");
+        checked_text(path, prefix, &rules::PATH_PREFIXES, is_path)
+    });
+    prefixes.collect()
+}
+
+fn default_route(scope: &str, raw: &RawDefaultRoute) -> Result<RoutePlan, FieldFault> {
+    let deadline = rules::DEFAULT_DEADLINE.check(scope, raw.deadline_ms.as_ref())?;
+    Ok(RoutePlan {
+        name: "".into(),
+        method: None,
+        path_prefix: "/".into(),
+        idempotency: raw.idempotency.unwrap_or(Idempotency::NonIdempotent),
+        priority: raw.priority.unwrap_or(Priority::Normal),
+        deadline: Duration::from_millis(deadline as u64),
+    })
+}
+
+/// The routes, the most specific one first.
+fn routes(
+    scope: &str,
+    raw: &BTreeMap<String, RawRoute>,
+    fallback: &RoutePlan,
+) -> Result<Vec<RoutePlan>, FieldFault> {
+    let routes = raw.iter().map(|(name, raw)| {
+        let path = format!("{scope}.routes.{name}");
+        route(&path, name, raw, fallback)
+    });
+    let mut routes = routes.collect::<Result<Vec<_>, _>>()?;
+    routes.sort_by_key(|route| (Reverse(route.path_prefix.len()), route.method.is_none()));
+    check_distinct_routes(scope, &routes)?;
+    Ok(routes)
+}
+
+/// Refuses two routes with the same prefix and method, of which one could never apply.
+fn check_distinct_routes(scope: &str, routes: &[RoutePlan]) -> Result<(), FieldFault> {
+    let mut seen = BTreeMap::new();
+    for route in routes {
+        let key = (&route.path_prefix, &route.method);
+        if let Some(first) = seen.insert(key, &route.name) {
+            let path = format!("{scope}.routes.{}", route.name);
+            let found = format!("the method and path prefix of route {first:?}");
+            return Err(FieldFault::new(
+                path,
+                found,
+                "each method and path prefix once",
+            ));
+        }
+    }
+    Ok(())
+}
+
+fn route(
+    path: &str,
+    name: &str,
+    raw: &RawRoute,
+    fallback: &RoutePlan,
+) -> Result<RoutePlan, FieldFault> {
+    let name = checked_name(path.to_owned(), name)?;
+    let method = raw.method.as_deref().map(|method| {
+        checked_text(
+            format!("{path}.method"),
+            method,
+            &rules::ROUTE_METHOD,
+            is_method,
+        )
+    });
+    let prefix_path = format!("{path}.path_prefix");
+    let deadline = match &raw.deadline_ms {
+        Some(number) => {
+            let path = format!("{path}.deadline_ms");
+            let deadline = rules::DEFAULT_DEADLINE.check_at(path, Some(number))?;
+            Duration::from_millis(deadline as u64)
+        }
+        None => fallback.deadline,
+    };
+    Ok(RoutePlan {
+        name: name.as_str().into(),
+        method: method.transpose()?,
+        path_prefix: checked_text(prefix_path, &raw.path_prefix, &rules::ROUTE_PREFIX, is_path)?,
+        idempotency: raw.idempotency,
+        priority: raw.priority.unwrap_or(fallback.priority),
+        deadline,
+    })
+}
+
+fn probe(scope: &str, raw: &RawProbe) -> Result<ProbePlan, FieldFault> {
+    let path = raw.path.as_deref().unwrap_or("/load");
+    let field = format!("{scope}.{}", rules::PROBE_PATH.field);
+    let timeout = rules::PROBE_TIMEOUT.check(scope, raw.timeout_ms.as_ref())?;
+    Ok(ProbePlan {
+        budget_ms_per_s: rules::PROBE_BUDGET.check(scope, raw.budget_ms_per_s.as_ref())?,
+        path: checked_text(field, path, &rules::PROBE_PATH, is_path)?,
+        timeout: Duration::from_millis(timeout as u64),
+    })
+}
+
+fn retry(scope: &str, raw: &RawRetry) -> Result<RetryPlan, FieldFault> {
+    Ok(RetryPlan {
+        budget_share: rules::RETRY_SHARE.check(scope, raw.budget_share.as_ref())?,
+        max_offers: rules::MAX_OFFERS.check(scope, raw.max_offers.as_ref())? as u8,
+        is_hedging: raw.is_hedging.unwrap_or(true),
+    })
+}
+
+fn objective(scope: &str, raw: &RawObjective) -> Result<ObjectivePlan, FieldFault> {
+    let latency = rules::OBJECTIVE_LATENCY.check(scope, raw.latency_ms.as_ref())?;
+    let days = rules::OBJECTIVE_WINDOW.check(scope, raw.window_days.as_ref())?;
+    Ok(ObjectivePlan {
+        availability: rules::AVAILABILITY.check(scope, raw.availability.as_ref())?,
+        latency: Duration::from_millis(latency as u64),
+        window: Duration::from_secs(days as u64 * DAY_S),
+    })
+}
+
+fn claim(scope: &str, raw: &RawClaim) -> Result<ClaimPlan, FieldFault> {
+    let retention = rules::CLAIM_RETENTION.check(scope, raw.retention_s.as_ref())?;
+    Ok(ClaimPlan {
+        partitions: rules::CLAIM_PARTITIONS.check(scope, raw.partitions.as_ref())? as u16,
+        retention: Duration::from_secs(retention as u64),
+    })
+}
+
+fn limit(scope: &str, raw: &RawLimit) -> Result<LimitPlan, FieldFault> {
+    Ok(LimitPlan {
+        max_body_bytes: rules::MAX_BODY.check(scope, raw.max_body_bytes.as_ref())? as u64,
+        queue_per_slot: rules::QUEUE_PER_SLOT.check(scope, raw.queue_per_slot.as_ref())?,
+    })
+}
+
+fn locality(scope: &str, raw: &RawLocality) -> Result<LocalityPlan, FieldFault> {
+    let trip = rules::DOMAIN_TRIP.check(scope, raw.domain_trip_us.as_ref())?;
+    Ok(LocalityPlan {
+        subset_size: rules::SUBSET_SIZE.check(scope, raw.subset_size.as_ref())? as usize,
+        domain_trip: Duration::from_micros(trip as u64),
+    })
+}
--- a/crates/fescueway_config/src/service_plan.rs
+++ b/crates/fescueway_config/src/service_plan.rs
@@ -13,7 +13,8 @@
     pub hosts: Vec<Arc<str>>,
     /// Path prefixes that belong to the service, each starting with `/`. Never empty.
     pub path_prefixes: Vec<Arc<str>>,
-    /// Rules for single routes; the first that matches applies.
+    /// Rules for single routes; the first that matches applies. The longest prefix comes first, and
+    /// of equal prefixes those with a method.
     pub routes: Vec<RoutePlan>,
     /// What applies when no route matches. Its method and prefix match everything.
     pub default_route: RoutePlan,
@@ -25,11 +26,17 @@
     pub objective: ObjectivePlan,
     /// How idempotency keys are claimed.
     pub claim: ClaimPlan,
+    /// Bounds on single requests and on queues.
+    pub limit: LimitPlan,
+    /// Where the service's targets lie.
+    pub locality: LocalityPlan,
 }
 
 /// What applies to the requests of one route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RoutePlan {
+    /// The name that operators gave it, empty for the default route.
+    pub name: Arc<str>,
     /// The method, `None` for all.
     pub method: Option<Arc<str>>,
     /// Requests whose path starts with this belong to the route.
@@ -84,6 +91,24 @@
     pub retention: Duration,
 }
 
+/// Bounds on single requests and on queues.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitPlan {
+    /// Longest request body in bytes.
+    pub max_body_bytes: u64,
+    /// Requests that may wait at a host node for each slot of its target.
+    pub queue_per_slot: f64,
+}
+
+/// Where a service's targets lie.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LocalityPlan {
+    /// Targets in one entry's view at most. At least one.
+    pub subset_size: usize,
+    /// One-way trip to another failure domain beyond that within one.
+    pub domain_trip: Duration,
+}
+
 impl ServicePlan {
     /// Length of the longest prefix that matches, `None` when the service doesn't match.
     #[must_use]
@@ -95,7 +120,7 @@
         let prefixes = self
             .path_prefixes
             .iter()
-            .filter(|prefix| path.starts_with(&***prefix));
+            .filter(|prefix| is_path_below(path, prefix));
         prefixes.map(|prefix| prefix.len()).max()
     }
 
@@ -115,6 +140,15 @@
     #[must_use]
     pub fn is_match(&self, method: &str, path: &str) -> bool {
         let is_method = self.method.as_deref().is_none_or(|own| own == method);
-        is_method && path.starts_with(&*self.path_prefix)
+        is_method && is_path_below(path, &self.path_prefix)
+    }
+}
+
+/// Whether `path` is `prefix` or lies below it, by whole segments: `/bands` holds `/bands/7` but
+/// not `/bandstand`.
+fn is_path_below(path: &str, prefix: &str) -> bool {
+    match path.strip_prefix(prefix) {
+        Some(rest) => rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/'),
+        None => false,
     }
 }
--- a/crates/fescueway_config/src/site_plan.rs
+++ b/crates/fescueway_config/src/site_plan.rs
@@ -16,6 +16,15 @@
 }
 
 impl SitePlan {
+    /// The plan of a site without services.
+    #[must_use]
+    pub fn empty(site: SiteName) -> Self {
+        Self {
+            site,
+            services: BTreeMap::new(),
+        }
+    }
+
     /// The service that serves `path` of `host`: the longest path prefix wins, and of equally
     /// long ones the first name.
     #[must_use]
--- /dev/null
+++ b/crates/fescueway_config/tests/documents.rs
@@ -0,0 +1,241 @@
+//! Documents, their merge and their errors, through the public interface.
+
+use std::collections::BTreeMap;
+
+use fescueway_config::{ConfigError, ConfigSet, ConfigStep, Document, ServicePlan, ServiceValue};
+use fescueway_core::{Idempotency, ServiceName, SiteName};
+use quickcheck::{Gen, QuickCheck, TestResult};
+
+const BASE: &str = r#"{
+  // All sites.
+  "services": {
+    "bookings": {
+      "path_prefixes": ["/bookings"],
+      "routes": {
+        "book": { "method": "POST", "path_prefix": "/bookings", "idempotency": "non-idempotent" },
+        "look": { "method": "GET", "path_prefix": "/bookings", "idempotency": "idempotent" },
+      },
+    },
+  },
+}"#;
+
+fn document(file: &str, text: &str) -> Document {
+    Document::parse(file, text).expect("a document")
+}
+
+fn check(base: &str, overlay: &str) -> Result<ConfigSet, Vec<ConfigError>> {
+    ConfigSet::check(
+        &document("base.json", base),
+        &[document("site.json", overlay)],
+    )
+}
+
+fn first_error(base: &str, overlay: &str) -> ConfigError {
+    let errors = check(base, overlay).expect_err("refused");
+    errors.into_iter().next().expect("an error")
+}
+
+#[test]
+fn overlay_changes_one_field_of_one_route() {
+    let overlay = r#"{ "site": "bala", "services": { "bookings": {
+        "routes": { "book": { "deadline_ms": 900 } } } } }"#;
+    let config = check(BASE, overlay).expect("accepted");
+    let plan = &config.sites()["bala"].services["bookings"];
+    let book = plan.route_for("POST", "/bookings/7");
+    assert_eq!(book.deadline.as_millis(), 900);
+    assert_eq!(book.idempotency, Idempotency::NonIdempotent);
+    let look = plan.route_for("GET", "/bookings/7");
+    assert_eq!(look.deadline.as_millis(), 2_000);
+    let other = plan.route_for("DELETE", "/bookings/7");
+    assert_eq!(other.idempotency, Idempotency::NonIdempotent);
+}
+
+#[test]
+fn null_in_an_overlay_removes_a_service() {
+    let overlay = r#"{ "site": "bala", "services": { "bookings": null } }"#;
+    let config = check(BASE, overlay).expect("accepted");
+    assert!(config.sites()["bala"].services.is_empty());
+}
+
+#[test]
+fn unknown_field_names_file_line_and_nearest_name() {
+    let overlay = "{ \"site\": \"bala\",\n \"services\": { \"bookings\": {\n \"prob\": {} } } }";
+    let error = first_error(BASE, overlay);
+    assert_eq!(error.step, ConfigStep::Shape);
+    assert_eq!((&*error.file, error.line), ("site.json", 3));
+    assert_eq!(error.fault.field, "services.bookings.prob");
+    assert_eq!(error.suggestion.as_deref(), Some("probe"));
+}
+
+#[test]
+fn value_out_of_range_points_to_the_file_that_gives_it() {
+    let overlay = "{ \"site\": \"bala\", \"services\": { \"bookings\": {\n\n \"retry\": { \"max_offers\": 99 } } } }";
+    let error = first_error(BASE, overlay);
+    assert_eq!((&*error.file, error.line), ("site.json", 3));
+    assert_eq!(
+        error.to_string(),
+        "site.json:3: field services.bookings.retry.max_offers: found 99; allowed: a whole \
+         number from 1 to 16 (offers)"
+    );
+    let base = BASE.replace("\"/bookings\"]", "\"bookings\"]");
+    let error = first_error(&base, r#"{ "site": "bala" }"#);
+    assert_eq!((&*error.file, error.line), ("base.json", 5));
+    assert_eq!(error.fault.field, "services.bookings.path_prefixes[0]");
+}
+
+#[test]
+fn route_without_idempotency_is_refused() {
+    let overlay = "{ \"site\": \"bala\", \"services\": { \"bookings\": { \"routes\": {\n \"pay\": { \"path_prefix\": \"/pay\" } } } } }";
+    let error = first_error(BASE, overlay);
+    assert_eq!((&*error.file, error.line), ("site.json", 2));
+    assert!(
+        error.fault.found.contains("missing field `idempotency`"),
+        "{error}"
+    );
+}
+
+#[test]
+fn clashes_and_repetitions_are_refused() {
+    let twin = r#"{ "site": "bala", "services": { "twin": { "path_prefixes": ["/bookings"] } } }"#;
+    assert!(
+        first_error(BASE, twin)
+            .fault
+            .found
+            .contains("which service bookings has")
+    );
+    let route = r#"{ "site": "bala", "services": { "bookings": { "routes": { "again":
+        { "method": "GET", "path_prefix": "/bookings", "idempotency": "idempotent" } } } } }"#;
+    assert!(
+        first_error(BASE, route)
+            .fault
+            .found
+            .contains("of route \"again\"")
+    );
+    let twice = Document::parse("base.json", "{ \"site\": \"a\",\n \"site\": \"b\" }");
+    assert_eq!(twice.expect_err("refused").line, 2);
+    let base = document("base.json", BASE);
+    let overlays = ["one.json", "two.json"].map(|file| document(file, r#"{ "site": "bala" }"#));
+    let errors = ConfigSet::check(&base, &overlays).expect_err("refused");
+    assert_eq!((errors.len(), &*errors[0].file), (1, "two.json"));
+}
+
+#[test]
+fn store_values_give_the_same_configuration_back() {
+    let config = check(BASE, r#"{ "site": "bala" }"#).expect("accepted");
+    let values = config.service_values();
+    let stored = values
+        .iter()
+        .map(|((site, _), value)| (site.clone(), &*value.bytes));
+    assert_eq!(ConfigSet::from_values(stored).expect("read back"), config);
+    let newer = br#"{"name":"bookings","plan":{"path_prefixes":["/"],"colour":"blue"}}"#;
+    let fault = ServicePlan::try_from(&newer[..]).expect_err("refused");
+    assert_eq!(fault.field, "plan.colour");
+}
+
+#[test]
+fn digest_of_a_configuration_is_pinned() {
+    let config = check(BASE, r#"{ "site": "bala" }"#).expect("accepted");
+    let key = (SiteName::new("bala"), ServiceName::new("bookings"));
+    let digest = config.service_values()[&key].digest.to_string();
+    // Nodes of one fleet compare digests across versions: a change of form needs care.
+    assert_eq!(
+        digest,
+        "21297fc9663750c8c448b803563b56aec7bc365b5fab683beadbbe44a7dbdba3"
+    );
+}
+
+#[test]
+fn diff_names_the_fields_that_change() {
+    let before = check(BASE, r#"{ "site": "bala" }"#).expect("accepted");
+    let overlay = r#"{ "site": "bala", "services": { "bookings": {
+        "probe": { "budget_ms_per_s": 2.5 }, "routes": { "look": null } } } }"#;
+    let after = check(BASE, overlay).expect("accepted");
+    assert!(before.diff(&before).is_empty());
+    let changes: BTreeMap<_, _> = before
+        .diff(&after)
+        .into_iter()
+        .map(|change| (change.field, (change.before, change.after)))
+        .collect();
+    let budget = (Some(String::from("5.0")), Some(String::from("2.5")));
+    assert_eq!(changes["probe.budget_ms_per_s"], budget);
+    assert!(
+        changes
+            .keys()
+            .any(|field| field.starts_with("routes.look."))
+    );
+    assert!(changes.values().all(|(old, new)| old != new));
+}
+
+#[test]
+fn prefixes_match_whole_segments() {
+    let config = check(BASE, r#"{ "site": "bala" }"#).expect("accepted");
+    let plan = &config.sites()["bala"];
+    assert!(plan.service_for("any", "/bookings/7").is_some());
+    assert!(plan.service_for("any", "/bookingsheet").is_none());
+}
+
+/// A property checker with a fixed seed, so that each run tries the same inputs.
+fn checker() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 0x00fe_5c0e))
+}
+
+#[test]
+fn arbitrary_bytes_never_panic() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck gives owned values"
+    )]
+    fn property(bytes: Vec<u8>) -> bool {
+        let document = Document::parse_bytes("any.json", &bytes);
+        if let Ok(document) = document {
+            let _ = ConfigSet::check(&document, &[]);
+        }
+        let _ = ServicePlan::try_from(&*bytes);
+        true
+    }
+    checker().quickcheck(property as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn broken_documents_never_panic() {
+    fn property(at: usize, letter: char) -> bool {
+        let at = at % BASE.len();
+        let text = format!("{}{letter}{}", &BASE[..at], &BASE[at + 1..]);
+        match Document::parse("any.json", &text) {
+            Ok(document) => {
+                let _ = ConfigSet::check(&document, &[]);
+                true
+            }
+            Err(error) => error.line <= text.lines().count(),
+        }
+    }
+    checker().quickcheck(property as fn(usize, char) -> bool);
+}
+
+#[test]
+fn merge_is_idempotent_and_digest_stable() {
+    fn property(deadline: u32, budget: u16, hedging: bool) -> TestResult {
+        if deadline == 0 || deadline > 3_600_000 || budget > 1_000 {
+            return TestResult::discard();
+        }
+        let overlay = format!(
+            r#"{{ "site": "bala", "services": {{ "bookings": {{
+                "default_route": {{ "deadline_ms": {deadline} }},
+                "probe": {{ "budget_ms_per_s": {budget} }},
+                "retry": {{ "is_hedging": {hedging} }} }} }} }}"#
+        );
+        let once = check(BASE, &overlay).expect("accepted");
+        let mut merged = document("base.json", BASE).root().clone();
+        let again = document("site.json", &overlay);
+        json_patch::merge(&mut merged, again.root());
+        merged.as_object_mut().expect("an object").remove("site");
+        let twice = check(&merged.to_string(), &overlay).expect("accepted");
+        let values = once.service_values();
+        let is_stable = values.values().all(|value| {
+            let plan = ServicePlan::try_from(&*value.bytes).expect("read back");
+            ServiceValue::from(&plan) == *value
+        });
+        TestResult::from_bool(once == twice && values == twice.service_values() && is_stable)
+    }
+    checker().quickcheck(property as fn(u32, u16, bool) -> TestResult);
+}
--- /dev/null
+++ b/crates/fescueway_config/tests/pages.rs
@@ -0,0 +1,104 @@
+//! The pages and files that are shipped hold to the code.
+
+use std::{fs, path::PathBuf};
+
+use fescueway_config::{ConfigSet, Document, RawService, SERVICE_RULES, StoredService};
+use fescueway_core::ServiceName;
+use serde_json::Value;
+
+fn repository_file(name: &str) -> String {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("../..")
+        .join(name);
+    fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
+}
+
+fn shipped(name: &str) -> Document {
+    Document::parse(name, &repository_file(name)).unwrap_or_else(|error| panic!("{error}"))
+}
+
+#[test]
+fn configuration_page_holds_the_table_of_the_code() {
+    let page = repository_file("docs/CONFIGURATION.md");
+    assert!(
+        page.contains(&fescueway_config::service_table()),
+        "docs/CONFIGURATION.md is stale: put in what \
+         `cargo run -p fescueway_config --example field_table` prints"
+    );
+}
+
+#[test]
+fn every_field_of_a_service_has_a_rule() {
+    let route = r#"{"name":"a","plan":{"path_prefixes":["/"],"routes":{"NAME":
+        {"method":"GET","path_prefix":"/","idempotency":"idempotent"}}}}"#;
+    let stored: StoredService = serde_json::from_str(route).expect("a raw service");
+    let mut fields = Vec::new();
+    collect(
+        "",
+        &serde_json::to_value::<RawService>(stored.plan).expect("JSON"),
+        &mut fields,
+    );
+    let table = fescueway_config::service_table();
+    let missing: Vec<_> = fields
+        .iter()
+        .filter(|field| !table.contains(&format!("| `{field}` |")))
+        .collect();
+    assert!(missing.is_empty(), "fields without a rule: {missing:?}");
+    assert_eq!(fields.len(), SERVICE_RULES.len(), "rules without a field");
+}
+
+fn collect(path: &str, value: &Value, fields: &mut Vec<String>) {
+    match value {
+        Value::Object(map) => {
+            for (name, inner) in map {
+                collect(
+                    format!("{path}.{name}").trim_start_matches('.'),
+                    inner,
+                    fields,
+                );
+            }
+        }
+        _ => fields.push(path.to_owned()),
+    }
+}
+
+#[test]
+fn shipped_configurations_are_accepted() {
+    let deployments = [
+        (
+            "configs/caprock",
+            vec!["texas"],
+            [
+                "bookings",
+                "grinding-history",
+                "grinding-windows",
+                "rail-profiles",
+            ],
+        ),
+        (
+            "configs/pwll",
+            vec!["wales"],
+            [
+                "bookings-payments",
+                "cap-bands",
+                "registers-results",
+                "timetables",
+            ],
+        ),
+    ];
+    for (folder, sites, services) in deployments {
+        let base = shipped(&format!("{folder}/base.json"));
+        let overlays: Vec<_> = sites
+            .iter()
+            .map(|site| shipped(&format!("{folder}/{site}.json")))
+            .collect();
+        let config = ConfigSet::check(&base, &overlays).unwrap_or_else(|errors| {
+            panic!("{folder}: {}", errors[0]);
+        });
+        for site in sites {
+            let plan = &config.sites()[site];
+            let names: Vec<_> = plan.services.keys().map(ServiceName::as_str).collect();
+            assert_eq!(names, services);
+        }
+    }
+}
