Add metrics, service-level burn, the log and the event catalogue

Cause: events had no form but a line of text, nothing was measured, and objectives stood in the configuration without anyone counting against them.

MetricSet holds one node's OpenTelemetry metrics with a registry of its own, so a process can hold several; labels are bound when first seen, which keeps the path of a request free of label sorting. BurnTracker is given the time: two rings of buckets a service give seven windows in about 8 KB. BurnReport merges over nodes, raises the four multi-window alarms and is a table, JSON or an SVG.

--- /dev/null
+++ b/crates/fescueway_telemetry/src/burn_plot.rs
@@ -0,0 +1,87 @@
+//! Service-level burn as a picture.
+
+use plotters::prelude::{
+    ChartBuilder, Color, IntoDrawingArea, IntoLogRange, LineSeries, Palette, Palette99,
+    PathElement, RGBColor, SVGBackend, WHITE,
+};
+
+use crate::{BURN_ALARMS, BurnReport, ServiceBurn};
+
+/// Size of the picture, in pixels.
+const SIZE: (u32, u32) = (1_000, 560);
+
+/// The lowest burn shown; the scale is logarithmic.
+const MIN_BURN: f64 = 0.01;
+
+/// The highest burn shown.
+const MAX_BURN: f64 = 1_000.0;
+
+/// Hours shown at least.
+const MIN_HOURS: usize = 6;
+
+/// Colour of the thresholds.
+const THRESHOLD_COLOUR: RGBColor = RGBColor(200, 60, 60);
+
+/// The picture could not be drawn.
+#[derive(Debug, thiserror::Error)]
+#[error("burn plot: {0}")]
+pub struct PlotError(String);
+
+/// Draws the burn of each service over the past hours, with the thresholds of the alarms.
+///
+/// # Errors
+///
+/// When the library can't draw it.
+pub fn burn_svg(report: &BurnReport) -> Result<String, PlotError> {
+    let mut svg = String::new();
+    draw(report, &mut svg).map_err(|error| PlotError(error.to_string()))?;
+    Ok(svg)
+}
+
+/// Draws into `svg`.
+fn draw(report: &BurnReport, svg: &mut String) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let hours = report.services.iter().map(|burn| burn.hours.len());
+    let hours = hours.max().unwrap_or(0).max(MIN_HOURS);
+    let mut chart = ChartBuilder::on(&area)
+        .caption("Service-level burn by hour", ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(56)
+        .build_cartesian_2d(-(hours as f64)..0.0, (MIN_BURN..MAX_BURN).log_scale())?;
+    chart
+        .configure_mesh()
+        .x_desc("hours ago")
+        .y_desc("burn (1 uses the whole budget in the objective's window)")
+        .draw()?;
+    for alarm in BURN_ALARMS {
+        let ends = [(-(hours as f64), alarm.threshold), (0.0, alarm.threshold)];
+        chart.draw_series(LineSeries::new(ends, THRESHOLD_COLOUR.mix(0.5)))?;
+    }
+    for (index, burn) in report.services.iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        let name = format!("{} {}", burn.site, burn.service);
+        let line = LineSeries::new(points(burn), colour.stroke_width(2));
+        let series = chart.draw_series(line)?;
+        series
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
+
+/// The burn of a service by hour, the oldest first. A burn below the scale is drawn at its edge.
+fn points(burn: &ServiceBurn) -> Vec<(f64, f64)> {
+    let hours = burn.hours.iter().enumerate().rev();
+    let points = hours.map(|(hour, count)| {
+        let rate = count.burn(burn.availability);
+        (-(hour as f64), rate.clamp(MIN_BURN, MAX_BURN))
+    });
+    points.collect()
+}
--- /dev/null
+++ b/crates/fescueway_telemetry/src/burn_tracker.rs
@@ -0,0 +1,203 @@
+//! Counts which requests kept their objective.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use fescueway_core::{MonoTime, ServiceName, SiteName};
+
+use crate::{
+    BURN_ALARMS, BurnAlarm, BurnReport, BurnWindow, ServiceBurn, WindowCount, count_ring::CountRing,
+};
+
+/// Length of a bucket for the windows up to an hour.
+const FINE_BUCKET: Duration = Duration::from_mins(1);
+
+/// Buckets for the windows up to an hour.
+const FINE_COUNT: usize = 60;
+
+/// Length of a bucket for the windows above an hour.
+const COARSE_BUCKET: Duration = Duration::from_mins(10);
+
+/// Buckets for the windows above an hour: three days.
+const COARSE_COUNT: usize = 432;
+
+/// Coarse buckets in an hour.
+const COARSE_PER_HOUR: u64 = 6;
+
+/// Hours that a report lists.
+const HOUR_COUNT: u64 = COARSE_COUNT as u64 / COARSE_PER_HOUR;
+
+/// An alarm began or ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AlarmChange {
+    /// The service.
+    pub service: ServiceName,
+    /// The alarm.
+    pub alarm: &'static BurnAlarm,
+    /// Whether it is active now.
+    pub is_active: bool,
+    /// The burn over the alarm's long window.
+    pub burn: f64,
+}
+
+/// Counts which requests of one site kept their objective, as one node sees them.
+///
+/// It takes the time and reads no clock. Memory is bounded: about 8 KB for each service.
+///
+/// ```
+/// # use fescueway_core::MonoTime;
+/// # use fescueway_telemetry::{BurnTracker, BurnWindow};
+/// let mut tracker = BurnTracker::new("bala".into());
+/// tracker.set_objective(&"bands".into(), 0.99);
+/// tracker.record(MonoTime::ZERO, &"bands".into(), false);
+/// let report = tracker.report(MonoTime::ZERO);
+/// assert!((report.services[0].burn(BurnWindow::Minutes5) - 100.0).abs() < 1e-6);
+/// ```
+#[derive(Clone, Debug)]
+pub struct BurnTracker {
+    /// The site.
+    site: SiteName,
+    /// The services that have an objective.
+    services: BTreeMap<ServiceName, ServiceCounts>,
+}
+
+/// The requests of one service.
+#[derive(Clone, Debug)]
+struct ServiceCounts {
+    /// Share of requests that the operators promise to answer in time.
+    availability: f64,
+    /// For the windows up to an hour.
+    fine: CountRing,
+    /// For the windows above an hour.
+    coarse: CountRing,
+    /// Alarms that were active at the last check, by their place in [`BURN_ALARMS`].
+    active: BTreeSet<usize>,
+}
+
+impl BurnTracker {
+    /// A tracker without services.
+    #[must_use]
+    pub fn new(site: SiteName) -> Self {
+        Self {
+            site,
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Sets what the operators promise for a service. What was counted is kept.
+    pub fn set_objective(&mut self, service: &ServiceName, availability: f64) {
+        let entry = self.services.entry(service.clone());
+        let counts = entry.or_insert_with(|| ServiceCounts::new(availability));
+        counts.availability = availability;
+    }
+
+    /// Keeps only the services that `is_kept` accepts.
+    pub fn retain(&mut self, is_kept: impl Fn(&ServiceName) -> bool) {
+        self.services.retain(|service, _| is_kept(service));
+    }
+
+    /// Counts a request that ended. Services without an objective are passed over.
+    pub fn record(&mut self, now: MonoTime, service: &ServiceName, is_good: bool) {
+        if let Some(counts) = self.services.get_mut(service) {
+            counts.fine.add(now, is_good);
+            counts.coarse.add(now, is_good);
+        }
+    }
+
+    /// What this node counted.
+    #[must_use]
+    pub fn report(&mut self, now: MonoTime) -> BurnReport {
+        let site = &self.site;
+        let services = self.services.iter_mut();
+        let services = services.map(|(service, counts)| counts.burn(now, site, service));
+        BurnReport {
+            services: services.collect(),
+        }
+    }
+
+    /// The alarms that began or ended since the last call. Call it about once a minute.
+    pub fn check_alarms(&mut self, now: MonoTime) -> Vec<AlarmChange> {
+        let mut changes = Vec::new();
+        for (service, counts) in &mut self.services {
+            let burn = counts.burn(now, &self.site, service);
+            changes.extend(counts.alarm_changes(&burn));
+        }
+        changes
+    }
+}
+
+impl ServiceCounts {
+    /// No requests so far.
+    fn new(availability: f64) -> Self {
+        Self {
+            availability,
+            fine: CountRing::new(FINE_BUCKET, FINE_COUNT),
+            coarse: CountRing::new(COARSE_BUCKET, COARSE_COUNT),
+            active: BTreeSet::new(),
+        }
+    }
+
+    /// The requests over every window.
+    fn burn(&mut self, now: MonoTime, site: &SiteName, service: &ServiceName) -> ServiceBurn {
+        let windows = BurnWindow::ALL.map(|window| (window, self.count(now, window)));
+        ServiceBurn {
+            site: site.clone(),
+            service: service.clone(),
+            availability: self.availability,
+            windows: windows.into_iter().collect(),
+            hours: self.hours(now),
+        }
+    }
+
+    /// The requests over a window.
+    fn count(&mut self, now: MonoTime, window: BurnWindow) -> WindowCount {
+        let ring = if window <= BurnWindow::Hours1 {
+            &mut self.fine
+        } else {
+            &mut self.coarse
+        };
+        ring.sum(now, window.length())
+    }
+
+    /// The requests of each past hour, the last first, without the empty hours at the end.
+    fn hours(&mut self, now: MonoTime) -> Vec<WindowCount> {
+        let hours = 0..HOUR_COUNT;
+        let mut hours: Vec<_> = hours
+            .map(|hour| {
+                self.coarse
+                    .sum_back(now, hour * COARSE_PER_HOUR, COARSE_PER_HOUR)
+            })
+            .collect();
+        let is_empty = |count: &WindowCount| *count == WindowCount::default();
+        let used = hours.iter().rposition(|count| !is_empty(count));
+        hours.truncate(used.map_or(0, |last| last + 1));
+        hours
+    }
+
+    /// What changed since the last call, noting the new state.
+    fn alarm_changes(&mut self, burn: &ServiceBurn) -> Vec<AlarmChange> {
+        let alarms = burn.alarms();
+        let mut changes = Vec::new();
+        for (index, alarm) in BURN_ALARMS.iter().enumerate() {
+            let is_active = alarms.contains(&alarm);
+            let was_active = self.active.contains(&index);
+            if is_active == was_active {
+                continue;
+            }
+            if is_active {
+                self.active.insert(index);
+            } else {
+                self.active.remove(&index);
+            }
+            changes.push(AlarmChange {
+                service: burn.service.clone(),
+                alarm,
+                is_active,
+                burn: burn.burn(alarm.long),
+            });
+        }
+        changes
+    }
+}
--- a/crates/fescueway_telemetry/src/lib.rs
+++ b/crates/fescueway_telemetry/src/lib.rs
@@ -1,6 +1,31 @@
 //! What operators see: numbered events, metrics and service-level burn.
+//!
+//! Events ([`EventKind`], [`emit`]) go to the log, whose form [`LogPlan`] sets. A [`MetricSet`]
+//! holds the metrics of one node; nothing is global. A [`BurnTracker`] counts which requests kept
+//! their objective and makes the [`BurnReport`] from it; it is given the time and reads no clock.
 
+mod burn_plot;
+mod burn_report;
+mod burn_tracker;
+mod count_ring;
 mod event_kind;
+mod event_page;
 pub mod events;
+mod log_setup;
+mod metric_set;
+mod request_end;
+mod service_metrics;
 
-pub use crate::event_kind::{EventKind, emit};
+pub use crate::{
+    burn_plot::{PlotError, burn_svg},
+    burn_report::{
+        BURN_ALARMS, BurnAlarm, BurnReport, BurnSeverity, BurnWindow, ServiceBurn, WindowCount,
+    },
+    burn_tracker::{AlarmChange, BurnTracker},
+    event_kind::{EventKind, LOG_TARGET, emit},
+    event_page::event_page,
+    log_setup::{LogForm, LogPlan},
+    metric_set::{MetricError, MetricSet},
+    request_end::RequestEnd,
+    service_metrics::ServiceMetrics,
+};
--- /dev/null
+++ b/crates/fescueway_telemetry/src/metric_set.rs
@@ -0,0 +1,154 @@
+//! The metrics of one node.
+
+use std::{
+    collections::BTreeMap,
+    fmt::{Debug, Formatter, Result as FormatResult},
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use fescueway_core::ServiceName;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::{ServiceMetrics, service_metrics::ServiceInstruments};
+
+/// The metrics could not be set up.
+#[derive(Debug, thiserror::Error)]
+#[error("metrics, step {step}: {message}")]
+pub struct MetricError {
+    /// The step that failed.
+    step: &'static str,
+    /// What the library said.
+    message: String,
+}
+
+/// The metrics of one node. Nothing is global: a process may hold several.
+pub struct MetricSet {
+    /// Where the exporter registers.
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    /// Instruments that all services share.
+    instruments: ServiceInstruments,
+    /// Metrics of the services seen so far.
+    services: Mutex<BTreeMap<ServiceName, Arc<ServiceMetrics>>>,
+    /// Calls of the platform's store.
+    store_calls: Counter<u64>,
+    /// Bytes of membership messages.
+    gossip_bytes: Counter<u64>,
+    /// Revision of the configuration in force.
+    config_revision: Gauge<u64>,
+    /// Nodes known to be up.
+    known_nodes: Gauge<u64>,
+}
+
+impl Debug for MetricSet {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        f.debug_struct("MetricSet").finish_non_exhaustive()
+    }
+}
+
+impl MetricSet {
+    /// Metrics that are all zero.
+    ///
+    /// # Errors
+    ///
+    /// When the exporter can't be registered.
+    pub fn new() -> Result<Self, MetricError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()
+            .map_err(|error| MetricError {
+                step: "register the exporter",
+                message: error.to_string(),
+            })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("fescueway");
+        Ok(Self {
+            registry,
+            instruments: ServiceInstruments::new(&meter),
+            services: Mutex::default(),
+            store_calls: counter(&meter, "fescueway.store.calls", "Calls of the store."),
+            gossip_bytes: counter(&meter, "fescueway.gossip.bytes", "Membership bytes."),
+            config_revision: gauge(
+                &meter,
+                "fescueway.config.revision",
+                "Revision of the configuration in force.",
+            ),
+            known_nodes: gauge(&meter, "fescueway.nodes", "Nodes known to be up."),
+            _provider: provider,
+        })
+    }
+
+    /// The metrics of a service. Keep what is returned: it holds its labels ready.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Arc<ServiceMetrics> {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let entry = services.entry(name.clone());
+        let metrics =
+            entry.or_insert_with(|| Arc::new(ServiceMetrics::new(name, self.instruments.clone())));
+        Arc::clone(metrics)
+    }
+
+    /// Counts a call of the store, by its step and whether it was answered.
+    pub fn store_called(&self, step: &'static str, is_answered: bool) {
+        let labels = [
+            KeyValue::new("step", step),
+            KeyValue::new("answered", is_answered),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// Counts bytes of membership messages that were sent.
+    pub fn gossip_sent(&self, bytes: u64) {
+        let label = KeyValue::new("direction", "sent");
+        self.gossip_bytes.add(bytes, &[label]);
+    }
+
+    /// Counts bytes of membership messages that were received.
+    pub fn gossip_received(&self, bytes: u64) {
+        let label = KeyValue::new("direction", "received");
+        self.gossip_bytes.add(bytes, &[label]);
+    }
+
+    /// Notes the revision of the configuration in force.
+    pub fn set_revision(&self, revision: u64) {
+        self.config_revision.record(revision, &[]);
+    }
+
+    /// Notes how many nodes are known to be up.
+    pub fn set_known_nodes(&self, count: u64) {
+        self.known_nodes.record(count, &[]);
+    }
+
+    /// All metrics in Prometheus' text form.
+    ///
+    /// # Errors
+    ///
+    /// When the library can't encode them.
+    pub fn render(&self) -> Result<String, MetricError> {
+        let families = self.registry.gather();
+        let encoded = TextEncoder::new().encode_to_string(&families);
+        encoded.map_err(|error| MetricError {
+            step: "encode",
+            message: error.to_string(),
+        })
+    }
+}
+
+/// A counter.
+fn counter(meter: &Meter, name: &'static str, meaning: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(meaning).build()
+}
+
+/// A gauge.
+fn gauge(meter: &Meter, name: &'static str, meaning: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(meaning).build()
+}
--- /dev/null
+++ b/crates/fescueway_telemetry/src/request_end.rs
@@ -0,0 +1,42 @@
+//! How a request ended, for metrics and service-level burn.
+
+use std::time::Duration;
+
+use fescueway_core::Outcome;
+
+/// How a request of a caller ended at its entry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestEnd {
+    /// What became of it.
+    pub outcome: Outcome,
+    /// The HTTP status that the caller got.
+    pub status: u16,
+    /// From its arrival to the first byte of the answer.
+    pub latency: Duration,
+    /// Offers that were made for it.
+    pub offers: u32,
+    /// How many of the offers were hedges.
+    pub hedges: u32,
+}
+
+impl RequestEnd {
+    /// Whether the request kept its objective: it ran, the backend server did not fail, and the
+    /// answer began within `latency_limit`. A 4xx answer is the caller's own fault and counts as
+    /// kept; a refusal and a lost answer do not.
+    #[must_use]
+    pub fn is_good(&self, latency_limit: Duration) -> bool {
+        self.outcome == Outcome::Ran && self.status < 500 && self.latency <= latency_limit
+    }
+
+    /// The class of the status as a label.
+    #[must_use]
+    pub fn status_class(&self) -> &'static str {
+        match self.status {
+            100..=199 => "1xx",
+            200..=299 => "2xx",
+            300..=399 => "3xx",
+            400..=499 => "4xx",
+            _ => "5xx",
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescueway_telemetry/src/service_metrics.rs
@@ -0,0 +1,187 @@
+//! The metrics of one service at one node.
+
+use std::{
+    collections::BTreeMap,
+    fmt::{Debug, Formatter, Result as FormatResult},
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use fescueway_core::{LoadReport, Outcome, RefusalReason, ServiceName};
+use opentelemetry::{
+    KeyValue,
+    metrics::{BoundCounter, BoundGauge, BoundHistogram, Counter, Gauge, Histogram, Meter},
+};
+
+use crate::RequestEnd;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS_S: [f64; 15] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
+
+/// Upper bounds of the buckets for offers of one request.
+const OFFER_BOUNDS: [f64; 5] = [0.0, 1.0, 2.0, 3.0, 5.0];
+
+/// Microseconds in a second.
+const MICROS_PER_S: f64 = 1e6;
+
+/// The instruments that the services of one node share.
+#[derive(Clone)]
+pub(crate) struct ServiceInstruments {
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    refusals: Counter<u64>,
+    offers: Histogram<u64>,
+    hedges: Counter<u64>,
+    probe_spent: Counter<f64>,
+    probe_budget: Gauge<f64>,
+    in_flight: Gauge<u64>,
+    queued: Gauge<u64>,
+    limit: Gauge<u64>,
+}
+
+impl ServiceInstruments {
+    /// Creates the instruments.
+    pub(crate) fn new(meter: &Meter) -> Self {
+        let requests = meter
+            .u64_counter("fescueway.requests")
+            .with_description("Requests that ended at this entry, by outcome and status class.");
+        let latency = meter
+            .f64_histogram("fescueway.request.latency")
+            .with_description("From the arrival to the first byte of the answer.")
+            .with_unit("s")
+            .with_boundaries(LATENCY_BOUNDS_S.to_vec());
+        let refusals = meter
+            .u64_counter("fescueway.refusals")
+            .with_description("Refusals by this node, by reason.");
+        let offers = meter
+            .u64_histogram("fescueway.request.offers")
+            .with_description("Offers made for one request.")
+            .with_boundaries(OFFER_BOUNDS.to_vec());
+        let hedges = meter
+            .u64_counter("fescueway.hedges")
+            .with_description("Second offers of late idempotent requests.");
+        let spent = meter
+            .f64_counter("fescueway.probe.spent")
+            .with_description("Backend time that probes took.")
+            .with_unit("s");
+        let gauge = |name: &'static str, meaning: &'static str| {
+            meter.u64_gauge(name).with_description(meaning).build()
+        };
+        Self {
+            requests: requests.build(),
+            latency: latency.build(),
+            refusals: refusals.build(),
+            offers: offers.build(),
+            hedges: hedges.build(),
+            probe_spent: spent.build(),
+            probe_budget: meter
+                .f64_gauge("fescueway.probe.budget")
+                .with_description("Backend time that probes may take, in seconds per second.")
+                .build(),
+            in_flight: gauge("fescueway.target.in.flight", "Requests that run here."),
+            queued: gauge("fescueway.target.queued", "Requests that wait here."),
+            limit: gauge("fescueway.target.limit", "Requests that may run here now."),
+        }
+    }
+}
+
+/// The metrics of one service at one node. Its labels are bound, so that counting on the path of
+/// a request costs neither a search nor an allocation once a label has been seen.
+pub struct ServiceMetrics {
+    /// The label of the service.
+    label: KeyValue,
+    /// Where further labels are bound.
+    instruments: ServiceInstruments,
+    /// Requests by outcome and status class, bound when first seen.
+    requests: Mutex<BTreeMap<(Outcome, &'static str), BoundCounter<u64>>>,
+    /// Refusals by reason, bound when first seen.
+    refusals: Mutex<BTreeMap<RefusalReason, BoundCounter<u64>>>,
+    latency: BoundHistogram<f64>,
+    offers: BoundHistogram<u64>,
+    hedges: BoundCounter<u64>,
+    probe_spent: BoundCounter<f64>,
+    probe_budget: BoundGauge<f64>,
+    in_flight: BoundGauge<u64>,
+    queued: BoundGauge<u64>,
+    limit: BoundGauge<u64>,
+}
+
+impl Debug for ServiceMetrics {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        f.debug_struct("ServiceMetrics")
+            .field("label", &self.label)
+            .finish_non_exhaustive()
+    }
+}
+
+impl ServiceMetrics {
+    /// Metrics of a service that are all zero.
+    pub(crate) fn new(name: &ServiceName, instruments: ServiceInstruments) -> Self {
+        let label = KeyValue::new("service", name.as_str().to_owned());
+        let labels = [label.clone()];
+        Self {
+            requests: Mutex::default(),
+            refusals: Mutex::default(),
+            latency: instruments.latency.bind(&labels),
+            offers: instruments.offers.bind(&labels),
+            hedges: instruments.hedges.bind(&labels),
+            probe_spent: instruments.probe_spent.bind(&labels),
+            probe_budget: instruments.probe_budget.bind(&labels),
+            in_flight: instruments.in_flight.bind(&labels),
+            queued: instruments.queued.bind(&labels),
+            limit: instruments.limit.bind(&labels),
+            label,
+            instruments,
+        }
+    }
+
+    /// A request of a caller ended.
+    pub fn request_ended(&self, end: &RequestEnd) {
+        let class = end.status_class();
+        let mut requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
+        let requests = requests.entry((end.outcome, class)).or_insert_with(|| {
+            let labels = [
+                self.label.clone(),
+                KeyValue::new("outcome", end.outcome.as_str()),
+                KeyValue::new("class", class),
+            ];
+            self.instruments.requests.bind(&labels)
+        });
+        requests.add(1);
+        self.latency.record(end.latency.as_secs_f64());
+        self.offers.record(end.offers.into());
+        if end.hedges > 0 {
+            self.hedges.add(end.hedges.into());
+        }
+    }
+
+    /// This node refused, as entry or as host.
+    pub fn refused(&self, reason: RefusalReason) {
+        let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
+        let refusals = refusals.entry(reason).or_insert_with(|| {
+            let labels = [self.label.clone(), KeyValue::new("reason", reason.as_str())];
+            self.instruments.refusals.bind(&labels)
+        });
+        refusals.add(1);
+    }
+
+    /// A probe took this much of the backend server's time.
+    pub fn probed(&self, spent: Duration) {
+        self.probe_spent
+            .add(spent.as_micros() as f64 / MICROS_PER_S);
+    }
+
+    /// Notes the probe budget in force, in milliseconds per second.
+    pub fn set_probe_budget(&self, budget_ms_per_s: f64) {
+        self.probe_budget.record(budget_ms_per_s / 1e3);
+    }
+
+    /// Notes the load of the target beside this node.
+    pub fn set_load(&self, report: &LoadReport) {
+        self.in_flight.record(report.in_flight.into());
+        self.queued.record(report.queued.into());
+        self.limit.record(report.limit.into());
+    }
+}
