Let an offer carry its cause and the longest wait its entry accepts

Cause: the host knows its own queue and the entry knows the alternatives; neither alone can tell whether a refusal serves the caller. And the router could not tell a second offer after a refusal (proof of not-run) from a retry, which draw on different budgets. Change: RequestTerms gains cause and wait_limit, and RequestTerms::new with cautious defaults for struct updates; OfferPermit::hedge gives terms to idempotent requests only.

--- a/crates/fescueway_core/src/lib.rs
+++ b/crates/fescueway_core/src/lib.rs
@@ -19,6 +19,6 @@
     node_id::NodeId,
     outcome::Outcome,
     refusal::{Refusal, RefusalReason},
-    request_terms::{Idempotency, KeyDigest, Priority, RequestTerms},
+    request_terms::{Idempotency, KeyDigest, OfferCause, Priority, RequestTerms},
     target_record::{TargetRecord, TargetState},
 };
--- a/crates/fescueway_core/src/request_terms.rs
+++ b/crates/fescueway_core/src/request_terms.rs
@@ -28,6 +28,18 @@
     Low,
 }
 
+/// Why an offer is made.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OfferCause {
+    /// The request's first offer.
+    First,
+    /// A host refused the offer before, which proves that the request did not run.
+    Refused,
+    /// A retry or a hedge of an idempotent request that was handed over.
+    Retried,
+}
+
 /// A digest of the caller's idempotency key, its service included.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct KeyDigest(pub [u8; 16]);
@@ -45,6 +57,11 @@
     pub time_left: Duration,
     /// How many more offers may be made for this request, over all entries and depths.
     pub offers_left: u8,
+    /// Why the request is offered. The router reads it to charge the right budget.
+    pub cause: OfferCause,
+    /// Longest expected wait for a slot that the entry accepts: above it a refusal serves the
+    /// caller better. The router sets it with each offer.
+    pub wait_limit: Duration,
     /// How many calls of services lie above this one; zero for a caller from outside.
     pub depth: u8,
     /// Digest of the caller's idempotency key, when it sent one.
@@ -53,3 +70,35 @@
     /// server is known again.
     pub fingerprint: u64,
 }
+
+impl RequestTerms {
+    /// Offers for a request whose service has no plan yet.
+    const DEFAULT_OFFERS: u8 = 3;
+
+    /// The terms of a request from outside that may not repeat, the cautious default.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use fescueway_core::{Idempotency, RequestTerms};
+    /// let terms = RequestTerms {
+    ///     idempotency: Idempotency::Idempotent,
+    ///     ..RequestTerms::new("windows".into(), Duration::from_millis(300))
+    /// };
+    /// assert_eq!(terms.wait_limit, terms.time_left);
+    /// ```
+    #[must_use]
+    pub fn new(service: ServiceName, time_left: Duration) -> Self {
+        Self {
+            service,
+            idempotency: Idempotency::NonIdempotent,
+            priority: Priority::Normal,
+            time_left,
+            offers_left: Self::DEFAULT_OFFERS,
+            cause: OfferCause::First,
+            wait_limit: time_left,
+            depth: 0,
+            key: None,
+            fingerprint: 0,
+        }
+    }
+}
--- a/crates/fescueway_routing/src/offer_permit.rs
+++ b/crates/fescueway_routing/src/offer_permit.rs
@@ -1,6 +1,6 @@
 //! The right to offer a request to one target.
 
-use fescueway_core::{Idempotency, NodeId, Refusal, RequestTerms};
+use fescueway_core::{Idempotency, NodeId, OfferCause, Refusal, RequestTerms};
 
 /// The right to offer one request to one target, once.
 ///
@@ -45,7 +45,17 @@
     /// The host refused, which proves that the request did not run: it may be offered elsewhere.
     #[must_use]
     pub fn refused(self, _proof: &Refusal) -> RequestTerms {
-        self.terms
+        RequestTerms {
+            cause: OfferCause::Refused,
+            ..self.terms
+        }
+    }
+
+    /// The terms for a second offer while this one is still open, `None` for a request that may
+    /// not repeat.
+    #[must_use]
+    pub fn hedge(&self) -> Option<RequestTerms> {
+        retried(&self.terms)
     }
 
     /// The request is handed over: from here on it may have run.
@@ -68,9 +78,17 @@
     /// The terms for another offer, `None` for a request that may not repeat.
     #[must_use]
     pub fn retry(self) -> Option<RequestTerms> {
-        match self.terms.idempotency {
-            Idempotency::Idempotent => Some(self.terms),
-            Idempotency::NonIdempotent => None,
-        }
+        retried(&self.terms)
+    }
+}
+
+/// The terms of a repeated offer, which only an idempotent request may have.
+fn retried(terms: &RequestTerms) -> Option<RequestTerms> {
+    match terms.idempotency {
+        Idempotency::Idempotent => Some(RequestTerms {
+            cause: OfferCause::Retried,
+            ..terms.clone()
+        }),
+        Idempotency::NonIdempotent => None,
     }
 }
