Give the gate a queue, an adaptive limit, slow start and early refusal

Cause: the first gate only counted slots. Entries guess from stale reports, so the host has to hold a short queue, say what the wait is, and refuse what can't finish in time. Change: offers wait by deadline with a handicap per priority (bounded, so none starves); the limit follows the slowdown against an undisturbed baseline; a cold target ramps up; requests still running count towards the service time once they are far older than usual.

--- a/crates/fescueway_admission/src/gate_plan.rs
+++ b/crates/fescueway_admission/src/gate_plan.rs
@@ -1,5 +1,7 @@
 //! Settings of one target's gate.
 
+use std::time::Duration;
+
 /// Settings of one target's gate.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatePlan {
@@ -7,13 +9,16 @@
     pub slots: u32,
     /// Requests that may wait for each slot.
     pub queue_per_slot: f64,
+    /// How long a cold target takes until all its slots are used.
+    pub ramp_time: Duration,
 }
 
 impl Default for GatePlan {
     fn default() -> Self {
         Self {
             slots: 10,
-            queue_per_slot: 0.5,
+            queue_per_slot: 2.0,
+            ramp_time: Duration::from_secs(2),
         }
     }
 }
--- a/crates/fescueway_admission/src/lib.rs
+++ b/crates/fescueway_admission/src/lib.rs
@@ -3,8 +3,12 @@
 //! A [`TargetGate`] stands before one target. It takes the time and events and answers with
 //! typed messages; it does no I/O and reads no clock.
 
+mod concurrency_limit;
 mod gate_plan;
+mod service_estimate;
+mod slow_start;
 mod target_gate;
+mod wait_queue;
 
 pub use crate::{
     gate_plan::GatePlan,
--- /dev/null
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -0,0 +1,139 @@
+//! How long a request holds a slot, learned from those that did.
+
+use fescueway_core::MonoTime;
+
+use crate::TicketId;
+
+/// Weight of one finished request in the recent mean.
+const RECENT_WEIGHT: f64 = 1.0 / 32.0;
+
+/// Weight of one finished request in the recent share of failures.
+const FAILURE_WEIGHT: f64 = 1.0 / 16.0;
+
+/// How fast the baseline follows a falling mean, per finished request.
+const BASELINE_FALL: f64 = 1.0 / 32.0;
+
+/// How fast the baseline forgets, per finished request, so that it can rise again.
+const BASELINE_RISE: f64 = 1.0 / 20_000.0;
+
+/// Running requests that are this many times as old as usual show a stalled backend server
+/// before any of them ends.
+const STALL_FACTOR: f64 = 2.0;
+
+/// Requests that must be running before their age says anything.
+const STALL_COUNT: usize = 2;
+
+/// One request that holds a slot.
+#[derive(Clone, Copy, Debug)]
+struct OpenRun {
+    /// The offer.
+    ticket: TicketId,
+    /// When it got its slot.
+    started: MonoTime,
+}
+
+/// How long a request holds a slot, learned from those that did.
+#[derive(Debug)]
+pub(crate) struct ServiceEstimate {
+    /// Requests that hold a slot. Its capacity is set once, so that admission allocates nothing.
+    open: Vec<OpenRun>,
+    /// Sum of the start times of `open`, in microseconds.
+    start_sum_us: u64,
+    /// Recent mean, in microseconds; zero until the first request ended.
+    recent_us: f64,
+    /// The mean on an undisturbed day, in microseconds; never far above `recent_us`.
+    baseline_us: f64,
+    /// Recent share of failures, from 0 to 1.
+    failed_share: f64,
+}
+
+impl ServiceEstimate {
+    /// An estimate that has seen nothing, for at most `slots` open runs.
+    pub(crate) fn new(slots: u32) -> Self {
+        Self {
+            open: Vec::with_capacity(slots as usize),
+            start_sum_us: 0,
+            recent_us: 0.0,
+            baseline_us: 0.0,
+            failed_share: 0.0,
+        }
+    }
+
+    /// Requests that hold a slot.
+    pub(crate) fn open_count(&self) -> u32 {
+        self.open.len() as u32
+    }
+
+    /// A request got a slot.
+    pub(crate) fn start(&mut self, now: MonoTime, ticket: TicketId) {
+        self.start_sum_us += now.as_micros();
+        self.open.push(OpenRun {
+            ticket,
+            started: now,
+        });
+    }
+
+    /// A request gave its slot back. Returns how long it held it, `None` for an unknown ticket.
+    pub(crate) fn stop(&mut self, now: MonoTime, ticket: TicketId) -> Option<f64> {
+        let index = self.open.iter().position(|run| run.ticket == ticket)?;
+        let run = self.open.swap_remove(index);
+        self.start_sum_us -= run.started.as_micros();
+        Some(now.since(run.started).as_micros() as f64)
+    }
+
+    /// Learns from a request that ran to its end.
+    pub(crate) fn learn(&mut self, held_us: f64, is_failure: bool) {
+        let failure = if is_failure { 1.0 } else { 0.0 };
+        self.failed_share += (failure - self.failed_share) * FAILURE_WEIGHT;
+        if is_failure {
+            return;
+        }
+        if self.recent_us <= 0.0 {
+            self.recent_us = held_us;
+            self.baseline_us = held_us;
+            return;
+        }
+        self.recent_us += (held_us - self.recent_us) * RECENT_WEIGHT;
+        let rate = if self.recent_us < self.baseline_us {
+            BASELINE_FALL
+        } else {
+            BASELINE_RISE
+        };
+        self.baseline_us += (self.recent_us - self.baseline_us) * rate;
+    }
+
+    /// Mean time that a request holds a slot now, in microseconds.
+    ///
+    /// Requests that are still running count too: when they are far older than usual, the mean of
+    /// those that ended is out of date.
+    pub(crate) fn mean_us(&self, now: MonoTime) -> f64 {
+        if self.open.len() < STALL_COUNT {
+            return self.recent_us;
+        }
+        let count = self.open.len() as f64;
+        let age_us = now.as_micros() as f64 - self.start_sum_us as f64 / count;
+        if age_us > STALL_FACTOR * self.recent_us && self.recent_us > 0.0 {
+            age_us
+        } else {
+            self.recent_us
+        }
+    }
+
+    /// Recent mean of those that ended, in microseconds.
+    pub(crate) fn recent_us(&self) -> f64 {
+        self.recent_us
+    }
+
+    /// How much slower requests are than on an undisturbed day; 1 for no slower.
+    pub(crate) fn slowdown(&self) -> f64 {
+        if self.baseline_us <= 0.0 {
+            return 1.0;
+        }
+        (self.recent_us / self.baseline_us).max(1.0)
+    }
+
+    /// Recent share of failures, in 1/1000.
+    pub(crate) fn failed_permille(&self) -> u16 {
+        (self.failed_share * 1_000.0) as u16
+    }
+}
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -4,6 +4,31 @@
 
 use fescueway_core::{LoadReport, MonoTime, Refusal, RefusalReason, RequestTerms};
 
+use crate::{
+    GatePlan,
+    concurrency_limit::ConcurrencyLimit,
+    service_estimate::ServiceEstimate,
+    slow_start::SlowStart,
+    wait_queue::{QueuedOffer, WaitQueue},
+};
+
+/// An offer that would begin later than this many mean service times before its deadline is
+/// refused at once: it would too often end after it.
+const QUEUE_MARGIN: f64 = 2.0;
+
+/// An offer that could begin at once is refused when its deadline is nearer than this share of
+/// the mean service time.
+const START_MARGIN: f64 = 0.5;
+
+/// Shortest time after which a refused caller is told to come back.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Longest time after which a refused caller is told to come back.
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(10);
+
+/// When to come back to a target that drains.
+const DRAIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// One offer at one gate.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct TicketId(pub u64);
@@ -43,16 +68,35 @@
     Released,
 }
 
-/// The gate before one target.
+/// The gate before one target: it decides what runs now, what waits and what is refused.
+///
+/// ```
+/// # use std::time::Duration;
+/// # use fescueway_admission::{GatePlan, GateResult, RunEnd, TargetGate, TicketId};
+/// # use fescueway_core::{MonoTime, RequestTerms};
+/// let plan = GatePlan { ramp_time: Duration::ZERO, ..GatePlan::default() };
+/// let mut gate = TargetGate::new(plan, MonoTime::ZERO);
+/// let terms = RequestTerms::new("windows".into(), Duration::from_millis(300));
+/// assert_eq!(gate.offer(MonoTime::ZERO, TicketId(1), &terms), GateResult::Run);
+/// let later = MonoTime::from_micros(20_000);
+/// assert!(gate.finish(later, TicketId(1), RunEnd::Answered).is_empty());
+/// assert!(gate.is_idle());
+/// ```
 ///
 /// Invariant: never more runs are open than the limit allowed when they began, and the limit is
 /// never above the announced slots.
 #[derive(Debug)]
 pub struct TargetGate {
     /// Settings.
-    plan: crate::GatePlan,
-    /// Open runs.
-    in_flight: u32,
+    plan: GatePlan,
+    /// What runs and how long that takes.
+    service: ServiceEstimate,
+    /// How much may run at once.
+    limit: ConcurrencyLimit,
+    /// The ramp of the cold target.
+    ramp: SlowStart,
+    /// What waits.
+    queue: WaitQueue,
     /// Whether the target is leaving.
     is_draining: bool,
 }
@@ -60,57 +104,85 @@
 impl TargetGate {
     /// A gate before a target that starts cold at `now`.
     #[must_use]
-    pub fn new(plan: crate::GatePlan, _now: MonoTime) -> Self {
+    pub fn new(plan: GatePlan, now: MonoTime) -> Self {
+        let capacity = Self::queue_capacity(&plan);
         Self {
-            plan,
-            in_flight: 0,
+            service: ServiceEstimate::new(plan.slots),
+            limit: ConcurrencyLimit::new(plan.slots),
+            ramp: SlowStart::new(now, plan.ramp_time),
+            queue: WaitQueue::new(capacity),
             is_draining: false,
+            plan,
         }
     }
 
     /// Decides on an offer.
-    pub fn offer(
-        &mut self,
-        _now: MonoTime,
-        _ticket: TicketId,
-        _terms: &RequestTerms,
-    ) -> GateResult {
+    pub fn offer(&mut self, now: MonoTime, ticket: TicketId, terms: &RequestTerms) -> GateResult {
         if self.is_draining {
-            return GateResult::Refuse(Self::refusal(RefusalReason::Draining));
+            return GateResult::Refuse(Self::draining());
         }
-        if self.in_flight >= self.plan.slots {
-            return GateResult::Refuse(Self::refusal(RefusalReason::QueueFull));
+        let offer = QueuedOffer::new(now, ticket, terms);
+        if self.has_slot(now) && self.queue.len() == 0 {
+            return self.start(now, ticket, terms);
         }
-        self.in_flight += 1;
-        GateResult::Run
+        let wait_us = self.wait_us(now, self.queue.count_ahead(&offer));
+        let wait = Duration::from_micros(wait_us as u64);
+        let margin_us = QUEUE_MARGIN * self.service.mean_us(now);
+        if wait_us + margin_us > terms.time_left.as_micros() as f64 {
+            return GateResult::Refuse(Self::refusal(RefusalReason::DeadlineTooShort, wait));
+        }
+        let is_full = self.queue.len() >= Self::queue_capacity(&self.plan);
+        if is_full || wait > terms.wait_limit {
+            return GateResult::Refuse(Self::refusal(RefusalReason::QueueFull, wait));
+        }
+        self.queue.push(offer);
+        GateResult::Wait
     }
 
     /// A run ended. Exactly one for each run.
-    pub fn finish(&mut self, _now: MonoTime, _ticket: TicketId, _end: RunEnd) -> Vec<GateAction> {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        Vec::new()
+    pub fn finish(&mut self, now: MonoTime, ticket: TicketId, end: RunEnd) -> Vec<GateAction> {
+        let Some(held_us) = self.service.stop(now, ticket) else {
+            return Vec::new();
+        };
+        match end {
+            RunEnd::Answered => self.service.learn(held_us, false),
+            RunEnd::Failed | RunEnd::Lost => self.service.learn(held_us, true),
+            RunEnd::Cancelled | RunEnd::Released => {}
+        }
+        self.limit.learn(self.service.slowdown());
+        self.fill(now)
     }
 
     /// A waiting offer was withdrawn. Unknown tickets are passed over.
-    pub fn withdraw(&mut self, _now: MonoTime, _ticket: TicketId) -> Vec<GateAction> {
-        Vec::new()
+    pub fn withdraw(&mut self, now: MonoTime, ticket: TicketId) -> Vec<GateAction> {
+        self.queue.remove(ticket);
+        self.fill(now)
     }
 
     /// Time passed: refuses what waits and can no longer finish in time.
-    pub fn tick(&mut self, _now: MonoTime) -> Vec<GateAction> {
-        Vec::new()
+    pub fn tick(&mut self, now: MonoTime) -> Vec<GateAction> {
+        self.fill(now)
     }
 
     /// When [`TargetGate::tick`] is due next, `None` while nothing waits.
     #[must_use]
     pub fn next_wake(&self) -> Option<MonoTime> {
-        None
+        let deadline = self.queue.next_deadline()?;
+        let margin = self.start_margin();
+        let micros = deadline
+            .as_micros()
+            .saturating_sub(margin.as_micros() as u64);
+        Some(MonoTime::from_micros(micros))
     }
 
     /// From now on takes nothing new, refuses what waits, and lets finish what runs.
     pub fn drain(&mut self, _now: MonoTime) -> Vec<GateAction> {
         self.is_draining = true;
-        Vec::new()
+        let mut actions = Vec::with_capacity(self.queue.len());
+        while let Some(offer) = self.queue.pop() {
+            actions.push(GateAction::Refuse(offer.ticket, Self::draining()));
+        }
+        actions
     }
 
     /// Takes work again after a drain.
@@ -121,25 +193,92 @@
     /// Whether nothing runs and nothing waits.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.in_flight == 0
+        self.service.open_count() == 0 && self.queue.len() == 0
     }
 
     /// The load to report to entries.
     #[must_use]
-    pub fn report(&self, _now: MonoTime) -> LoadReport {
+    pub fn report(&self, now: MonoTime) -> LoadReport {
         LoadReport {
-            in_flight: self.in_flight,
-            limit: self.plan.slots,
+            in_flight: self.service.open_count(),
+            queued: self.queue.len() as u32,
+            limit: self.current_limit(now),
+            service_time_us: self.service.mean_us(now) as u32,
+            wait_us: self.wait_us(now, self.queue.len()) as u32,
+            age_us: 0,
+            failed_permille: self.service.failed_permille(),
             is_draining: self.is_draining,
-            ..LoadReport::default()
         }
     }
 
-    /// A refusal by this gate.
-    fn refusal(reason: RefusalReason) -> Refusal {
+    /// Gives a free slot to an offer, unless its time is nearly over.
+    fn start(&mut self, now: MonoTime, ticket: TicketId, terms: &RequestTerms) -> GateResult {
+        if terms.time_left <= self.start_margin() {
+            let refusal = Self::refusal(RefusalReason::DeadlineTooShort, Duration::ZERO);
+            return GateResult::Refuse(refusal);
+        }
+        self.service.start(now, ticket);
+        GateResult::Run
+    }
+
+    /// Refuses what is too late and gives free slots to what waits.
+    fn fill(&mut self, now: MonoTime) -> Vec<GateAction> {
+        let refusal = Self::refusal(RefusalReason::DeadlineTooShort, Duration::ZERO);
+        let expired = self.queue.expire(now + self.start_margin());
+        let mut actions: Vec<_> = expired
+            .map(|offer| GateAction::Refuse(offer.ticket, refusal))
+            .collect();
+        while self.has_slot(now)
+            && let Some(offer) = self.queue.pop()
+        {
+            self.service.start(now, offer.ticket);
+            actions.push(GateAction::Run(offer.ticket));
+        }
+        actions
+    }
+
+    /// Whether another request may run.
+    fn has_slot(&self, now: MonoTime) -> bool {
+        self.service.open_count() < self.current_limit(now)
+    }
+
+    /// Requests that may run at once now.
+    fn current_limit(&self, now: MonoTime) -> u32 {
+        self.limit.limit(self.ramp.share(now))
+    }
+
+    /// Expected wait of an offer with `ahead` others before it, in microseconds.
+    fn wait_us(&self, now: MonoTime, ahead: usize) -> f64 {
+        if self.has_slot(now) && ahead == 0 {
+            return 0.0;
+        }
+        let limit = f64::from(self.current_limit(now));
+        (ahead as f64 + 1.0) * self.service.mean_us(now) / limit
+    }
+
+    /// Time before a deadline at which a request that hasn't begun is too late.
+    fn start_margin(&self) -> Duration {
+        Duration::from_micros((START_MARGIN * self.service.recent_us()) as u64)
+    }
+
+    /// Offers that may wait at once.
+    fn queue_capacity(plan: &GatePlan) -> usize {
+        (f64::from(plan.slots) * plan.queue_per_slot).ceil() as usize
+    }
+
+    /// A refusal by a target that leaves.
+    fn draining() -> Refusal {
+        Refusal {
+            reason: RefusalReason::Draining,
+            retry_after: DRAIN_RETRY_AFTER,
+        }
+    }
+
+    /// A refusal, with the time after which the wait should be over.
+    fn refusal(reason: RefusalReason, wait: Duration) -> Refusal {
         Refusal {
             reason,
-            retry_after: Duration::from_secs(1),
+            retry_after: (wait * 2).clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER),
         }
     }
 }
