--- a/crates/fescueway_routing/src/lib.rs
+++ b/crates/fescueway_routing/src/lib.rs
@@ -3,10 +3,17 @@
 //! A [`ServiceRouter`] holds one service's targets as this entry sees them. It takes the time, a
 //! random generator and events, and answers with an [`OfferPermit`] or a refusal. It does no I/O.
 
+mod latency_quantile;
+mod offer_budget;
 mod offer_permit;
+mod place_choice;
+mod pool_view;
 mod route_event;
 mod routing_plan;
 mod service_router;
+mod target_phase;
+mod target_subset;
+mod target_view;
 
 pub use crate::{
     offer_permit::{HandedOver, OfferPermit},
--- /dev/null
+++ b/crates/fescueway_routing/src/place_choice.rs
@@ -0,0 +1,75 @@
+//! The choice among the targets of a subset.
+
+use fescueway_core::{MonoTime, NodeId};
+use rand_core::Rng;
+
+use crate::{pool_view::PoolView, target_view::TargetView};
+
+/// Targets that are compared for one offer. A larger subset is sampled.
+const MAX_COMPARED: usize = 8;
+
+/// Share of the targets that has to be trusted; below it all of them get work, since then the
+/// cause is likelier to lie elsewhere and the few left would be overrun.
+const PANIC_SHARE: f64 = 0.5;
+
+/// The best and the second best place for an offer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlaceChoice {
+    /// Index of the best view.
+    pub(crate) best: usize,
+    /// Score of the second best view, in microseconds; `None` when there is no other.
+    pub(crate) next_score_us: Option<f64>,
+}
+
+/// Compares targets that are neither draining nor in `tried`. Distrusted ones only count when
+/// most are.
+pub(crate) fn choose_place(
+    views: &mut [TargetView],
+    now: MonoTime,
+    pool: &PoolView,
+    far_trip_us: f64,
+    tried: &[NodeId],
+    random: &mut impl Rng,
+) -> Option<PlaceChoice> {
+    let mut serving = 0_usize;
+    let mut trusted = 0_usize;
+    for view in views.iter_mut().filter(|view| !view.is_draining) {
+        view.tick(now);
+        serving += 1;
+        trusted += usize::from(view.is_trusted());
+    }
+    let is_panic = (trusted as f64) < PANIC_SHARE * serving as f64;
+    let may_use = |view: &TargetView| {
+        !view.is_draining && !tried.contains(&view.node) && (is_panic || view.is_trusted())
+    };
+    let open = views.iter().filter(|view| may_use(view)).count();
+    let start = random.next_u32() as usize % views.len().max(1);
+    // Going round from a random start breaks ties at random and samples large subsets.
+    let order = (start..views.len()).chain(0..start);
+    let candidates = order
+        .filter(|&index| may_use(&views[index]))
+        .take(open.min(MAX_COMPARED));
+    best_two(candidates.map(|index| (index, views[index].score_us(now, pool, far_trip_us))))
+}
+
+/// The lowest score's index and the second lowest score.
+fn best_two(scores: impl Iterator<Item = (usize, f64)>) -> Option<PlaceChoice> {
+    let mut best: Option<(usize, f64)> = None;
+    let mut next_score_us: Option<f64> = None;
+    for (index, score_us) in scores {
+        match best {
+            Some((_, best_us)) if score_us >= best_us => {
+                let next_us = next_score_us.unwrap_or(f64::INFINITY);
+                next_score_us = Some(next_us.min(score_us));
+            }
+            _ => {
+                next_score_us = best.map(|(_, best_us)| best_us);
+                best = Some((index, score_us));
+            }
+        }
+    }
+    best.map(|(best, _)| PlaceChoice {
+        best,
+        next_score_us,
+    })
+}
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -3,11 +3,35 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use fescueway_core::{
-    DomainName, MonoTime, NodeId, Refusal, RefusalReason, RequestTerms, TargetRecord, TargetState,
+    DomainName, Idempotency, MonoTime, NodeId, OfferCause, Refusal, RefusalReason, RequestTerms,
+    TargetRecord,
 };
 use rand_core::Rng;
 
-use crate::{OfferPermit, RouteEvent, RoutingPlan};
+use crate::{
+    OfferEnd, OfferPermit, RouteEvent, RoutingPlan, latency_quantile::LatencyQuantile,
+    offer_budget::OfferBudget, place_choice::choose_place, pool_view::PoolView,
+    target_subset::subset_rank, target_view::TargetView,
+};
+
+/// Further offers after refusals, as a share of the first offers.
+const REFUSAL_SHARE: f64 = 0.2;
+
+/// Further offers after refusals that can be saved up.
+const REFUSAL_RESERVE: f64 = 10.0;
+
+/// Retries and hedges that can be saved up.
+const RETRY_RESERVE: f64 = 10.0;
+
+/// How many times the wait at the next best place the wait at a host has to be before the host
+/// refuses.
+const REFUSAL_GAIN: f64 = 1.5;
+
+/// Shortest wait at which a host refuses because another place is likely better.
+const LEAST_WAIT_LIMIT: Duration = Duration::from_millis(2);
+
+/// When to come back after a refusal by the entry, at the soonest.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Where a request goes next.
 #[derive(Debug)]
@@ -25,34 +49,78 @@
     plan: RoutingPlan,
     /// The entry's failure domain.
     domain: DomainName,
-    /// Targets by host node.
+    /// By which this entry's subset differs from others'.
+    seed: u64,
+    /// Targets by host node, those outside the subset included.
     targets: BTreeMap<NodeId, TargetRecord>,
+    /// What is known of the subset's targets. Never more than the plan's subset size.
+    views: Vec<TargetView>,
+    /// What is known of them taken together.
+    pool: PoolView,
+    /// Budget of offers after refusals.
+    refusals: OfferBudget,
+    /// Budget of retries and hedges.
+    retries: OfferBudget,
+    /// When an unanswered request is hedged.
+    latency: LatencyQuantile,
 }
 
 impl ServiceRouter {
     /// A router without targets for an entry in `domain`.
     #[must_use]
     pub fn new(plan: RoutingPlan, domain: DomainName) -> Self {
+        let capacity = plan.subset_size;
         Self {
             plan,
             domain,
+            seed: 0,
             targets: BTreeMap::new(),
+            views: Vec::with_capacity(capacity),
+            pool: PoolView::default(),
+            refusals: OfferBudget::new(REFUSAL_RESERVE),
+            retries: OfferBudget::new(RETRY_RESERVE),
+            latency: LatencyQuantile::default(),
         }
     }
 
+    /// Gives this entry a subset of its own: call it with the entry's identity before targets
+    /// are set.
+    #[must_use]
+    pub fn with_seed(mut self, entry: NodeId) -> Self {
+        self.seed = entry.0;
+        self
+    }
+
     /// Replaces the settings; what is known of the targets is kept.
     pub fn set_plan(&mut self, plan: RoutingPlan) {
         self.plan = plan;
+        self.views.truncate(self.plan.subset_size);
+        self.fill_subset(MonoTime::ZERO);
     }
 
     /// Adds or replaces a target.
-    pub fn set_target(&mut self, _now: MonoTime, record: &TargetRecord) {
+    pub fn set_target(&mut self, now: MonoTime, record: &TargetRecord) {
         self.targets.insert(record.node, record.clone());
+        let is_near = record.domain == self.domain;
+        if let Some(view) = self.view_mut(record.node) {
+            view.set_record(record, is_near);
+            return;
+        }
+        if self.views.len() >= self.plan.subset_size && !self.evict_for(record.node, is_near) {
+            return;
+        }
+        let view = TargetView::new(now, record, is_near, &self.pool);
+        self.views.push(view);
     }
 
     /// Forgets a target. Offers to it that are still open may end later.
     pub fn remove_target(&mut self, node: NodeId) {
         self.targets.remove(&node);
+        let Some(index) = self.views.iter().position(|view| view.node == node) else {
+            return;
+        };
+        let gone = self.views.swap_remove(index);
+        self.fill_subset(gone.known_since());
     }
 
     /// Picks the target for the next offer, never one of `tried`.
@@ -60,29 +128,24 @@
     /// `time_left` in the terms is as of `now`.
     pub fn pick(
         &mut self,
-        _now: MonoTime,
+        now: MonoTime,
         mut terms: RequestTerms,
         tried: &[NodeId],
         random: &mut impl Rng,
     ) -> PickResult {
-        if terms.offers_left == 0 {
-            return PickResult::Refuse(Self::refusal(RefusalReason::BudgetSpent));
+        if terms.offers_left == 0 || !self.charge(terms.cause) {
+            return PickResult::Refuse(self.refusal(RefusalReason::BudgetSpent));
         }
-        let is_open = |record: &&TargetRecord| {
-            record.state != TargetState::Draining && !tried.contains(&record.node)
+        let far_trip_us = self.plan.domain_trip.as_micros() as f64;
+        let choice = choose_place(&mut self.views, now, &self.pool, far_trip_us, tried, random);
+        let Some(choice) = choice else {
+            return PickResult::Refuse(self.refusal(RefusalReason::NoTarget));
         };
-        let count = self.targets.values().filter(is_open).count();
-        if count == 0 {
-            return PickResult::Refuse(Self::refusal(RefusalReason::NoTarget));
-        }
-        let index = random.next_u32() as usize % count;
-        match self.targets.values().filter(is_open).nth(index) {
-            Some(record) => {
-                terms.offers_left -= 1;
-                PickResult::Offer(OfferPermit::new(record.node, terms))
-            }
-            None => PickResult::Refuse(Self::refusal(RefusalReason::NoTarget)),
-        }
+        terms.offers_left -= 1;
+        terms.wait_limit = self.wait_limit(&terms, choice.next_score_us);
+        let view = &mut self.views[choice.best];
+        view.offer(now, &self.pool);
+        PickResult::Offer(OfferPermit::new(view.node, terms))
     }
 
     /// When an idempotent request that was offered to `node` should be hedged by a second offer,
@@ -91,22 +154,127 @@
     pub fn hedge_after(
         &self,
         _now: MonoTime,
-        _terms: &RequestTerms,
+        terms: &RequestTerms,
         _node: NodeId,
     ) -> Option<Duration> {
-        None
+        let may_hedge = self.plan.is_hedging
+            && terms.idempotency == Idempotency::Idempotent
+            && terms.offers_left > 0
+            && self.retries.has_token();
+        if !may_hedge {
+            return None;
+        }
+        self.latency.get()
     }
 
     /// Takes in what happened.
-    pub fn handle(&mut self, _now: MonoTime, _event: RouteEvent) {
-        let _ = &self.domain;
+    pub fn handle(&mut self, now: MonoTime, event: RouteEvent) {
+        match event {
+            RouteEvent::OfferEnded { node, end } => self.end_offer(now, node, end),
+            RouteEvent::LoadReported { node, report } => {
+                self.pool.learn(&report);
+                if let Some(view) = self.view_mut(node) {
+                    view.learn_report(now, &report);
+                }
+            }
+        }
+    }
+
+    /// Takes in how an offer ended.
+    fn end_offer(&mut self, now: MonoTime, node: NodeId, end: OfferEnd) {
+        if let OfferEnd::Answered {
+            latency,
+            is_failure: false,
+        } = end
+        {
+            self.retries.earn(self.plan.budget_share);
+            self.latency.learn(latency);
+        }
+        let Some(view) = self.view_mut(node) else {
+            return;
+        };
+        view.end_offer(now);
+        match end {
+            OfferEnd::Answered { is_failure, .. } => view.learn_answer(now, is_failure),
+            OfferEnd::Lost => view.learn_answer(now, true),
+            OfferEnd::Refused(refusal) => view.learn_refusal(refusal.reason),
+            OfferEnd::Cancelled => {}
+        }
+    }
+
+    /// Earns or spends budget for an offer. Whether the offer may be made.
+    fn charge(&mut self, cause: OfferCause) -> bool {
+        match cause {
+            OfferCause::First => {
+                self.refusals.earn(REFUSAL_SHARE);
+                true
+            }
+            OfferCause::Refused => self.refusals.spend(),
+            OfferCause::Retried => self.retries.spend(),
+        }
+    }
+
+    /// The longest wait at the host that is better than a refusal and another offer.
+    fn wait_limit(&self, terms: &RequestTerms, next_score_us: Option<f64>) -> Duration {
+        let may_offer_again = terms.offers_left > 0 && self.refusals.has_token();
+        match next_score_us {
+            Some(score_us) if may_offer_again => {
+                let limit_us = score_us * REFUSAL_GAIN;
+                Duration::from_micros(limit_us as u64).max(LEAST_WAIT_LIMIT)
+            }
+            _ => terms.time_left,
+        }
+    }
+
+    /// The view of a target of the subset.
+    fn view_mut(&mut self, node: NodeId) -> Option<&mut TargetView> {
+        self.views.iter_mut().find(|view| view.node == node)
+    }
+
+    /// Makes room in a full subset for a target of lower rank. Whether there is room.
+    fn evict_for(&mut self, node: NodeId, is_near: bool) -> bool {
+        let rank = subset_rank(self.seed, node, is_near);
+        let rank_of = |view: &TargetView| subset_rank(self.seed, view.node, view.is_near);
+        let worst = self
+            .views
+            .iter()
+            .enumerate()
+            .map(|(index, view)| (rank_of(view), index))
+            .max();
+        match worst {
+            Some((worst_rank, index)) if rank < worst_rank => {
+                self.views.swap_remove(index);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Adds the targets of lowest rank until the subset is full or holds all.
+    fn fill_subset(&mut self, now: MonoTime) {
+        while self.views.len() < self.plan.subset_size {
+            let views = &self.views;
+            let outside = self
+                .targets
+                .values()
+                .filter(|record| !views.iter().any(|view| view.node == record.node));
+            let rank_of = |record: &&TargetRecord| {
+                subset_rank(self.seed, record.node, record.domain == self.domain)
+            };
+            let Some(record) = outside.min_by_key(rank_of) else {
+                return;
+            };
+            let is_near = record.domain == self.domain;
+            let view = TargetView::new(now, record, is_near, &self.pool);
+            self.views.push(view);
+        }
     }
 
     /// A refusal by this entry.
-    fn refusal(reason: RefusalReason) -> Refusal {
+    fn refusal(&self, reason: RefusalReason) -> Refusal {
         Refusal {
             reason,
-            retry_after: Duration::from_secs(1),
+            retry_after: RETRY_AFTER.max(self.pool.wait()),
         }
     }
 }
--- /dev/null
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -0,0 +1,202 @@
+//! What one entry knows of one target.
+
+use fescueway_core::{LoadReport, MonoTime, NodeId, RefusalReason, TargetRecord, TargetState};
+
+use crate::{
+    pool_view::PoolView,
+    target_phase::{PhaseEvent, TargetPhase},
+};
+
+/// Weight of a new report in the target's mean load.
+const MEAN_WEIGHT: f64 = 0.2;
+
+/// Weight of one answer in the entry's own share of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+
+/// Share of its slots that a cold target is taken to offer before its first report.
+const COLD_SHARE: f64 = 0.3;
+
+/// A target is silent when nothing came back for this many usual service times.
+const SILENCE_FACTOR: f64 = 3.0;
+
+/// Weight of the load's variance in the expected wait, so that the smooth form equals the mean of
+/// a normal variable's positive part where the load equals the limit.
+const VARIANCE_WEIGHT: f64 = 0.64;
+
+/// What one entry knows of one target.
+#[derive(Debug)]
+pub(crate) struct TargetView {
+    /// The host node.
+    pub(crate) node: NodeId,
+    /// Whether the target is in the entry's failure domain.
+    pub(crate) is_near: bool,
+    /// Whether it is known to leave.
+    pub(crate) is_draining: bool,
+    /// Offers of this entry that are open.
+    pub(crate) open: u32,
+    /// Since when open offers have brought nothing back.
+    silent_since: MonoTime,
+    /// Requests running and waiting at the target at `load_at`, this entry's later offers included.
+    load: f64,
+    /// When `load` was true.
+    load_at: MonoTime,
+    /// Mean load over the recent reports.
+    mean_load: f64,
+    /// Requests that the host lets run at once.
+    limit: f64,
+    /// Mean time that a request holds a slot, in microseconds; zero when unknown.
+    service_us: f64,
+    /// Recent share of failures among this entry's answers and in the host's report, from 0 to 1.
+    failed_share: f64,
+    /// Whether its answers are trusted.
+    phase: TargetPhase,
+}
+
+impl TargetView {
+    /// A target that nothing is known of but its record.
+    pub(crate) fn new(
+        now: MonoTime,
+        record: &TargetRecord,
+        is_near: bool,
+        pool: &PoolView,
+    ) -> Self {
+        let slots = f64::from(record.slots.max(1));
+        let share = match record.state {
+            TargetState::Starting => COLD_SHARE,
+            TargetState::Serving | TargetState::Draining => 1.0,
+        };
+        let load = pool.load_share() * slots * share;
+        Self {
+            node: record.node,
+            is_near,
+            is_draining: record.state == TargetState::Draining,
+            open: 0,
+            silent_since: now,
+            load,
+            load_at: now,
+            mean_load: load,
+            limit: slots * share,
+            service_us: 0.0,
+            failed_share: 0.0,
+            phase: TargetPhase::default(),
+        }
+    }
+
+    /// Takes in a changed record of the same target.
+    pub(crate) fn set_record(&mut self, record: &TargetRecord, is_near: bool) {
+        self.is_near = is_near;
+        self.is_draining = record.state == TargetState::Draining;
+    }
+
+    /// Counts an offer that is sent now.
+    pub(crate) fn offer(&mut self, now: MonoTime, pool: &PoolView) {
+        if self.open == 0 {
+            self.silent_since = now;
+        }
+        self.open += 1;
+        self.load = self.load_now(now, pool) + 1.0;
+        self.load_at = now;
+    }
+
+    /// Counts an offer that ended.
+    pub(crate) fn end_offer(&mut self, now: MonoTime) {
+        self.open = self.open.saturating_sub(1);
+        self.silent_since = now;
+    }
+
+    /// Takes in whether an offer was answered well.
+    pub(crate) fn learn_answer(&mut self, now: MonoTime, is_failure: bool) {
+        let failure = if is_failure { 1.0 } else { 0.0 };
+        self.failed_share += (failure - self.failed_share) * FAILURE_WEIGHT;
+        self.phase.handle(&PhaseEvent::Answered {
+            now,
+            is_failure,
+            failed_share: self.failed_share,
+        });
+    }
+
+    /// Takes in why the host refused.
+    pub(crate) fn learn_refusal(&mut self, reason: RefusalReason) {
+        self.is_draining |= reason == RefusalReason::Draining;
+    }
+
+    /// Lets an ejection end.
+    pub(crate) fn tick(&mut self, now: MonoTime) {
+        self.phase.handle(&PhaseEvent::Tick(now));
+    }
+
+    /// Whether the target may get work while better ones are there.
+    pub(crate) fn is_trusted(&self) -> bool {
+        self.phase.is_trusted(self.open)
+    }
+
+    /// The last time that is known of this target.
+    pub(crate) fn known_since(&self) -> MonoTime {
+        self.load_at
+    }
+
+    /// Takes in a load report.
+    pub(crate) fn learn_report(&mut self, now: MonoTime, report: &LoadReport) {
+        let load = f64::from(report.in_flight + report.queued);
+        self.load = load.max(f64::from(self.open));
+        let sent_us = now.as_micros().saturating_sub(u64::from(report.age_us));
+        self.load_at = MonoTime::from_micros(sent_us);
+        self.mean_load += (load - self.mean_load) * MEAN_WEIGHT;
+        self.limit = f64::from(report.limit.max(1));
+        self.service_us = f64::from(report.service_time_us);
+        let failed_share = f64::from(report.failed_permille) / 1_000.0;
+        self.failed_share += (failed_share - self.failed_share) * FAILURE_WEIGHT;
+        self.is_draining = report.is_draining;
+    }
+
+    /// Expected time from an offer now to its answer beyond the pool's service time, in
+    /// microseconds; trips within the own failure domain are left out.
+    pub(crate) fn score_us(&self, now: MonoTime, pool: &PoolView, far_trip_us: f64) -> f64 {
+        let trip_us = if self.is_near { 0.0 } else { 2.0 * far_trip_us };
+        let service_us = self.service_now_us(now, pool);
+        let slower_us = (service_us - pool.service_us()).max(0.0);
+        trip_us + slower_us + self.wait_us(now, pool, service_us)
+    }
+
+    /// Expected wait for a slot of an offer that arrives now, in microseconds.
+    fn wait_us(&self, now: MonoTime, pool: &PoolView, service_us: f64) -> f64 {
+        let staleness = 1.0 - self.freshness(now, service_us);
+        let load = self.load_now(now, pool);
+        let over = load + 1.0 - self.limit;
+        // A smooth form of the mean of max(0, N - limit) for a load N that varies as a Poisson
+        // variable does, the more the older the report.
+        let variance = load * staleness;
+        let expected = f64::midpoint(over, (over * over + VARIANCE_WEIGHT * variance).sqrt());
+        expected.max(0.0) * service_us / self.limit
+    }
+
+    /// The load expected now: the last report's, drifting to the mean as it ages.
+    fn load_now(&self, now: MonoTime, pool: &PoolView) -> f64 {
+        let mean = f64::midpoint(self.mean_load, pool.load_share() * self.limit);
+        let freshness = self.freshness(now, self.service_us.max(pool.service_us()));
+        let load = mean + (self.load - mean) * freshness;
+        load.max(f64::from(self.open))
+    }
+
+    /// How much of the last report still holds, from 1 to 0.
+    fn freshness(&self, now: MonoTime, service_us: f64) -> f64 {
+        let age_us = now.since(self.load_at).as_micros() as f64;
+        (-age_us / service_us.max(1.0)).exp()
+    }
+
+    /// Time that a request holds a slot now, in microseconds: what the host reported, or longer
+    /// when the target has been silent for longer.
+    fn service_now_us(&self, now: MonoTime, pool: &PoolView) -> f64 {
+        let usual_us = if self.service_us > 0.0 {
+            self.service_us
+        } else {
+            pool.service_us()
+        };
+        let silence_us = now.since(self.silent_since).as_micros() as f64;
+        if self.open > 0 && silence_us > SILENCE_FACTOR * usual_us {
+            silence_us
+        } else {
+            usual_us
+        }
+    }
+}
