Add the membership list

Cause: nodes had no way to learn of each other's targets. Weighed: views by service (each node holds only what it calls) against one view of the whole fleet. At 6,000 members the whole view is a few MB at most and the fleet changes about once a minute, so the simpler full view comes first; its cost is measured next. Conclusion: pings, indirect pings, incarnations, pushed rumors, digest exchange and a paged join, all sans-IO. Not yet tested beyond the doc example.

--- a/crates/fescueway_membership/src/lib.rs
+++ b/crates/fescueway_membership/src/lib.rs
@@ -1,1 +1,52 @@
-//! To be written.
+//! Who is there: which nodes live, and which targets they serve.
+//!
+//! A [`MemberList`] is one node's view of the fleet. It is a SWIM-like protocol with constant work
+//! for each node: one ping a period, indirect pings before a suspicion, incarnations against false
+//! rumours, rumours that ride on every datagram, and a digest exchange that repairs what the
+//! rumours missed. It does no I/O: feed it [`MemberEvent`]s, and do what its [`MemberAction`]s say.
+//!
+//! ```
+//! # use fescueway_core::{DomainName, MonoTime, NodeId};
+//! # use fescueway_membership::{FleetSecret, MemberList, MemberSettings};
+//! # use rand_pcg::Pcg64Mcg;
+//! let settings = MemberSettings {
+//!     node: NodeId(7),
+//!     gossip_address: "127.0.0.1:7001".parse().unwrap(),
+//!     peer_address: "127.0.0.1:7000".parse().unwrap(),
+//!     domain: DomainName::from("texas-a"),
+//!     seeds: vec!["127.0.0.1:7101".parse().unwrap()],
+//!     secret: FleetSecret::new(b"shared by all nodes"),
+//! };
+//! let mut random = Pcg64Mcg::new(1);
+//! let list = MemberList::new(MonoTime::ZERO, settings, &mut random);
+//! assert_eq!(list.live_count(), 1);
+//! ```
+
+mod byte_budget;
+mod datagram;
+mod datagram_codec;
+mod fleet_join;
+mod fleet_sync;
+mod gossip_push;
+mod live_ring;
+mod member_event;
+mod member_list;
+mod member_state;
+mod member_table;
+mod node_record;
+mod peer_probe;
+mod rumor;
+mod rumor_intake;
+mod rumor_queue;
+mod traffic_counts;
+
+pub use crate::{
+    datagram::{ConfigMark, Datagram, MessageBody},
+    datagram_codec::{DatagramCodec, DatagramError, FleetSecret, MAX_DATAGRAM},
+    member_event::{DownCause, MemberAction, MemberEvent},
+    member_list::{MemberList, MemberSettings, PING_PERIOD},
+    member_state::MemberState,
+    node_record::{NodeRecord, ServedService},
+    rumor::{MemberStatus, Rumor},
+    traffic_counts::TrafficCounts,
+};
--- /dev/null
+++ b/crates/fescueway_membership/src/member_list.rs
@@ -0,0 +1,421 @@
+//! One node's view of the fleet.
+
+use std::{net::SocketAddr, time::Duration};
+
+use fescueway_core::{DomainName, MonoTime, NodeId, TargetRecord};
+use rand_core::Rng;
+
+use crate::{
+    ConfigMark, Datagram, DatagramCodec, DownCause, FleetSecret, MemberAction, MemberEvent,
+    MemberState, MemberStatus, MessageBody, Rumor, ServedService, TrafficCounts,
+    byte_budget::ByteBudget, fleet_join::FleetJoin, fleet_sync::FleetSync, gossip_push::GossipPush,
+    live_ring::LiveRing, member_table::MemberTable, peer_probe::PeerProbe,
+    rumor_intake::targets_of, rumor_queue::RumorQueue,
+};
+
+/// Time between two pings of one node.
+pub const PING_PERIOD: Duration = Duration::from_secs(1);
+
+/// A gap between two wake-ups beyond which this node must have been paused.
+const PAUSE_GAP: Duration = Duration::from_secs(3);
+
+/// A pause after which this node's view is too old to be of use to others.
+const STALE_GAP: Duration = Duration::from_mins(10);
+
+/// Longest body of a note in bytes.
+const MAX_NOTE: usize = 800;
+
+/// What a membership instance is told of its own node.
+#[derive(Clone, Debug)]
+pub struct MemberSettings {
+    /// The identity of this run of the process.
+    pub node: NodeId,
+    /// Where this node takes membership datagrams, and from where it sends them.
+    pub gossip_address: SocketAddr,
+    /// Where this node takes streams from other nodes.
+    pub peer_address: SocketAddr,
+    /// The failure domain of this node's VM.
+    pub domain: DomainName,
+    /// Gossip addresses through which the fleet can be joined.
+    pub seeds: Vec<SocketAddr>,
+    /// What all nodes of the fleet share.
+    pub secret: FleetSecret,
+}
+
+/// One node's view of the fleet, and its part in keeping the others' views.
+#[derive(Clone, Debug)]
+pub struct MemberList {
+    pub(crate) settings: MemberSettings,
+    pub(crate) codec: DatagramCodec,
+    /// Holds this node too, always alive until it leaves.
+    pub(crate) table: MemberTable,
+    pub(crate) ring: LiveRing,
+    pub(crate) queue: RumorQueue,
+    pub(crate) budget: ByteBudget,
+    pub(crate) probe: PeerProbe,
+    pub(crate) push: GossipPush,
+    pub(crate) sync: FleetSync,
+    pub(crate) join: FleetJoin,
+    pub(crate) counts: TrafficCounts,
+    /// What this node has in force.
+    pub(crate) mark: ConfigMark,
+    /// The highest revision that the owner was told of.
+    told_mark: ConfigMark,
+    /// Most live members that any other node told of.
+    pub(crate) fleet_size: usize,
+    next_period: MonoTime,
+    last_event: MonoTime,
+    pub(crate) is_leaving: bool,
+}
+
+/// One call of [`MemberList::handle`]: its time, its random numbers and its actions.
+pub(crate) struct Step<'a, R> {
+    pub now: MonoTime,
+    pub random: &'a mut R,
+    pub actions: Vec<MemberAction>,
+}
+
+impl MemberList {
+    /// A view that holds this node alone. Its first tick, due at once, joins the fleet.
+    #[must_use]
+    pub fn new(now: MonoTime, settings: MemberSettings, random: &mut impl Rng) -> Self {
+        let mut list = Self {
+            codec: DatagramCodec::new(settings.secret.clone()),
+            table: MemberTable::new(),
+            ring: LiveRing::default(),
+            queue: RumorQueue::default(),
+            budget: ByteBudget::new(now),
+            probe: PeerProbe::new(random),
+            push: GossipPush::default(),
+            sync: FleetSync::new(now, random),
+            join: FleetJoin::new(now),
+            counts: TrafficCounts::default(),
+            mark: ConfigMark::default(),
+            told_mark: ConfigMark::default(),
+            fleet_size: 1,
+            next_period: now + jittered(PING_PERIOD, random),
+            last_event: now,
+            is_leaving: false,
+            settings,
+        };
+        list.announce(now, Vec::new());
+        list
+    }
+
+    /// Takes in an event and tells what to do.
+    pub fn handle(
+        &mut self,
+        now: MonoTime,
+        event: MemberEvent,
+        random: &mut impl Rng,
+    ) -> Vec<MemberAction> {
+        let mut step = Step {
+            now,
+            random,
+            actions: Vec::new(),
+        };
+        self.note_pause(&mut step);
+        match event {
+            MemberEvent::Datagram { from, bytes } => self.on_bytes(&mut step, from, &bytes),
+            MemberEvent::Tick => self.on_tick(&mut step),
+            MemberEvent::LocalTargets(targets) => self.on_local_targets(now, &targets),
+            MemberEvent::Seeds(seeds) => self.add_seeds(seeds),
+            MemberEvent::Mark(mark) => self.on_own_mark(now, mark),
+            MemberEvent::Note { to, body } => self.send_note(&mut step, to, body),
+            MemberEvent::Leave => self.leave(&mut step),
+        }
+        step.actions
+    }
+
+    /// When the next [`MemberEvent::Tick`] is due.
+    #[must_use]
+    pub fn next_wake(&self) -> MonoTime {
+        let wakes = [
+            self.next_period,
+            self.probe.next_wake(),
+            self.push.next_wake(),
+            self.sync.next_wake(),
+            self.join.next_wake(),
+            self.table.next_lapse(),
+        ];
+        wakes.into_iter().min().unwrap_or(MonoTime::NEVER)
+    }
+
+    // Queries
+
+    /// Members that live, this node included.
+    #[must_use]
+    pub const fn live_count(&self) -> usize {
+        self.table.live_count()
+    }
+
+    /// Every member that is known, those that are gone included.
+    pub fn members(&self) -> impl Iterator<Item = (NodeId, &MemberState)> {
+        self.table.iter()
+    }
+
+    /// What is known of one member.
+    #[must_use]
+    pub fn member(&self, node: NodeId) -> Option<&MemberState> {
+        self.table.get(node)
+    }
+
+    /// Counts since the start.
+    #[must_use]
+    pub const fn counts(&self) -> TrafficCounts {
+        self.counts
+    }
+
+    /// Whether this node has fetched the view of the fleet, or found that there is none.
+    #[must_use]
+    pub const fn is_joined(&self) -> bool {
+        self.join.is_done()
+    }
+
+    /// A random live node that was heard to have at least `revision` in force.
+    pub fn holder_of(&self, revision: u64, random: &mut impl Rng) -> Option<(NodeId, SocketAddr)> {
+        let is_holder = |node: NodeId| {
+            let state = self.table.get(node);
+            state.is_some_and(|state| state.is_reachable() && state.mark.revision >= revision)
+        };
+        let picked = self.ring.pick(random, is_holder);
+        let node = picked.or_else(|| {
+            let mut nodes = self.table.iter().map(|(node, _)| node);
+            nodes.find(|node| *node != self.settings.node && is_holder(*node))
+        })?;
+        let record = self.table.get(node)?.record.as_ref()?;
+        Some((node, record.peer_address))
+    }
+
+    // Events
+
+    fn on_bytes(&mut self, step: &mut Step<'_, impl Rng>, from: SocketAddr, bytes: &[u8]) {
+        self.counts.on_received(bytes.len());
+        match self.codec.open(bytes) {
+            Ok(datagram) if datagram.from != self.settings.node => {
+                self.on_datagram(step, from, datagram);
+            }
+            Ok(_own) => {}
+            Err(error) => self.counts.on_dropped(error),
+        }
+    }
+
+    fn on_datagram(
+        &mut self,
+        step: &mut Step<'_, impl Rng>,
+        address: SocketAddr,
+        datagram: Datagram,
+    ) {
+        let sender = datagram.from;
+        self.fleet_size = self.fleet_size.max(datagram.live_count as usize);
+        self.note_replacement(step, address, sender);
+        let is_page = matches!(datagram.body, MessageBody::Page { .. });
+        let mut wanted = self.take_rumors(step, &datagram.rumors, !is_page);
+        if self
+            .table
+            .get(sender)
+            .is_none_or(|state| state.record.is_none())
+        {
+            wanted.push(sender);
+        }
+        self.note_mark(step, sender, datagram.mark);
+        let body = datagram.body;
+        self.on_body(step, address, sender, body, &mut wanted);
+        self.send_want(step, address, sender, wanted);
+    }
+
+    fn on_body(
+        &mut self,
+        step: &mut Step<'_, impl Rng>,
+        address: SocketAddr,
+        sender: NodeId,
+        body: MessageBody,
+        wanted: &mut Vec<NodeId>,
+    ) {
+        match body {
+            MessageBody::Ping { sequence } => self.on_ping(step, address, sender, sequence),
+            MessageBody::Ack { sequence, node } => self.on_ack(step, sequence, node),
+            MessageBody::PingRequest { sequence, node } => {
+                self.on_ping_request(step, address, sequence, node);
+            }
+            MessageBody::Gossip => {}
+            MessageBody::Digests(digests) => self.on_digests(step, address, sender, &digests),
+            MessageBody::Stamps { stamps, .. } => {
+                let more = self.on_stamps(step, address, sender, &stamps);
+                wanted.extend(more);
+            }
+            MessageBody::Want(nodes) => self.on_want(step, address, sender, &nodes),
+            MessageBody::Pull { first, count } => self.on_pull(step, address, first, count),
+            MessageBody::Page { first, page, pages } => self.on_page(step, first, page, pages),
+            MessageBody::Note(body) => step.actions.push(MemberAction::Note { from: sender, body }),
+        }
+    }
+
+    fn on_tick(&mut self, step: &mut Step<'_, impl Rng>) {
+        if self.is_leaving {
+            return;
+        }
+        if self.next_period <= step.now {
+            self.next_period = step.now + PING_PERIOD;
+            self.on_period(step);
+        }
+        self.lapse_suspects(step);
+        self.continue_probe(step);
+        self.continue_join(step);
+        self.continue_sync(step);
+        self.continue_push(step);
+    }
+
+    fn on_period(&mut self, step: &mut Step<'_, impl Rng>) {
+        self.table.forget_old(step.now);
+        self.start_probe(step);
+        self.knock(step);
+    }
+
+    fn on_local_targets(&mut self, now: MonoTime, targets: &[TargetRecord]) {
+        let services = targets.iter().map(ServedService::from).collect();
+        let own = self.table.get(self.settings.node);
+        let record = own.and_then(|state| state.record.as_ref());
+        if record.is_some_and(|record| record.services != services) {
+            self.announce(now, services);
+        }
+    }
+
+    fn add_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        const MAX_SEEDS: usize = 256;
+        for seed in seeds {
+            let is_room = self.settings.seeds.len() < MAX_SEEDS;
+            if is_room && !self.settings.seeds.contains(&seed) {
+                self.settings.seeds.push(seed);
+            }
+        }
+    }
+
+    fn on_own_mark(&mut self, now: MonoTime, mark: ConfigMark) {
+        if mark.revision > self.mark.revision {
+            self.mark = mark;
+            self.told_mark = self.told_mark.max(mark);
+            self.push.schedule(now);
+        }
+    }
+
+    fn send_note(&mut self, step: &mut Step<'_, impl Rng>, to: NodeId, body: Vec<u8>) {
+        if body.len() <= MAX_NOTE {
+            self.send_to_node(step, to, MessageBody::Note(body));
+        }
+    }
+
+    fn leave(&mut self, step: &mut Step<'_, impl Rng>) {
+        const TOLD: usize = 8;
+        let own = self.settings.node;
+        let Some(state) = self.table.get(own) else {
+            return;
+        };
+        self.is_leaving = true;
+        let rumor = Rumor {
+            status: MemberStatus::Left,
+            ..state.rumor(own, false)
+        };
+        self.table.apply(step.now, &rumor);
+        self.queue.push(own, false);
+        for _told in 0..TOLD {
+            if let Some(node) = self.pick_live(step) {
+                self.send_to_node(step, node, MessageBody::Gossip);
+            }
+        }
+    }
+
+    // What datagrams show besides their rumors
+
+    fn note_mark(&mut self, step: &mut Step<'_, impl Rng>, sender: NodeId, mark: ConfigMark) {
+        self.table.set_mark(sender, mark);
+        if mark.revision <= self.told_mark.revision {
+            return;
+        }
+        let state = self.table.get(sender);
+        if let Some(record) = state.and_then(|state| state.record.as_ref()) {
+            self.told_mark = mark;
+            step.actions.push(MemberAction::NewerMark {
+                node: sender,
+                peer_address: record.peer_address,
+                mark,
+            });
+        }
+    }
+
+    /// A node that speaks from the address of another one has taken its place.
+    fn note_replacement(
+        &mut self,
+        step: &mut Step<'_, impl Rng>,
+        address: SocketAddr,
+        sender: NodeId,
+    ) {
+        let is_gone = self
+            .table
+            .get(sender)
+            .is_some_and(|state| !state.status.is_live());
+        if let Some(held) = self.table.at_address(address)
+            && held != sender
+            && !is_gone
+        {
+            self.declare(step, held, MemberStatus::Down, DownCause::Replaced);
+        }
+    }
+
+    fn lapse_suspects(&mut self, step: &mut Step<'_, impl Rng>) {
+        for node in self.table.lapsed_suspects(step.now) {
+            self.declare(step, node, MemberStatus::Down, DownCause::Silent);
+        }
+    }
+
+    /// A view from before a long pause would bring back what left meanwhile. It is dropped, and
+    /// the fleet joined again through addresses that were in it.
+    fn forget_view(&mut self, step: &mut Step<'_, impl Rng>) {
+        let own = self.settings.node;
+        let others: Vec<_> = self.table.iter().filter(|(node, _)| *node != own).collect();
+        let reachable = others.iter().filter(|(_, state)| state.is_reachable());
+        let mut seeds = Vec::new();
+        for (node, state) in reachable {
+            for target in targets_of(*node, state) {
+                let service = target.service;
+                let node = *node;
+                step.actions
+                    .push(MemberAction::RemoveTarget { node, service });
+            }
+            let cause = DownCause::Silent;
+            step.actions
+                .push(MemberAction::NodeDown { node: *node, cause });
+            seeds.extend(state.record.as_ref().map(|record| record.gossip_address));
+        }
+        let own_rumor = self.table.get(own).map(|state| state.rumor(own, true));
+        self.table = MemberTable::new();
+        if let Some(rumor) = own_rumor {
+            self.table.apply(step.now, &rumor);
+        }
+        self.ring = LiveRing::default();
+        self.queue = RumorQueue::default();
+        self.queue.push(own, true);
+        self.add_seeds(seeds);
+        self.join.restart(step.now);
+    }
+
+    /// After a pause this node's own timers say nothing of the others.
+    fn note_pause(&mut self, step: &mut Step<'_, impl Rng>) {
+        let gap = step.now.since(self.last_event);
+        self.last_event = step.now;
+        if gap < PAUSE_GAP {
+            return;
+        }
+        self.probe.forget();
+        self.table.postpone_lapses(gap);
+        if gap >= STALE_GAP {
+            self.forget_view(step);
+        }
+    }
+}
+
+/// A duration drawn from half of `duration` to all of it.
+pub fn jittered(duration: Duration, random: &mut impl Rng) -> Duration {
+    let share = f64::from(random.next_u32()) / f64::from(u32::MAX);
+    duration.mul_f64(0.5 + share / 2.0)
+}
--- /dev/null
+++ b/crates/fescueway_membership/src/member_state.rs
@@ -0,0 +1,77 @@
+//! What one node knows of another.
+
+use fescueway_core::{MonoTime, NodeId};
+
+use crate::{ConfigMark, MemberStatus, NodeRecord, Rumor, datagram::MemberStamp, rumor::LifeStamp};
+
+/// What one node knows of another.
+#[derive(Clone, Debug)]
+pub struct MemberState {
+    /// Raised by the member alone.
+    pub incarnation: u32,
+    /// What is held of its life.
+    pub status: MemberStatus,
+    /// When the status was last changed.
+    pub changed_at: MonoTime,
+    /// The member's record, `None` until it is learned.
+    pub record: Option<NodeRecord>,
+    /// The configuration that the member had in force when it was last heard.
+    pub mark: ConfigMark,
+}
+
+impl MemberState {
+    pub(crate) const fn life(&self) -> LifeStamp {
+        LifeStamp {
+            incarnation: self.incarnation,
+            status: self.status,
+        }
+    }
+
+    pub(crate) fn version(&self) -> u32 {
+        self.record.as_ref().map_or(0, |record| record.version)
+    }
+
+    /// Whether the member lives and its addresses are known.
+    #[must_use]
+    pub const fn is_reachable(&self) -> bool {
+        self.status.is_live() && self.record.is_some()
+    }
+
+    pub(crate) fn stamp(&self, node: NodeId) -> MemberStamp {
+        MemberStamp {
+            node,
+            incarnation: self.incarnation,
+            status: self.status,
+            version: self.version(),
+        }
+    }
+
+    pub(crate) fn rumor(&self, node: NodeId, has_record: bool) -> Rumor {
+        Rumor {
+            node,
+            incarnation: self.incarnation,
+            status: self.status,
+            version: self.version(),
+            record: self.record.as_ref().filter(|_record| has_record).cloned(),
+        }
+    }
+
+    /// A digest of what matters of this member, by which two views are compared. A suspicion is
+    /// short-lived and left out; so are members that are gone, which views forget at their own pace.
+    pub(crate) fn digest(&self, node: NodeId) -> u32 {
+        if !self.status.is_live() {
+            return 0;
+        }
+        let life = u64::from(self.incarnation) << 32 | u64::from(self.version());
+        let mixed = mix(node.0 ^ mix(life));
+        (mixed >> 32) as u32
+    }
+}
+
+/// The finalizer of `SplitMix64`.
+const fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
