--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -2,9 +2,7 @@
 
 use std::{pin::pin, time::Duration};
 
-use fescueway_core::{
-    Idempotency, MonoTime, NodeId, Outcome, Refusal, RefusalReason, RequestTerms,
-};
+use fescueway_core::{MonoTime, NodeId, Outcome, Refusal, RefusalReason, RequestTerms};
 use fescueway_routing::{HandedOver, OfferPermit, PickResult};
 use http::{Response, StatusCode};
 use tokio::time::{sleep, timeout_at};
@@ -116,10 +114,9 @@
     async fn attempt_hedged(&mut self, permit: OfferPermit) -> AttemptEnd {
         let (state, deadline) = (self.state, self.deadline);
         let request = self.request.clone();
-        let terms = permit.terms().clone();
-        let delay = self.hedge_delay(&permit);
+        let hedge = self.hedge_plan(&permit);
         let mut first = pin!(attempt(state, permit, &request, deadline));
-        let Some(delay) = delay else {
+        let Some((delay, terms)) = hedge else {
             return first.await;
         };
         tokio::select! {
@@ -140,16 +137,16 @@
         }
     }
 
-    /// When to hedge the offer: idempotent requests without a body only.
-    fn hedge_delay(&self, permit: &OfferPermit) -> Option<Duration> {
-        let terms = permit.terms();
-        let is_hedged =
-            terms.idempotency == Idempotency::Idempotent && self.request.body.is_empty();
-        if !is_hedged {
+    /// When to hedge the offer, and the terms of the second one. Only idempotent requests without
+    /// a body are hedged.
+    fn hedge_plan(&self, permit: &OfferPermit) -> Option<(Duration, RequestTerms)> {
+        if !self.request.body.is_empty() {
             return None;
         }
+        let terms = permit.hedge()?;
         let routes = self.state.routes();
-        routes.hedge_after(self.state.now(), terms, permit.node())
+        let delay = routes.hedge_after(self.state.now(), &terms, permit.node())?;
+        Some((delay, terms))
     }
 
     /// The answer to a request that won't be offered again.
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -111,7 +111,7 @@
             clock,
             tasks: tasks.clone(),
             plan: Mutex::new(Arc::new(plan)),
-            routes: RouteTable::new(options.domain.clone(), options.seed),
+            routes: RouteTable::new(options.node, options.domain.clone(), options.seed),
             peers: PeerPool::new(limits, tasks, clock),
             controls: ControlTable::default(),
             calls: CallTable::new(options.secret),
@@ -253,10 +253,7 @@
         let target = HostTarget::new(
             announcement.address,
             announcement.connections,
-            GatePlan {
-                slots: announcement.slots,
-                ..GatePlan::default()
-            },
+            self.gate_plan(announcement),
             Arc::clone(&self.0.limits),
             self.0.tasks.clone(),
             self.0.clock,
@@ -327,6 +324,19 @@
         }
     }
 
+    /// What the announcement and the configuration mean for the gate.
+    fn gate_plan(&self, announcement: &BackendAnnouncement) -> GatePlan {
+        let default = GatePlan::default();
+        let plan = self.plan();
+        let service = plan.services.get(&announcement.service);
+        let queue_per_slot = service.map(|plan| plan.limit.queue_per_slot);
+        GatePlan {
+            slots: announcement.slots,
+            queue_per_slot: queue_per_slot.unwrap_or(default.queue_per_slot),
+            ..default
+        }
+    }
+
     /// What was announced for `service`.
     fn known_announcement(&self, service: &ServiceName) -> Option<TargetRecord> {
         let records = self.0.announced.borrow();
