Type what a node tells operators

Cause: the daemon writes /status and /targets and the command line reads them; two hand-written forms of one message would drift apart. Both use these types.

--- a/crates/fescueway_telemetry/src/lib.rs
+++ b/crates/fescueway_telemetry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod events;
 mod log_setup;
 mod metric_set;
+mod node_status;
 mod request_end;
 mod service_metrics;
 
@@ -26,6 +27,7 @@
     event_page::event_page,
     log_setup::{LogForm, LogPlan},
     metric_set::{MetricError, MetricSet},
+    node_status::{NodeStatus, StoreState, TargetList, TargetStatus},
     request_end::RequestEnd,
     service_metrics::ServiceMetrics,
 };
