Add the command line: check, render, diff, status, targets, drain, burn

Cause: what operators need existed as libraries only.

Options and their help come from one table per command, so an unknown command, option, site or field gets the nearest known name and an option of another command is named as such.

apply, history and the fleet's part of status wait for the rollout crate.

Shown by crates/fescueway/tests/command_line.rs: 10 tests that run the built binary with right, wrong and missing input.

--- /dev/null
+++ b/crates/fescueway/src/commands/check.rs
@@ -0,0 +1,103 @@
+//! `fescueway check`: checks a base and its overlays together.
+
+use fescueway_config::{ConfigError, ConfigSet};
+use serde::Serialize;
+
+use crate::{
+    cli_error::{CommandReply, CommandResult, ExitStatus},
+    command_line::CliOptions,
+    commands::json_text,
+    config_files::{FileError, read_config},
+};
+
+/// What `check --json` prints.
+#[derive(Debug, Serialize)]
+struct CheckReport {
+    /// Whether the documents are accepted.
+    is_valid: bool,
+    /// The sites.
+    sites: Vec<String>,
+    /// Services over all sites.
+    services: usize,
+    /// What is wrong.
+    errors: Vec<FaultReport>,
+}
+
+/// One fault.
+#[derive(Debug, Serialize)]
+struct FaultReport {
+    /// The file.
+    file: String,
+    /// The line, counted from 1.
+    line: usize,
+    /// Path of the field.
+    field: String,
+    /// What was found.
+    found: String,
+    /// What is allowed.
+    allowed: String,
+    /// The nearest known name.
+    suggestion: Option<String>,
+}
+
+impl From<&ConfigError> for FaultReport {
+    fn from(error: &ConfigError) -> Self {
+        Self {
+            file: error.file.to_string(),
+            line: error.line,
+            field: error.fault.field.clone(),
+            found: error.fault.found.clone(),
+            allowed: error.fault.allowed.clone(),
+            suggestion: error.suggestion.clone(),
+        }
+    }
+}
+
+impl From<&ConfigSet> for CheckReport {
+    fn from(config: &ConfigSet) -> Self {
+        Self {
+            is_valid: true,
+            sites: config.sites().keys().map(ToString::to_string).collect(),
+            services: config.service_values().len(),
+            errors: Vec::new(),
+        }
+    }
+}
+
+/// Runs the command.
+pub(crate) fn run(options: &CliOptions) -> CommandResult {
+    match read_config(&options.files) {
+        Ok(config) => {
+            let report = CheckReport::from(&config);
+            if options.is_json {
+                return Ok(CommandReply::done(json_text(&report)?));
+            }
+            Ok(CommandReply::done(summary(&report)))
+        }
+        Err(FileError::Wrong(errors)) if options.is_json => {
+            let report = CheckReport {
+                is_valid: false,
+                sites: Vec::new(),
+                services: 0,
+                errors: errors.iter().map(FaultReport::from).collect(),
+            };
+            Ok(CommandReply {
+                text: json_text(&report)?,
+                status: ExitStatus::Invalid,
+            })
+        }
+        Err(error) => Err(error.into()),
+    }
+}
+
+/// The report in a line.
+fn summary(report: &CheckReport) -> String {
+    if report.sites.is_empty() {
+        return String::from("valid, but no overlay was given: there is no site yet\n");
+    }
+    let sites = report.sites.join(", ");
+    format!(
+        "valid: {} services over the sites {sites}\n",
+        report.services
+    )
+}
--- /dev/null
+++ b/crates/fescueway/src/commands/targets.rs
@@ -0,0 +1,62 @@
+//! `fescueway targets`: shows the targets that a node knows.
+
+use fescueway_core::TargetState;
+use fescueway_telemetry::{TargetList, TargetStatus};
+
+use crate::{
+    cli_error::{CommandError, CommandReply, CommandResult},
+    command_line::CliOptions,
+    commands::{json_text, single_node},
+    node_client::get_json,
+    text_table::{row, text_table},
+};
+
+/// Runs the command.
+pub(crate) async fn run(options: &CliOptions) -> CommandResult {
+    let node = single_node(options)?;
+    let list = get_json::<TargetList>(node, "/targets").await;
+    let list = list.map_err(CommandError::refused)?;
+    if options.is_json {
+        return Ok(CommandReply::done(json_text(&list)?));
+    }
+    let heading = row([
+        "SERVICE",
+        "NODE",
+        "DOMAIN",
+        "ADDRESS",
+        "STATE",
+        "SLOTS",
+        "LIMIT",
+        "IN FLIGHT",
+        "QUEUED",
+    ]);
+    let mut rows = vec![heading];
+    rows.extend(list.targets.iter().map(target_row));
+    Ok(CommandReply::done(text_table(&rows)))
+}
+
+/// The row of one target.
+fn target_row(target: &TargetStatus) -> Vec<String> {
+    let record = &target.record;
+    let figure = |figure: Option<u32>| figure.map_or_else(|| String::from("-"), |n| n.to_string());
+    vec![
+        record.service.to_string(),
+        record.node.to_string(),
+        record.domain.to_string(),
+        record.peer_address.to_string(),
+        state_text(record.state).to_owned(),
+        record.slots.to_string(),
+        figure(target.load.map(|load| load.limit)),
+        figure(target.load.map(|load| load.in_flight)),
+        figure(target.load.map(|load| load.queued)),
+    ]
+}
+
+/// A state as a word.
+fn state_text(state: TargetState) -> &'static str {
+    match state {
+        TargetState::Starting => "starting",
+        TargetState::Serving => "serving",
+        TargetState::Draining => "draining",
+    }
+}
--- /dev/null
+++ b/crates/fescueway/tests/command_line.rs
@@ -0,0 +1,240 @@
+//! The built command line with right, wrong and missing input.
+
+mod support;
+
+use std::fs;
+
+use serde_json::{Value, json};
+
+use crate::support::{CliRun, fescueway, node_stub};
+
+const CAPROCK: [&str; 2] = ["configs/caprock/base.json", "configs/caprock/texas.json"];
+
+fn with_caprock<'a>(before: &[&'a str]) -> Vec<&'a str> {
+    [before, &CAPROCK].concat()
+}
+
+fn assert_fails(run: &CliRun, status: i32, message: &str) {
+    assert_eq!(run.status, status, "{run:?}");
+    assert!(run.err.contains(message), "{message:?} is not in {run:?}");
+    assert!(run.out.is_empty(), "{run:?}");
+}
+
+#[test]
+fn help_and_version_are_printed() {
+    let help = fescueway(&["help"]);
+    assert_eq!(help.status, 0);
+    for command in [
+        "check", "render", "diff", "status", "targets", "drain", "undrain", "burn",
+    ] {
+        assert!(help.out.contains(&format!("\n  {command} ")), "{command}");
+        let one = fescueway(&["help", command]);
+        assert!(one.status == 0 && one.out.contains(&format!("fescueway {command}")));
+        assert_eq!(fescueway(&[command, "--help"]).out, one.out);
+    }
+    assert_eq!(fescueway(&["--help"]).out, help.out);
+    let version = fescueway(&["--version"]);
+    assert!(version.status == 0 && version.out.starts_with("fescueway 0."));
+}
+
+#[test]
+fn wrong_usage_names_what_was_meant() {
+    assert_fails(&fescueway(&[]), 2, "no command given");
+    assert_fails(&fescueway(&["chek"]), 2, "did you mean `check`?");
+    assert_fails(&fescueway(&["help", "brun"]), 2, "did you mean `burn`?");
+    assert_fails(
+        &fescueway(&["check", "--jsno"]),
+        2,
+        "did you mean `--json`?",
+    );
+    assert_fails(
+        &fescueway(&["check", "--site", "x"]),
+        2,
+        "takes no `--site`",
+    );
+    assert_fails(&fescueway(&["check"]), 2, "no files given");
+    assert_fails(&fescueway(&["status"]), 2, "--node");
+    assert_fails(&fescueway(&["targets", "file"]), 2, "takes no files");
+    assert_fails(
+        &fescueway(&["targets", "--node", "localhost:1"]),
+        2,
+        "an IP address",
+    );
+    assert_fails(
+        &fescueway(&["drain", "--timeout", "soon"]),
+        2,
+        "a whole number",
+    );
+    assert_fails(&fescueway(&["drain", "--node"]), 2, "--node");
+}
+
+#[test]
+fn check_accepts_what_is_shipped() {
+    let run = fescueway(&with_caprock(&["check"]));
+    assert_eq!(
+        (run.status, &*run.out),
+        (0, "valid: 4 services over the sites texas\n")
+    );
+    let run = fescueway(&with_caprock(&["check", "--json"]));
+    let report: Value = serde_json::from_str(&run.out).expect("JSON");
+    assert_eq!(report["services"], 4);
+}
+
+#[test]
+fn check_names_file_line_and_field() {
+    let file = std::env::temp_dir().join(format!("fescueway-{}.json", std::process::id()));
+    let text = "{\n \"services\": {\n  \"a\": { \"path_prefixes\": [\"/\"], \"hots\": [] } } }";
+    fs::write(&file, text).expect("a file");
+    let path = file.to_str().expect("UTF-8");
+    let plain = fescueway(&["check", path]);
+    let json = fescueway(&["check", "--json", path]);
+    fs::remove_file(&file).expect("the file");
+    let place = format!("{path}:3: field services.a.hots: found unknown field `hots`");
+    assert_fails(&plain, 2, &place);
+    assert!(plain.err.contains("did you mean `hosts`?"), "{plain:?}");
+    assert_eq!(json.status, 2);
+    let report: Value = serde_json::from_str(&json.out).expect("JSON");
+    assert_eq!(report["errors"][0]["line"], 3);
+    assert_eq!(report["errors"][0]["suggestion"], "hosts");
+    assert_fails(&fescueway(&["check", path]), 2, "can't read");
+}
+
+#[test]
+fn render_fills_in_defaults_and_its_output_is_valid() {
+    let run = fescueway(&with_caprock(&["render", "--site", "texas"]));
+    assert_eq!(run.status, 0, "{run:?}");
+    let site: Value = serde_json::from_str(&run.out).expect("JSON");
+    assert_eq!(
+        site["services"]["grinding-history"]["retry"]["max_offers"],
+        3
+    );
+    let windows = &site["services"]["grinding-windows"]["routes"]["read-windows"];
+    assert_eq!(windows["priority"], "high");
+    assert_fails(
+        &fescueway(&with_caprock(&["render", "--site", "texsa"])),
+        2,
+        "did you mean `texas`?",
+    );
+    assert_fails(&fescueway(&with_caprock(&["render"])), 2, "--site");
+}
+
+#[test]
+fn diff_shows_the_fields_that_change() {
+    let same = [
+        &["diff", "--from", CAPROCK[0], "--from", CAPROCK[1]][..],
+        &CAPROCK,
+    ]
+    .concat();
+    let run = fescueway(&same);
+    assert_eq!((run.status, &*run.out), (0, "nothing changes\n"));
+    let pwll = ["configs/pwll/base.json", "configs/pwll/wales.json"];
+    let run = fescueway(&[&same[..5], &pwll].concat());
+    assert!(
+        run.out.contains("cap-bands") && run.out.contains("rail-profiles"),
+        "{run:?}"
+    );
+    assert_fails(
+        &fescueway(&with_caprock(&["diff"])),
+        2,
+        "what to compare with",
+    );
+}
+
+fn status(in_force: u64, in_flight: u32) -> String {
+    let status = json!({
+        "node": "00000000000000aa", "domain": "south", "site": "wales", "revision": 7,
+        "in_force": in_force, "is_draining": true, "in_flight": in_flight, "targets": 4,
+        "store": "reachable", "peers": 3, "uptime_ms": 65_000,
+    });
+    status.to_string()
+}
+
+#[test]
+fn status_shows_nodes_that_lag_or_do_not_answer() {
+    let (node, _requests) = node_stub(vec![(200, status(7, 0)), (200, status(6, 0))]);
+    let node = node.to_string();
+    let run = fescueway(&["status", "--node", &node]);
+    assert!(
+        run.status == 0 && run.out.contains("00000000000000aa"),
+        "{run:?}"
+    );
+    assert!(
+        run.out.contains("1m5s") && run.out.contains("draining"),
+        "{run:?}"
+    );
+    assert_eq!(fescueway(&["status", "--node", &node]).status, 1);
+    // Port 1 of loopback: nobody listens.
+    let run = fescueway(&["status", "--json", "--node", "127.0.0.1:1"]);
+    assert_eq!(run.status, 1);
+    assert!(run.out.contains("can't connect"), "{run:?}");
+}
+
+#[test]
+fn drain_waits_until_nothing_runs() {
+    let answers = vec![
+        (200, String::new()),
+        (200, status(7, 2)),
+        (200, status(7, 0)),
+        (200, String::new()),
+        (200, status(7, 2)),
+        (503, String::from("no backend server is announced")),
+    ];
+    let (node, requests) = node_stub(answers);
+    let node = node.to_string();
+    let run = fescueway(&["drain", "--wait", "--node", &node]);
+    assert!(run.status == 0 && run.out.contains("is drained"), "{run:?}");
+    assert_eq!(requests.recv().as_deref(), Ok("POST /drain HTTP/1.1"));
+    let run = fescueway(&["drain", "--wait", "--timeout", "0", "--node", &node]);
+    assert_fails(&run, 1, "2 requests still run");
+    let run = fescueway(&["undrain", "--node", &node]);
+    assert_fails(&run, 1, "no backend server is announced");
+    assert_fails(&fescueway(&["drain"]), 2, "--node");
+}
+
+#[test]
+fn targets_are_listed_with_their_load() {
+    let list = json!({ "targets": [{
+        "node": 170, "service": "cap-bands", "peer_address": "127.0.0.1:7001",
+        "domain": "south", "slots": 12, "connections": 200, "state": "draining",
+        "load": { "in_flight": 5, "queued": 1, "limit": 9, "service_time_us": 0, "wait_us": 0,
+                  "age_us": 0, "failed_permille": 0, "is_draining": true },
+    }] });
+    let (node, _requests) = node_stub(vec![(200, list.to_string()), (200, String::from("{"))]);
+    let run = fescueway(&["targets", "--node", &node.to_string()]);
+    let cells: Vec<_> = run
+        .out
+        .lines()
+        .last()
+        .expect("a row")
+        .split_whitespace()
+        .collect();
+    let expected = "cap-bands 00000000000000aa south 127.0.0.1:7001 draining 12 9 5 1";
+    assert_eq!(cells.join(" "), expected, "{run:?}");
+    let run = fescueway(&["targets", "--node", &node.to_string()]);
+    assert_fails(&run, 1, "makes no sense");
+}
+
+#[test]
+fn burn_adds_up_nodes_and_draws() {
+    let part = json!({ "services": [{
+        "site": "wales", "service": "cap-bands", "availability": 0.999,
+        "windows": { "5m": { "good": 98, "bad": 2 }, "1h": { "good": 980, "bad": 20 } },
+        "hours": [{ "good": 980, "bad": 20 }],
+    }] });
+    let (one, _requests) = node_stub(vec![(200, part.to_string()); 2]);
+    let (two, _requests) = node_stub(vec![(200, part.to_string()); 2]);
+    let (one, two) = (one.to_string(), two.to_string());
+    let file = std::env::temp_dir().join(format!("fescueway-{}.svg", std::process::id()));
+    let path = file.to_str().expect("UTF-8");
+    let run = fescueway(&["burn", "--node", &one, "--node", &two, "--svg", path]);
+    let svg = fs::read_to_string(&file).expect("a picture");
+    fs::remove_file(&file).expect("the picture");
+    assert!(svg.contains("wales cap-bands"));
+    assert!(
+        run.out.contains("20.00") && run.out.contains("page"),
+        "{run:?}"
+    );
+    let run = fescueway(&["burn", "--json", "--node", &one, "--node", &two]);
+    let report: Value = serde_json::from_str(&run.out).expect("JSON");
+    assert_eq!(report["services"][0]["windows"]["1h"]["bad"], 40);
+}
