Run the daemon as a process: settings, local HTTP, status, stop

Backend servers announce themselves over HTTP, and an announcement is also the heartbeat. Operators read status, targets, burn and metrics, and drain.

--- a/crates/fescueway_proxy/src/body/answer_body.rs
+++ b/crates/fescueway_proxy/src/body/answer_body.rs
@@ -12,7 +12,7 @@
 use crate::{
     host::BackendBody,
     peer::{LinkLease, PumpGuard},
-    proxy_state::OpenRequest,
+    proxy_state::OpenGuard,
 };
 
 /// Where the body of an answer comes from. An error aborts the stream.
@@ -39,7 +39,7 @@
     /// The body.
     pub body: AnswerBody,
     /// Counts it.
-    pub open: OpenRequest,
+    pub open: OpenGuard,
 }
 
 impl Body for CountedBody {
--- a/crates/fescueway_proxy/src/entry/entry_server.rs
+++ b/crates/fescueway_proxy/src/entry/entry_server.rs
@@ -74,6 +74,7 @@
     caller: SocketAddr,
     closing: CancellationToken,
 ) {
+    let _open = state.caller_connection();
     // Without it answers are only slower.
     let _ = socket.set_nodelay(true);
     let service = service_fn(move |request| {
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -30,6 +30,8 @@
     tried: Vec<NodeId>,
     /// Offers that are left, hedges counted.
     offers_left: u8,
+    /// How many of them were hedges.
+    hedges: u32,
     /// The latest refusal by a host.
     refusal: Option<Refusal>,
     /// Whether the answer to an offer was lost, so that the request may have run.
@@ -48,6 +50,7 @@
             offers_left: request.terms.offers_left,
             request,
             tried: Vec::new(),
+            hedges: 0,
             refusal: None,
             is_lost: false,
             failure: None,
@@ -59,6 +62,7 @@
         let deadline = self.state.clock().instant(self.deadline);
         let ended = timeout_at(deadline, self.offer_on()).await;
         record.offers = self.tried.len() as u32;
+        record.hedges = self.hedges;
         match ended {
             Ok(Ok(response)) => answered(response, record),
             Ok(Err(refusal)) => self.give_up(refusal, record),
@@ -126,6 +130,7 @@
         let Ok(permit) = self.pick(terms) else {
             return first.await;
         };
+        self.hedges += 1;
         let mut second = pin!(attempt(state, permit, &request, deadline));
         tokio::select! {
             end = first.as_mut() => {
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -92,6 +92,8 @@
     announced: watch::Sender<Vec<TargetRecord>>,
     /// Requests of callers that are not answered whole.
     open_requests: Arc<AtomicUsize>,
+    /// Connections of callers that are open.
+    caller_connections: Arc<AtomicUsize>,
     /// Hears of each request.
     observer: Mutex<Option<RequestObserver>>,
 }
@@ -118,6 +120,7 @@
             hosts: Mutex::default(),
             announced: watch::Sender::default(),
             open_requests: Arc::default(),
+            caller_connections: Arc::default(),
             observer: Mutex::default(),
             options,
         }))
@@ -184,9 +187,19 @@
     }
 
     /// Counts a request until the guard is dropped.
-    pub(crate) fn open_request(&self) -> OpenRequest {
-        self.0.open_requests.fetch_add(1, Ordering::Relaxed);
-        OpenRequest(Arc::clone(&self.0.open_requests))
+    pub(crate) fn open_request(&self) -> OpenGuard {
+        OpenGuard::new(&self.0.open_requests)
+    }
+
+    /// Connections of callers that are open.
+    #[must_use]
+    pub fn caller_connections(&self) -> usize {
+        self.0.caller_connections.load(Ordering::Relaxed)
+    }
+
+    /// Counts a caller's connection until the guard is dropped.
+    pub(crate) fn caller_connection(&self) -> OpenGuard {
+        OpenGuard::new(&self.0.caller_connections)
     }
 
     /// Calls that run at the backend servers of this node.
@@ -372,11 +385,19 @@
     }
 }
 
-/// Counts a request until it is answered whole.
+/// Counts something that is open, until it is dropped.
 #[derive(Debug)]
-pub struct OpenRequest(Arc<AtomicUsize>);
+pub struct OpenGuard(Arc<AtomicUsize>);
+
+impl OpenGuard {
+    /// Counts one more.
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
 
-impl Drop for OpenRequest {
+impl Drop for OpenGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/fescueway_proxy/src/request_record.rs
+++ b/crates/fescueway_proxy/src/request_record.rs
@@ -17,6 +17,8 @@
     pub reason: Option<RefusalReason>,
     /// From the request's head to the head of its answer.
     pub latency: Duration,
-    /// Offers that were made.
+    /// Offers that were made, hedges counted.
     pub offers: u32,
+    /// How many of the offers were hedges.
+    pub hedges: u32,
 }
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -40,5 +40,40 @@
     advice: "Nothing, unless there are many.",
 };
 
+/// A backend server announced itself.
+pub const BACKEND_ANNOUNCED: EventKind = EventKind {
+    number: 1004,
+    level: Level::Info,
+    summary: "a backend server announced itself",
+    fields: &["service", "address"],
+    advice: "Nothing.",
+};
+
+/// A backend server left.
+pub const BACKEND_LEFT: EventKind = EventKind {
+    number: 1005,
+    level: Level::Info,
+    summary: "a backend server left",
+    fields: &["service"],
+    advice: "Nothing.",
+};
+
+/// A backend server stopped announcing itself.
+pub const BACKEND_SILENT: EventKind = EventKind {
+    number: 1006,
+    level: Level::Warn,
+    summary: "a backend server stopped announcing itself",
+    fields: &["service"],
+    advice: "See whether it crashed. A backend server that stops on purpose leaves first.",
+};
+
 /// Every event of this area.
-pub const ALL: &[&EventKind] = &[&ACCEPT_FAILED, &PEER_REFUSED, &ANSWER_LOST, &CALLER_FAILED];
+pub const ALL: &[&EventKind] = &[
+    &ACCEPT_FAILED,
+    &PEER_REFUSED,
+    &ANSWER_LOST,
+    &CALLER_FAILED,
+    &BACKEND_ANNOUNCED,
+    &BACKEND_LEFT,
+    &BACKEND_SILENT,
+];
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -4,17 +4,27 @@
 
 use fescueway_core::NodeId;
 use fescueway_proxy::{ProxyOptions, ProxyState, TaskGroup, serve_callers, serve_peers};
-use tokio::{
-    net::TcpListener,
-    time::{Instant, sleep, timeout},
-};
+use fescueway_telemetry::{MetricSet, emit, events::operator};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::{DaemonError, DaemonSettings, DaemonStep, announce_task::run_announcements};
+use crate::{
+    DaemonError, DaemonSettings,
+    announce_task::run_announcements,
+    backend_api::BackendApi,
+    daemon_sockets::{DaemonAddresses, DaemonSockets},
+    local_http::serve_local,
+    node_meter::NodeMeter,
+    operator_api::OperatorApi,
+    status_board::StatusBoard,
+};
 
 /// How often a stopping daemon looks whether its last request is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// How long peers may take to hear the goodbye.
+const GOODBYE_TIME: Duration = Duration::from_millis(200);
+
 /// One running node. Dropping it leaves it running; [`Daemon::stop`] ends it in order.
 #[derive(Debug)]
 pub struct Daemon {
@@ -24,37 +34,16 @@
     addresses: DaemonAddresses,
     /// What it was started with.
     settings: Arc<DaemonSettings>,
+    /// Metrics and burn.
+    meter: NodeMeter,
+    /// What its tasks tell operators.
+    board: StatusBoard,
     /// Stops taking callers' connections.
     closing_callers: CancellationToken,
     /// Stops taking peers' connections.
     closing_peers: CancellationToken,
 }
 
-/// Where a daemon listens, with the ports that the operating system chose.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct DaemonAddresses {
-    /// For callers.
-    pub callers: SocketAddr,
-    /// For other nodes.
-    pub peers: SocketAddr,
-    /// For the backend servers of its VM.
-    pub backends: SocketAddr,
-    /// For operators.
-    pub operators: SocketAddr,
-}
-
-/// The sockets of a daemon.
-struct DaemonSockets {
-    /// For callers.
-    callers: TcpListener,
-    /// For other nodes.
-    peers: TcpListener,
-    /// For the backend servers of its VM.
-    backends: TcpListener,
-    /// For operators.
-    operators: TcpListener,
-}
-
 impl Daemon {
     /// Starts a node on the current runtime.
     ///
@@ -71,6 +60,8 @@
             state.apply_plan(Arc::clone(plan));
         }
         let daemon = Self {
+            meter: NodeMeter::start(&state)?,
+            board: StatusBoard::default(),
             state,
             addresses,
             settings: Arc::new(settings),
@@ -78,6 +69,7 @@
             closing_peers: CancellationToken::new(),
         };
         daemon.run(sockets);
+        daemon.tell_start();
         Ok(daemon)
     }
 
@@ -87,6 +79,18 @@
         &self.state
     }
 
+    /// What its tasks tell operators.
+    #[must_use]
+    pub fn board(&self) -> &StatusBoard {
+        &self.board
+    }
+
+    /// Metrics.
+    #[must_use]
+    pub fn metrics(&self) -> &Arc<MetricSet> {
+        self.meter.metrics()
+    }
+
     /// Where it listens.
     #[must_use]
     pub fn addresses(&self) -> DaemonAddresses {
@@ -96,22 +100,36 @@
     /// Takes no new work, finishes what is in flight within the time that the settings allow,
     /// says goodbye to its peers, and ends.
     pub async fn stop(self) {
+        let start = Instant::now();
+        let limit = self.settings.stop_timeout;
+        emit(
+            &operator::STOP_BEGAN,
+            &[&self.state.open_requests(), &limit.as_millis()],
+        );
         for service in self.state.local_services() {
             self.state.drain(&service);
         }
         self.closing_callers.cancel();
-        let end = Instant::now() + self.settings.stop_timeout;
-        while !self.is_idle() && Instant::now() < end {
+        while !self.is_idle() && start.elapsed() < limit {
             sleep(STOP_POLL).await;
         }
+        if !self.is_idle() {
+            let cut = self.state.open_requests();
+            emit(&operator::STOP_CUT_REQUESTS, &[&cut, &limit.as_millis()]);
+        }
+        self.leave().await;
+        emit(&operator::STOP_ENDED, &[&start.elapsed().as_millis()]);
+    }
+
+    /// Says goodbye to the peers and ends every task.
+    async fn leave(&self) {
         for service in self.state.local_services() {
             self.state.withdraw(&service);
         }
         self.closing_peers.cancel();
-        let left = end.saturating_duration_since(Instant::now());
         let finished = self.state.tasks().finished();
-        // Whatever is left is over its time.
-        let _ = timeout(left.min(STOP_POLL), finished).await;
+        // Tasks that wait for work never finish by themselves.
+        let _ = timeout(GOODBYE_TIME, finished).await;
         self.state.tasks().cancel();
     }
 
@@ -129,7 +147,34 @@
         let peers = self.closing_peers.clone();
         tasks.spawn(serve_peers(state.clone(), sockets.peers, peers));
         run_announcements(state, &self.settings.seed_peers);
-        drop((sockets.backends, sockets.operators));
+        let backends = BackendApi::new(state.clone(), self.settings.announce_timeout);
+        let answer = move |request| backends.answer(&request);
+        tasks.spawn(serve_local(
+            tasks.clone(),
+            sockets.backends,
+            "backends",
+            answer,
+        ));
+        let operators = OperatorApi::new(state.clone(), self.meter.clone(), self.board.clone());
+        let answer = move |request| operators.answer(&request);
+        tasks.spawn(serve_local(
+            tasks.clone(),
+            sockets.operators,
+            "operators",
+            answer,
+        ));
+    }
+
+    /// Tells that the node takes requests.
+    fn tell_start(&self) {
+        let options = self.state.options();
+        let (site, domain) = (&options.site, &options.domain);
+        let address = self.addresses.callers;
+        emit(
+            &operator::NODE_STARTED,
+            &[&options.node, site, domain, &address],
+        );
+        emit(&operator::OPERATORS_LISTEN, &[&self.addresses.operators]);
     }
 
     /// Whether nothing is in flight.
@@ -138,41 +183,10 @@
         let mut targets = services
             .iter()
             .filter_map(|service| self.state.host_target(service));
-        targets.all(|target| target.is_idle()) && self.state.open_requests() == 0
-    }
-}
-
-impl DaemonSockets {
-    /// Binds every address of the settings.
-    async fn bind(settings: &DaemonSettings) -> Result<Self, DaemonError> {
-        Ok(Self {
-            callers: bind(DaemonStep::Callers, settings.callers).await?,
-            peers: bind(DaemonStep::Peers, settings.peers).await?,
-            backends: bind(DaemonStep::Backends, settings.backends).await?,
-            operators: bind(DaemonStep::Operators, settings.operators).await?,
-        })
+        targets.all(|target| target.is_idle())
+            && self.state.open_requests() == 0
+            && self.state.caller_connections() == 0
     }
-
-    /// Where they listen; an address that can't be told is as in the settings.
-    fn addresses(&self, settings: &DaemonSettings) -> DaemonAddresses {
-        let local = |listener: &TcpListener, wanted| listener.local_addr().unwrap_or(wanted);
-        DaemonAddresses {
-            callers: local(&self.callers, settings.callers),
-            peers: local(&self.peers, settings.peers),
-            backends: local(&self.backends, settings.backends),
-            operators: local(&self.operators, settings.operators),
-        }
-    }
-}
-
-/// Binds one address.
-async fn bind(step: DaemonStep, address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| DaemonError::Bind {
-        step,
-        address,
-        source,
-    })
 }
 
 /// What the path starts with.
--- a/crates/fescuewayd/src/daemon_error.rs
+++ b/crates/fescuewayd/src/daemon_error.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr};
 
+use fescueway_telemetry::MetricError;
 use thiserror::Error;
 
 /// The step at which a daemon's start failed.
@@ -31,6 +32,9 @@
         #[source]
         source: io::Error,
     },
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metric(#[from] MetricError),
     /// The operating system gives no random numbers.
     #[error("drawing the node's identity: {0}")]
     Random(getrandom::Error),
--- /dev/null
+++ b/crates/fescuewayd/src/daemon_sockets.rs
@@ -0,0 +1,65 @@
+//! The sockets of one node.
+
+use std::net::SocketAddr;
+
+use tokio::net::TcpListener;
+
+use crate::{DaemonError, DaemonSettings, DaemonStep};
+
+/// Where a daemon listens, with the ports that the operating system chose.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DaemonAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+    /// For the backend servers of its VM.
+    pub backends: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// The sockets of a daemon.
+pub struct DaemonSockets {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For other nodes.
+    pub peers: TcpListener,
+    /// For the backend servers of its VM.
+    pub backends: TcpListener,
+    /// For operators.
+    pub operators: TcpListener,
+}
+
+impl DaemonSockets {
+    /// Binds every address of the settings.
+    pub async fn bind(settings: &DaemonSettings) -> Result<Self, DaemonError> {
+        Ok(Self {
+            callers: bind(DaemonStep::Callers, settings.callers).await?,
+            peers: bind(DaemonStep::Peers, settings.peers).await?,
+            backends: bind(DaemonStep::Backends, settings.backends).await?,
+            operators: bind(DaemonStep::Operators, settings.operators).await?,
+        })
+    }
+
+    /// Where they listen; an address that can't be told is as in the settings.
+    pub fn addresses(&self, settings: &DaemonSettings) -> DaemonAddresses {
+        let local = |listener: &TcpListener, wanted| listener.local_addr().unwrap_or(wanted);
+        DaemonAddresses {
+            callers: local(&self.callers, settings.callers),
+            peers: local(&self.peers, settings.peers),
+            backends: local(&self.backends, settings.backends),
+            operators: local(&self.operators, settings.operators),
+        }
+    }
+}
+
+/// Binds one address.
+async fn bind(step: DaemonStep, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| DaemonError::Bind {
+        step,
+        address,
+        source,
+    })
+}
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -4,12 +4,26 @@
 //! runtime; several daemons can share one. There is no global state besides the logger.
 
 mod announce_task;
+mod backend_api;
 mod daemon;
 mod daemon_error;
 mod daemon_settings;
+mod daemon_sockets;
+mod local_http;
+mod node_meter;
+mod operator_api;
+mod raw_settings;
+mod settings_file;
+mod settings_rules;
+mod status_board;
 
 pub use crate::{
-    daemon::{Daemon, DaemonAddresses},
+    daemon::Daemon,
     daemon_error::{DaemonError, DaemonStep},
     daemon_settings::DaemonSettings,
+    daemon_sockets::DaemonAddresses,
+    raw_settings::{RawLimits, RawListen, RawPlanFiles, RawSettings},
+    settings_file::{SettingsError, read_settings},
+    settings_rules::SETTINGS_RULES,
+    status_board::{BoardFacts, StatusBoard},
 };
--- /dev/null
+++ b/crates/fescuewayd/src/local_http.rs
@@ -0,0 +1,122 @@
+//! A small HTTP server for the backend servers of the VM and for operators.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use fescueway_proxy::TaskGroup;
+use fescueway_telemetry::{emit, events::path};
+use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::timeout,
+};
+
+/// The largest request body in bytes.
+const BODY_BYTES: usize = 16 * 1_024;
+
+/// Connections that are open at once.
+const CONNECTIONS: usize = 64;
+
+/// Time for the whole of a request.
+const REQUEST_TIME: Duration = Duration::from_secs(5);
+
+/// A whole answer.
+pub type LocalAnswer = Response<Full<Bytes>>;
+
+/// A whole request.
+#[derive(Clone, Debug)]
+pub struct LocalRequest {
+    /// HTTP method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Serves requests with `answer` until the tasks end. `name` stands in events.
+pub async fn serve_local(
+    tasks: TaskGroup,
+    listener: TcpListener,
+    name: &'static str,
+    answer: impl Fn(LocalRequest) -> LocalAnswer + Send + Sync + 'static,
+) {
+    let answer = Arc::new(answer);
+    let places = Arc::new(Semaphore::new(CONNECTIONS));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((socket, _peer)) => {
+                let answer = Arc::clone(&answer);
+                tasks.spawn(async move {
+                    serve_connection(socket, &*answer).await;
+                    drop(place);
+                });
+            }
+            Err(error) => emit(&path::ACCEPT_FAILED, &[&name, &error]),
+        }
+    }
+}
+
+/// Serves one connection.
+async fn serve_connection(
+    socket: TcpStream,
+    answer: &(impl Fn(LocalRequest) -> LocalAnswer + Send + Sync),
+) {
+    let service = service_fn(async |request| Ok::<_, Infallible>(serve(request, answer).await));
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(REQUEST_TIME);
+    // A connection that breaks off concerns nobody.
+    let _ = builder
+        .serve_connection(TokioIo::new(socket), service)
+        .await;
+}
+
+/// Reads one request and answers it.
+async fn serve(
+    request: Request<Incoming>,
+    answer: &(impl Fn(LocalRequest) -> LocalAnswer + Send + Sync),
+) -> LocalAnswer {
+    let (parts, body) = request.into_parts();
+    let reading = Limited::new(body, BODY_BYTES).collect();
+    match timeout(REQUEST_TIME, reading).await {
+        Ok(Ok(body)) => answer(LocalRequest {
+            method: parts.method,
+            path: parts.uri.path().to_owned(),
+            body: body.to_bytes(),
+        }),
+        Ok(Err(error)) => text(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string()),
+        Err(elapsed) => text(StatusCode::REQUEST_TIMEOUT, &elapsed.to_string()),
+    }
+}
+
+/// An answer of one line of text.
+pub fn text(status: StatusCode, line: &str) -> LocalAnswer {
+    content(status, "text/plain", format!("{line}\n"))
+}
+
+/// An answer in JSON.
+pub fn json(value: &impl Serialize) -> LocalAnswer {
+    match serde_json::to_string(value) {
+        Ok(body) => content(StatusCode::OK, "application/json", body),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+/// An answer of this type.
+pub fn content(status: StatusCode, kind: &'static str, body: String) -> LocalAnswer {
+    let mut response = Response::new(Full::from(body));
+    *response.status_mut() = status;
+    let kind = http::HeaderValue::from_static(kind);
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -0,0 +1,142 @@
+//! The HTTP interface of operators: status, targets, metrics, burn, drain.
+
+use std::time::Duration;
+
+use fescueway_proxy::ProxyState;
+use fescueway_telemetry::{NodeStatus, TargetList, TargetStatus, emit, events::operator};
+use http::{Method, StatusCode};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    local_http::{LocalAnswer, LocalRequest, content, json, text},
+    node_meter::NodeMeter,
+    status_board::StatusBoard,
+};
+
+/// The content type of Prometheus' text form.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// How often a drain looks whether its last request is done.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// The HTTP interface of operators. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct OperatorApi {
+    /// The path of requests.
+    state: ProxyState,
+    /// Metrics and burn.
+    meter: NodeMeter,
+    /// What the node's tasks tell.
+    board: StatusBoard,
+}
+
+impl OperatorApi {
+    /// The interface of one node.
+    #[must_use]
+    pub fn new(state: ProxyState, meter: NodeMeter, board: StatusBoard) -> Self {
+        Self {
+            state,
+            meter,
+            board,
+        }
+    }
+
+    /// Answers one request.
+    #[must_use]
+    pub fn answer(&self, request: &LocalRequest) -> LocalAnswer {
+        match (&request.method, request.path.as_str()) {
+            (&Method::GET, "/status") => json(&self.status()),
+            (&Method::GET, "/targets") => json(&self.targets()),
+            (&Method::GET, "/burn") => json(&self.meter.burn_report(&self.state)),
+            (&Method::GET, "/metrics") => self.metrics(),
+            (&Method::POST, "/drain") => self.drain(),
+            (&Method::POST, "/undrain") => self.undrain(),
+            (_, "/status" | "/targets" | "/burn" | "/metrics" | "/drain" | "/undrain") => text(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "another method is allowed here",
+            ),
+            _ => text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    /// The node in short.
+    fn status(&self) -> NodeStatus {
+        let facts = self.board.facts();
+        let options = self.state.options();
+        NodeStatus {
+            node: options.node.to_string(),
+            domain: options.domain.clone(),
+            site: options.site.clone(),
+            revision: facts.revision,
+            in_force: facts.in_force,
+            config_error: facts.config_error,
+            is_draining: facts.is_draining,
+            in_flight: self.in_flight(),
+            targets: self.state.routes().targets().len() as u32,
+            store: facts.store,
+            peers: facts.peers,
+            uptime_ms: self.state.now().as_micros() / 1_000,
+        }
+    }
+
+    /// Every target that the node knows.
+    fn targets(&self) -> TargetList {
+        let views = self.state.routes().targets().into_iter();
+        let targets = views.map(|view| TargetStatus {
+            load: view.load.map(|(load, _time)| load),
+            record: view.record,
+        });
+        TargetList {
+            targets: targets.collect(),
+        }
+    }
+
+    /// Metrics in Prometheus' text form.
+    fn metrics(&self) -> LocalAnswer {
+        match self.meter.render(&self.state) {
+            Ok(page) => content(StatusCode::OK, METRICS_TYPE, page),
+            Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+        }
+    }
+
+    /// The targets beside this node take nothing new.
+    fn drain(&self) -> LocalAnswer {
+        for service in self.state.local_services() {
+            self.state.drain(&service);
+        }
+        self.board.change(|facts| facts.is_draining = true);
+        emit(&operator::DRAIN_BEGAN, &[&"operator"]);
+        self.state.tasks().spawn(self.clone().tell_drained());
+        json(&self.status())
+    }
+
+    /// Tells when nothing runs any more at the targets beside this node.
+    async fn tell_drained(self) {
+        let start = Instant::now();
+        while self.board.facts().is_draining {
+            if self.in_flight() == 0 {
+                let took = start.elapsed().as_millis();
+                return emit(&operator::DRAIN_ENDED, &[&took]);
+            }
+            sleep(DRAIN_POLL).await;
+        }
+    }
+
+    /// The targets beside this node take work again.
+    fn undrain(&self) -> LocalAnswer {
+        for service in self.state.local_services() {
+            self.state.undrain(&service);
+        }
+        self.board.change(|facts| facts.is_draining = false);
+        json(&self.status())
+    }
+
+    /// Requests that run at the targets beside this node.
+    fn in_flight(&self) -> u32 {
+        let services = self.state.local_services();
+        let targets = services
+            .iter()
+            .filter_map(|service| self.state.host_target(service));
+        targets.map(|target| target.report().in_flight).sum()
+    }
+}
--- /dev/null
+++ b/crates/fescuewayd/src/raw_settings.rs
@@ -0,0 +1,179 @@
+//! Settings as they stand in their file, and how they become checked ones.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use fescueway_config::{FieldFault, NumberRule};
+use fescueway_core::{DomainName, SiteName};
+use fescueway_proxy::ProxyLimits;
+use serde::Deserialize;
+use serde_json::Number;
+
+use crate::{DaemonSettings, settings_rules as rules};
+
+/// Settings as they stand in their file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSettings {
+    /// The site that the node belongs to.
+    pub site: String,
+    /// The failure domain of its VM.
+    pub domain: String,
+    /// Its own addresses.
+    pub listen: RawListen,
+    /// Peers to join through.
+    #[serde(default)]
+    pub seed_peers: Vec<String>,
+    /// Addresses of the platform's store.
+    #[serde(default)]
+    pub store: Vec<String>,
+    /// What is in force until the store or a peer has something newer.
+    pub plan_files: Option<RawPlanFiles>,
+    /// Limits.
+    #[serde(default)]
+    pub limits: RawLimits,
+    /// How long a stop waits for what is in flight.
+    pub stop_timeout_ms: Option<Number>,
+    /// How long an announcement holds.
+    pub announce_timeout_ms: Option<Number>,
+}
+
+/// The node's own addresses, each an IP number and a port.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawListen {
+    /// For callers.
+    pub callers: String,
+    /// For other nodes.
+    pub peers: String,
+    /// For the backend servers of its VM.
+    pub backends: Option<String>,
+    /// For operators.
+    pub operators: Option<String>,
+}
+
+/// Files with a configuration. Paths are relative to the settings' folder.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPlanFiles {
+    /// The base.
+    pub base: PathBuf,
+    /// The overlays of all sites.
+    #[serde(default)]
+    pub overlays: Vec<PathBuf>,
+}
+
+/// Limits that bound what others can take from the node.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawLimits {
+    /// Connections of callers that are open at once.
+    pub caller_connections: Option<Number>,
+    /// Connections of peers that are open at once.
+    pub peer_connections: Option<Number>,
+    /// The largest request head.
+    pub header_bytes: Option<Number>,
+    /// The largest request body.
+    pub body_bytes: Option<Number>,
+    /// Time for a request's head.
+    pub header_timeout_ms: Option<Number>,
+    /// Time between the bytes of a body.
+    pub body_idle_ms: Option<Number>,
+    /// Time for opening a connection.
+    pub connect_timeout_ms: Option<Number>,
+    /// Time until an unused connection closes.
+    pub connection_idle_ms: Option<Number>,
+}
+
+/// Where backend servers announce themselves unless it is set.
+const DEFAULT_BACKENDS: &str = "127.0.0.1:7072";
+
+/// Where operators look unless it is set.
+const DEFAULT_OPERATORS: &str = "127.0.0.1:7073";
+
+impl TryFrom<RawSettings> for DaemonSettings {
+    type Error = FieldFault;
+
+    fn try_from(raw: RawSettings) -> Result<Self, Self::Error> {
+        let listen = raw.listen;
+        let backends = listen.backends.as_deref().unwrap_or(DEFAULT_BACKENDS);
+        let operators = listen.operators.as_deref().unwrap_or(DEFAULT_OPERATORS);
+        Ok(Self {
+            site: SiteName::new(name("site", raw.site)?),
+            domain: DomainName::new(name("domain", raw.domain)?),
+            callers: address("listen.callers", &listen.callers)?,
+            peers: peer_address("listen.peers", &listen.peers)?,
+            backends: address("listen.backends", backends)?,
+            operators: address("listen.operators", operators)?,
+            seed_peers: addresses("seed_peers", &raw.seed_peers)?,
+            store: addresses("store", &raw.store)?,
+            limits: ProxyLimits::try_from(raw.limits)?,
+            stop_timeout: millis(&rules::STOP_TIMEOUT, raw.stop_timeout_ms.as_ref())?,
+            announce_timeout: millis(&rules::ANNOUNCE_TIMEOUT, raw.announce_timeout_ms.as_ref())?,
+            plan: None,
+        })
+    }
+}
+
+impl TryFrom<RawLimits> for ProxyLimits {
+    type Error = FieldFault;
+
+    fn try_from(raw: RawLimits) -> Result<Self, Self::Error> {
+        Ok(Self {
+            caller_connections: number(&rules::CALLER_CONNECTIONS, raw.caller_connections.as_ref())?
+                as usize,
+            peer_connections: number(&rules::PEER_CONNECTIONS, raw.peer_connections.as_ref())?
+                as usize,
+            header_bytes: number(&rules::HEADER_BYTES, raw.header_bytes.as_ref())? as usize,
+            body_bytes: number(&rules::BODY_BYTES, raw.body_bytes.as_ref())?,
+            header_timeout: millis(&rules::HEADER_TIMEOUT, raw.header_timeout_ms.as_ref())?,
+            body_idle: millis(&rules::BODY_IDLE, raw.body_idle_ms.as_ref())?,
+            connect_timeout: millis(&rules::CONNECT_TIMEOUT, raw.connect_timeout_ms.as_ref())?,
+            connection_idle: millis(&rules::CONNECTION_IDLE, raw.connection_idle_ms.as_ref())?,
+        })
+    }
+}
+
+/// A whole number by its rule.
+fn number(rule: &NumberRule, raw: Option<&Number>) -> Result<u64, FieldFault> {
+    Ok(rule.check_at(rule.field.to_owned(), raw)? as u64)
+}
+
+/// A time by its rule.
+fn millis(rule: &NumberRule, raw: Option<&Number>) -> Result<Duration, FieldFault> {
+    Ok(Duration::from_millis(number(rule, raw)?))
+}
+
+/// A name that is not empty.
+fn name(field: &str, text: String) -> Result<String, FieldFault> {
+    if text.trim().is_empty() {
+        return Err(FieldFault::new(field, "an empty text", "a name"));
+    }
+    Ok(text)
+}
+
+/// An IP number and a port. Names are not resolved.
+fn address(field: &str, text: &str) -> Result<SocketAddr, FieldFault> {
+    let parsed = text.parse();
+    parsed.map_err(|_unreadable| {
+        let allowed = "an IP number and a port, such as 10.0.0.1:7071 or [fd00::1]:7071";
+        FieldFault::new(field, format!("\"{text}\""), allowed)
+    })
+}
+
+/// An address by which other nodes know this one.
+fn peer_address(field: &str, text: &str) -> Result<SocketAddr, FieldFault> {
+    let parsed = address(field, text)?;
+    if parsed.ip().is_unspecified() {
+        let allowed = "the address by which other nodes reach this one";
+        return Err(FieldFault::new(field, format!("\"{text}\""), allowed));
+    }
+    Ok(parsed)
+}
+
+/// A list of addresses.
+fn addresses(field: &str, texts: &[String]) -> Result<Vec<SocketAddr>, FieldFault> {
+    let texts = texts.iter().enumerate();
+    texts
+        .map(|(index, text)| address(&format!("{field}[{index}]"), text))
+        .collect()
+}
--- /dev/null
+++ b/crates/fescuewayd/src/settings_rules.rs
@@ -0,0 +1,127 @@
+//! What each number in the settings may be.
+
+use fescueway_config::NumberRule;
+
+/// Every number in the settings.
+pub const SETTINGS_RULES: &[&NumberRule] = &[
+    &CALLER_CONNECTIONS,
+    &PEER_CONNECTIONS,
+    &HEADER_BYTES,
+    &BODY_BYTES,
+    &HEADER_TIMEOUT,
+    &BODY_IDLE,
+    &CONNECT_TIMEOUT,
+    &CONNECTION_IDLE,
+    &STOP_TIMEOUT,
+    &ANNOUNCE_TIMEOUT,
+];
+
+/// Connections of callers.
+pub const CALLER_CONNECTIONS: NumberRule = NumberRule {
+    field: "limits.caller_connections",
+    unit: "connections",
+    default: 1_024.0,
+    min: 1.0,
+    max: 65_536.0,
+    is_whole: true,
+    meaning: "Connections of callers that are open at once.",
+};
+
+/// Connections of peers.
+pub const PEER_CONNECTIONS: NumberRule = NumberRule {
+    field: "limits.peer_connections",
+    unit: "connections",
+    default: 1_024.0,
+    min: 1.0,
+    max: 65_536.0,
+    is_whole: true,
+    meaning: "Connections of other nodes that are open at once.",
+};
+
+/// Size of request heads.
+pub const HEADER_BYTES: NumberRule = NumberRule {
+    field: "limits.header_bytes",
+    unit: "bytes",
+    default: 32_768.0,
+    min: 8_192.0,
+    max: 65_536.0,
+    is_whole: true,
+    meaning: "Largest head of a request.",
+};
+
+/// Size of request bodies.
+pub const BODY_BYTES: NumberRule = NumberRule {
+    field: "limits.body_bytes",
+    unit: "bytes",
+    default: 67_108_864.0,
+    min: 0.0,
+    max: 1_099_511_627_776.0,
+    is_whole: true,
+    meaning: "Largest body of a request, of any service.",
+};
+
+/// Time for request heads.
+pub const HEADER_TIMEOUT: NumberRule = NumberRule {
+    field: "limits.header_timeout_ms",
+    unit: "ms",
+    default: 10_000.0,
+    min: 100.0,
+    max: 600_000.0,
+    is_whole: true,
+    meaning: "A request's head has to arrive within this long; an idle connection of a caller closes after it.",
+};
+
+/// Time between the bytes of a body.
+pub const BODY_IDLE: NumberRule = NumberRule {
+    field: "limits.body_idle_ms",
+    unit: "ms",
+    default: 30_000.0,
+    min: 100.0,
+    max: 600_000.0,
+    is_whole: true,
+    meaning: "A body that moves no byte for this long is given up.",
+};
+
+/// Time for connecting.
+pub const CONNECT_TIMEOUT: NumberRule = NumberRule {
+    field: "limits.connect_timeout_ms",
+    unit: "ms",
+    default: 500.0,
+    min: 10.0,
+    max: 10_000.0,
+    is_whole: true,
+    meaning: "Opening a connection to a node or a backend server may take this long.",
+};
+
+/// Time for unused connections.
+pub const CONNECTION_IDLE: NumberRule = NumberRule {
+    field: "limits.connection_idle_ms",
+    unit: "ms",
+    default: 30_000.0,
+    min: 1_000.0,
+    max: 3_600_000.0,
+    is_whole: true,
+    meaning: "A connection to a node or a backend server closes after this long without use.",
+};
+
+/// Time for stopping.
+pub const STOP_TIMEOUT: NumberRule = NumberRule {
+    field: "stop_timeout_ms",
+    unit: "ms",
+    default: 10_000.0,
+    min: 0.0,
+    max: 600_000.0,
+    is_whole: true,
+    meaning: "A stop waits this long for what is in flight.",
+};
+
+/// Time between announcements.
+pub const ANNOUNCE_TIMEOUT: NumberRule = NumberRule {
+    field: "announce_timeout_ms",
+    unit: "ms",
+    default: 10_000.0,
+    min: 500.0,
+    max: 600_000.0,
+    is_whole: true,
+    meaning: "A backend server that does not announce itself again within this long is gone.",
+};
