--- a/crates/fescueway_telemetry/src/burn_plot.rs
+++ b/crates/fescueway_telemetry/src/burn_plot.rs
@@ -1,8 +1,11 @@
 //! Service-level burn as a picture.
 
-use plotters::prelude::{
-    ChartBuilder, Color, IntoDrawingArea, IntoLogRange, LineSeries, Palette, Palette99,
-    PathElement, RGBColor, SVGBackend, WHITE,
+use plotters::{
+    chart::SeriesLabelPosition,
+    prelude::{
+        ChartBuilder, Color, IntoDrawingArea, IntoLogRange, LineSeries, Palette, Palette99,
+        PathElement, RGBColor, SVGBackend, WHITE,
+    },
 };
 
 use crate::{BURN_ALARMS, BurnReport, ServiceBurn};
@@ -10,6 +13,15 @@
 /// Size of the picture, in pixels.
 const SIZE: (u32, u32) = (1_000, 560);
 
+/// The font.
+const FONT: &str = "sans-serif";
+
+/// Size of the title, in pixels.
+const TITLE_SIZE: u32 = 24;
+
+/// Size of all other text, in pixels.
+const TEXT_SIZE: u32 = 16;
+
 /// The lowest burn shown; the scale is logarithmic.
 const MIN_BURN: f64 = 0.01;
 
@@ -45,19 +57,26 @@
     let hours = report.services.iter().map(|burn| burn.hours.len());
     let hours = hours.max().unwrap_or(0).max(MIN_HOURS);
     let mut chart = ChartBuilder::on(&area)
-        .caption("Service-level burn by hour", ("sans-serif", 20))
+        .caption("Service-level burn by hour", (FONT, TITLE_SIZE))
         .margin(12)
-        .x_label_area_size(36)
-        .y_label_area_size(56)
+        .x_label_area_size(44)
+        .y_label_area_size(64)
         .build_cartesian_2d(-(hours as f64)..0.0, (MIN_BURN..MAX_BURN).log_scale())?;
     chart
         .configure_mesh()
+        .label_style((FONT, TEXT_SIZE))
         .x_desc("hours ago")
+        .x_label_formatter(&|hours| format!("{:.0}", hours.abs()))
         .y_desc("burn (1 uses the whole budget in the objective's window)")
         .draw()?;
     for alarm in BURN_ALARMS {
         let ends = [(-(hours as f64), alarm.threshold), (0.0, alarm.threshold)];
-        chart.draw_series(LineSeries::new(ends, THRESHOLD_COLOUR.mix(0.5)))?;
+        let line = LineSeries::new(ends, THRESHOLD_COLOUR.mix(0.5));
+        let series = chart.draw_series(line)?;
+        let name = format!("{} above {}", alarm.severity.as_str(), alarm.threshold);
+        series
+            .label(name)
+            .legend(|(x, y)| PathElement::new([(x, y), (x + 16, y)], THRESHOLD_COLOUR.mix(0.5)));
     }
     for (index, burn) in report.services.iter().enumerate() {
         let colour = Palette99::pick(index).to_rgba();
@@ -70,6 +89,8 @@
     }
     chart
         .configure_series_labels()
+        .label_font((FONT, TEXT_SIZE))
+        .position(SeriesLabelPosition::UpperLeft)
         .background_style(WHITE.mix(0.8))
         .draw()?;
     area.present()?;
