--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -20,6 +20,9 @@
 /// before any of them ends.
 const STALL_FACTOR: f64 = 2.0;
 
+/// Requests after which the recent mean can serve as a first baseline.
+const BASELINE_COUNT: u32 = 64;
+
 /// Requests that must be running before their age says anything.
 const STALL_COUNT: usize = 2;
 
@@ -43,6 +46,8 @@
     recent_us: f64,
     /// The mean on an undisturbed day, in microseconds; never far above `recent_us`.
     baseline_us: f64,
+    /// Requests that ended well, up to [`BASELINE_COUNT`].
+    count: u32,
     /// Recent share of failures, from 0 to 1.
     failed_share: f64,
 }
@@ -55,6 +60,7 @@
             start_sum_us: 0,
             recent_us: 0.0,
             baseline_us: 0.0,
+            count: 0,
             failed_share: 0.0,
         }
     }
@@ -88,12 +94,18 @@
         if is_failure {
             return;
         }
-        if self.recent_us <= 0.0 {
-            self.recent_us = held_us;
-            self.baseline_us = held_us;
+        self.count = (self.count + 1).min(BASELINE_COUNT);
+        let weight = RECENT_WEIGHT.max(1.0 / f64::from(self.count));
+        self.recent_us += (held_us - self.recent_us) * weight;
+        self.learn_baseline();
+    }
+
+    /// Follows a falling mean and forgets slowly.
+    fn learn_baseline(&mut self) {
+        if self.count < BASELINE_COUNT {
+            self.baseline_us = self.recent_us;
             return;
         }
-        self.recent_us += (held_us - self.recent_us) * RECENT_WEIGHT;
         let rate = if self.recent_us < self.baseline_us {
             BASELINE_FALL
         } else {
--- a/crates/fescueway_bench/src/lib.rs
+++ b/crates/fescueway_bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! To be written.
+//! Fixtures for the benches: a small rig in virtual time that drives the decision crates.
+
+pub mod rig;
