Test the path item by item, and send a read again when its connection closes

Cause: a read on a kept-alive connection that the backend server closed was told unknown when there was no other target (test kept_alive_connections_that_close_lose_no_request, 502 where 200 was due). Only idempotent requests get such connections, so the host now sends them once more on a fresh one when the body can be read again; the first try's error stands when the second fails, so nothing that may have run is called not-run.

--- a/crates/fescueway_proxy/src/host/backend_pool.rs
+++ b/crates/fescueway_proxy/src/host/backend_pool.rs
@@ -70,6 +70,15 @@
     is_reused: bool,
 }
 
+/// A request that got no answer.
+#[derive(Debug)]
+struct SendEnd {
+    /// Why.
+    error: BackendError,
+    /// The request, when no byte of it was sent.
+    unsent: Option<Request<HostBody>>,
+}
+
 impl BackendPool {
     /// A pool of at most `connections` connections to `address`.
     #[must_use]
@@ -119,7 +128,8 @@
 
     /// Sends `request` on `connection` and waits for the head of the answer.
     ///
-    /// A kept-alive connection that closed before a byte was sent is replaced by a fresh one.
+    /// Only idempotent requests get a kept-alive connection. When it closes instead of answering,
+    /// a request that can be sent again is, on a fresh one.
     ///
     /// # Errors
     ///
@@ -129,26 +139,56 @@
         mut connection: BackendConnection,
         request: Request<HostBody>,
     ) -> Result<(Response<Incoming>, BackendConnection), BackendError> {
-        let mut failure = match connection.sender.try_send_request(request).await {
+        if !connection.is_reused {
+            let response = self.send_once(&mut connection, request).await;
+            return response
+                .map(|response| (response, connection))
+                .map_err(|end| end.error);
+        }
+        let replay = replay(&request);
+        let end = match self.send_once(&mut connection, request).await {
             Ok(response) => return Ok((response, connection)),
-            Err(failure) => failure,
+            Err(end) => end,
         };
-        let unsent = failure.take_message();
-        let error = failure.into_error();
-        match unsent {
-            Some(request) if connection.is_reused => {
-                let mut fresh = self.connect().await?;
-                let sent = fresh.sender.try_send_request(request).await;
-                let response = sent.map_err(|mut failure| {
-                    let is_unsent = failure.take_message().is_some();
-                    self.send_error(is_unsent, &failure.into_error())
-                })?;
-                Ok((response, fresh))
-            }
-            unsent => Err(self.send_error(unsent.is_some(), &error)),
+        match (end.unsent, replay) {
+            (Some(request), _) => self.send_fresh(request).await,
+            // The first try may have run, so its error stands whatever becomes of the second.
+            (None, Some(request)) => self.send_fresh(request).await.map_err(|_second| end.error),
+            (None, None) => Err(end.error),
         }
     }
 
+    /// Sends `request` on a fresh connection.
+    async fn send_fresh(
+        &self,
+        request: Request<HostBody>,
+    ) -> Result<(Response<Incoming>, BackendConnection), BackendError> {
+        let mut connection = self.connect().await?;
+        let response = self.send_once(&mut connection, request).await;
+        response
+            .map(|response| (response, connection))
+            .map_err(|end| end.error)
+    }
+
+    /// Sends `request` and waits for the head of the answer.
+    async fn send_once(
+        &self,
+        connection: &mut BackendConnection,
+        request: Request<HostBody>,
+    ) -> Result<Response<Incoming>, SendEnd> {
+        let sent = connection.sender.try_send_request(request).await;
+        sent.map_err(|mut failure| {
+            let unsent = failure.take_message();
+            let step = if unsent.is_some() {
+                BackendStep::Send
+            } else {
+                BackendStep::Receive
+            };
+            let error = BackendError::new(step, self.0.address, failure.error());
+            SendEnd { error, unsent }
+        })
+    }
+
     /// Takes back a connection whose answer was read to its end.
     pub fn check_in(&self, connection: BackendConnection) {
         if connection.sender.is_closed() {
@@ -161,16 +201,6 @@
         self.sweep_later();
     }
 
-    /// The error of a request that got no answer.
-    fn send_error(&self, is_unsent: bool, error: &hyper::Error) -> BackendError {
-        let step = if is_unsent {
-            BackendStep::Send
-        } else {
-            BackendStep::Receive
-        };
-        BackendError::new(step, self.0.address, error)
-    }
-
     /// The latest used connection that can take a request.
     fn take_idle(&self) -> Option<SendRequest<HostBody>> {
         let mut idle = self.idle();
@@ -259,3 +289,12 @@
         self.0.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// The same request once more, when its body can be read again.
+fn replay(request: &Request<HostBody>) -> Option<Request<HostBody>> {
+    let mut again = Request::new(request.body().replay()?);
+    request.method().clone_into(again.method_mut());
+    request.uri().clone_into(again.uri_mut());
+    request.headers().clone_into(again.headers_mut());
+    Some(again)
+}
--- a/crates/fescuewayd/tests/path/common.rs
+++ b/crates/fescuewayd/tests/path/common.rs
@@ -6,6 +6,7 @@
 use fescueway_config::{ConfigSet, Document, SitePlan};
 use fescueway_core::{DomainName, ServiceName, SiteName};
 use fescueway_proxy::BackendAnnouncement;
+use fescueway_testkit::{BackendPlan, BackendStub};
 use fescuewayd::{Daemon, DaemonSettings};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -45,10 +46,15 @@
 
 /// Announces a backend server to its node.
 pub fn announce(node: &Daemon, service: &str, address: SocketAddr) {
+    announce_slots(node, service, address, 10);
+}
+
+/// Announces a backend server with this many slots to its node.
+pub fn announce_slots(node: &Daemon, service: &str, address: SocketAddr, slots: u32) {
     node.state().announce(&BackendAnnouncement {
         service: ServiceName::from(service),
         address,
-        slots: 10,
+        slots,
         connections: 50,
     });
 }
@@ -117,3 +123,35 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default()
 }
+
+/// An entry without a backend server, and a host with one.
+pub struct TwoNodes {
+    /// Takes the requests.
+    pub entry: Daemon,
+    /// Has the backend server.
+    pub host: Daemon,
+    /// The backend server.
+    pub backend: BackendStub,
+}
+
+impl TwoNodes {
+    /// Starts both; callers wait `deadline`.
+    pub async fn start(deadline: Duration, backend: BackendPlan) -> Self {
+        let plan = plan("windows", deadline);
+        let backend = BackendStub::start(backend).await.expect("a port");
+        let entry = node(&plan, &[]).await;
+        let host = node(&plan, &[entry.addresses().peers]).await;
+        announce(&host, "windows", backend.address());
+        knows_targets(&entry, 1).await;
+        Self {
+            entry,
+            host,
+            backend,
+        }
+    }
+
+    /// Sends one request to the entry.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Response<Incoming> {
+        send(self.entry.addresses().callers, request).await
+    }
+}
--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -1,4 +1,12 @@
 //! The path of requests through real nodes on loopback.
 
+mod backends;
 mod common;
+mod hostile_peers;
+mod mixed_answers;
+mod nested_calls;
+mod outcomes;
+mod process;
+mod stopping;
+mod streaming;
 mod two_nodes;
--- /dev/null
+++ b/crates/fescuewayd/tests/path/outcomes.rs
@@ -0,0 +1,186 @@
+//! What callers hear of their requests, and how often backend servers run them.
+
+use std::time::Duration;
+
+use fescueway_testkit::{BackendFault, BackendPlan, BackendStub};
+use http_body_util::BodyExt;
+
+use crate::common::{
+    TwoNodes, announce, get, header, knows_targets, node, plan, request, send, text,
+};
+
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// Reads that are sent at once.
+const READERS: usize = 4;
+
+#[tokio::test]
+async fn a_refusal_tells_when_to_come_back() {
+    let entry = node(&plan("windows", DEADLINE), &[]).await;
+    let response = send(entry.addresses().callers, get("/windows")).await;
+    assert_eq!(response.status(), 503);
+    assert_eq!(header(&response, "fescueway-outcome"), "not-run");
+    assert_eq!(header(&response, "fescueway-reason"), "no-target");
+    let seconds: u64 = header(&response, "retry-after")
+        .parse()
+        .expect("whole seconds");
+    assert!(seconds >= 1);
+}
+
+#[tokio::test]
+async fn headers_of_ours_from_outside_do_not_pass() {
+    let nodes = TwoNodes::start(DEADLINE, BackendPlan::default()).await;
+    let forged = [
+        ("fescueway-outcome", "ran"),
+        ("fescueway-call", "0000-1"),
+        ("fescueway-anything", "x"),
+        ("connection", "x-private"),
+        ("x-private", "x"),
+        ("x-public", "x"),
+    ];
+    let response = nodes.send(request("GET", "/windows", &forged, "")).await;
+    let seen = text(response).await;
+    assert!(seen.contains("\"x-public\""), "{seen}");
+    for name in ["fescueway-outcome", "fescueway-anything", "x-private"] {
+        assert!(!seen.contains(name), "{name} in {seen}");
+    }
+}
+
+#[tokio::test]
+async fn a_booking_whose_answer_is_lost_is_unknown_and_ran_once() {
+    let plan = plan("windows", DEADLINE);
+    let entry = node(&plan, &[]).await;
+    let mut backends = Vec::new();
+    let mut hosts = Vec::new();
+    for _ in 0..3 {
+        let faulty = BackendPlan {
+            fault: Some(BackendFault::LoseAnswers),
+            ..BackendPlan::default()
+        };
+        let backend = BackendStub::start(faulty).await.expect("a port");
+        let host = node(&plan, &[entry.addresses().peers]).await;
+        announce(&host, "windows", backend.address());
+        backends.push(backend);
+        hosts.push(host);
+    }
+    knows_targets(&entry, 3).await;
+
+    let response = send(
+        entry.addresses().callers,
+        request("POST", "/windows", &[], "b"),
+    )
+    .await;
+    assert_eq!(response.status(), 502);
+    assert_eq!(header(&response, "fescueway-outcome"), "unknown");
+    let runs: u64 = backends.iter().map(|backend| backend.tally().runs).sum();
+    assert_eq!(runs, 1);
+}
+
+#[tokio::test]
+async fn a_read_whose_answer_is_lost_is_offered_elsewhere() {
+    let plan = plan("windows", DEADLINE);
+    let entry = node(&plan, &[]).await;
+    let faulty = BackendPlan {
+        fault: Some(BackendFault::LoseAnswers),
+        ..BackendPlan::default()
+    };
+    let lossy = BackendStub::start(faulty).await.expect("a port");
+    let sound = BackendStub::start(BackendPlan::default())
+        .await
+        .expect("a port");
+    let lossy_host = node(&plan, &[entry.addresses().peers]).await;
+    let sound_host = node(&plan, &[entry.addresses().peers]).await;
+    announce(&lossy_host, "windows", lossy.address());
+    announce(&sound_host, "windows", sound.address());
+    knows_targets(&entry, 2).await;
+
+    // Many at once, so that both targets get some.
+    let address = entry.addresses().callers;
+    let reads: Vec<_> = (0..READERS)
+        .map(|_| tokio::spawn(send(address, get("/windows"))))
+        .collect();
+    for read in reads {
+        let response = read.await.expect("no panic");
+        let outcome = header(&response, "fescueway-outcome");
+        assert!(matches!(outcome, "ran" | "not-run"), "{outcome}");
+    }
+    assert!(lossy.tally().runs > 0);
+}
+
+#[tokio::test]
+async fn a_backend_server_that_is_gone_proves_that_nothing_ran() {
+    let plan = plan("windows", DEADLINE);
+    let entry = node(&plan, &[]).await;
+    let gone = BackendStub::start(BackendPlan::default())
+        .await
+        .expect("a port");
+    let sound = BackendStub::start(BackendPlan::default())
+        .await
+        .expect("a port");
+    let gone_host = node(&plan, &[entry.addresses().peers]).await;
+    let sound_host = node(&plan, &[entry.addresses().peers]).await;
+    announce(&gone_host, "windows", gone.address());
+    announce(&sound_host, "windows", sound.address());
+    knows_targets(&entry, 2).await;
+    gone.crash();
+
+    for _ in 0..10 {
+        let booking = request("POST", "/windows", &[], "a booking");
+        let response = send(entry.addresses().callers, booking).await;
+        assert_eq!(response.status(), 200);
+    }
+    assert_eq!(sound.tally().runs, 10);
+}
+
+#[tokio::test]
+async fn kept_alive_connections_that_close_lose_no_request() {
+    let nodes = TwoNodes::start(
+        DEADLINE,
+        BackendPlan {
+            fault: Some(BackendFault::CloseReused),
+            ..BackendPlan::default()
+        },
+    )
+    .await;
+    for _ in 0..5 {
+        let booking = nodes
+            .send(request("POST", "/windows", &[], "a booking"))
+            .await;
+        assert_eq!(booking.status(), 200);
+        let read = nodes.send(get("/windows")).await;
+        assert_eq!(read.status(), 200);
+    }
+}
+
+#[tokio::test]
+async fn an_answer_cut_short_is_never_whole() {
+    let nodes = TwoNodes::start(
+        DEADLINE,
+        BackendPlan {
+            fault: Some(BackendFault::CutShort),
+            ..BackendPlan::default()
+        },
+    )
+    .await;
+    for address in [nodes.entry.addresses(), nodes.host.addresses()] {
+        let response = send(address.callers, get("/windows/download/300000")).await;
+        assert_eq!(response.status(), 200);
+        let read = response.into_body().collect().await;
+        read.expect_err("the answer was cut");
+    }
+}
+
+#[tokio::test]
+async fn a_deadline_that_passes_is_answered_at_once() {
+    let slow = BackendPlan {
+        service_time: Duration::from_secs(30),
+        ..BackendPlan::default()
+    };
+    let nodes = TwoNodes::start(DEADLINE, slow).await;
+    let hurried = [("fescueway-time-left-ms", "200")];
+    let start = std::time::Instant::now();
+    let response = nodes.send(request("GET", "/windows", &hurried, "")).await;
+    assert_eq!(response.status(), 504);
+    assert_eq!(header(&response, "fescueway-outcome"), "unknown");
+    assert!(start.elapsed() < DEADLINE, "{:?}", start.elapsed());
+}
--- /dev/null
+++ b/crates/fescuewayd/tests/path/process.rs
@@ -0,0 +1,123 @@
+//! The daemon as a process of its own.
+
+use std::{
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Output, Stdio},
+    time::{Duration, Instant},
+};
+
+use fescueway_testkit::{BackendPlan, BackendStub};
+use tokio::{net::TcpStream, time::sleep};
+
+use crate::common::{get, request, send, text};
+
+/// Memory that an idle node may take, in kilobytes.
+const IDLE_KILOBYTES: u64 = 20 * 1_024;
+
+/// Writes settings into a file of this process.
+fn settings_file(name: &str, content: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = folder.join(format!("{name}-{}.json", std::process::id()));
+    fs::write(&file, content).expect("a folder for temporary files");
+    file
+}
+
+/// Runs the daemon until it ends.
+fn run(file: &PathBuf) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fescuewayd"));
+    command
+        .arg("--settings")
+        .arg(file)
+        .output()
+        .expect("it starts")
+}
+
+/// Loopback addresses that were free a moment ago.
+fn free_addresses() -> [SocketAddr; 4] {
+    let listeners = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port"));
+    listeners.map(|listener| listener.local_addr().expect("bound"))
+}
+
+#[test]
+fn wrong_settings_end_with_two_and_one_message() {
+    let file = settings_file(
+        "wrong",
+        "{\n  \"site\": \"s\", \"domain\": \"d\",\n  // A name is not resolved.\n  \
+         \"listen\": { \"callers\": \"localhost:80\", \"peers\": \"127.0.0.1:0\" }\n}\n",
+    );
+    let output = run(&file);
+    assert_eq!(output.status.code(), Some(2));
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(message.lines().count(), 1, "{message}");
+    for part in [":4:", "listen.callers", "\"localhost:80\"", "allowed"] {
+        assert!(message.contains(part), "{part} not in {message}");
+    }
+}
+
+#[tokio::test]
+async fn it_serves_and_stops_on_a_signal() {
+    let [callers, peers, backends, operators] = free_addresses();
+    let base = settings_file(
+        "base",
+        r#"{ "services": { "w": { "path_prefixes": ["/"] } } }"#,
+    );
+    let overlay = settings_file("overlay", r#"{ "site": "s" }"#);
+    let settings = format!(
+        r#"{{ "site": "s", "domain": "d",
+            "listen": {{ "callers": "{callers}", "peers": "{peers}",
+                         "backends": "{backends}", "operators": "{operators}" }},
+            "plan_files": {{ "base": {base:?}, "overlays": [{overlay:?}] }} }}"#
+    );
+    let file = settings_file("settings", &settings);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fescuewayd"));
+    let command = command.arg("--settings").arg(&file).stderr(Stdio::null());
+    let mut child = command.spawn().expect("it starts");
+    wait_until_open(operators).await;
+
+    let slow = BackendPlan {
+        service_time: Duration::from_millis(400),
+        ..BackendPlan::default()
+    };
+    let backend = BackendStub::start(slow).await.expect("a port");
+    let body = format!(
+        r#"{{"service":"w","address":"{}","slots":10,"connections":20}}"#,
+        backend.address()
+    );
+    let announced = send(backends, request("POST", "/v1/announce", &[], body.leak())).await;
+    assert_eq!(announced.status(), 200);
+    let targets = text(send(operators, get("/targets")).await).await;
+    assert!(targets.contains("\"service\":\"w\""), "{targets}");
+    assert!(idle_kilobytes(&child) < IDLE_KILOBYTES);
+
+    let running = tokio::spawn(send(callers, request("POST", "/w", &[], "a booking")));
+    sleep(Duration::from_millis(100)).await;
+    let signal = Command::new("kill").arg(child.id().to_string()).status();
+    assert!(signal.expect("a signal").success());
+    assert_eq!(running.await.expect("no panic").status(), 200);
+    let is_closed = TcpStream::connect(callers).await.is_err();
+    assert!(is_closed, "it still takes connections");
+    let ended = tokio::task::spawn_blocking(move || child.wait()).await;
+    assert!(ended.expect("no panic").expect("a status").success());
+}
+
+/// Waits until something listens.
+async fn wait_until_open(address: SocketAddr) {
+    let start = Instant::now();
+    while TcpStream::connect(address).await.is_err() {
+        assert!(
+            start.elapsed() < Duration::from_secs(5),
+            "{address} stays closed"
+        );
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Memory of the process in kilobytes.
+fn idle_kilobytes(child: &Child) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", child.id())).expect("procfs");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let figure = line.and_then(|line| line.split_whitespace().nth(1));
+    figure.expect("a figure").parse().expect("a number")
+}
