--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -60,14 +60,14 @@
     pub fn terms(&self, plan: &ServicePlan, route: &RoutePlan) -> RequestTerms {
         let parent_time = self.parent.map(|parent| parent.time_left);
         let times = [Some(route.deadline), self.caller_time, parent_time];
-        let time_left = times.into_iter().flatten().min();
+        let time_left = times.into_iter().flatten().min().unwrap_or(route.deadline);
         let offers = self.parent.map(|parent| parent.offers_left);
         RequestTerms {
             idempotency: route.idempotency,
             priority: route.priority,
             offers_left: offers.map_or(plan.retry.max_offers, |own| own.min(plan.retry.max_offers)),
             depth: self.parent.map_or(0, |parent| parent.depth + 1),
-            ..RequestTerms::new(plan.name.clone(), time_left.unwrap_or(route.deadline))
+            ..RequestTerms::new(plan.name.clone(), time_left)
         }
     }
 }
@@ -101,6 +101,7 @@
 /// The status to answer with.
 pub async fn request_body(
     limits: &ProxyLimits,
+    max_bytes: u64,
     incoming: Incoming,
     is_expecting: bool,
 ) -> Result<RequestBody, StatusCode> {
@@ -108,11 +109,11 @@
         return Ok(RequestBody::Empty);
     }
     let length = incoming.size_hint().exact();
-    if length.is_some_and(|length| length > limits.body_bytes) {
+    if length.is_some_and(|length| length > max_bytes) {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
     let is_small = length.is_some_and(|length| length <= BUFFERED_BYTES);
-    let shared = SharedBody::new(incoming, limits.body_bytes, limits.body_idle);
+    let shared = SharedBody::new(incoming, max_bytes, limits.body_idle);
     let body = RequestBody::Streaming(shared);
     if !is_small || is_expecting {
         return Ok(body);
--- a/crates/fescuewayd/tests/common/mod.rs
+++ b/crates/fescuewayd/tests/path/common.rs
@@ -1,13 +1,10 @@
 //! What the tests of the path share: nodes on loopback and a plain HTTP client.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use fescueway_config::{
-    ClaimPlan, LimitPlan, LocalityPlan, ObjectivePlan, ProbePlan, RetryPlan, RoutePlan,
-    ServicePlan, SitePlan,
-};
-use fescueway_core::{DomainName, Idempotency, Priority, ServiceName, SiteName};
+use fescueway_config::{ConfigSet, Document, SitePlan};
+use fescueway_core::{DomainName, ServiceName, SiteName};
 use fescueway_proxy::BackendAnnouncement;
 use fescuewayd::{Daemon, DaemonSettings};
 use http::{Request, Response};
@@ -21,53 +18,21 @@
 
 /// A service on every path: GET is idempotent, all else is not.
 pub fn plan(service: &str, deadline: Duration) -> Arc<SitePlan> {
-    let route = |method: Option<&str>, idempotency| RoutePlan {
-        name: Arc::from(""),
-        method: method.map(Arc::from),
-        path_prefix: Arc::from("/"),
-        idempotency,
-        priority: Priority::Normal,
-        deadline,
-    };
-    let service = ServicePlan {
-        name: ServiceName::from(service),
-        hosts: Vec::new(),
-        path_prefixes: vec![Arc::from("/")],
-        routes: vec![route(Some("GET"), Idempotency::Idempotent)],
-        default_route: route(None, Idempotency::NonIdempotent),
-        probe: ProbePlan {
-            budget_ms_per_s: 0.0,
-            path: Arc::from("/load"),
-            timeout: Duration::from_millis(100),
-        },
-        retry: RetryPlan {
-            budget_share: 0.2,
-            max_offers: 3,
-            is_hedging: false,
-        },
-        objective: ObjectivePlan {
-            availability: 0.999,
-            latency: Duration::from_millis(100),
-            window: Duration::from_hours(1),
-        },
-        claim: ClaimPlan {
-            partitions: 1,
-            retention: Duration::from_mins(1),
-        },
-        limit: LimitPlan {
-            max_body_bytes: 1 << 30,
-            queue_per_slot: 0.5,
-        },
-        locality: LocalityPlan {
-            subset_size: 32,
-            domain_trip: Duration::ZERO,
-        },
-    };
-    let services = BTreeMap::from([(service.name.clone(), Arc::new(service))]);
-    Arc::new(SitePlan {
-        site: SiteName::from("test"),
-        services,
-    })
+    let deadline_ms = deadline.as_millis();
+    let base = format!(
+        r#"{{ "services": {{ "{service}": {{
+            "path_prefixes": ["/"],
+            "default_route": {{ "idempotency": "non-idempotent", "deadline_ms": {deadline_ms} }},
+            "routes": {{ "read": {{
+                "method": "GET", "path_prefix": "/",
+                "idempotency": "idempotent", "deadline_ms": {deadline_ms}
+            }} }}
+        }} }} }}"#
+    );
+    let base = Document::parse("base.json", &base).expect("valid JSON");
+    let overlay = Document::parse("test.json", r#"{ "site": "test" }"#).expect("valid JSON");
+    let config = ConfigSet::check(&base, &[overlay]).expect("a valid configuration");
+    Arc::new(config.sites()[&SiteName::from("test")].clone())
 }
 
 /// A node on loopback that knows the peers.
