--- a/crates/fescueway_telemetry/src/burn_plot.rs
+++ b/crates/fescueway_telemetry/src/burn_plot.rs
@@ -1,10 +1,12 @@
 //! Service-level burn as a picture.
 
 use plotters::{
-    chart::SeriesLabelPosition,
+    chart::{ChartContext, SeriesLabelPosition},
+    coord::{combinators::LogCoord, types::RangedCoordf64},
+    drawing::DrawingAreaErrorKind,
     prelude::{
-        ChartBuilder, Color, IntoDrawingArea, IntoLogRange, LineSeries, Palette, Palette99,
-        PathElement, RGBColor, SVGBackend, WHITE,
+        Cartesian2d, ChartBuilder, Color, DrawingBackend, IntoDrawingArea, IntoLogRange,
+        LineSeries, Palette, Palette99, PathElement, RGBAColor, RGBColor, SVGBackend, WHITE,
     },
 };
 
@@ -31,6 +33,9 @@
 /// Hours shown at least.
 const MIN_HOURS: usize = 6;
 
+/// Length of a line in the legend, in pixels.
+const LEGEND_WIDTH: i32 = 16;
+
 /// Colour of the thresholds.
 const THRESHOLD_COLOUR: RGBColor = RGBColor(200, 60, 60);
 
@@ -50,18 +55,25 @@
     Ok(svg)
 }
 
+/// What the library says when it can't draw.
+type DrawError<'a> = DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>;
+
+/// The chart: hours across, burn on a logarithmic scale upwards.
+type BurnChart<'a, 'b> =
+    ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, LogCoord<f64>>>;
+
 /// Draws into `svg`.
-fn draw(report: &BurnReport, svg: &mut String) -> Result<(), Box<dyn std::error::Error>> {
+fn draw<'b>(report: &BurnReport, svg: &'b mut String) -> Result<(), DrawError<'b>> {
     let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
     area.fill(&WHITE)?;
     let hours = report.services.iter().map(|burn| burn.hours.len());
-    let hours = hours.max().unwrap_or(0).max(MIN_HOURS);
+    let first = -(hours.max().unwrap_or(0).max(MIN_HOURS) as f64);
     let mut chart = ChartBuilder::on(&area)
         .caption("Service-level burn by hour", (FONT, TITLE_SIZE))
         .margin(12)
         .x_label_area_size(44)
         .y_label_area_size(64)
-        .build_cartesian_2d(-(hours as f64)..0.0, (MIN_BURN..MAX_BURN).log_scale())?;
+        .build_cartesian_2d(first..0.0, (MIN_BURN..MAX_BURN).log_scale())?;
     chart
         .configure_mesh()
         .label_style((FONT, TEXT_SIZE))
@@ -70,22 +82,18 @@
         .y_desc("burn (1 uses the whole budget in the objective's window)")
         .draw()?;
     for alarm in BURN_ALARMS {
-        let ends = [(-(hours as f64), alarm.threshold), (0.0, alarm.threshold)];
-        let line = LineSeries::new(ends, THRESHOLD_COLOUR.mix(0.5));
-        let series = chart.draw_series(line)?;
         let name = format!("{} above {}", alarm.severity.as_str(), alarm.threshold);
-        series
-            .label(name)
-            .legend(|(x, y)| PathElement::new([(x, y), (x + 16, y)], THRESHOLD_COLOUR.mix(0.5)));
+        let ends = vec![(first, alarm.threshold), (0.0, alarm.threshold)];
+        draw_line(&mut chart, name, ends, THRESHOLD_COLOUR.mix(0.5))?;
     }
     for (index, burn) in report.services.iter().enumerate() {
-        let colour = Palette99::pick(index).to_rgba();
         let name = format!("{} {}", burn.site, burn.service);
-        let line = LineSeries::new(points(burn), colour.stroke_width(2));
-        let series = chart.draw_series(line)?;
-        series
-            .label(name)
-            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+        draw_line(
+            &mut chart,
+            name,
+            points(burn),
+            Palette99::pick(index).to_rgba(),
+        )?;
     }
     chart
         .configure_series_labels()
@@ -93,7 +101,21 @@
         .position(SeriesLabelPosition::UpperLeft)
         .background_style(WHITE.mix(0.8))
         .draw()?;
-    area.present()?;
+    area.present()
+}
+
+/// Draws one line, with its name in the legend.
+fn draw_line<'b>(
+    chart: &mut BurnChart<'_, 'b>,
+    name: String,
+    points: Vec<(f64, f64)>,
+    colour: RGBAColor,
+) -> Result<(), DrawError<'b>> {
+    let line = LineSeries::new(points, colour.stroke_width(2));
+    let series = chart.draw_series(line)?;
+    series
+        .label(name)
+        .legend(move |(x, y)| PathElement::new([(x, y), (x + LEGEND_WIDTH, y)], colour));
     Ok(())
 }
 
--- a/crates/fescueway_telemetry/src/burn_tracker.rs
+++ b/crates/fescueway_telemetry/src/burn_tracker.rs
@@ -2,13 +2,15 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt::Display,
     time::Duration,
 };
 
 use fescueway_core::{MonoTime, ServiceName, SiteName};
 
 use crate::{
-    BURN_ALARMS, BurnAlarm, BurnReport, BurnWindow, ServiceBurn, WindowCount, count_ring::CountRing,
+    BURN_ALARMS, BurnAlarm, BurnReport, BurnWindow, ServiceBurn, WindowCount,
+    count_ring::CountRing, emit, events::operator,
 };
 
 /// Length of a bucket for the windows up to an hour.
@@ -42,6 +44,25 @@
     pub burn: f64,
 }
 
+impl AlarmChange {
+    /// Logs the change as event 3009 or 3010.
+    pub fn emit(&self) {
+        let severity = self.alarm.severity.as_str();
+        let windows = format!("{}/{}", self.alarm.short.as_str(), self.alarm.long.as_str());
+        if self.is_active {
+            let burn = format!("{:.2}", self.burn);
+            let threshold = self.alarm.threshold;
+            let fields: [&dyn Display; 5] = [&self.service, &severity, &windows, &burn, &threshold];
+            emit(&operator::BURN_ALARM_BEGAN, &fields);
+        } else {
+            emit(
+                &operator::BURN_ALARM_ENDED,
+                &[&self.service, &severity, &windows],
+            );
+        }
+    }
+}
+
 /// Counts which requests of one site kept their objective, as one node sees them.
 ///
 /// It takes the time and reads no clock. Memory is bounded: about 8 KB for each service.
