--- a/crates/fescueway_core/src/lib.rs
+++ b/crates/fescueway_core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock. The decision crates take a [`MonoTime`] as an
 //! argument, so that tests and benches run them under virtual time.
 
+mod config_mark;
 mod load_report;
 mod mono_time;
 mod names;
@@ -13,6 +14,7 @@
 mod target_record;
 
 pub use crate::{
+    config_mark::ConfigMark,
     load_report::LoadReport,
     mono_time::MonoTime,
     names::{DomainName, ServiceName, SiteName},
--- a/crates/fescueway_membership/src/datagram.rs
+++ b/crates/fescueway_membership/src/datagram.rs
@@ -1,6 +1,6 @@
 //! The messages between membership instances.
 
-use fescueway_core::NodeId;
+use fescueway_core::{ConfigMark, NodeId};
 use serde::{Deserialize, Serialize};
 
 use crate::{MemberStatus, Rumor};
@@ -20,15 +20,6 @@
     pub rumors: Vec<Rumor>,
 }
 
-/// Names a configuration.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct ConfigMark {
-    /// Grows with each accepted configuration; zero before the first.
-    pub revision: u64,
-    /// Start of the digest of the head value, by which two heads of one revision are told apart.
-    pub digest: [u8; 8],
-}
-
 /// What a datagram asks or answers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum MessageBody {
--- a/crates/fescueway_membership/src/lib.rs
+++ b/crates/fescueway_membership/src/lib.rs
@@ -41,7 +41,7 @@
 mod traffic_counts;
 
 pub use crate::{
-    datagram::{ConfigMark, Datagram, MessageBody},
+    datagram::{Datagram, MessageBody},
     datagram_codec::{DatagramCodec, DatagramError, FleetSecret, MAX_DATAGRAM},
     member_event::{DownCause, MemberAction, MemberEvent},
     member_list::{MemberList, MemberSettings, PING_PERIOD},
--- a/crates/fescueway_membership/src/member_event.rs
+++ b/crates/fescueway_membership/src/member_event.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 
-use fescueway_core::{NodeId, ServiceName, TargetRecord};
-
-use crate::ConfigMark;
+use fescueway_core::{ConfigMark, NodeId, ServiceName, TargetRecord};
 
 /// What a [`crate::MemberList`] is told.
 #[derive(Clone, Debug)]
--- a/crates/fescueway_membership/src/member_list.rs
+++ b/crates/fescueway_membership/src/member_list.rs
@@ -2,15 +2,15 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use fescueway_core::{DomainName, MonoTime, NodeId, TargetRecord};
+use fescueway_core::{ConfigMark, DomainName, MonoTime, NodeId, TargetRecord};
 use rand_core::Rng;
 
 use crate::{
-    ConfigMark, Datagram, DatagramCodec, DownCause, FleetSecret, MemberAction, MemberEvent,
-    MemberState, MemberStatus, MessageBody, Rumor, ServedService, TrafficCounts,
-    byte_budget::ByteBudget, fleet_join::FleetJoin, fleet_sync::FleetSync, gossip_push::GossipPush,
-    live_ring::LiveRing, member_table::MemberTable, peer_probe::PeerProbe,
-    rumor_intake::targets_of, rumor_queue::RumorQueue,
+    Datagram, DatagramCodec, DownCause, FleetSecret, MemberAction, MemberEvent, MemberState,
+    MemberStatus, MessageBody, Rumor, ServedService, TrafficCounts, byte_budget::ByteBudget,
+    fleet_join::FleetJoin, fleet_sync::FleetSync, gossip_push::GossipPush, live_ring::LiveRing,
+    member_table::MemberTable, peer_probe::PeerProbe, rumor_intake::targets_of,
+    rumor_queue::RumorQueue,
 };
 
 /// Time between two pings of one node.
--- a/crates/fescueway_membership/src/member_state.rs
+++ b/crates/fescueway_membership/src/member_state.rs
@@ -1,8 +1,8 @@
 //! What one node knows of another.
 
-use fescueway_core::{MonoTime, NodeId};
+use fescueway_core::{ConfigMark, MonoTime, NodeId};
 
-use crate::{ConfigMark, MemberStatus, NodeRecord, Rumor, datagram::MemberStamp, rumor::LifeStamp};
+use crate::{MemberStatus, NodeRecord, Rumor, datagram::MemberStamp, rumor::LifeStamp};
 
 /// What one node knows of another.
 #[derive(Clone, Debug)]
--- a/crates/fescueway_membership/src/member_table.rs
+++ b/crates/fescueway_membership/src/member_table.rs
@@ -6,9 +6,9 @@
     time::Duration,
 };
 
-use fescueway_core::{MonoTime, NodeId};
+use fescueway_core::{ConfigMark, MonoTime, NodeId};
 
-use crate::{ConfigMark, MemberState, MemberStatus, Rumor, rumor::LifeStamp};
+use crate::{MemberState, MemberStatus, Rumor, rumor::LifeStamp};
 
 /// Buckets into which members are sorted by the first bits of their identity.
 pub const BUCKETS: usize = 128;
--- a/crates/fescueway_membership/tests/decoding.rs
+++ b/crates/fescueway_membership/tests/decoding.rs
@@ -1,9 +1,9 @@
 //! Whatever arrives is counted and dropped, or decoded within bounds.
 
-use fescueway_core::{DomainName, MonoTime, NodeId};
+use fescueway_core::{ConfigMark, DomainName, MonoTime, NodeId};
 use fescueway_membership::{
-    ConfigMark, Datagram, DatagramCodec, DatagramError, FleetSecret, MAX_DATAGRAM, MemberEvent,
-    MemberList, MemberSettings, MessageBody,
+    Datagram, DatagramCodec, DatagramError, FleetSecret, MAX_DATAGRAM, MemberEvent, MemberList,
+    MemberSettings, MessageBody,
 };
 use quickcheck::quickcheck;
 use rand_pcg::Pcg64Mcg;
--- a/crates/fescueway_platform/src/store_client.rs
+++ b/crates/fescueway_platform/src/store_client.rs
@@ -223,7 +223,8 @@
     }
 
     /// The address in use.
-    fn peer(&self) -> SocketAddr {
+    #[must_use]
+    pub fn peer(&self) -> SocketAddr {
         let position = self.shared.position.load(Ordering::Relaxed);
         self.settings.addresses[position % self.settings.addresses.len()]
     }
--- /dev/null
+++ b/crates/fescueway_rollout/src/apply_attempt.rs
@@ -0,0 +1,273 @@
+//! One operator's attempt to put a configuration in force.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use fescueway_config::ServiceValue;
+use fescueway_core::{ServiceName, SiteName};
+use fescueway_platform::{StoreTxn, StoreValue, TxnReply};
+use statig::prelude::*;
+
+use crate::{
+    ConfigHead, HistoryEntry,
+    apply_txn::{self, ReadBase, WriteTxns},
+};
+
+/// What an operator wants in force.
+#[derive(Clone, Debug)]
+pub struct ApplyPlan {
+    /// The value of every service of every site.
+    pub values: BTreeMap<(SiteName, ServiceName), ServiceValue>,
+    /// Who applies it.
+    pub operator: Arc<str>,
+    /// Unique to this attempt.
+    pub operation: Arc<str>,
+    /// The operator's clock, in seconds since 1970.
+    pub unix_time_s: u64,
+    /// What the operator notes.
+    pub note: Arc<str>,
+    /// The revision that the plan was made from; another one in force is a conflict. `None` takes
+    /// whichever is in force when the attempt starts.
+    pub base: Option<u64>,
+}
+
+/// What came of an attempt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ApplyOutcome {
+    /// The configuration is accepted as this revision.
+    Accepted(u64),
+    /// It was in force already, as this revision; nothing was written.
+    Unchanged(u64),
+    /// Another one was accepted meanwhile; nothing of this one is in force or will be.
+    Conflict(ConfigHead),
+    /// The attempt ended before the swap was sent; nothing of it is in force or will be.
+    NotApplied,
+    /// The swap was sent, and what came of it could not be found out in time. It may be in force.
+    Unknown,
+    /// The store holds a value that makes no sense.
+    Corrupt(String),
+}
+
+/// What came of the last [`ApplyAction`].
+#[derive(Clone, Debug)]
+pub enum ApplyEvent {
+    /// The transaction was answered.
+    Reply(TxnReply),
+    /// The transaction failed.
+    Failed {
+        /// Whether it may have taken effect.
+        is_effect_unknown: bool,
+    },
+    /// Time is up.
+    GiveUp,
+}
+
+/// What an attempt asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ApplyAction {
+    /// Run this transaction, and after a failure wait a little first.
+    Commit(StoreTxn),
+    /// Nothing more.
+    Done(ApplyOutcome),
+}
+
+/// One operator's attempt to put a configuration in force.
+pub struct ApplyAttempt {
+    machine: StateMachine<ApplyCycle>,
+}
+
+impl ApplyAttempt {
+    /// An attempt that has done nothing yet.
+    #[must_use]
+    pub fn new(plan: ApplyPlan) -> Self {
+        let cycle = ApplyCycle {
+            plan,
+            base: ReadBase::default(),
+            writes: WriteTxns::default(),
+            is_swap_sent: false,
+        };
+        Self {
+            machine: cycle.state_machine(),
+        }
+    }
+
+    /// What to do now.
+    #[must_use]
+    pub fn action(&self) -> ApplyAction {
+        let cycle = self.machine.inner();
+        match self.machine.state() {
+            State::ReadingHead {} => ApplyAction::Commit(apply_txn::read_head()),
+            State::ReadingIndexes {} => ApplyAction::Commit(apply_txn::read_indexes(&cycle.base)),
+            State::Writing {} => cycle.writes.batches.last().map_or_else(
+                || ApplyAction::Commit(cycle.writes.swap.clone()),
+                |batch| ApplyAction::Commit(batch.clone()),
+            ),
+            State::Swapping {} => ApplyAction::Commit(cycle.writes.swap.clone()),
+            State::Settling {} => {
+                let revision = cycle.base.next_revision();
+                ApplyAction::Commit(apply_txn::read_head_and_history(revision))
+            }
+            State::Done { outcome } => ApplyAction::Done(outcome.clone()),
+        }
+    }
+
+    /// Takes in what came of the last action.
+    pub fn handle(&mut self, event: &ApplyEvent) {
+        self.machine.handle(event);
+    }
+}
+
+impl std::fmt::Debug for ApplyAttempt {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.machine.state().fmt(f)
+    }
+}
+
+/// The attempt's course: `reading_head`, `reading_indexes`, `writing` what doesn't fit into the
+/// swap, `swapping`, `settling` what came of a swap whose answer was lost, `done`.
+struct ApplyCycle {
+    plan: ApplyPlan,
+    /// The head at the start of the attempt, with all of the store that it names.
+    base: ReadBase,
+    writes: WriteTxns,
+    /// Whether a swap may be on its way.
+    is_swap_sent: bool,
+}
+
+#[state_machine(initial = "State::reading_head()", state(derive(Debug)))]
+impl ApplyCycle {
+    #[state(superstate = "under_way")]
+    fn reading_head(&mut self, event: &ApplyEvent) -> Outcome<State> {
+        let ApplyEvent::Reply(reply) = event else {
+            return Super;
+        };
+        match read_base(reply) {
+            Ok(base) => self.base = base,
+            Err(fault) => return corrupt(fault),
+        }
+        let expected = self.plan.base;
+        let found = self.base.revision();
+        match &self.base.head {
+            Some(head) if expected.is_some_and(|expected| expected != found) => {
+                done(ApplyOutcome::Conflict(head.clone()))
+            }
+            Some(head) if apply_txn::site_digests(&self.plan) == head.sites => {
+                done(ApplyOutcome::Unchanged(found))
+            }
+            _ => Transition(State::reading_indexes()),
+        }
+    }
+
+    #[state(superstate = "under_way")]
+    fn reading_indexes(&mut self, event: &ApplyEvent) -> Outcome<State> {
+        let ApplyEvent::Reply(reply) = event else {
+            return Super;
+        };
+        if let Err(fault) = self.base.take_indexes(reply) {
+            return corrupt(fault);
+        }
+        self.writes = apply_txn::plan_writes(&self.plan, &self.base);
+        if self.writes.batches.is_empty() {
+            Transition(State::swapping())
+        } else {
+            Transition(State::writing())
+        }
+    }
+
+    /// Values are named by their digests, so writing one again changes nothing.
+    #[state(superstate = "under_way")]
+    fn writing(&mut self, event: &ApplyEvent) -> Outcome<State> {
+        let ApplyEvent::Reply(_) = event else {
+            return Super;
+        };
+        self.writes.batches.pop();
+        if self.writes.batches.is_empty() {
+            Transition(State::swapping())
+        } else {
+            Handled
+        }
+    }
+
+    #[state(superstate = "under_way")]
+    fn swapping(&mut self, event: &ApplyEvent) -> Outcome<State> {
+        match event {
+            ApplyEvent::Reply(reply) if reply.is_success => {
+                done(ApplyOutcome::Accepted(self.base.next_revision()))
+            }
+            ApplyEvent::Reply(_) => Transition(State::settling()),
+            ApplyEvent::Failed {
+                is_effect_unknown: true,
+            } => {
+                self.is_swap_sent = true;
+                Transition(State::settling())
+            }
+            _ => Super,
+        }
+    }
+
+    /// The history tells whose swap made the next revision. While there is none, the swap is sent
+    /// again: it takes effect at most once, since it names the head that it replaces.
+    #[state(superstate = "under_way")]
+    fn settling(&mut self, event: &ApplyEvent) -> Outcome<State> {
+        let ApplyEvent::Reply(reply) = event else {
+            return Super;
+        };
+        let entry = match read_entry(reply) {
+            Ok(entry) => entry,
+            Err(fault) => return corrupt(fault),
+        };
+        match entry {
+            Some(entry) if entry.head.operation == self.plan.operation => {
+                done(ApplyOutcome::Accepted(entry.head.revision))
+            }
+            Some(entry) => done(ApplyOutcome::Conflict(entry.head)),
+            None => Transition(State::swapping()),
+        }
+    }
+
+    #[state]
+    fn done(outcome: &ApplyOutcome) -> Outcome<State> {
+        let _ = outcome;
+        Handled
+    }
+
+    /// A failure is followed by the same action again; only time ends an attempt.
+    #[superstate]
+    fn under_way(&mut self, event: &ApplyEvent) -> Outcome<State> {
+        match event {
+            ApplyEvent::GiveUp if self.is_swap_sent => done(ApplyOutcome::Unknown),
+            ApplyEvent::GiveUp => done(ApplyOutcome::NotApplied),
+            _ => Handled,
+        }
+    }
+}
+
+fn done(outcome: ApplyOutcome) -> Outcome<State> {
+    Transition(State::done(outcome))
+}
+
+fn corrupt(fault: String) -> Outcome<State> {
+    done(ApplyOutcome::Corrupt(fault))
+}
+
+fn read_base(reply: &TxnReply) -> Result<ReadBase, String> {
+    let Some(value) = first_value(reply, 0) else {
+        return Ok(ReadBase::default());
+    };
+    Ok(ReadBase {
+        head: Some(parse(value)?),
+        mod_revision: value.mod_revision,
+        ..ReadBase::default()
+    })
+}
+
+fn read_entry(reply: &TxnReply) -> Result<Option<HistoryEntry>, String> {
+    first_value(reply, 0).map(parse).transpose()
+}
+
+fn first_value(reply: &TxnReply, read: usize) -> Option<&StoreValue> {
+    reply.reads.get(read)?.first()
+}
+
+fn parse<T: serde::de::DeserializeOwned>(value: &StoreValue) -> Result<T, String> {
+    serde_json::from_slice(&value.value).map_err(|error| format!("{}: {error}", value.key))
+}
--- /dev/null
+++ b/crates/fescueway_rollout/src/config_head.rs
@@ -0,0 +1,127 @@
+//! The values that name a configuration.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use fescueway_config::ServiceDigest;
+use fescueway_core::{ConfigMark, ServiceName, SiteName};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+use sha2::{Digest, Sha256};
+
+/// The head value: names one accepted configuration of all sites.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigHead {
+    /// Grows by one with each accepted configuration. Never zero.
+    pub revision: u64,
+    /// The digest of each site's index.
+    pub sites: BTreeMap<SiteName, SiteDigest>,
+    /// Who applied it.
+    pub operator: Arc<str>,
+    /// Drawn for each apply, by which a lost answer is settled.
+    pub operation: Arc<str>,
+    /// When it was applied by the operator's clock, in seconds since 1970. For people only.
+    pub unix_time_s: u64,
+    /// What the operator noted.
+    pub note: Arc<str>,
+}
+
+/// An entry of the history.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HistoryEntry {
+    /// The head.
+    pub head: ConfigHead,
+    /// Keys of the store that the head before it used and this one doesn't.
+    pub replaced: Vec<String>,
+}
+
+/// The services of one site, each by the digest of its value.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SiteIndex(pub BTreeMap<ServiceName, ServiceDigest>);
+
+/// SHA-256 of a site's index. Text of 64 hexadecimal digits when serialized.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct SiteDigest(pub [u8; 32]);
+
+impl ConfigHead {
+    /// The head as it stands in the store.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        // The type holds only strings and numbers, which always have a JSON form.
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// Names this head.
+    #[must_use]
+    pub fn mark(&self) -> ConfigMark {
+        let full: [u8; 32] = Sha256::digest(self.to_bytes()).into();
+        let mut digest = [0; 8];
+        digest.copy_from_slice(&full[..8]);
+        ConfigMark {
+            revision: self.revision,
+            digest,
+        }
+    }
+}
+
+impl SiteIndex {
+    /// The index as it stands in the store.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let hex = self
+            .0
+            .iter()
+            .map(|(name, digest)| (name.as_str(), digest.to_string()));
+        let map: BTreeMap<_, _> = hex.collect();
+        serde_json::to_vec(&map).unwrap_or_default()
+    }
+
+    /// Reads an index back. `None` when the bytes are no index.
+    #[must_use]
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        let map: BTreeMap<ServiceName, String> = serde_json::from_slice(bytes).ok()?;
+        let digests = map.into_iter().map(|(name, hex)| {
+            let digest = ServiceDigest(from_hex(&hex)?);
+            Some((name, digest))
+        });
+        digests.collect::<Option<_>>().map(Self)
+    }
+
+    /// The digest of the index.
+    #[must_use]
+    pub fn digest(&self) -> SiteDigest {
+        SiteDigest(Sha256::digest(self.to_bytes()).into())
+    }
+}
+
+impl std::fmt::Display for SiteDigest {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl Serialize for SiteDigest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for SiteDigest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let hex = String::deserialize(deserializer)?;
+        let digest = from_hex(&hex).ok_or_else(|| D::Error::custom("64 hexadecimal digits"))?;
+        Ok(Self(digest))
+    }
+}
+
+fn from_hex(hex: &str) -> Option<[u8; 32]> {
+    let mut digest = [0; 32];
+    let (pairs, rest) = hex.as_bytes().as_chunks::<2>();
+    if pairs.len() != digest.len() || !rest.is_empty() {
+        return None;
+    }
+    for (byte, [high, low]) in digest.iter_mut().zip(pairs) {
+        let high = char::from(*high).to_digit(16)?;
+        let low = char::from(*low).to_digit(16)?;
+        *byte = (high * 16 + low) as u8;
+    }
+    Some(digest)
+}
--- /dev/null
+++ b/crates/fescueway_rollout/tests/apply.rs
@@ -0,0 +1,249 @@
+//! Accepting a configuration, against a store with faults.
+
+mod common;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use common::{SITE, TIME, accept, client, config, plan};
+use fescueway_core::SiteName;
+use fescueway_platform::{KeyRange, StoreTxn};
+use fescueway_rollout::{ApplyAction, ApplyAttempt, ApplyEvent, ApplyOutcome, driver, store_keys};
+use fescueway_testkit::{StoreFaults, StoreStub};
+use quickcheck::quickcheck;
+
+async fn revision_in(store: &StoreStub) -> u64 {
+    let head = driver::read_head(&client(store), TIME).await.unwrap();
+    head.map_or(0, |head| head.revision)
+}
+
+#[tokio::test]
+async fn what_was_applied_is_read_back() {
+    let store = StoreStub::start().await.unwrap();
+    // More than one transaction holds.
+    let first = config(1_000, 150);
+    assert_eq!(accept(&store, &first).await, 1);
+    assert_eq!(accept(&store, &config(2_000, 150)).await, 2);
+    let site = SiteName::from(SITE);
+    let found = driver::fetch_site(&client(&store), &site, &BTreeMap::default(), TIME).await;
+    let found = found.unwrap().unwrap();
+    let expected = config(2_000, 150).service_values();
+    assert_eq!(found.values.len(), expected.len());
+    for (name, bytes) in found.values {
+        assert_eq!(*expected[&(site.clone(), name)].bytes, *bytes);
+    }
+    let history = driver::read_history(&client(&store), 10, TIME)
+        .await
+        .unwrap();
+    let revisions: Vec<_> = history.iter().map(|head| head.revision).collect();
+    assert_eq!(revisions, [2, 1]);
+}
+
+#[tokio::test]
+async fn the_same_configuration_is_not_written_again() {
+    let store = StoreStub::start().await.unwrap();
+    accept(&store, &config(1_000, 0)).await;
+    let again = driver::apply(&client(&store), plan("anna", &config(1_000, 0)), TIME).await;
+    assert_eq!(again, ApplyOutcome::Unchanged(1));
+    assert_eq!(revision_in(&store).await, 1);
+}
+
+#[tokio::test]
+async fn of_two_operators_one_wins_and_the_other_learns_who() {
+    let store = StoreStub::start().await.unwrap();
+    accept(&store, &config(1_000, 3)).await;
+    for round in 0..10 {
+        let (one, two) = (config(2_000 + round, 3), config(3_000 + round, 3));
+        let (clients, others) = (client(&store), client(&store));
+        let (anna, bryn) = tokio::join!(
+            driver::apply(&clients, plan("anna", &one), TIME),
+            driver::apply(&others, plan("bryn", &two), TIME),
+        );
+        let winner = match (&anna, &bryn) {
+            (ApplyOutcome::Accepted(revision), ApplyOutcome::Conflict(head)) => {
+                ("anna", revision, head)
+            }
+            (ApplyOutcome::Conflict(head), ApplyOutcome::Accepted(revision)) => {
+                ("bryn", revision, head)
+            }
+            // One began after the other had ended.
+            (ApplyOutcome::Accepted(one), ApplyOutcome::Accepted(two)) if one != two => continue,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!(
+            (&*winner.2.operator, winner.2.revision),
+            (winner.0, *winner.1)
+        );
+        assert_eq!(revision_in(&store).await, *winner.1);
+    }
+}
+
+#[tokio::test]
+async fn a_plan_made_from_an_older_revision_is_a_conflict_and_writes_nothing() {
+    let store = StoreStub::start().await.unwrap();
+    accept(&store, &config(1_000, 0)).await;
+    accept(&store, &config(2_000, 0)).await;
+    let before = store.tally().calls.get("/v3/kv/txn").copied();
+    let late = fescueway_rollout::ApplyPlan {
+        base: Some(1),
+        ..plan("bryn", &config(3_000, 0))
+    };
+    let outcome = driver::apply(&client(&store), late, TIME).await;
+    assert!(matches!(outcome, ApplyOutcome::Conflict(head) if head.revision == 2));
+    let after = store.tally().calls.get("/v3/kv/txn").copied();
+    assert_eq!(after.unwrap() - before.unwrap(), 1, "one read and no write");
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_settled_as_accepted() {
+    for lost in 1..5 {
+        let store = StoreStub::start().await.unwrap();
+        accept(&store, &config(1_000, 2)).await;
+        store.set_faults(StoreFaults {
+            lost_answers: lost,
+            ..StoreFaults::default()
+        });
+        assert_eq!(
+            accept(&store, &config(2_000, 2)).await,
+            2,
+            "{lost} answers lost"
+        );
+        assert_eq!(revision_in(&store).await, 2);
+    }
+}
+
+#[tokio::test]
+async fn a_store_that_is_down_all_the_time_applies_nothing() {
+    let store = StoreStub::start().await.unwrap();
+    store.set_faults(StoreFaults {
+        is_down: true,
+        ..StoreFaults::default()
+    });
+    let short = Duration::from_millis(300);
+    let outcome = driver::apply(&client(&store), plan("anna", &config(1_000, 0)), short).await;
+    assert_eq!(outcome, ApplyOutcome::NotApplied);
+    store.set_faults(StoreFaults::default());
+    assert_eq!(revision_in(&store).await, 0);
+}
+
+#[tokio::test]
+async fn what_nobody_reads_any_more_is_deleted() {
+    let store = StoreStub::start().await.unwrap();
+    for change in 0..40 {
+        accept(&store, &config(1_000 + change, 1)).await;
+    }
+    let values = KeyRange::Prefix("/fescueway/config/value/".to_owned());
+    let kept = client(&store)
+        .range(&values, TIME)
+        .await
+        .unwrap()
+        .values
+        .len();
+    // `other-0` never changed; of `bands` the last 32 replaced values and the one in force stay.
+    assert!((32..=34).contains(&kept), "{kept} values");
+    let site = SiteName::from(SITE);
+    let found = driver::fetch_site(&client(&store), &site, &BTreeMap::default(), TIME).await;
+    assert!(found.unwrap().is_some());
+}
+
+/// A store of one writer's view, on which each transaction may fail before or after its effect.
+#[derive(Default)]
+struct FaultyStore {
+    values: BTreeMap<String, fescueway_platform::StoreValue>,
+    revision: i64,
+    head_writes: u32,
+}
+
+impl FaultyStore {
+    fn commit(&mut self, txn: &StoreTxn) -> fescueway_platform::TxnReply {
+        use fescueway_platform::{Compare, StoreOp, StoreValue, TxnReply};
+        let holds = |compare: &Compare| match compare {
+            Compare::Absent(key) => !self.values.contains_key(key),
+            Compare::ModRevision(key, at) => self
+                .values
+                .get(key)
+                .is_some_and(|value| value.mod_revision == *at),
+            Compare::Value(key, value) => self
+                .values
+                .get(key)
+                .is_some_and(|held| held.value == *value),
+        };
+        let is_success = txn.compares.iter().all(holds);
+        self.revision += 1;
+        let mut reads = Vec::new();
+        for op in if is_success {
+            &txn.then
+        } else {
+            &txn.otherwise
+        } {
+            match op {
+                StoreOp::Put { key, value, lease } => {
+                    self.head_writes += u32::from(key == store_keys::HEAD);
+                    let held = StoreValue {
+                        key: key.clone(),
+                        value: value.clone(),
+                        mod_revision: self.revision,
+                        version: 1,
+                        lease: *lease,
+                    };
+                    self.values.insert(key.clone(), held);
+                }
+                StoreOp::Delete(KeyRange::Key(key)) => drop(self.values.remove(key)),
+                StoreOp::Range(KeyRange::Key(key)) => {
+                    reads.push(self.values.get(key).cloned().into_iter().collect());
+                }
+                StoreOp::Delete(_) | StoreOp::Range(_) => {}
+            }
+        }
+        TxnReply {
+            is_success,
+            revision: self.revision,
+            reads,
+        }
+    }
+}
+
+quickcheck! {
+    /// Whatever fails where, an attempt writes at most one head, and tells the truth.
+    fn an_attempt_tells_the_truth(faults: Vec<u8>, more: u8, rival_at: u8) -> bool {
+        let mut store = FaultyStore::default();
+        let mut attempt = ApplyAttempt::new(plan("anna", &config(1_000, usize::from(more))));
+        let mut faults = faults.into_iter();
+        let mut steps = 0;
+        let outcome = loop {
+            let txn = match attempt.action() {
+                ApplyAction::Commit(txn) => txn,
+                ApplyAction::Done(outcome) => break outcome,
+            };
+            steps += 1;
+            if steps == rival_at {
+                let mut rival = ApplyAttempt::new(plan("bryn", &config(9_000, 0)));
+                while let ApplyAction::Commit(txn) = rival.action() {
+                    rival.handle(&ApplyEvent::Reply(store.commit(&txn)));
+                }
+            }
+            let event = match faults.next().map(|fault| fault % 4) {
+                Some(0) => ApplyEvent::Failed { is_effect_unknown: false },
+                Some(1) => ApplyEvent::Failed { is_effect_unknown: true },
+                Some(2) => {
+                    store.commit(&txn);
+                    ApplyEvent::Failed { is_effect_unknown: true }
+                }
+                None if more.is_multiple_of(3) => ApplyEvent::GiveUp,
+                _ => ApplyEvent::Reply(store.commit(&txn)),
+            };
+            attempt.handle(&event);
+        };
+        let history = store.values.iter().filter(|(key, _)| key.starts_with(store_keys::HISTORY));
+        let by_anna = history.filter(|(_, value)| {
+            let text = String::from_utf8_lossy(&value.value);
+            text.contains(r#""operator":"anna""#)
+        });
+        let written = by_anna.count();
+        match outcome {
+            ApplyOutcome::Accepted(_) => written == 1,
+            ApplyOutcome::NotApplied | ApplyOutcome::Conflict(_) => written == 0,
+            ApplyOutcome::Unknown => written <= 1,
+            ApplyOutcome::Unchanged(_) | ApplyOutcome::Corrupt(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescueway_rollout/tests/rollout.rs
@@ -0,0 +1,193 @@
+//! A node's way to the newest configuration.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{SITE, config, reply};
+use fescueway_core::{ConfigMark, MonoTime, SiteName};
+use fescueway_rollout::{
+    ConfigReply, ConfigRequest, DomainReport, FetchSource, RolloutAction, RolloutEvent,
+    RolloutState,
+};
+use quickcheck::quickcheck;
+use rand_pcg::Pcg64Mcg;
+
+struct Node {
+    state: RolloutState,
+    now: MonoTime,
+    random: Pcg64Mcg,
+}
+
+impl Node {
+    fn new() -> Self {
+        Self {
+            state: RolloutState::new(SiteName::from(SITE)),
+            now: MonoTime::ZERO,
+            random: Pcg64Mcg::new(5),
+        }
+    }
+
+    fn handle(&mut self, event: RolloutEvent) -> Vec<RolloutAction> {
+        self.state.handle(self.now, event, &mut self.random)
+    }
+
+    fn hear(&mut self, revision: u64) -> Vec<RolloutAction> {
+        let digest = [0; 8];
+        self.handle(RolloutEvent::Heard(ConfigMark { revision, digest }))
+    }
+
+    fn revision(&self) -> u64 {
+        self.state.status().in_force.revision
+    }
+}
+
+#[test]
+fn a_part_of_what_changed_is_enough() {
+    let (mut old, mut new) = (Node::new(), Node::new());
+    for node in [&mut old, &mut new] {
+        node.handle(RolloutEvent::Fetched(reply(1, &config(1_000, 30))));
+    }
+    new.handle(RolloutEvent::Fetched(reply(2, &config(2_000, 29))));
+    let request = ConfigRequest {
+        site: SiteName::from(SITE),
+        have: 1,
+    };
+    let part = new.state.answer(&request).unwrap();
+    assert_eq!(
+        (part.is_full, part.values.len(), part.removed.len()),
+        (false, 1, 1)
+    );
+    old.handle(RolloutEvent::Fetched(part));
+    assert_eq!(old.revision(), 2);
+    assert_eq!(old.state.held_values(), new.state.held_values());
+}
+
+#[test]
+fn a_part_that_does_not_fit_is_followed_by_the_whole() {
+    let mut node = Node::new();
+    node.handle(RolloutEvent::Fetched(reply(1, &config(1_000, 3))));
+    node.hear(2);
+    let mut part = reply(2, &config(2_000, 3));
+    part.is_full = false;
+    part.values.clear();
+    node.handle(RolloutEvent::Fetched(part));
+    assert_eq!(node.revision(), 1);
+    node.now = node.now + Duration::from_secs(10);
+    let actions = node.handle(RolloutEvent::Tick);
+    let is_whole = |action: &RolloutAction| matches!(action, RolloutAction::Fetch { request, .. } if request.have == 0);
+    assert!(actions.iter().any(is_whole));
+}
+
+#[test]
+fn what_was_changed_on_the_way_is_refused() {
+    let mut node = Node::new();
+    let mut forged = reply(1, &config(1_000, 0));
+    forged.values[0].1.push(b' ');
+    node.handle(RolloutEvent::Fetched(forged));
+    assert_eq!(node.revision(), 0);
+}
+
+#[test]
+fn a_revision_that_cannot_be_applied_leaves_the_last_one_in_force_and_says_so() {
+    let mut node = Node::new();
+    node.handle(RolloutEvent::Fetched(reply(1, &config(1_000, 0))));
+    let bytes = br#"{"name":"bands","plan":{"from_the_future":1}}"#.to_vec();
+    let mut bad = reply(2, &config(1_000, 0));
+    bad.values[0].1.clone_from(&bytes);
+    let digest = fescueway_config::ServiceDigest::of(&bytes);
+    let index = fescueway_rollout::SiteIndex([("bands".into(), digest)].into());
+    bad.head.sites.insert(SiteName::from(SITE), index.digest());
+    let actions = node.handle(RolloutEvent::Fetched(bad));
+    assert!(matches!(
+        actions[0],
+        RolloutAction::Rejected { revision: 2, .. }
+    ));
+    let status = node.state.status();
+    assert_eq!((status.in_force.revision, status.newest.revision), (1, 2));
+    assert!(status.fault.contains("from_the_future"), "{}", status.fault);
+    // It isn't fetched again and again, and the next good one is taken.
+    node.now = node.now + Duration::from_hours(1);
+    assert!(node.handle(RolloutEvent::Tick).is_empty());
+    node.handle(RolloutEvent::Fetched(reply(3, &config(3_000, 0))));
+    assert_eq!(node.state.status().fault, "");
+}
+
+#[test]
+fn peers_are_asked_first_then_the_store_with_growing_pauses() {
+    let mut node = Node::new();
+    let mut sources = Vec::new();
+    let mut actions = node.hear(5);
+    let end = MonoTime::ZERO + Duration::from_mins(5);
+    while node.now < end {
+        for action in std::mem::take(&mut actions) {
+            if let RolloutAction::Fetch { source, .. } = action {
+                sources.push(source);
+                actions.extend(node.handle(RolloutEvent::FetchFailed));
+            }
+        }
+        node.now = node.state.next_wake();
+        actions.extend(node.handle(RolloutEvent::Tick));
+    }
+    assert_eq!(sources[..3], [FetchSource::Peer; 3]);
+    assert_eq!(sources[3], FetchSource::Store);
+    let stores = sources
+        .iter()
+        .filter(|source| **source == FetchSource::Store)
+        .count();
+    // At most one try every 2.5 s once the pause has grown, a quarter of them at the store.
+    assert!(
+        stores <= 300 * 2 / 5 / 4 + 3,
+        "{stores} calls of the store in 5 minutes"
+    );
+}
+
+/// A source's answer: its revision, and how it is broken.
+fn answer(revision: u8, fault: u8) -> ConfigReply {
+    let config = config(1_000 + u64::from(revision), usize::from(revision % 3));
+    let mut reply = reply(u64::from(revision) + 1, &config);
+    match fault % 4 {
+        0 => reply.values.clear(),
+        1 => reply.is_full = false,
+        _ => {}
+    }
+    reply
+}
+
+quickcheck! {
+    /// Old peers, stale reads, replayed watches, in any order.
+    fn the_revision_in_force_never_falls(events: Vec<(u8, u8, u8)>) -> bool {
+        let mut node = Node::new();
+        let mut told = 0;
+        for (kind, revision, fault) in events {
+            node.now = node.now + Duration::from_millis(u64::from(fault) * 20);
+            let event = match kind % 4 {
+                0 => RolloutEvent::Heard(ConfigMark { revision: u64::from(revision), digest: [fault; 8] }),
+                1 => RolloutEvent::HeadSeen(answer(revision, 3).head),
+                2 => RolloutEvent::Fetched(answer(revision, fault)),
+                _ => RolloutEvent::FetchFailed,
+            };
+            for action in node.handle(event) {
+                if let RolloutAction::PutInForce { mark, .. } = action {
+                    if mark.revision <= told {
+                        return false;
+                    }
+                    told = mark.revision;
+                }
+            }
+            if node.revision() != told {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Arbitrary bytes never panic, and what they decode to is no larger than they are.
+    fn arbitrary_bytes_are_bounded(bytes: Vec<u8>) -> bool {
+        let request = ConfigRequest::from_bytes(&bytes).map(|request| request.to_bytes());
+        let reply = ConfigReply::from_bytes(&bytes).map(|reply| reply.to_bytes());
+        let report = DomainReport::from_bytes(&bytes).map(|report| report.to_bytes());
+        let decoded = [request, reply, report].into_iter().flatten();
+        decoded.into_iter().all(|again| again.len() <= bytes.len())
+    }
+}
--- a/crates/fescueway_testkit/src/member_network.rs
+++ b/crates/fescueway_testkit/src/member_network.rs
@@ -6,9 +6,11 @@
     time::Duration,
 };
 
-use fescueway_core::{DomainName, MonoTime, NodeId, ServiceName, TargetRecord, TargetState};
+use fescueway_core::{
+    ConfigMark, DomainName, MonoTime, NodeId, ServiceName, TargetRecord, TargetState,
+};
 use fescueway_membership::{
-    ConfigMark, DownCause, FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings,
+    DownCause, FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings,
 };
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
