--- a/crates/fescueway_membership/src/member_event.rs
+++ b/crates/fescueway_membership/src/member_event.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 
-use fescueway_core::{NodeId, ServiceName, TargetRecord};
-
-use crate::ConfigMark;
+use fescueway_core::{ConfigMark, NodeId, ServiceName, TargetRecord};
 
 /// What a [`crate::MemberList`] is told.
 #[derive(Clone, Debug)]
@@ -84,7 +82,7 @@
 /// How it is known that a node is gone.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum DownCause {
-    /// It did not answer and did not refute the suspicion.
+    /// It did not answer this node or another one, and did not refute the suspicion.
     Silent,
     /// It said that it leaves.
     Left,
--- a/crates/fescueway_wire/src/offer_head.rs
+++ b/crates/fescueway_wire/src/offer_head.rs
@@ -31,6 +31,8 @@
     pub authority: Arc<str>,
     /// Header fields without hop-by-hop ones.
     pub headers: Vec<HeaderField>,
+    /// Whether the body is held back until [`AnswerHead::Accepted`]; otherwise it comes at once.
+    pub is_body_held: bool,
 }
 
 /// The right to run a request with an idempotency key.
@@ -45,6 +47,8 @@
 /// The host's answer to an offer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum AnswerHead {
+    /// The request has a slot and a connection: send the body. Another head follows.
+    Accepted,
     /// The request did not run.
     Refused {
         /// Why, and when to come back.
