Add apply, history and the fleet's part of diff and status

Cause: configurations could be checked but not accepted, and nobody could see where one was in force.

--- a/crates/fescueway/src/cli_option.rs
+++ b/crates/fescueway/src/cli_option.rs
@@ -7,10 +7,20 @@
     From,
     /// Prints JSON.
     Json,
+    /// How many entries are shown.
+    Limit,
     /// A node's address for operators.
     Node,
+    /// What the operator notes about a change.
+    Note,
+    /// Who changes the configuration.
+    Operator,
+    /// The revision that a change was made against.
+    Revision,
     /// A site.
     Site,
+    /// An address of the platform's store.
+    Store,
     /// Where the plot goes.
     Svg,
     /// How long to wait.
@@ -21,11 +31,16 @@
 
 impl CliOption {
     /// Every option.
-    pub(crate) const ALL: [Self; 7] = [
+    pub(crate) const ALL: [Self; 12] = [
         Self::From,
         Self::Json,
+        Self::Limit,
         Self::Node,
+        Self::Note,
+        Self::Operator,
+        Self::Revision,
         Self::Site,
+        Self::Store,
         Self::Svg,
         Self::Timeout,
         Self::Wait,
@@ -36,8 +51,13 @@
         match self {
             Self::From => "from",
             Self::Json => "json",
+            Self::Limit => "limit",
             Self::Node => "node",
+            Self::Note => "note",
+            Self::Operator => "operator",
+            Self::Revision => "revision",
             Self::Site => "site",
+            Self::Store => "store",
             Self::Svg => "svg",
             Self::Timeout => "timeout",
             Self::Wait => "wait",
@@ -49,7 +69,11 @@
         match self {
             Self::From | Self::Svg => Some("FILE"),
             Self::Json | Self::Wait => None,
-            Self::Node => Some("ADDRESS"),
+            Self::Limit => Some("COUNT"),
+            Self::Node | Self::Store => Some("ADDRESS"),
+            Self::Note => Some("TEXT"),
+            Self::Operator => Some("NAME"),
+            Self::Revision => Some("REVISION"),
             Self::Site => Some("SITE"),
             Self::Timeout => Some("SECONDS"),
         }
@@ -58,10 +82,15 @@
     /// What it does.
     pub(crate) const fn meaning(self) -> &'static str {
         match self {
-            Self::From => "The base, then the overlays, to compare with",
+            Self::From => "The base, then the overlays, to compare with; instead of --store",
             Self::Json => "Print JSON",
+            Self::Limit => "Show this many entries at most (20)",
             Self::Node => "A node's address for operators, as 127.0.0.1:9900",
+            Self::Note => "What the change is for; shown by `history`",
+            Self::Operator => "Who makes the change (the environment's USER)",
+            Self::Revision => "Refuse unless this is the newest revision, as `diff` shows it",
             Self::Site => "The site",
+            Self::Store => "An address of the platform's store; may be given several times",
             Self::Svg => "Also write a picture of the burn by hour",
             Self::Timeout => "How long to wait at most (30)",
             Self::Wait => "Wait until it is in force everywhere",
--- a/crates/fescueway/src/command_line.rs
+++ b/crates/fescueway/src/command_line.rs
@@ -13,6 +13,9 @@
 /// How long a command waits unless told otherwise.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Entries of the history that are shown unless told otherwise.
+const DEFAULT_LIMIT: u64 = 20;
+
 /// What the operator asks for.
 #[derive(Debug)]
 pub(crate) enum CliRequest {
@@ -37,10 +40,20 @@
     pub(crate) is_json: bool,
     /// Whether to wait.
     pub(crate) is_waiting: bool,
+    /// How many entries to show.
+    pub(crate) limit: u64,
     /// Nodes to ask.
     pub(crate) nodes: Vec<SocketAddr>,
+    /// What the operator notes about the change.
+    pub(crate) note: String,
+    /// Who makes the change.
+    pub(crate) operator: Option<String>,
+    /// The revision that the change was made against.
+    pub(crate) revision: Option<u64>,
     /// The site.
     pub(crate) site: Option<String>,
+    /// Where the store is.
+    pub(crate) stores: Vec<SocketAddr>,
     /// Where the plot goes.
     pub(crate) svg: Option<PathBuf>,
     /// How long to wait.
@@ -54,8 +67,13 @@
             from: Vec::new(),
             is_json: false,
             is_waiting: false,
+            limit: DEFAULT_LIMIT,
             nodes: Vec::new(),
+            note: String::new(),
+            operator: None,
+            revision: None,
             site: None,
+            stores: Vec::new(),
             svg: None,
             timeout: DEFAULT_TIMEOUT,
         }
@@ -147,8 +165,13 @@
             CliOption::Json => self.is_json = true,
             CliOption::Wait => self.is_waiting = true,
             CliOption::From => self.from.push(text(option, parser)?.into()),
+            CliOption::Limit => self.limit = parsed(option, parser)?,
             CliOption::Node => self.nodes.push(parsed(option, parser)?),
+            CliOption::Note => self.note = text(option, parser)?,
+            CliOption::Operator => self.operator = Some(text(option, parser)?),
+            CliOption::Revision => self.revision = Some(parsed(option, parser)?),
             CliOption::Site => self.site = Some(text(option, parser)?),
+            CliOption::Store => self.stores.push(parsed(option, parser)?),
             CliOption::Svg => self.svg = Some(text(option, parser)?.into()),
             CliOption::Timeout => {
                 self.timeout = Duration::from_secs(parsed::<u32>(option, parser)?.into());
@@ -169,7 +192,7 @@
     let value = text(option, parser)?;
     value.parse().ok().ok_or_else(|| {
         let expected = match option {
-            CliOption::Node => "an IP address with a port, as 127.0.0.1:9900",
+            CliOption::Node | CliOption::Store => "an IP address with a port, as 127.0.0.1:9900",
             _ => "a whole number",
         };
         let name = option.name();
--- a/crates/fescueway/src/command_spec.rs
+++ b/crates/fescueway/src/command_spec.rs
@@ -9,6 +9,8 @@
 /// A command.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum CliCommand {
+    /// Accepts a configuration.
+    Apply,
     /// Shows service-level burn.
     Burn,
     /// Checks documents.
@@ -19,6 +21,8 @@
     Drain,
     /// Shows help.
     Help,
+    /// Shows what was accepted and by whom.
+    History,
     /// Shows what a site gets.
     Render,
     /// Shows what is in force, and where it is not.
@@ -72,16 +76,41 @@
         name: "diff",
         arguments: DOCUMENTS,
         summary: "Show what would change, by site, service and field",
-        details: "Compares with the documents given by --from.",
-        options: &[CliOption::From, CliOption::Json],
+        details: "Compares with what the store holds, or with the documents given by --from.",
+        options: &[CliOption::Store, CliOption::From, CliOption::Json],
+    },
+    CommandSpec {
+        command: CliCommand::Apply,
+        name: "apply",
+        arguments: DOCUMENTS,
+        summary: "Make a base and all its overlays the configuration of the fleet",
+        details: "The whole is accepted or refused at once. When another operator changed the\n\
+                  configuration meanwhile, nothing is written.",
+        options: &[
+            CliOption::Store,
+            CliOption::Wait,
+            CliOption::Timeout,
+            CliOption::Operator,
+            CliOption::Note,
+            CliOption::Revision,
+            CliOption::Json,
+        ],
     },
     CommandSpec {
         command: CliCommand::Status,
         name: "status",
         arguments: "",
         summary: "Show what is in force, and the nodes that lag",
+        details: "With --store for the fleet, with --node for single nodes, or both.",
+        options: &[CliOption::Store, CliOption::Node, CliOption::Json],
+    },
+    CommandSpec {
+        command: CliCommand::History,
+        name: "history",
+        arguments: "",
+        summary: "Show which configurations were accepted, when and by whom",
         details: "",
-        options: &[CliOption::Node, CliOption::Json],
+        options: &[CliOption::Store, CliOption::Limit, CliOption::Json],
     },
     CommandSpec {
         command: CliCommand::Targets,
--- a/crates/fescueway/src/commands/diff.rs
+++ b/crates/fescueway/src/commands/diff.rs
@@ -1,33 +1,62 @@
 //! `fescueway diff`: shows what would change.
 
-use fescueway_config::ConfigChange;
+use fescueway_config::{ConfigChange, ConfigSet};
+use serde::Serialize;
 
 use crate::{
     cli_error::{CommandError, CommandReply, CommandResult},
     command_line::CliOptions,
     commands::json_text,
     config_files::read_sites,
+    fleet_store::{self, connect},
     text_table::{row, text_table},
 };
 
+/// What `diff --json` prints.
+#[derive(Debug, Serialize)]
+struct DiffReport {
+    /// The revision that was compared with, for `apply --revision`; `None` for documents.
+    revision: Option<u64>,
+    /// What would change.
+    changes: Vec<ConfigChange>,
+}
+
 /// Runs the command.
-pub(crate) fn run(options: &CliOptions) -> CommandResult {
+pub(crate) async fn run(options: &CliOptions) -> CommandResult {
     let next = read_sites(&options.files)?;
-    if options.from.is_empty() {
-        return Err(CommandError::usage(
-            "--from has to say what to compare with",
-        ));
-    }
-    let before = read_sites(&options.from)?;
+    let (revision, before) = before(options).await?;
     let changes = before.diff(&next);
+    let report = DiffReport { revision, changes };
     if options.is_json {
-        return Ok(CommandReply::done(json_text(&changes)?));
+        return Ok(CommandReply::done(json_text(&report)?));
+    }
+    let mut text = change_table(&report.changes);
+    if let Some(revision) = revision {
+        text = format!("compared with revision {revision}\n{text}");
+    }
+    Ok(CommandReply::done(text))
+}
+
+/// What to compare with, and its revision if the store holds it. Before the first configuration
+/// the store holds revision 0, which is empty.
+async fn before(options: &CliOptions) -> Result<(Option<u64>, ConfigSet), CommandError> {
+    match (options.stores.is_empty(), options.from.is_empty()) {
+        (true, false) => Ok((None, read_sites(&options.from)?)),
+        (false, true) => {
+            let store = connect(options)?;
+            let found = fleet_store::read_config(&store).await?;
+            let (revision, config) =
+                found.map_or_else(Default::default, |(head, config)| (head.revision, config));
+            Ok((Some(revision), config))
+        }
+        _ => Err(CommandError::usage(
+            "either --store or --from has to say what to compare with",
+        )),
     }
-    Ok(CommandReply::done(change_table(&changes)))
 }
 
 /// The changes as a table.
-pub(crate) fn change_table(changes: &[ConfigChange]) -> String {
+fn change_table(changes: &[ConfigChange]) -> String {
     if changes.is_empty() {
         return String::from("nothing changes\n");
     }
--- a/crates/fescueway/src/commands/mod.rs
+++ b/crates/fescueway/src/commands/mod.rs
@@ -1,9 +1,11 @@
 //! The commands, a module for each.
 
+mod apply;
 mod burn;
 mod check;
 mod diff;
 mod drain;
+mod history;
 mod render;
 mod status;
 mod targets;
@@ -23,11 +25,13 @@
 /// Runs a command.
 pub(crate) fn run(command: CliCommand, options: &CliOptions) -> CommandResult {
     match command {
+        CliCommand::Apply => wait_for(apply::run(options)),
         CliCommand::Burn => wait_for(burn::run(options)),
         CliCommand::Check => check::run(options),
-        CliCommand::Diff => diff::run(options),
+        CliCommand::Diff => wait_for(diff::run(options)),
         CliCommand::Drain => wait_for(drain::drain(options)),
         CliCommand::Help => help(options),
+        CliCommand::History => wait_for(history::run(options)),
         CliCommand::Render => render::run(options),
         CliCommand::Status => wait_for(status::run(options)),
         CliCommand::Targets => wait_for(targets::run(options)),
--- a/crates/fescueway/src/commands/status.rs
+++ b/crates/fescueway/src/commands/status.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt::Write, net::SocketAddr};
 
+use fescueway_rollout::{ConfigHead, driver};
 use fescueway_telemetry::NodeStatus;
 use serde::Serialize;
 
@@ -9,6 +10,8 @@
     cli_error::{CommandError, CommandReply, CommandResult, ExitStatus},
     command_line::CliOptions,
     commands::json_text,
+    fleet_report::FleetReport,
+    fleet_store::{READ_TIMEOUT, connect, time_text},
     node_client::get_json,
     text_table::{row, text_table},
 };
@@ -27,33 +30,85 @@
 /// What `status --json` prints.
 #[derive(Debug, Serialize)]
 struct StatusReport {
+    /// The newest configuration, when the store was asked and holds one.
+    head: Option<ConfigHead>,
+    /// What is in force over the fleet, when the store was asked and holds a configuration.
+    fleet: Option<FleetReport>,
     /// What the nodes said.
     nodes: Vec<NodeAnswer>,
 }
 
 /// Runs the command.
 pub(crate) async fn run(options: &CliOptions) -> CommandResult {
-    if options.nodes.is_empty() {
-        return Err(CommandError::usage("--node has to say whom to ask"));
+    if options.nodes.is_empty() && options.stores.is_empty() {
+        return Err(CommandError::usage(
+            "--store or --node has to say whom to ask",
+        ));
     }
+    let (head, fleet) = if options.stores.is_empty() {
+        (None, None)
+    } else {
+        read_fleet(options).await?
+    };
     let mut nodes = Vec::new();
     for address in &options.nodes {
         nodes.push(ask(*address).await);
     }
-    let status = if nodes.iter().all(NodeAnswer::is_in_force) {
-        ExitStatus::Done
-    } else {
-        ExitStatus::Refused
-    };
-    let report = StatusReport { nodes };
+    let report = StatusReport { head, fleet, nodes };
     let text = if options.is_json {
         json_text(&report)?
     } else {
-        node_table(&report.nodes)
+        report.text(options)
     };
+    let status = report.exit_status();
     Ok(CommandReply { text, status })
 }
 
+/// Reads the newest configuration's head and where it is in force.
+async fn read_fleet(
+    options: &CliOptions,
+) -> Result<(Option<ConfigHead>, Option<FleetReport>), CommandError> {
+    let store = connect(options)?;
+    let head = driver::read_head(&store, READ_TIMEOUT).await;
+    let Some(head) = head.map_err(CommandError::refused)? else {
+        return Ok((None, None));
+    };
+    let fleet = FleetReport::read(&store, head.revision).await;
+    Ok((Some(head), Some(fleet.map_err(CommandError::refused)?)))
+}
+
+impl StatusReport {
+    /// Whether all that was asked about is in force.
+    fn exit_status(&self) -> ExitStatus {
+        let is_fleet = self.fleet.as_ref().is_none_or(FleetReport::is_in_force);
+        if is_fleet && self.nodes.iter().all(NodeAnswer::is_in_force) {
+            ExitStatus::Done
+        } else {
+            ExitStatus::Refused
+        }
+    }
+
+    /// The report as tables.
+    fn text(&self, options: &CliOptions) -> String {
+        let mut text = String::new();
+        match (&self.head, &self.fleet) {
+            (Some(head), Some(fleet)) => {
+                let (revision, operator) = (head.revision, &head.operator);
+                let time = time_text(head.unix_time_s);
+                // Writing to a string can't fail.
+                let _ = writeln!(text, "revision {revision}, accepted {time} from {operator}");
+                text += &fleet.text();
+            }
+            _ if !options.stores.is_empty() => text += "no configuration was accepted yet\n",
+            _ => {}
+        }
+        if !self.nodes.is_empty() {
+            text += &node_table(&self.nodes);
+        }
+        text
+    }
+}
+
 /// Asks one node.
 async fn ask(address: SocketAddr) -> NodeAnswer {
     match get_json(address, "/status").await {
--- a/crates/fescueway/src/main.rs
+++ b/crates/fescueway/src/main.rs
@@ -10,6 +10,8 @@
 mod command_spec;
 mod commands;
 mod config_files;
+mod fleet_report;
+mod fleet_store;
 mod node_client;
 mod progress;
 mod text_table;
--- a/crates/fescueway/tests/command_line.rs
+++ b/crates/fescueway/tests/command_line.rs
@@ -2,11 +2,17 @@
 
 mod support;
 
-use std::fs;
+use std::{
+    fs,
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpListener},
+    sync::mpsc::{Receiver, channel},
+    thread,
+};
 
 use serde_json::{Value, json};
 
-use crate::support::{CliRun, fescueway, node_stub};
+use crate::support::{CliRun, fescueway};
 
 const CAPROCK: [&str; 2] = ["configs/caprock/base.json", "configs/caprock/texas.json"];
 
@@ -20,6 +26,35 @@
     assert!(run.out.is_empty(), "{run:?}");
 }
 
+/// Answers `answers.len()` requests on loopback, each with its status and body, and tells the
+/// request lines.
+fn node_stub(answers: Vec<(u16, String)>) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (sender, requests) = channel();
+    thread::spawn(move || {
+        for (status, body) in answers {
+            let (mut stream, _) = listener.accept().expect("a caller");
+            let mut lines = BufReader::new(stream.try_clone().expect("a clone")).lines();
+            let first = lines.next().expect("a request").expect("a line");
+            while lines
+                .next()
+                .is_some_and(|line| line.is_ok_and(|line| !line.is_empty()))
+            {}
+            let length = body.len();
+            write!(
+                stream,
+                "HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n{body}"
+            )
+            .expect("an answer");
+            if sender.send(first).is_err() {
+                return;
+            }
+        }
+    });
+    (address, requests)
+}
+
 #[test]
 fn help_and_version_are_printed() {
     let help = fescueway(&["help"]);
@@ -54,6 +89,7 @@
     );
     assert_fails(&fescueway(&["check"]), 2, "no files given");
     assert_fails(&fescueway(&["status"]), 2, "--node");
+    assert_fails(&fescueway(&with_caprock(&["apply"])), 2, "no store given");
     assert_fails(&fescueway(&["targets", "file"]), 2, "takes no files");
     assert_fails(
         &fescueway(&["targets", "--node", "localhost:1"]),
