--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -63,7 +63,9 @@
             record,
         );
     }
-    let body = match request_body(state.limits(), incoming, head.is_expecting).await {
+    let limits = state.limits();
+    let max_bytes = limits.body_bytes.min(service.limit.max_body_bytes);
+    let body = match request_body(limits, max_bytes, incoming, head.is_expecting).await {
         Ok(body) => body,
         Err(status) => return reject(status, "the body was not read", record),
     };
--- /dev/null
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -0,0 +1,4 @@
+//! The path of requests through real nodes on loopback.
+
+mod common;
+mod two_nodes;
--- a/crates/fescuewayd/tests/two_nodes.rs
+++ b/crates/fescuewayd/tests/path/two_nodes.rs
@@ -1,12 +1,11 @@
 //! A request enters one node and is answered through the other.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{announce, get, header, knows_targets, node, plan, request, send, text};
 use fescueway_testkit::{BackendPlan, BackendStub};
 
+use crate::common::{announce, get, header, knows_targets, node, plan, request, send, text};
+
 #[tokio::test]
 async fn a_request_is_answered_through_the_other_node() {
     let plan = plan("windows", Duration::from_secs(2));
