--- a/crates/fescueway_config/src/field_page.rs
+++ b/crates/fescueway_config/src/field_page.rs
@@ -5,16 +5,19 @@
 /// The table of a service's fields as Markdown, as it stands in `docs/CONFIGURATION.md`.
 #[must_use]
 pub fn service_table() -> String {
-    let mut table =
-        String::from("| field | unit | default | allowed | meaning |\n|---|---|---|---|---|\n");
-    for rule in SERVICE_RULES {
-        table += &row(rule);
-    }
-    table
+    field_table(SERVICE_RULES.iter().copied())
+}
+
+/// A table of fields as Markdown.
+#[must_use]
+pub fn field_table(rules: impl IntoIterator<Item = FieldRule>) -> String {
+    let heading = "| field | unit | default | allowed | meaning |\n|---|---|---|---|---|\n";
+    let rows = rules.into_iter().map(row);
+    heading.to_owned() + &rows.collect::<String>()
 }
 
 /// One row.
-fn row(rule: &FieldRule) -> String {
+fn row(rule: FieldRule) -> String {
     match rule {
         FieldRule::Number(rule) => {
             let kind = if rule.is_whole { "whole, " } else { "" };
--- a/crates/fescueway_config/src/lib.rs
+++ b/crates/fescueway_config/src/lib.rs
@@ -27,7 +27,7 @@
     config_error::{ConfigError, ConfigStep, FieldFault},
     config_set::ConfigSet,
     document::Document,
-    field_page::service_table,
+    field_page::{field_table, service_table},
     field_rule::{FieldRule, NumberRule, TextRule},
     raw_service::{
         RawClaim, RawDefaultRoute, RawLimit, RawLocality, RawObjective, RawProbe, RawRetry,
