Find a straggler by its silence, refuse there what others serve better

Cause: the host took the mean age of its running requests for the service time. Change: a stall is now no end for as long as ten requests take, with half of the slots in use; a straggler runs one request at a time and refuses others for which the entry knows a better place; entries forget slowness within a second, since the host refuses if it lasts.

--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -16,15 +16,15 @@
 /// How fast the baseline forgets, per finished request, so that it can rise again.
 const BASELINE_RISE: f64 = 1.0 / 20_000.0;
 
-/// Running requests that are this many times as old as usual show a stalled backend server
-/// before any of them ends.
-const STALL_FACTOR: f64 = 2.5;
-
 /// Requests after which the recent mean can serve as a first baseline.
 const BASELINE_COUNT: u32 = 64;
 
-/// Requests that must be running before their age says anything.
-const STALL_COUNT: usize = 4;
+/// A backend server stalls when none of its running requests has ended for as long as this many
+/// usually take to.
+const STALL_ENDS: f64 = 10.0;
+
+/// How many times the baseline the service time of a straggler is.
+const STRAGGLER_FACTOR: f64 = 3.0;
 
 /// One request that holds a slot.
 #[derive(Clone, Copy, Debug)]
@@ -40,8 +40,11 @@
 pub(crate) struct ServiceEstimate {
     /// Requests that hold a slot. Its capacity is set once, so that admission allocates nothing.
     open: Vec<OpenRun>,
-    /// Sum of the start times of `open`, in microseconds.
-    start_sum_us: u64,
+    /// Requests that have to be open before their silence says anything: with few, those left are
+    /// likely long ones.
+    stall_count: usize,
+    /// When a request last ended, or began with none open.
+    ended: MonoTime,
     /// Recent mean, in microseconds; zero until the first request ended.
     recent_us: f64,
     /// The mean on an undisturbed day, in microseconds; never far above `recent_us`.
@@ -57,7 +60,8 @@
     pub(crate) fn new(slots: u32) -> Self {
         Self {
             open: Vec::with_capacity(slots as usize),
-            start_sum_us: 0,
+            stall_count: (slots as usize).div_ceil(2),
+            ended: MonoTime::ZERO,
             recent_us: 0.0,
             baseline_us: 0.0,
             count: 0,
@@ -72,7 +76,9 @@
 
     /// A request got a slot.
     pub(crate) fn start(&mut self, now: MonoTime, ticket: TicketId) {
-        self.start_sum_us += now.as_micros();
+        if self.open.is_empty() {
+            self.ended = now;
+        }
         self.open.push(OpenRun {
             ticket,
             started: now,
@@ -83,7 +89,7 @@
     pub(crate) fn stop(&mut self, now: MonoTime, ticket: TicketId) -> Option<f64> {
         let index = self.open.iter().position(|run| run.ticket == ticket)?;
         let run = self.open.swap_remove(index);
-        self.start_sum_us -= run.started.as_micros();
+        self.ended = now;
         Some(now.since(run.started).as_micros() as f64)
     }
 
@@ -116,21 +122,32 @@
 
     /// Mean time that a request holds a slot now, in microseconds.
     ///
-    /// Requests that are still running count too: when they are far older than usual, the mean of
-    /// those that ended is out of date.
+    /// Requests that are still running count too: when none ends for far longer than usual, the
+    /// mean of those that ended is out of date.
     pub(crate) fn mean_us(&self, now: MonoTime) -> f64 {
-        if self.open.len() < STALL_COUNT {
-            return self.recent_us;
-        }
-        let count = self.open.len() as f64;
-        let age_us = now.as_micros() as f64 - self.start_sum_us as f64 / count;
-        if age_us > STALL_FACTOR * self.recent_us && self.recent_us > 0.0 {
-            age_us
+        let silence_us = now.since(self.ended).as_micros() as f64;
+        let implied_us = silence_us * self.open.len() as f64;
+        let is_stalled = self.open.len() >= self.stall_count
+            && self.recent_us > 0.0
+            && implied_us > STALL_ENDS * self.recent_us;
+        if is_stalled {
+            implied_us
         } else {
             self.recent_us
         }
     }
 
+    /// How much longer than on an undisturbed day a request takes at a straggler, in
+    /// microseconds; zero for a target that isn't one.
+    pub(crate) fn straggler_us(&self, now: MonoTime) -> f64 {
+        let mean_us = self.mean_us(now);
+        if mean_us > STRAGGLER_FACTOR * self.baseline_us {
+            mean_us - self.baseline_us
+        } else {
+            0.0
+        }
+    }
+
     /// Recent mean of those that ended, in microseconds.
     pub(crate) fn recent_us(&self) -> f64 {
         self.recent_us
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -121,6 +121,10 @@
         if self.is_draining {
             return GateResult::Refuse(Self::draining());
         }
+        if self.is_better_elsewhere(now, terms) {
+            let wait = Duration::from_micros(self.service.straggler_us(now) as u64);
+            return GateResult::Refuse(Self::refusal(RefusalReason::QueueFull, wait));
+        }
         let offer = QueuedOffer::new(now, ticket, terms);
         if self.has_slot(now) && self.queue.len() == 0 {
             return self.start(now, ticket, terms);
@@ -237,6 +241,13 @@
         actions
     }
 
+    /// Whether this target is a straggler and the entry knows a better one. One request at a time
+    /// still runs here, so that the end of the trouble is seen.
+    fn is_better_elsewhere(&self, now: MonoTime, terms: &RequestTerms) -> bool {
+        let straggler_us = self.service.straggler_us(now);
+        self.service.open_count() > 0 && straggler_us > terms.wait_limit.as_micros() as f64
+    }
+
     /// Whether another request may run.
     fn has_slot(&self, now: MonoTime) -> bool {
         self.service.open_count() < self.current_limit(now)
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -1,5 +1,7 @@
 //! What one entry knows of one target.
 
+use std::time::Duration;
+
 use fescueway_core::{LoadReport, MonoTime, NodeId, RefusalReason, TargetRecord, TargetState};
 
 use crate::{
@@ -30,6 +32,9 @@
 /// How steeply slowness counts once it is out of tolerance, up to its full amount.
 const SLOWNESS_SLOPE: f64 = 3.0;
 
+/// How long it takes to forget most of a target's slowness. Its host refuses, should it last.
+const SLOWNESS_MEMORY: Duration = Duration::from_secs(1);
+
 /// What one entry knows of one target.
 #[derive(Debug)]
 pub(crate) struct TargetView {
@@ -164,6 +169,7 @@
         let usual_us = pool.service_us();
         let over_us = service_us - TOLERATED_SLOWNESS * usual_us;
         let slower_us = (over_us * SLOWNESS_SLOPE).clamp(0.0, (service_us - usual_us).max(0.0));
+        let slower_us = slower_us * decay(now.since(self.load_at), SLOWNESS_MEMORY);
         trip_us + slower_us + self.wait_us(now, pool, service_us)
     }
 
@@ -189,8 +195,10 @@
 
     /// How much of the last report still holds, from 1 to 0.
     fn freshness(&self, now: MonoTime, service_us: f64) -> f64 {
-        let age_us = now.since(self.load_at).as_micros() as f64;
-        (-age_us / service_us.max(1.0)).exp()
+        decay(
+            now.since(self.load_at),
+            Duration::from_micros(service_us as u64),
+        )
     }
 
     /// Time that a request holds a slot now, in microseconds: what the host reported, or longer
@@ -201,11 +209,15 @@
         } else {
             pool.service_us()
         };
-        let silence_us = now.since(self.silent_since).as_micros() as f64;
-        if self.open > 0 && silence_us > SILENCE_FACTOR * usual_us {
-            silence_us
-        } else {
-            usual_us
+        if self.open == 0 {
+            return usual_us;
         }
+        let silence_us = now.since(self.silent_since).as_micros() as f64;
+        usual_us + (silence_us - SILENCE_FACTOR * usual_us).max(0.0)
     }
 }
+
+/// What is left of a quantity after `age` when it falls by e in each `memory`.
+fn decay(age: Duration, memory: Duration) -> f64 {
+    (-age.as_secs_f64() / memory.as_secs_f64().max(1e-6)).exp()
+}
