--- a/crates/fescueway_bench/benches/added_latency/node_thread.rs
+++ b/crates/fescueway_bench/benches/added_latency/node_thread.rs
@@ -43,11 +43,14 @@
     ) -> Self {
         let (questions, receiver) = async_mpsc::unbounded_channel();
         let (sender, started) = mpsc::channel();
-        thread::spawn(move || {
+        let name = if backend.is_some() { "host" } else { "entry" };
+        let builder = thread::Builder::new().name(name.to_owned());
+        let spawned = builder.spawn(move || {
             let runtime = Builder::new_current_thread().enable_all().build();
             let running = run(plan, seed, backend, sender, receiver);
             runtime.expect("a runtime").block_on(running);
         });
+        spawned.expect("a thread");
         Self {
             addresses: started.recv().expect("the node starts"),
             questions,
