--- /dev/null
+++ b/crates/fescueway/src/commands/status.rs
@@ -0,0 +1,207 @@
+//! `fescueway status`: shows what is in force, and where it is not.
+
+use std::{fmt::Write, net::SocketAddr};
+
+use fescueway_rollout::{ConfigHead, driver};
+use fescueway_telemetry::NodeStatus;
+use serde::Serialize;
+
+use crate::{
+    cli_error::{CommandError, CommandReply, CommandResult, ExitStatus},
+    command_line::CliOptions,
+    commands::json_text,
+    fleet_report::FleetReport,
+    fleet_store::{READ_TIMEOUT, connect, time_text},
+    node_client::get_json,
+    text_table::{row, text_table},
+};
+
+/// What one node said, or why it said nothing.
+#[derive(Debug, Serialize)]
+struct NodeAnswer {
+    /// The address that was asked.
+    address: SocketAddr,
+    /// What it said.
+    status: Option<NodeStatus>,
+    /// Why it said nothing.
+    error: Option<String>,
+}
+
+/// What `status --json` prints.
+#[derive(Debug, Serialize)]
+struct StatusReport {
+    /// The newest configuration, when the store was asked and holds one.
+    head: Option<ConfigHead>,
+    /// What is in force over the fleet, when the store was asked and holds a configuration.
+    fleet: Option<FleetReport>,
+    /// What the nodes said.
+    nodes: Vec<NodeAnswer>,
+}
+
+/// Runs the command.
+pub(crate) async fn run(options: &CliOptions) -> CommandResult {
+    if options.nodes.is_empty() && options.stores.is_empty() {
+        return Err(CommandError::usage(
+            "--store or --node has to say whom to ask",
+        ));
+    }
+    let (head, fleet) = if options.stores.is_empty() {
+        (None, None)
+    } else {
+        read_fleet(options).await?
+    };
+    let mut nodes = Vec::new();
+    for address in &options.nodes {
+        nodes.push(ask(*address).await);
+    }
+    let report = StatusReport { head, fleet, nodes };
+    let text = if options.is_json {
+        json_text(&report)?
+    } else {
+        report.text(options)
+    };
+    let status = report.exit_status();
+    Ok(CommandReply { text, status })
+}
+
+/// Reads the newest configuration's head and where it is in force.
+async fn read_fleet(
+    options: &CliOptions,
+) -> Result<(Option<ConfigHead>, Option<FleetReport>), CommandError> {
+    let store = connect(options)?;
+    let head = driver::read_head(&store, READ_TIMEOUT).await;
+    let Some(head) = head.map_err(CommandError::refused)? else {
+        return Ok((None, None));
+    };
+    let fleet = FleetReport::read(&store, head.revision).await;
+    Ok((Some(head), Some(fleet.map_err(CommandError::refused)?)))
+}
+
+impl StatusReport {
+    /// Whether all that was asked about is in force.
+    fn exit_status(&self) -> ExitStatus {
+        let is_fleet = self.fleet.as_ref().is_none_or(FleetReport::is_in_force);
+        if is_fleet && self.nodes.iter().all(NodeAnswer::is_in_force) {
+            ExitStatus::Done
+        } else {
+            ExitStatus::Refused
+        }
+    }
+
+    /// The report as tables.
+    fn text(&self, options: &CliOptions) -> String {
+        let mut text = String::new();
+        match (&self.head, &self.fleet) {
+            (Some(head), Some(fleet)) => {
+                let (revision, operator) = (head.revision, &head.operator);
+                let time = time_text(head.unix_time_s);
+                // Writing to a string can't fail.
+                let _ = writeln!(text, "revision {revision}, accepted {time} from {operator}");
+                text += &fleet.text();
+            }
+            _ if !options.stores.is_empty() => text += "no configuration was accepted yet\n",
+            _ => {}
+        }
+        if !self.nodes.is_empty() {
+            text += &node_table(&self.nodes);
+        }
+        text
+    }
+}
+
+/// Asks one node.
+async fn ask(address: SocketAddr) -> NodeAnswer {
+    match get_json(address, "/status").await {
+        Ok(status) => NodeAnswer {
+            address,
+            status: Some(status),
+            error: None,
+        },
+        Err(report) => NodeAnswer {
+            address,
+            status: None,
+            error: Some(format!("{report:#}")),
+        },
+    }
+}
+
+impl NodeAnswer {
+    /// Whether the node runs the highest revision that it has heard of.
+    fn is_in_force(&self) -> bool {
+        let status = self.status.as_ref();
+        status.is_some_and(|status| status.in_force >= status.revision)
+    }
+}
+
+/// The nodes as a table, with what is wrong below it.
+fn node_table(nodes: &[NodeAnswer]) -> String {
+    let heading = [
+        "NODE", "ADDRESS", "SITE", "DOMAIN", "REVISION", "IN FORCE", "STATE", "TARGETS", "PEERS",
+        "STORE", "UP",
+    ];
+    let mut rows = vec![row(heading)];
+    rows.extend(nodes.iter().map(node_row));
+    let mut text = text_table(&rows);
+    for answer in nodes {
+        let refused = answer
+            .status
+            .as_ref()
+            .and_then(|status| status.config_error.as_ref());
+        for error in answer.error.iter().chain(refused) {
+            // Writing to a string can't fail.
+            let _ = writeln!(text, "{}: {error}", answer.address);
+        }
+    }
+    text
+}
+
+/// The row of one node.
+fn node_row(answer: &NodeAnswer) -> Vec<String> {
+    let address = answer.address.to_string();
+    let Some(status) = &answer.status else {
+        return row([
+            "-",
+            &address,
+            "-",
+            "-",
+            "-",
+            "-",
+            "no answer",
+            "-",
+            "-",
+            "-",
+            "-",
+        ]);
+    };
+    let state = if status.is_draining {
+        "draining"
+    } else {
+        "serving"
+    };
+    row([
+        &status.node,
+        &address,
+        status.site.as_str(),
+        status.domain.as_str(),
+        &status.revision.to_string(),
+        &status.in_force.to_string(),
+        state,
+        &status.targets.to_string(),
+        &status.peers.to_string(),
+        status.store.as_str(),
+        &uptime_text(status.uptime_ms),
+    ])
+}
+
+/// Time since a start, in its two largest units.
+fn uptime_text(uptime_ms: u64) -> String {
+    let seconds = uptime_ms / 1_000;
+    let (days, hours) = (seconds / 86_400, seconds / 3_600 % 24);
+    let (minutes, rest) = (seconds / 60 % 60, seconds % 60);
+    match (days, hours, minutes) {
+        (0, 0, 0) => format!("{rest}s"),
+        (0, 0, _) => format!("{minutes}m{rest}s"),
+        (0, _, _) => format!("{hours}h{minutes}m"),
+        _ => format!("{days}d{hours}h"),
+    }
+}
--- a/crates/fescueway_core/src/lib.rs
+++ b/crates/fescueway_core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock. The decision crates take a [`MonoTime`] as an
 //! argument, so that tests and benches run them under virtual time.
 
+mod config_mark;
 mod load_report;
 mod mono_time;
 mod names;
@@ -13,12 +14,13 @@
 mod target_record;
 
 pub use crate::{
+    config_mark::ConfigMark,
     load_report::LoadReport,
     mono_time::MonoTime,
     names::{DomainName, ServiceName, SiteName},
     node_id::NodeId,
     outcome::Outcome,
     refusal::{Refusal, RefusalReason},
-    request_terms::{Idempotency, KeyDigest, Priority, RequestTerms},
+    request_terms::{Idempotency, KeyDigest, OfferCause, Priority, RequestTerms},
     target_record::{TargetRecord, TargetState},
 };
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -1,6 +1,79 @@
 //! Events of the path of a request: numbers from 1000.
 
+use log::Level;
+
 use crate::EventKind;
 
+/// A connection could not be accepted.
+pub const ACCEPT_FAILED: EventKind = EventKind {
+    number: 1000,
+    level: Level::Warn,
+    summary: "a connection could not be accepted",
+    fields: &["listener", "error"],
+    advice: "Raise the limit of open files, or lower the node's limits on connections.",
+};
+
+/// A peer's connection or message was refused.
+pub const PEER_REFUSED: EventKind = EventKind {
+    number: 1001,
+    level: Level::Warn,
+    summary: "a peer's bytes were refused",
+    fields: &["peer", "error"],
+    advice: "Find out what connects to the peer address; during an upgrade, finish it.",
+};
+
+/// A request was handed over and its answer was lost.
+pub const ANSWER_LOST: EventKind = EventKind {
+    number: 1002,
+    level: Level::Warn,
+    summary: "the answer of a backend server was lost",
+    fields: &["target", "error"],
+    advice: "See whether the backend server crashed or missed its deadline.",
+};
+
+/// A caller's connection ended with an error.
+pub const CALLER_FAILED: EventKind = EventKind {
+    number: 1003,
+    level: Level::Debug,
+    summary: "a caller's connection ended with an error",
+    fields: &["caller", "error"],
+    advice: "Nothing, unless there are many.",
+};
+
+/// A backend server announced itself.
+pub const BACKEND_ANNOUNCED: EventKind = EventKind {
+    number: 1004,
+    level: Level::Info,
+    summary: "a backend server announced itself",
+    fields: &["service", "address"],
+    advice: "Nothing.",
+};
+
+/// A backend server left.
+pub const BACKEND_LEFT: EventKind = EventKind {
+    number: 1005,
+    level: Level::Info,
+    summary: "a backend server left",
+    fields: &["service"],
+    advice: "Nothing.",
+};
+
+/// A backend server stopped announcing itself.
+pub const BACKEND_SILENT: EventKind = EventKind {
+    number: 1006,
+    level: Level::Warn,
+    summary: "a backend server stopped announcing itself",
+    fields: &["service"],
+    advice: "See whether it crashed. A backend server that stops on purpose leaves first.",
+};
+
 /// Every event of this area.
-pub const ALL: &[&EventKind] = &[];
+pub const ALL: &[&EventKind] = &[
+    &ACCEPT_FAILED,
+    &PEER_REFUSED,
+    &ANSWER_LOST,
+    &CALLER_FAILED,
+    &BACKEND_ANNOUNCED,
+    &BACKEND_LEFT,
+    &BACKEND_SILENT,
+];
--- /dev/null
+++ b/crates/fescuewayd/src/daemon.rs
@@ -0,0 +1,207 @@
+//! One running node.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use fescueway_core::NodeId;
+use fescueway_proxy::{ProxyOptions, ProxyState, TaskGroup, serve_callers, serve_peers};
+use fescueway_telemetry::{MetricSet, emit, events::operator};
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    DaemonError, DaemonSettings,
+    announce_task::run_announcements,
+    backend_api::BackendApi,
+    daemon_sockets::{DaemonAddresses, DaemonSockets},
+    local_http::serve_local,
+    node_meter::NodeMeter,
+    operator_api::OperatorApi,
+    status_board::StatusBoard,
+};
+
+/// How often a stopping daemon looks whether its last request is done.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// How long peers may take to hear the goodbye.
+const GOODBYE_TIME: Duration = Duration::from_millis(200);
+
+/// One running node. Dropping it leaves it running; [`Daemon::stop`] ends it in order.
+#[derive(Debug)]
+pub struct Daemon {
+    /// The path of requests.
+    state: ProxyState,
+    /// Where it listens.
+    addresses: DaemonAddresses,
+    /// What it was started with.
+    settings: Arc<DaemonSettings>,
+    /// Metrics and burn.
+    meter: NodeMeter,
+    /// What its tasks tell operators.
+    board: StatusBoard,
+    /// Stops taking callers' connections.
+    closing_callers: CancellationToken,
+    /// Stops taking peers' connections.
+    closing_peers: CancellationToken,
+}
+
+impl Daemon {
+    /// Starts a node on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be bound.
+    pub async fn start(settings: DaemonSettings) -> Result<Self, DaemonError> {
+        let sockets = DaemonSockets::bind(&settings).await?;
+        let addresses = sockets.addresses(&settings);
+        let tasks = TaskGroup::default();
+        let options = proxy_options(&settings, addresses.peers)?;
+        let state = ProxyState::new(options, tasks);
+        if let Some(plan) = &settings.plan {
+            state.apply_plan(Arc::clone(plan));
+        }
+        let daemon = Self {
+            meter: NodeMeter::start(&state)?,
+            board: StatusBoard::default(),
+            state,
+            addresses,
+            settings: Arc::new(settings),
+            closing_callers: CancellationToken::new(),
+            closing_peers: CancellationToken::new(),
+        };
+        daemon.run(sockets);
+        daemon.tell_start();
+        Ok(daemon)
+    }
+
+    /// The path of requests.
+    #[must_use]
+    pub fn state(&self) -> &ProxyState {
+        &self.state
+    }
+
+    /// What its tasks tell operators.
+    #[must_use]
+    pub fn board(&self) -> &StatusBoard {
+        &self.board
+    }
+
+    /// Metrics.
+    #[must_use]
+    pub fn metrics(&self) -> &Arc<MetricSet> {
+        self.meter.metrics()
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn addresses(&self) -> DaemonAddresses {
+        self.addresses
+    }
+
+    /// Takes no new work, finishes what is in flight within the time that the settings allow,
+    /// says goodbye to its peers, and ends.
+    pub async fn stop(self) {
+        let start = Instant::now();
+        let limit = self.settings.stop_timeout;
+        emit(
+            &operator::STOP_BEGAN,
+            &[&self.state.open_requests(), &limit.as_millis()],
+        );
+        for service in self.state.local_services() {
+            self.state.drain(&service);
+        }
+        self.closing_callers.cancel();
+        while !self.is_idle() && start.elapsed() < limit {
+            sleep(STOP_POLL).await;
+        }
+        if !self.is_idle() {
+            let cut = self.state.open_requests();
+            emit(&operator::STOP_CUT_REQUESTS, &[&cut, &limit.as_millis()]);
+        }
+        self.leave().await;
+        emit(&operator::STOP_ENDED, &[&start.elapsed().as_millis()]);
+    }
+
+    /// Says goodbye to the peers and ends every task.
+    async fn leave(&self) {
+        for service in self.state.local_services() {
+            self.state.withdraw(&service);
+        }
+        self.closing_peers.cancel();
+        let finished = self.state.tasks().finished();
+        // Tasks that wait for work never finish by themselves.
+        let _ = timeout(GOODBYE_TIME, finished).await;
+        self.state.tasks().cancel();
+    }
+
+    /// Ends at once, as a crash would.
+    pub fn kill(self) {
+        self.state.tasks().cancel();
+    }
+
+    /// Starts every task.
+    fn run(&self, sockets: DaemonSockets) {
+        let state = &self.state;
+        let tasks = state.tasks();
+        let callers = self.closing_callers.clone();
+        tasks.spawn(serve_callers(state.clone(), sockets.callers, callers));
+        let peers = self.closing_peers.clone();
+        tasks.spawn(serve_peers(state.clone(), sockets.peers, peers));
+        run_announcements(state, &self.settings.seed_peers);
+        let backends = BackendApi::new(state.clone(), self.settings.announce_timeout);
+        let answer = move |request| backends.answer(&request);
+        tasks.spawn(serve_local(
+            tasks.clone(),
+            sockets.backends,
+            "backends",
+            answer,
+        ));
+        let operators = OperatorApi::new(state.clone(), self.meter.clone(), self.board.clone());
+        let answer = move |request| operators.answer(&request);
+        tasks.spawn(serve_local(
+            tasks.clone(),
+            sockets.operators,
+            "operators",
+            answer,
+        ));
+    }
+
+    /// Tells that the node takes requests.
+    fn tell_start(&self) {
+        let options = self.state.options();
+        let (site, domain) = (&options.site, &options.domain);
+        let address = self.addresses.callers;
+        emit(
+            &operator::NODE_STARTED,
+            &[&options.node, site, domain, &address],
+        );
+        emit(&operator::OPERATORS_LISTEN, &[&self.addresses.operators]);
+    }
+
+    /// Whether nothing is in flight.
+    fn is_idle(&self) -> bool {
+        let services = self.state.local_services();
+        let mut targets = services
+            .iter()
+            .filter_map(|service| self.state.host_target(service));
+        targets.all(|target| target.is_idle())
+            && self.state.open_requests() == 0
+            && self.state.caller_connections() == 0
+    }
+}
+
+/// What the path starts with.
+fn proxy_options(
+    settings: &DaemonSettings,
+    peer_address: SocketAddr,
+) -> Result<ProxyOptions, DaemonError> {
+    let random = || getrandom::u64().map_err(DaemonError::Random);
+    Ok(ProxyOptions {
+        node: NodeId(random()?),
+        domain: settings.domain.clone(),
+        site: settings.site.clone(),
+        peer_address,
+        limits: settings.limits.clone(),
+        seed: random()?,
+        secret: u128::from(random()?) << 64 | u128::from(random()?),
+    })
+}
