Keep probes within their budget in every window

Cause: probes take real time from small backend servers, and a plain token bucket lets a full bucket and its refill through in the same second. Change: half a second's budget at most in the bucket, refilled at half the budget, empty at the start, not refilled while a probe runs; each probe takes its timeout up front. Traffic replaces probes, and overrules the endpoint. Checked by taking rules out: a full bucket at the start, a larger bucket, no charge for a slow probe: the property over windows fails each time. Refilling while a probe runs was not found by 400 random cases; that rule rests on the argument in ProbeBudget. Conclusion: at 12 ms/s and 5 ms a probe, idle probes stay under 0.1% of twelve slots, and under traffic under a twentieth of that (test bounds).

--- a/crates/fescueway_admission/src/lib.rs
+++ b/crates/fescueway_admission/src/lib.rs
@@ -5,6 +5,9 @@
 
 mod concurrency_limit;
 mod gate_plan;
+mod health_belief;
+mod probe_budget;
+mod probe_scheduler;
 mod service_estimate;
 mod slow_start;
 mod target_gate;
@@ -12,5 +15,8 @@
 
 pub use crate::{
     gate_plan::GatePlan,
+    health_belief::{HealthBelief, HealthVerdict},
+    probe_budget::ProbeBudget,
+    probe_scheduler::{ProbeEnd, ProbeScheduler},
     target_gate::{GateAction, GateResult, RunEnd, TargetGate, TicketId},
 };
