Refuse requests that crashed two backend servers

Cause: a request that crashes its backend server is sent again by its caller through other entries, and takes one backend server after the other along. Change: what was in flight at a crash is struck, by fingerprint, at all hosts of the service; with one strike it runs once at a time in the service, granted by its coordinator, and a host runs one such trial at a time; with two strikes it is refused; an answer clears it.

--- a/crates/fescueway_admission/src/lib.rs
+++ b/crates/fescueway_admission/src/lib.rs
@@ -10,6 +10,8 @@
 mod probe_scheduler;
 mod service_estimate;
 mod slow_start;
+mod suspect_list;
+mod suspect_message;
 mod target_gate;
 mod wait_queue;
 
@@ -18,5 +20,7 @@
     health_belief::{HealthBelief, HealthVerdict},
     probe_budget::ProbeBudget,
     probe_scheduler::{ProbeEnd, ProbeScheduler},
+    suspect_list::{SuspectEnd, SuspectList, SuspectStep},
+    suspect_message::{CrashId, SuspectMessage, SuspectReply},
     target_gate::{GateAction, GateResult, RunEnd, TargetGate, TicketId},
 };
--- /dev/null
+++ b/crates/fescueway_admission/src/suspect_list.rs
@@ -0,0 +1,343 @@
+//! Requests that were in flight when backend servers crashed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use fescueway_core::{MonoTime, NodeId};
+
+use crate::{CrashId, SuspectMessage, SuspectReply};
+
+/// Crashes after which a request is refused.
+const MAX_CRASHES: usize = 2;
+
+/// How long a suspect is remembered after its last strike.
+const SUSPECT_EXPIRY: Duration = Duration::from_mins(10);
+
+/// A trial whose host doesn't tell its end is given up after this.
+const TRIAL_EXPIRY: Duration = Duration::from_mins(1);
+
+/// Suspects held at once. The oldest go first.
+const MAX_SUSPECTS: usize = 4_096;
+
+/// What a host does with a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SuspectStep {
+    /// Run it, and report its end with [`SuspectList::finish`].
+    Run,
+    /// Send this to the coordinator first, and give its reply to [`SuspectList::trial_reply`].
+    AskTrial(SuspectMessage),
+    /// Refuse it.
+    Refuse,
+}
+
+/// How a request ended at the own backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SuspectEnd {
+    /// The backend server answered.
+    Answered,
+    /// The connection was lost. [`SuspectList::settle_loss`] tells whether by a crash.
+    Lost,
+    /// It was not handed over, or was cancelled.
+    Unused,
+}
+
+/// One fingerprint that was in flight at a crash.
+#[derive(Clone, Debug)]
+struct SuspectEntry {
+    /// The crashes.
+    crashes: BTreeSet<CrashId>,
+    /// The last of them.
+    struck_at: MonoTime,
+    /// Where it runs alone, as its coordinator knows.
+    trial: Option<(NodeId, MonoTime)>,
+}
+
+/// Requests that were in flight when backend servers of one service crashed, by fingerprint.
+///
+/// A fingerprint without strikes runs freely. With one strike it runs once at a time in the whole
+/// service: its coordinator, one of the hosts, grants the trials, and a host runs one trial at a
+/// time, so that an innocent isn't struck again beside a guilty one. With two strikes it is
+/// refused everywhere. An answer of a backend server clears it.
+#[derive(Clone, Debug)]
+pub struct SuspectList {
+    /// This node.
+    node: NodeId,
+    /// Suspects.
+    entries: BTreeMap<u64, SuspectEntry>,
+    /// Requests in flight at the own backend server, by fingerprint. Never zero.
+    in_flight: BTreeMap<u64, u32>,
+    /// Requests whose connection was lost, by what is not settled yet.
+    lost: BTreeSet<u64>,
+    /// The suspect that runs or asks for its trial here.
+    own_trial: Option<u64>,
+    /// Crashes of the own backend server so far.
+    crashes: u64,
+}
+
+impl SuspectList {
+    /// A list without suspects.
+    #[must_use]
+    pub fn new(node: NodeId) -> Self {
+        Self {
+            node,
+            entries: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            lost: BTreeSet::new(),
+            own_trial: None,
+            crashes: 0,
+        }
+    }
+
+    /// The host of `hosts` that grants the trials of a fingerprint. The same on every node that
+    /// sees the same hosts.
+    #[must_use]
+    pub fn coordinator(
+        fingerprint: u64,
+        hosts: impl IntoIterator<Item = NodeId>,
+    ) -> Option<NodeId> {
+        let rank = |host: &NodeId| (fingerprint ^ host.0).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 7;
+        hosts.into_iter().max_by_key(|host| (rank(host), *host))
+    }
+
+    /// Suspects held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are no suspects.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    // --- The own backend server ---
+
+    /// A request is about to be handed to the own backend server.
+    pub fn begin(&mut self, now: MonoTime, fingerprint: u64) -> SuspectStep {
+        match self.strikes(now, fingerprint) {
+            0 => {
+                self.run(fingerprint);
+                SuspectStep::Run
+            }
+            strikes if strikes < MAX_CRASHES && self.own_trial.is_none() => {
+                self.own_trial = Some(fingerprint);
+                let entry = self.entries.get(&fingerprint);
+                let crashes = entry.into_iter().flat_map(|entry| &entry.crashes);
+                SuspectStep::AskTrial(SuspectMessage::Trial {
+                    fingerprint,
+                    host: self.node,
+                    crashes: crashes.copied().collect(),
+                })
+            }
+            _ => SuspectStep::Refuse,
+        }
+    }
+
+    /// The coordinator's reply, `None` when none came. Returns whether the request runs.
+    pub fn trial_reply(
+        &mut self,
+        now: MonoTime,
+        fingerprint: u64,
+        reply: Option<&SuspectReply>,
+    ) -> bool {
+        // A second strike may have come while the coordinator was asked.
+        let is_below = self.strikes(now, fingerprint) < MAX_CRASHES;
+        let is_run = is_below && reply == Some(&SuspectReply::Granted);
+        if is_run {
+            self.run(fingerprint);
+        } else {
+            self.end_trial(fingerprint);
+        }
+        is_run
+    }
+
+    /// A request that ran ended. Returns what to tell: [`SuspectMessage::Cleared`] goes to all
+    /// hosts, the rest to the coordinator.
+    pub fn finish(&mut self, fingerprint: u64, end: SuspectEnd) -> Option<SuspectMessage> {
+        if !self.leave(fingerprint) {
+            // It was in flight at a crash, which settled it.
+            return None;
+        }
+        if end == SuspectEnd::Lost {
+            self.lost.insert(fingerprint);
+            return None;
+        }
+        let was_trial = self.end_trial(fingerprint);
+        let is_suspect = self.entries.contains_key(&fingerprint);
+        if is_suspect && end == SuspectEnd::Answered {
+            self.entries.remove(&fingerprint);
+            return Some(SuspectMessage::Cleared { fingerprint });
+        }
+        was_trial.then(|| self.trial_ended(fingerprint))
+    }
+
+    /// After a lost connection another one could be opened, or not because the backend server
+    /// crashed. Returns what to tell: [`SuspectMessage::Strike`] goes to all hosts, and those that
+    /// reply that they run one of the fingerprints are told to its coordinator as
+    /// [`SuspectMessage::Running`]; the rest goes to the coordinator.
+    pub fn settle_loss(&mut self, now: MonoTime, is_crash: bool) -> Option<SuspectMessage> {
+        let mut struck = std::mem::take(&mut self.lost);
+        if !is_crash {
+            let trial = self.own_trial.filter(|own| struck.contains(own))?;
+            self.own_trial = None;
+            return Some(self.trial_ended(trial));
+        }
+        struck.extend(std::mem::take(&mut self.in_flight).into_keys());
+        self.own_trial = None;
+        if struck.is_empty() {
+            return None;
+        }
+        self.crashes += 1;
+        let crash = CrashId {
+            host: self.node,
+            serial: self.crashes,
+        };
+        let fingerprints: Vec<_> = struck.into_iter().collect();
+        self.strike(now, crash, &fingerprints);
+        Some(SuspectMessage::Strike {
+            crash,
+            fingerprints,
+        })
+    }
+
+    /// Tells the coordinator that the own trial ended without showing anything.
+    fn trial_ended(&self, fingerprint: u64) -> SuspectMessage {
+        SuspectMessage::TrialEnded {
+            fingerprint,
+            host: self.node,
+        }
+    }
+
+    // --- Other hosts ---
+
+    /// Answers another host, or this one.
+    pub fn handle(&mut self, now: MonoTime, message: &SuspectMessage) -> SuspectReply {
+        match message {
+            SuspectMessage::Strike {
+                crash,
+                fingerprints,
+            } => {
+                self.strike(now, *crash, fingerprints);
+                let is_running = |print: &&u64| self.in_flight.contains_key(print);
+                SuspectReply::Noted(fingerprints.iter().filter(is_running).copied().collect())
+            }
+            SuspectMessage::Trial {
+                fingerprint,
+                host,
+                crashes,
+            } => {
+                for crash in crashes {
+                    self.strike(now, *crash, &[*fingerprint]);
+                }
+                self.grant(now, *fingerprint, *host)
+            }
+            SuspectMessage::Running { fingerprint, host } => {
+                if let Some(entry) = self.entries.get_mut(fingerprint) {
+                    entry.trial.get_or_insert((*host, now));
+                }
+                SuspectReply::Noted(Vec::new())
+            }
+            SuspectMessage::TrialEnded { fingerprint, host } => {
+                let entry = self.entries.get_mut(fingerprint);
+                if let Some(entry) = entry.filter(|entry| is_trial_at(entry, *host)) {
+                    entry.trial = None;
+                }
+                SuspectReply::Noted(Vec::new())
+            }
+            SuspectMessage::Cleared { fingerprint } => {
+                self.entries.remove(fingerprint);
+                SuspectReply::Noted(Vec::new())
+            }
+        }
+    }
+
+    /// As coordinator: lets a suspect run once at a time.
+    fn grant(&mut self, now: MonoTime, fingerprint: u64, host: NodeId) -> SuspectReply {
+        let strikes = self.strikes(now, fingerprint);
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return SuspectReply::Denied;
+        };
+        let open = entry
+            .trial
+            .filter(|(_, since)| now.since(*since) < TRIAL_EXPIRY);
+        if strikes >= MAX_CRASHES || open.is_some_and(|(other, _)| other != host) {
+            return SuspectReply::Denied;
+        }
+        entry.trial = Some((host, now));
+        SuspectReply::Granted
+    }
+
+    // --- Parts ---
+
+    /// Strikes of a fingerprint that are not forgotten.
+    fn strikes(&mut self, now: MonoTime, fingerprint: u64) -> usize {
+        let Some(entry) = self.entries.get(&fingerprint) else {
+            return 0;
+        };
+        if now.since(entry.struck_at) < SUSPECT_EXPIRY {
+            return entry.crashes.len();
+        }
+        self.entries.remove(&fingerprint);
+        0
+    }
+
+    /// Notes a crash for each of `fingerprints`.
+    fn strike(&mut self, now: MonoTime, crash: CrashId, fingerprints: &[u64]) {
+        for fingerprint in fingerprints {
+            let entry = self.entries.entry(*fingerprint);
+            let entry = entry.or_insert_with(|| SuspectEntry {
+                crashes: BTreeSet::new(),
+                struck_at: now,
+                trial: None,
+            });
+            if !entry.crashes.insert(crash) {
+                continue;
+            }
+            entry.struck_at = now;
+            if is_trial_at(entry, crash.host) {
+                entry.trial = None;
+            }
+        }
+        while self.entries.len() > MAX_SUSPECTS {
+            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.struck_at);
+            let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.entries.remove(&fingerprint);
+        }
+    }
+
+    /// Counts a request in flight.
+    fn run(&mut self, fingerprint: u64) {
+        *self.in_flight.entry(fingerprint).or_default() += 1;
+    }
+
+    /// Takes a request out of flight. Says whether it was there.
+    fn leave(&mut self, fingerprint: u64) -> bool {
+        let Some(count) = self.in_flight.get_mut(&fingerprint) else {
+            return false;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.in_flight.remove(&fingerprint);
+        }
+        true
+    }
+
+    /// Ends the own trial, if it is of this fingerprint.
+    fn end_trial(&mut self, fingerprint: u64) -> bool {
+        let was_trial = self.own_trial == Some(fingerprint);
+        if was_trial {
+            self.own_trial = None;
+        }
+        was_trial
+    }
+}
+
+/// Whether the trial of a suspect runs at `host`.
+fn is_trial_at(entry: &SuspectEntry, host: NodeId) -> bool {
+    entry.trial.is_some_and(|(holder, _)| holder == host)
+}
