--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -92,6 +92,8 @@
     announced: watch::Sender<Vec<TargetRecord>>,
     /// Requests of callers that are not answered whole.
     open_requests: Arc<AtomicUsize>,
+    /// Connections of callers that are open.
+    caller_connections: Arc<AtomicUsize>,
     /// Hears of each request.
     observer: Mutex<Option<RequestObserver>>,
 }
@@ -111,13 +113,14 @@
             clock,
             tasks: tasks.clone(),
             plan: Mutex::new(Arc::new(plan)),
-            routes: RouteTable::new(options.domain.clone(), options.seed),
+            routes: RouteTable::new(options.node, options.domain.clone(), options.seed),
             peers: PeerPool::new(limits, tasks, clock),
             controls: ControlTable::default(),
             calls: CallTable::new(options.secret),
             hosts: Mutex::default(),
             announced: watch::Sender::default(),
             open_requests: Arc::default(),
+            caller_connections: Arc::default(),
             observer: Mutex::default(),
             options,
         }))
@@ -184,9 +187,19 @@
     }
 
     /// Counts a request until the guard is dropped.
-    pub(crate) fn open_request(&self) -> OpenRequest {
-        self.0.open_requests.fetch_add(1, Ordering::Relaxed);
-        OpenRequest(Arc::clone(&self.0.open_requests))
+    pub(crate) fn open_request(&self) -> OpenGuard {
+        OpenGuard::new(&self.0.open_requests)
+    }
+
+    /// Connections of callers that are open.
+    #[must_use]
+    pub fn caller_connections(&self) -> usize {
+        self.0.caller_connections.load(Ordering::Relaxed)
+    }
+
+    /// Counts a caller's connection until the guard is dropped.
+    pub(crate) fn caller_connection(&self) -> OpenGuard {
+        OpenGuard::new(&self.0.caller_connections)
     }
 
     /// Calls that run at the backend servers of this node.
@@ -253,10 +266,7 @@
         let target = HostTarget::new(
             announcement.address,
             announcement.connections,
-            GatePlan {
-                slots: announcement.slots,
-                ..GatePlan::default()
-            },
+            self.gate_plan(announcement),
             Arc::clone(&self.0.limits),
             self.0.tasks.clone(),
             self.0.clock,
@@ -327,6 +337,19 @@
         }
     }
 
+    /// What the announcement and the configuration mean for the gate.
+    fn gate_plan(&self, announcement: &BackendAnnouncement) -> GatePlan {
+        let default = GatePlan::default();
+        let plan = self.plan();
+        let service = plan.services.get(&announcement.service);
+        let queue_per_slot = service.map(|plan| plan.limit.queue_per_slot);
+        GatePlan {
+            slots: announcement.slots,
+            queue_per_slot: queue_per_slot.unwrap_or(default.queue_per_slot),
+            ..default
+        }
+    }
+
     /// What was announced for `service`.
     fn known_announcement(&self, service: &ServiceName) -> Option<TargetRecord> {
         let records = self.0.announced.borrow();
@@ -362,11 +385,19 @@
     }
 }
 
-/// Counts a request until it is answered whole.
+/// Counts something that is open, until it is dropped.
 #[derive(Debug)]
-pub struct OpenRequest(Arc<AtomicUsize>);
+pub struct OpenGuard(Arc<AtomicUsize>);
+
+impl OpenGuard {
+    /// Counts one more.
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
 
-impl Drop for OpenRequest {
+impl Drop for OpenGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/fescueway_proxy/src/route_table.rs
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -23,6 +23,8 @@
 /// What the lock of a [`RouteTable`] guards.
 #[derive(Debug)]
 struct TableState {
+    /// The entry.
+    node: NodeId,
     /// The entry's failure domain.
     domain: DomainName,
     /// Draws the candidates.
@@ -52,10 +54,11 @@
 }
 
 impl RouteTable {
-    /// A table without targets for an entry in `domain`.
+    /// A table without targets for the entry `node` in `domain`.
     #[must_use]
-    pub fn new(domain: DomainName, seed: u64) -> Self {
+    pub fn new(node: NodeId, domain: DomainName, seed: u64) -> Self {
         Self(Mutex::new(TableState {
+            node,
             domain,
             random: Pcg64Mcg::seed_from_u64(seed),
             services: BTreeMap::new(),
@@ -181,12 +184,13 @@
             services,
             plans,
             domain,
+            node,
             ..
         } = self;
         services.entry(service.clone()).or_insert_with(|| {
             let plan = plans.get(service).cloned().unwrap_or_default();
             ServiceRoutes {
-                router: ServiceRouter::new(plan, domain.clone()),
+                router: ServiceRouter::new(plan, domain.clone()).with_seed(*node),
                 targets: BTreeMap::new(),
             }
         })
@@ -198,8 +202,9 @@
     RoutingPlan {
         max_offers: plan.retry.max_offers,
         budget_share: plan.retry.budget_share,
+        domain_trip: plan.locality.domain_trip,
+        subset_size: plan.locality.subset_size,
         is_hedging: plan.retry.is_hedging,
-        ..RoutingPlan::default()
     }
 }
 
