Run membership and rollout in the daemon

Cause: nodes told the peers in their settings of their targets every 2 s, forgot none, and had no configuration but the one in their settings. Change: one UDP socket at the peer address for the membership; the rollout fetches from peers over the control messages, a few nodes of each failure domain watch the store under a lease, and a domain's first watcher writes its report, fenced by that lease. Calls of the store are paced. fleet_secret in the settings. Conclusion: the announcements by the settings' peers are gone.

--- a/crates/fescueway_membership/src/lib.rs
+++ b/crates/fescueway_membership/src/lib.rs
@@ -6,7 +6,7 @@
 //! rumours missed. It does no I/O: feed it [`MemberEvent`]s, and do what its [`MemberAction`]s say.
 //!
 //! ```
-//! # use fescueway_core::{DomainName, MonoTime, NodeId};
+//! # use fescueway_core::{DomainName, MonoTime, NodeId, SiteName};
 //! # use fescueway_membership::{FleetSecret, MemberList, MemberSettings};
 //! # use rand_pcg::Pcg64Mcg;
 //! let settings = MemberSettings {
@@ -14,6 +14,7 @@
 //!     gossip_address: "127.0.0.1:7001".parse().unwrap(),
 //!     peer_address: "127.0.0.1:7000".parse().unwrap(),
 //!     domain: DomainName::from("texas-a"),
+//!     site: SiteName::from("caprock"),
 //!     seeds: vec!["127.0.0.1:7101".parse().unwrap()],
 //!     secret: FleetSecret::new(b"shared by all nodes"),
 //! };
--- a/crates/fescueway_membership/src/member_list.rs
+++ b/crates/fescueway_membership/src/member_list.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use fescueway_core::{ConfigMark, DomainName, MonoTime, NodeId, TargetRecord};
+use fescueway_core::{ConfigMark, DomainName, MonoTime, NodeId, SiteName, TargetRecord};
 use rand_core::Rng;
 
 use crate::{
@@ -39,6 +39,8 @@
     pub peer_address: SocketAddr,
     /// The failure domain of this node's VM.
     pub domain: DomainName,
+    /// The site whose configuration this node has.
+    pub site: SiteName,
     /// Gossip addresses through which the fleet can be joined.
     pub seeds: Vec<SocketAddr>,
     /// What all nodes of the fleet share.
@@ -181,11 +183,26 @@
         self.join.is_done()
     }
 
-    /// A random live node that was heard to have at least `revision` in force.
+    /// The live nodes of this node's failure domain, itself included, sorted.
+    #[must_use]
+    pub fn domain_nodes(&self) -> Vec<NodeId> {
+        let is_near = |state: &MemberState| {
+            let record = state.record.as_ref().filter(|_record| state.is_reachable());
+            record.is_some_and(|record| record.domain == self.settings.domain)
+        };
+        let near = self.table.iter().filter(|(_, state)| is_near(state));
+        near.map(|(node, _)| node).collect()
+    }
+
+    /// A random live node of this node's site that was heard to have at least `revision` in force.
     pub fn holder_of(&self, revision: u64, random: &mut impl Rng) -> Option<(NodeId, SocketAddr)> {
         let is_holder = |node: NodeId| {
             let state = self.table.get(node);
-            state.is_some_and(|state| state.is_reachable() && state.mark.revision >= revision)
+            state.is_some_and(|state| {
+                let record = state.record.as_ref().filter(|_record| state.is_reachable());
+                let is_near = record.is_some_and(|record| record.site == self.settings.site);
+                is_near && state.mark.revision >= revision
+            })
         };
         let picked = self.ring.pick(random, is_holder);
         let node = picked.or_else(|| {
--- a/crates/fescueway_membership/src/node_record.rs
+++ b/crates/fescueway_membership/src/node_record.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use fescueway_core::{DomainName, NodeId, ServiceName, TargetRecord, TargetState};
+use fescueway_core::{DomainName, NodeId, ServiceName, SiteName, TargetRecord, TargetState};
 use serde::{Deserialize, Serialize};
 
 /// What a node tells of itself: where it is and what its backend server serves.
@@ -16,6 +16,8 @@
     pub peer_address: SocketAddr,
     /// The failure domain of the node's VM.
     pub domain: DomainName,
+    /// The site whose configuration the node has.
+    pub site: SiteName,
     /// What its backend server serves. Each service at most once.
     pub services: Vec<ServedService>,
 }
--- a/crates/fescueway_membership/src/rumor_intake.rs
+++ b/crates/fescueway_membership/src/rumor_intake.rs
@@ -82,6 +82,7 @@
             gossip_address: self.settings.gossip_address,
             peer_address: self.settings.peer_address,
             domain: self.settings.domain.clone(),
+            site: self.settings.site.clone(),
             services,
         };
         let incarnation = self.table.get(own).map_or(1, |state| state.incarnation);
--- a/crates/fescueway_membership/tests/decoding.rs
+++ b/crates/fescueway_membership/tests/decoding.rs
@@ -1,6 +1,6 @@
 //! Whatever arrives is counted and dropped, or decoded within bounds.
 
-use fescueway_core::{ConfigMark, DomainName, MonoTime, NodeId};
+use fescueway_core::{ConfigMark, DomainName, MonoTime, NodeId, SiteName};
 use fescueway_membership::{
     Datagram, DatagramCodec, DatagramError, FleetSecret, MAX_DATAGRAM, MemberEvent, MemberList,
     MemberSettings, MessageBody,
@@ -28,6 +28,7 @@
         gossip_address: ([127, 0, 0, 1], 7_000).into(),
         peer_address: ([127, 0, 0, 1], 7_001).into(),
         domain: DomainName::from("texas-a"),
+        site: SiteName::from("caprock"),
         seeds: Vec::new(),
         secret: FleetSecret::new(b"ours"),
     };
--- a/crates/fescueway_rollout/src/rollout_state.rs
+++ b/crates/fescueway_rollout/src/rollout_state.rs
@@ -106,6 +106,8 @@
     fetch_opens: MonoTime,
     /// Fetches that failed in a row.
     failures: u32,
+    /// Whether the newest was seen in the store, which then is asked first.
+    is_in_store: bool,
     /// Whether everything is asked for, after a part did not fit to what is held.
     is_full_due: bool,
 }
@@ -135,6 +137,7 @@
             fetch_ends: MonoTime::NEVER,
             fetch_opens: MonoTime::ZERO,
             failures: 0,
+            is_in_store: false,
             is_full_due: false,
         }
     }
@@ -148,8 +151,8 @@
     ) -> Vec<RolloutAction> {
         let mut actions = Vec::new();
         match event {
-            RolloutEvent::Heard(mark) => self.note_newest(mark),
-            RolloutEvent::HeadSeen(head) => self.note_newest(head.mark()),
+            RolloutEvent::Heard(mark) => self.note_newest(mark, false),
+            RolloutEvent::HeadSeen(head) => self.note_newest(head.mark(), true),
             RolloutEvent::Fetched(reply) => self.on_fetched(now, reply, random, &mut actions),
             RolloutEvent::FetchFailed => self.on_failed(now, random),
             RolloutEvent::Tick => {}
@@ -226,9 +229,10 @@
             .map_or_else(ConfigMark::default, |held| held.mark)
     }
 
-    fn note_newest(&mut self, mark: ConfigMark) {
+    fn note_newest(&mut self, mark: ConfigMark, is_in_store: bool) {
         if mark.revision > self.newest.revision {
             self.newest = mark;
+            self.is_in_store = is_in_store;
             self.failures = 0;
         }
     }
@@ -245,8 +249,9 @@
             return None;
         }
         self.fetch_ends = now + FETCH_TIMEOUT;
-        let is_store = self.failures >= PEER_TRIES
-            && (self.failures - PEER_TRIES).is_multiple_of(STORE_ONE_IN);
+        let tries = if self.is_in_store { 0 } else { PEER_TRIES };
+        let is_store =
+            self.failures >= tries && (self.failures - tries).is_multiple_of(STORE_ONE_IN);
         let have = if self.is_full_due {
             0
         } else {
@@ -293,7 +298,7 @@
             self.on_failed(now, random);
             return;
         };
-        self.note_newest(mark);
+        self.note_newest(mark, false);
         self.fetch_ends = MonoTime::NEVER;
         self.fetch_opens = now;
         self.failures = 0;
--- a/crates/fescueway_telemetry/src/events/control.rs
+++ b/crates/fescueway_telemetry/src/events/control.rs
@@ -1,6 +1,119 @@
 //! Events of membership, configuration and the store: numbers from 2000.
 
+use log::Level;
+
 use crate::EventKind;
 
 /// Every event of this area.
-pub const ALL: &[&EventKind] = &[];
+pub const ALL: &[&EventKind] = &[
+    &NODE_UP,
+    &NODE_DOWN,
+    &FLEET_JOINED,
+    &DATAGRAMS_DROPPED,
+    &CONFIG_IN_FORCE,
+    &CONFIG_REJECTED,
+    &CONFIG_FETCH_FAILED,
+    &STORE_LOST,
+    &STORE_BACK,
+    &WATCH_STARTED,
+    &WATCH_ENDED,
+];
+
+/// Another node is there.
+pub const NODE_UP: EventKind = EventKind {
+    number: 2001,
+    level: Level::Debug,
+    summary: "node up",
+    fields: &["node"],
+    advice: "Nothing.",
+};
+
+/// Another node is gone.
+pub const NODE_DOWN: EventKind = EventKind {
+    number: 2002,
+    level: Level::Info,
+    summary: "node down",
+    fields: &["node", "cause"],
+    advice: "Nothing, unless many go at once with the cause `silent`: look for a network fault.",
+};
+
+/// The node knows the fleet.
+pub const FLEET_JOINED: EventKind = EventKind {
+    number: 2003,
+    level: Level::Info,
+    summary: "fleet joined",
+    fields: &["nodes"],
+    advice: "Nothing.",
+};
+
+/// Datagrams were dropped since the last such event.
+pub const DATAGRAMS_DROPPED: EventKind = EventKind {
+    number: 2004,
+    level: Level::Warn,
+    summary: "datagrams dropped",
+    fields: &["forged", "malformed", "oversize", "other_version"],
+    advice: "Compare `fleet_secret` and the versions of the nodes; else look for who sends them.",
+};
+
+/// A configuration is in force at this node.
+pub const CONFIG_IN_FORCE: EventKind = EventKind {
+    number: 2010,
+    level: Level::Info,
+    summary: "configuration in force",
+    fields: &["revision", "services"],
+    advice: "Nothing.",
+};
+
+/// A configuration can't be applied; the last one stays in force.
+pub const CONFIG_REJECTED: EventKind = EventKind {
+    number: 2011,
+    level: Level::Error,
+    summary: "configuration rejected",
+    fields: &["revision", "reason"],
+    advice: "Apply a configuration that this version of the node reads, or upgrade the node.",
+};
+
+/// A newer configuration could not be fetched yet.
+pub const CONFIG_FETCH_FAILED: EventKind = EventKind {
+    number: 2012,
+    level: Level::Debug,
+    summary: "configuration not fetched",
+    fields: &["revision", "source", "reason"],
+    advice: "Nothing; the node tries again. If it lasts, look at the store and the peers.",
+};
+
+/// The store doesn't answer; the node serves on with what it has.
+pub const STORE_LOST: EventKind = EventKind {
+    number: 2020,
+    level: Level::Warn,
+    summary: "store lost",
+    fields: &["error"],
+    advice: "Bring the store back. Requests are served meanwhile; configuration can't change.",
+};
+
+/// The store answers again.
+pub const STORE_BACK: EventKind = EventKind {
+    number: 2021,
+    level: Level::Info,
+    summary: "store back",
+    fields: &[],
+    advice: "Nothing.",
+};
+
+/// The node watches the store for its failure domain.
+pub const WATCH_STARTED: EventKind = EventKind {
+    number: 2022,
+    level: Level::Info,
+    summary: "watching the store",
+    fields: &["slot"],
+    advice: "Nothing.",
+};
+
+/// The node no longer watches the store.
+pub const WATCH_ENDED: EventKind = EventKind {
+    number: 2023,
+    level: Level::Info,
+    summary: "no longer watching the store",
+    fields: &["slot"],
+    advice: "Nothing; another node of the failure domain takes over.",
+};
--- a/crates/fescueway_testkit/src/member_network.rs
+++ b/crates/fescueway_testkit/src/member_network.rs
@@ -7,7 +7,7 @@
 };
 
 use fescueway_core::{
-    ConfigMark, DomainName, MonoTime, NodeId, ServiceName, TargetRecord, TargetState,
+    ConfigMark, DomainName, MonoTime, NodeId, ServiceName, SiteName, TargetRecord, TargetState,
 };
 use fescueway_membership::{
     DownCause, FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings,
@@ -144,6 +144,7 @@
             gossip_address: address,
             peer_address: SocketAddr::new(address.ip(), address.port() + 1),
             domain: DomainName::new(format!("domain-{}", index % DOMAINS)),
+            site: SiteName::from("site"),
             seeds,
             secret: FleetSecret::new(b"secret of the test fleet"),
         };
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -1,22 +1,33 @@
 //! One running node.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use fescueway_core::NodeId;
+use fescueway_membership::MemberEvent;
 use fescueway_proxy::{ProxyOptions, ProxyState, TaskGroup, serve_callers, serve_peers};
 use fescueway_telemetry::{MetricSet, emit, events::operator};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::{
+    net::UdpSocket,
+    time::{Instant, sleep, timeout},
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     DaemonError, DaemonSettings,
-    announce_task::run_announcements,
     backend_api::BackendApi,
     daemon_sockets::{DaemonAddresses, DaemonSockets},
     local_http::serve_local,
+    member_link::MemberLink,
+    membership_task::run_membership,
     node_meter::NodeMeter,
     operator_api::OperatorApi,
+    rollout_task::run_rollout,
     status_board::StatusBoard,
+    store_link::StoreLink,
 };
 
 /// How often a stopping daemon looks whether its last request is done.
@@ -38,6 +49,8 @@
     meter: NodeMeter,
     /// What its tasks tell operators.
     board: StatusBoard,
+    /// Who is there, once the tasks run.
+    members: OnceLock<MemberLink>,
     /// Stops taking callers' connections.
     closing_callers: CancellationToken,
     /// Stops taking peers' connections.
@@ -62,6 +75,7 @@
         let daemon = Self {
             meter: NodeMeter::start(&state)?,
             board: StatusBoard::default(),
+            members: OnceLock::new(),
             state,
             addresses,
             settings: Arc::new(settings),
@@ -126,6 +140,9 @@
         for service in self.state.local_services() {
             self.state.withdraw(&service);
         }
+        if let Some(members) = self.members.get() {
+            members.handle(MemberEvent::Leave);
+        }
         self.closing_peers.cancel();
         let finished = self.state.tasks().finished();
         // Tasks that wait for work never finish by themselves.
@@ -146,7 +163,7 @@
         tasks.spawn(serve_callers(state.clone(), sockets.callers, callers));
         let peers = self.closing_peers.clone();
         tasks.spawn(serve_peers(state.clone(), sockets.peers, peers));
-        run_announcements(state, &self.settings.seed_peers);
+        self.run_control(sockets.gossip);
         let backends = BackendApi::new(state.clone(), self.settings.announce_timeout);
         let answer = move |request| backends.answer(&request);
         tasks.spawn(serve_local(
@@ -165,6 +182,17 @@
         ));
     }
 
+    /// Starts what the nodes agree on: who is there, and which configuration is in force.
+    fn run_control(&self, socket: UdpSocket) {
+        let (state, board) = (&self.state, &self.board);
+        let (link, notes) = MemberLink::new(state.clone(), board.clone(), socket, &self.settings);
+        run_membership(state, &link);
+        let store = StoreLink::new(state, board, &self.settings);
+        run_rollout(state, &link, board, store, notes);
+        // Nobody else starts the membership, so that it is set once.
+        let _ = self.members.set(link);
+    }
+
     /// Tells that the node takes requests.
     fn tell_start(&self) {
         let options = self.state.options();
--- a/crates/fescuewayd/src/daemon_error.rs
+++ b/crates/fescuewayd/src/daemon_error.rs
@@ -12,6 +12,8 @@
     Callers,
     /// Binding the address for other nodes.
     Peers,
+    /// Binding the address for datagrams of other nodes.
+    Datagrams,
     /// Binding the address for the backend servers of the VM.
     Backends,
     /// Binding the address for operators.
--- a/crates/fescuewayd/src/daemon_settings.rs
+++ b/crates/fescuewayd/src/daemon_settings.rs
@@ -27,6 +27,8 @@
     pub operators: SocketAddr,
     /// Peers to join through. May hold the node's own address, which is passed over.
     pub seed_peers: Vec<SocketAddr>,
+    /// What all nodes of the fleet share, so that strangers' datagrams are told from theirs.
+    pub fleet_secret: Arc<str>,
     /// Addresses of the platform's store; empty means that it runs without.
     pub store: Vec<SocketAddr>,
     /// Limits.
@@ -52,6 +54,7 @@
             backends: any_port,
             operators: any_port,
             seed_peers: Vec::new(),
+            fleet_secret: Arc::from(""),
             store: Vec::new(),
             limits: ProxyLimits::default(),
             stop_timeout: Duration::from_secs(10),
--- a/crates/fescuewayd/src/daemon_sockets.rs
+++ b/crates/fescuewayd/src/daemon_sockets.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 
 use crate::{DaemonError, DaemonSettings, DaemonStep};
 
@@ -29,14 +29,18 @@
     pub backends: TcpListener,
     /// For operators.
     pub operators: TcpListener,
+    /// For datagrams of other nodes, at the address of `peers`.
+    pub gossip: UdpSocket,
 }
 
 impl DaemonSockets {
     /// Binds every address of the settings.
     pub async fn bind(settings: &DaemonSettings) -> Result<Self, DaemonError> {
+        let (peers, gossip) = bind_peers(settings.peers).await?;
         Ok(Self {
             callers: bind(DaemonStep::Callers, settings.callers).await?,
-            peers: bind(DaemonStep::Peers, settings.peers).await?,
+            peers,
+            gossip,
             backends: bind(DaemonStep::Backends, settings.backends).await?,
             operators: bind(DaemonStep::Operators, settings.operators).await?,
         })
@@ -63,3 +67,26 @@
         source,
     })
 }
+
+/// Binds the address for other nodes, for streams and for datagrams. When the operating system
+/// chooses the port, the one that it chose for streams may be taken for datagrams.
+async fn bind_peers(address: SocketAddr) -> Result<(TcpListener, UdpSocket), DaemonError> {
+    const TRIES: usize = 8;
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let peers = bind(DaemonStep::Peers, address).await?;
+        let chosen = peers.local_addr().unwrap_or(address);
+        match UdpSocket::bind(chosen).await {
+            Ok(gossip) => return Ok((peers, gossip)),
+            Err(_taken) if address.port() == 0 && tries < TRIES => {}
+            Err(source) => {
+                return Err(DaemonError::Bind {
+                    step: DaemonStep::Datagrams,
+                    address: chosen,
+                    source,
+                });
+            }
+        }
+    }
+}
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -3,19 +3,23 @@
 //! [`Daemon::start`] binds the addresses of its [`DaemonSettings`] and runs on the caller's
 //! runtime; several daemons can share one. There is no global state besides the logger.
 
-mod announce_task;
 mod backend_api;
 mod daemon;
 mod daemon_error;
 mod daemon_settings;
 mod daemon_sockets;
 mod local_http;
+mod member_link;
+mod membership_task;
 mod node_meter;
 mod operator_api;
 mod raw_settings;
+mod rollout_task;
 mod settings_file;
 mod settings_rules;
 mod status_board;
+mod store_link;
+mod watch_task;
 
 pub use crate::{
     daemon::Daemon,
--- /dev/null
+++ b/crates/fescuewayd/src/member_link.rs
@@ -0,0 +1,195 @@
+//! The membership instance of a node, shared by its tasks.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use fescueway_core::{ConfigMark, MonoTime, NodeId};
+use fescueway_membership::{
+    FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings, TrafficCounts,
+};
+use fescueway_proxy::ProxyState;
+use fescueway_telemetry::{emit, events::control};
+use rand_pcg::Pcg64Mcg;
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, mpsc, watch},
+};
+
+use crate::{DaemonSettings, StatusBoard};
+
+/// Notes that wait to be read; more are dropped.
+const MAX_NOTES: usize = 256;
+
+/// A note with its sender.
+pub type ReceivedNote = (NodeId, Vec<u8>);
+
+/// The membership instance of a node. Cheap to clone.
+#[derive(Clone)]
+pub struct MemberLink(Arc<LinkState>);
+
+/// What the clones of a [`MemberLink`] share.
+struct LinkState {
+    /// The path of requests, which is told of targets.
+    proxy: ProxyState,
+    /// What operators see.
+    board: StatusBoard,
+    /// For datagrams.
+    socket: UdpSocket,
+    /// The decisions.
+    core: Mutex<MemberCore>,
+    /// Tells the timer that the next wake-up has changed.
+    wake_changed: Notify,
+    /// The newest configuration that was heard of.
+    newest_mark: watch::Sender<ConfigMark>,
+    /// Takes notes from other nodes.
+    notes: mpsc::Sender<ReceivedNote>,
+}
+
+/// The decisions and their random numbers.
+struct MemberCore {
+    /// The decisions.
+    list: MemberList,
+    /// Seeded when the node starts.
+    random: Pcg64Mcg,
+}
+
+impl MemberLink {
+    /// A membership instance that has not spoken yet, and the notes that it receives.
+    pub fn new(
+        proxy: ProxyState,
+        board: StatusBoard,
+        socket: UdpSocket,
+        settings: &DaemonSettings,
+    ) -> (Self, mpsc::Receiver<ReceivedNote>) {
+        let options = proxy.options();
+        let mut random = Pcg64Mcg::new(u128::from(options.seed) << 1 | 1);
+        let members = MemberSettings {
+            node: options.node,
+            gossip_address: options.peer_address,
+            peer_address: options.peer_address,
+            domain: options.domain.clone(),
+            site: options.site.clone(),
+            seeds: settings.seed_peers.clone(),
+            secret: FleetSecret::new(settings.fleet_secret.as_bytes()),
+        };
+        let list = MemberList::new(proxy.now(), members, &mut random);
+        let (notes, received) = mpsc::channel(MAX_NOTES);
+        let link = Self(Arc::new(LinkState {
+            proxy,
+            board,
+            socket,
+            core: Mutex::new(MemberCore { list, random }),
+            wake_changed: Notify::new(),
+            newest_mark: watch::Sender::default(),
+            notes,
+        }));
+        (link, received)
+    }
+
+    /// Feeds an event to the decisions and carries out what they ask for.
+    pub fn handle(&self, event: MemberEvent) {
+        let actions = {
+            let mut core = self.core();
+            let MemberCore { list, random } = &mut *core;
+            list.handle(self.0.proxy.now(), event, random)
+        };
+        for action in actions {
+            self.carry_out(action);
+        }
+        self.0.wake_changed.notify_one();
+    }
+
+    /// Waits for the next datagram.
+    pub async fn receive(&self, buffer: &mut [u8]) -> std::io::Result<(usize, SocketAddr)> {
+        self.0.socket.recv_from(buffer).await
+    }
+
+    /// When the next [`MemberEvent::Tick`] is due.
+    pub fn next_wake(&self) -> MonoTime {
+        self.core().list.next_wake()
+    }
+
+    /// Waits until the next wake-up may have changed.
+    pub async fn wake_changed(&self) {
+        self.0.wake_changed.notified().await;
+    }
+
+    /// The newest configuration that was heard of, as it changes.
+    pub fn newest_mark(&self) -> watch::Receiver<ConfigMark> {
+        self.0.newest_mark.subscribe()
+    }
+
+    /// Whether the node knows the fleet, or found that there is none.
+    pub fn is_joined(&self) -> bool {
+        self.core().list.is_joined()
+    }
+
+    /// Nodes that live, this one included.
+    pub fn live_count(&self) -> usize {
+        self.core().list.live_count()
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> TrafficCounts {
+        self.core().list.counts()
+    }
+
+    /// The live nodes of this node's failure domain, itself included, sorted.
+    pub fn domain_nodes(&self) -> Vec<NodeId> {
+        self.core().list.domain_nodes()
+    }
+
+    /// Where a node takes streams that has at least `revision` of this site in force.
+    pub fn holder_of(&self, revision: u64) -> Option<SocketAddr> {
+        let mut core = self.core();
+        let MemberCore { list, random } = &mut *core;
+        list.holder_of(revision, random).map(|(_, address)| address)
+    }
+
+    /// Carries out one action.
+    fn carry_out(&self, action: MemberAction) {
+        match action {
+            MemberAction::Send { to, bytes } => {
+                // A datagram that can't be sent now is lost, as any may be.
+                let _ = self.0.socket.try_send_to(&bytes, to);
+            }
+            MemberAction::SetTarget(target) => self.0.proxy.set_target(&target),
+            MemberAction::RemoveTarget { node, service } => {
+                self.0.proxy.remove_target(node, &service);
+            }
+            MemberAction::NodeUp(node) => {
+                emit(&control::NODE_UP, &[&node]);
+                self.count_peers();
+            }
+            MemberAction::NodeDown { node, cause } => {
+                emit(&control::NODE_DOWN, &[&node, &cause.as_str()]);
+                self.count_peers();
+            }
+            MemberAction::NewerMark { mark, .. } => {
+                self.0.newest_mark.send_replace(mark);
+            }
+            MemberAction::Note { from, body } => {
+                // A note that finds no room is lost; its sender repeats it.
+                let _ = self.0.notes.try_send((from, body));
+            }
+        }
+    }
+
+    fn count_peers(&self) {
+        let peers = self.live_count().saturating_sub(1) as u32;
+        self.0.board.change(|facts| facts.peers = peers);
+    }
+
+    /// The decisions, locked.
+    fn core(&self) -> MutexGuard<'_, MemberCore> {
+        self.0.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl std::fmt::Debug for MemberLink {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("MemberLink").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/fescuewayd/src/membership_task.rs
@@ -0,0 +1,87 @@
+//! Keeps the node's view of the fleet: datagrams, timers and the targets beside the node.
+
+use std::time::Duration;
+
+use fescueway_membership::{MAX_DATAGRAM, MemberEvent};
+use fescueway_proxy::ProxyState;
+use fescueway_telemetry::{emit, events::control};
+use tokio::time::{sleep, sleep_until};
+
+use crate::member_link::MemberLink;
+
+/// Pause after the socket gave an error.
+const ERROR_PAUSE: Duration = Duration::from_millis(100);
+
+/// How often dropped datagrams are told of.
+const DROP_REPORT_PERIOD: Duration = Duration::from_mins(1);
+
+/// Starts the tasks.
+pub fn run_membership(proxy: &ProxyState, link: &MemberLink) {
+    let tasks = proxy.tasks();
+    tasks.spawn(receive_datagrams(link.clone()));
+    tasks.spawn(keep_time(proxy.clone(), link.clone()));
+    tasks.spawn(announce_targets(proxy.clone(), link.clone()));
+    tasks.spawn(report_drops(link.clone()));
+}
+
+async fn receive_datagrams(link: MemberLink) {
+    // One byte more than allowed, so that a longer datagram is seen to be too long.
+    let mut buffer = [0; MAX_DATAGRAM + 1];
+    loop {
+        match link.receive(&mut buffer).await {
+            Ok((length, from)) => {
+                let bytes = buffer[..length].to_vec();
+                link.handle(MemberEvent::Datagram { from, bytes });
+            }
+            Err(_error) => sleep(ERROR_PAUSE).await,
+        }
+    }
+}
+
+async fn keep_time(proxy: ProxyState, link: MemberLink) {
+    let mut is_joined = false;
+    loop {
+        if !is_joined && link.is_joined() {
+            is_joined = true;
+            emit(&control::FLEET_JOINED, &[&link.live_count()]);
+        }
+        let wake = proxy.clock().instant(link.next_wake());
+        tokio::select! {
+            () = sleep_until(wake) => link.handle(MemberEvent::Tick),
+            () = link.wake_changed() => {}
+        }
+    }
+}
+
+async fn announce_targets(proxy: ProxyState, link: MemberLink) {
+    let mut announced = proxy.announced();
+    loop {
+        let targets = announced.borrow_and_update().clone();
+        link.handle(MemberEvent::LocalTargets(targets));
+        if announced.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn report_drops(link: MemberLink) {
+    let mut told = link.counts();
+    loop {
+        sleep(DROP_REPORT_PERIOD).await;
+        let counts = link.counts();
+        let dropped = [
+            counts.forged - told.forged,
+            counts.malformed - told.malformed,
+            counts.oversize - told.oversize,
+            counts.other_version - told.other_version,
+        ];
+        told = counts;
+        if dropped.iter().any(|count| *count > 0) {
+            let [forged, malformed, oversize, other] = dropped;
+            emit(
+                &control::DATAGRAMS_DROPPED,
+                &[&forged, &malformed, &oversize, &other],
+            );
+        }
+    }
+}
--- a/crates/fescuewayd/src/raw_settings.rs
+++ b/crates/fescuewayd/src/raw_settings.rs
@@ -23,6 +23,9 @@
     /// Peers to join through.
     #[serde(default)]
     pub seed_peers: Vec<String>,
+    /// What all nodes of the fleet share.
+    #[serde(default)]
+    pub fleet_secret: String,
     /// Addresses of the platform's store.
     #[serde(default)]
     pub store: Vec<String>,
@@ -105,6 +108,7 @@
             backends: address("listen.backends", backends)?,
             operators: address("listen.operators", operators)?,
             seed_peers: addresses("seed_peers", &raw.seed_peers)?,
+            fleet_secret: raw.fleet_secret.into(),
             store: addresses("store", &raw.store)?,
             limits: ProxyLimits::try_from(raw.limits)?,
             stop_timeout: millis(&rules::STOP_TIMEOUT, raw.stop_timeout_ms.as_ref())?,
