Let checks settle a run before its hand-over

Cause: claims and suspects have to be settled after the gate let a request in and before its first byte leaves, and have to hear how the run ended. A keyed request that no host could settle is answered unknown, not not-run: an earlier one through another entry may have run. Conclusion: without checks installed the path behaves as before.

--- a/crates/fescueway_proxy/src/body/request_body.rs
+++ b/crates/fescueway_proxy/src/body/request_body.rs
@@ -53,6 +53,15 @@
         matches!(self, Self::Empty)
     }
 
+    /// What is known of it before it is sent.
+    #[must_use]
+    pub fn start(&self) -> &[u8] {
+        match self {
+            Self::Empty | Self::Streaming(_) => &[],
+            Self::Buffered(bytes) => bytes,
+        }
+    }
+
     /// Whether it can be sent from its first byte on.
     #[must_use]
     pub fn is_whole(&self) -> bool {
--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use fescueway_config::{RoutePlan, ServicePlan};
-use fescueway_core::{NodeId, RequestTerms};
+use fescueway_core::{Idempotency, NodeId, RequestTerms};
 use http::{
     HeaderMap, StatusCode, Uri,
     header::{EXPECT, HOST},
@@ -21,6 +21,7 @@
     offer_request::OfferRequest,
     proxy_limits::ProxyLimits,
     proxy_state::ProxyState,
+    request_digest::{fingerprint, key_digest},
 };
 
 /// A body up to this many bytes is read whole, so that it can be offered again.
@@ -77,10 +78,14 @@
     node: NodeId,
     head: &RequestHead,
     parts: Parts,
-    terms: RequestTerms,
+    mut terms: RequestTerms,
     body: RequestBody,
 ) -> OfferRequest {
     let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    if terms.idempotency == Idempotency::NonIdempotent {
+        terms.key = key_digest(&terms.service, &parts.headers);
+    }
+    terms.fingerprint = fingerprint(&parts.method, target, body.start());
     OfferRequest {
         entry: node,
         host: node,
--- a/crates/fescueway_proxy/src/entry/final_answer.rs
+++ b/crates/fescueway_proxy/src/entry/final_answer.rs
@@ -22,11 +22,16 @@
     response
 }
 
-/// The request did not run: tells why, and when to come back.
-pub fn refused_answer(refusal: &Refusal) -> Response<AnswerBody> {
+/// The request was refused: tells why, what became of it, and when to come back.
+pub fn refused_answer(refusal: &Refusal, outcome: Outcome) -> Response<AnswerBody> {
     let reason = refusal.reason.as_str();
-    let text = format!("refused: {reason}; the request did not run");
-    let mut response = own_answer(StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, &text);
+    let text = match outcome {
+        Outcome::NotRun => format!("refused: {reason}; the request did not run"),
+        Outcome::Ran | Outcome::Unknown => {
+            format!("refused: {reason}; an earlier request with this key may have run")
+        }
+    };
+    let mut response = own_answer(StatusCode::SERVICE_UNAVAILABLE, outcome, &text);
     let fields = response.headers_mut();
     fields.insert(headers::REASON, HeaderValue::from_static(reason));
     fields.insert(RETRY_AFTER, retry_seconds(refusal.retry_after));
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -164,10 +164,30 @@
             return lost_answer(StatusCode::BAD_GATEWAY);
         }
         // A host knows better than the entry why there is no place for the request.
+        let outcome = self.refused_outcome();
         let refusal = self.refusal.unwrap_or(refusal);
-        record.outcome = Some(Outcome::NotRun);
+        record.outcome = Some(outcome);
         record.reason = Some(refusal.reason);
-        refused_answer(&refusal)
+        refused_answer(&refusal, outcome)
+    }
+
+    /// What became of a request that every host refused.
+    ///
+    /// With an idempotency key it may have been sent before, through another entry. Then only a
+    /// host that asked the key's replicas can tell that nothing ran.
+    fn refused_outcome(&self) -> Outcome {
+        let is_keyed = self.request.terms.key.is_some();
+        let reason = self.refusal.map(|refusal| refusal.reason);
+        match reason {
+            _ if !is_keyed => Outcome::NotRun,
+            None
+            | Some(
+                RefusalReason::ClaimUnavailable
+                | RefusalReason::HostUnreachable
+                | RefusalReason::UnknownService,
+            ) => Outcome::Unknown,
+            Some(_) => Outcome::NotRun,
+        }
     }
 
     /// The answer to a request whose deadline passed.
@@ -187,9 +207,11 @@
     mut response: Response<AnswerBody>,
     record: &mut RequestRecord,
 ) -> Response<AnswerBody> {
-    record.outcome = Some(Outcome::Ran);
+    // A request whose key was used before is answered with what became of the first one.
+    let outcome = response.extensions().get().copied().unwrap_or(Outcome::Ran);
+    record.outcome = Some(outcome);
     let fields = response.headers_mut();
-    fields.insert(headers::OUTCOME, outcome_value(Outcome::Ran));
+    fields.insert(headers::OUTCOME, outcome_value(outcome));
     response
 }
 
--- a/crates/fescueway_proxy/src/headers.rs
+++ b/crates/fescueway_proxy/src/headers.rs
@@ -16,6 +16,9 @@
 /// Tells the caller why the request was refused.
 pub const REASON: HeaderName = HeaderName::from_static("fescueway-reason");
 
+/// Tells the caller of a repeated request with which status the first one was answered.
+pub const ORIGINAL_STATUS: HeaderName = HeaderName::from_static("fescueway-original-status");
+
 /// Names the call that a backend server is serving when it calls another service.
 pub const CALL: HeaderName = HeaderName::from_static("fescueway-call");
 
--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -9,9 +9,10 @@
 use http_body::Body;
 use tokio::{sync::oneshot, time::timeout};
 
-use super::{BackendBody, BackendError, HostRun, HostTarget, host_run::RunAnswer};
+use super::{BackendBody, BackendError, HostRun, HostTarget, RunStop, host_run::RunAnswer};
 use crate::{
     body::{AnswerBody, HostBody, pump_body},
+    duplicate_answer::duplicate_answer,
     headers,
     offer_answer::OfferAnswer,
     offer_request::{HostRequest, OfferRequest},
@@ -27,9 +28,9 @@
     let Some(request) = HostRequest::from_offer(offer) else {
         return OfferAnswer::refused(unknown_service(), None);
     };
-    let run = match HostRun::prepare(&target, &request).await {
+    let run = match HostRun::prepare(state.checks(), &target, &request).await {
         Ok(run) => run,
-        Err(refusal) => return OfferAnswer::refused(refusal, Some(target.report())),
+        Err(stop) => return stopped(stop, target.report()),
     };
     let body = HostBody::Local(offer.body.clone());
     let answer = start(state, run, request, body).await;
@@ -66,13 +67,13 @@
         return refuse(&mut reply, unknown_service(), LoadReport::default());
     };
     let prepared = tokio::select! {
-        prepared = HostRun::prepare(&target, &request) => prepared,
+        prepared = HostRun::prepare(state.checks(), &target, &request) => prepared,
         // The entry left: dropping the work withdraws the offer.
         () = reply.reset() => return,
     };
     let run = match prepared {
         Ok(run) => run,
-        Err(refusal) => return refuse(&mut reply, refusal, target.report()),
+        Err(stop) => return stop_offer(&mut reply, stop, target.report()),
     };
     if head.is_body_held && reply.send(&AnswerHead::Accepted, false).is_err() {
         return;
@@ -158,6 +159,35 @@
     }
 }
 
+/// The answer to an offer of the entry on the same node that is not handed over.
+fn stopped(stop: RunStop, load: LoadReport) -> OfferAnswer {
+    match stop {
+        RunStop::Refused(refusal) => OfferAnswer::refused(refusal, Some(load)),
+        RunStop::Duplicate { outcome, status } => OfferAnswer::Answered {
+            response: duplicate_answer(outcome, status).map(AnswerBody::Own),
+            load,
+        },
+    }
+}
+
+/// Sends to the entry why its offer is not handed over.
+fn stop_offer(reply: &mut PeerReply, stop: RunStop, load: LoadReport) {
+    match stop {
+        RunStop::Refused(refusal) => refuse(reply, refusal, load),
+        RunStop::Duplicate { outcome, status } => {
+            let response = duplicate_answer(outcome, status);
+            let head = AnswerHead::Answered {
+                status: response.status().as_u16(),
+                headers: headers::to_fields(response.headers()),
+                outcome,
+                load,
+            };
+            // An entry that left needs no answer.
+            let _ = reply.send(&head, true);
+        }
+    }
+}
+
 /// Sends a refusal to the entry.
 fn refuse(reply: &mut PeerReply, refusal: Refusal, load: LoadReport) {
     // An entry that left needs no answer.
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -8,8 +8,8 @@
 use hyper::body::Incoming;
 
 use super::{
-    BackendBody, BackendError, HostTarget, RunTicket, backend_body::RunningCall,
-    backend_pool::BackendConnection,
+    BackendBody, BackendError, HostTarget, RunChecks, RunStop, RunTicket,
+    backend_body::RunningCall, backend_pool::BackendConnection,
 };
 use crate::{body::HostBody, headers, offer_request::HostRequest, proxy_state::ProxyState};
 
@@ -34,12 +34,33 @@
 }
 
 impl HostRun {
-    /// Waits for a slot and a connection.
+    /// Waits for a slot, a connection, and the right to hand the request over.
     ///
     /// # Errors
     ///
-    /// The refusal, which proves that the request did not run.
-    pub async fn prepare(target: &Arc<HostTarget>, request: &HostRequest) -> Result<Self, Refusal> {
+    /// Why the request did not run and will not.
+    pub async fn prepare(
+        checks: &RunChecks,
+        target: &Arc<HostTarget>,
+        request: &HostRequest,
+    ) -> Result<Self, RunStop> {
+        let terms = &request.terms;
+        let mut run = match Self::admit(target, request).await {
+            Ok(run) => run,
+            Err(refusal) => return Err(checks.refusal(terms, refusal).await),
+        };
+        match checks.hand_over(terms).await {
+            Ok(permit) => run.ticket.permit(permit),
+            Err(stop) => {
+                run.ticket.finish(RunEnd::Released);
+                return Err(stop);
+            }
+        }
+        Ok(run)
+    }
+
+    /// Waits for a slot and a connection.
+    async fn admit(target: &Arc<HostTarget>, request: &HostRequest) -> Result<Self, Refusal> {
         let ticket = target.admit(&request.terms).await?;
         match target.pool().checkout(request.terms.idempotency).await {
             Ok(connection) => Ok(Self { ticket, connection }),
@@ -66,9 +87,11 @@
         let call = state.calls().enter(&request.terms, state.now());
         let is_kept = request.terms.idempotency == Idempotency::NonIdempotent;
         let request = to_backend(request, body, call.token());
+        self.ticket.hand_over();
         match pool.send(self.connection, request).await {
             Ok((response, connection)) => {
-                let ticket = self.ticket;
+                let mut ticket = self.ticket;
+                ticket.answered(response.status().as_u16());
                 let run = RunningCall {
                     ticket,
                     connection,
@@ -80,6 +103,7 @@
             Err(error) => {
                 self.ticket.set_end(RunEnd::Lost);
                 if error.is_unsent() {
+                    self.ticket.take_back();
                     RunAnswer::Refused(unreachable_backend())
                 } else {
                     RunAnswer::Lost(error)
--- a/crates/fescueway_proxy/src/host/mod.rs
+++ b/crates/fescueway_proxy/src/host/mod.rs
@@ -6,6 +6,7 @@
 mod host_offer;
 mod host_run;
 mod host_target;
+mod run_checks;
 mod run_ticket;
 
 pub use self::{
@@ -13,6 +14,7 @@
     backend_error::{BackendError, BackendStep},
     backend_pool::BackendPool,
     host_target::HostTarget,
+    run_checks::{PermitEnd, RunChecks, RunPermit, RunStop},
 };
 pub(crate) use self::{
     host_offer::{offer_locally, serve_offer},
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod body;
 mod call_table;
+mod duplicate_answer;
 mod entry;
 mod headers;
 mod host;
@@ -16,13 +17,14 @@
 mod peer;
 mod proxy_limits;
 mod proxy_state;
+mod request_digest;
 mod request_record;
 mod route_table;
 mod task_group;
 
 pub use crate::{
     entry::serve_callers,
-    host::{BackendBody, HostTarget},
+    host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunPermit, RunStop},
     mono_clock::MonoClock,
     peer::{ControlTable, PeerError, PeerPool, PeerStep, serve_peers},
     proxy_limits::ProxyLimits,
--- a/crates/fescueway_proxy/src/peer/peer_offer.rs
+++ b/crates/fescueway_proxy/src/peer/peer_offer.rs
@@ -118,8 +118,8 @@
         AnswerHead::Answered {
             status,
             headers,
+            outcome,
             load,
-            ..
         } => {
             let body = if reader.is_end() {
                 AnswerBody::Own(Bytes::new())
@@ -131,6 +131,7 @@
             *response.status_mut() =
                 StatusCode::from_u16(status).map_err(|_invalid| PeerCause::Malformed)?;
             *response.headers_mut() = headers::from_fields(&headers).ok_or(PeerCause::Malformed)?;
+            response.extensions_mut().insert(outcome);
             Ok(OfferAnswer::Answered { response, load })
         }
     }
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     call_table::CallTable,
-    host::HostTarget,
+    host::{HostTarget, RunChecks},
     mono_clock::MonoClock,
     peer::{ControlTable, PeerPool},
     proxy_limits::ProxyLimits,
@@ -86,6 +86,8 @@
     controls: ControlTable,
     /// Calls that run at the backend servers of this node.
     calls: CallTable,
+    /// What is settled before a request is handed over.
+    checks: RunChecks,
     /// Targets of this node.
     hosts: Mutex<BTreeMap<ServiceName, Arc<HostTarget>>>,
     /// What the backend servers of this node announced.
@@ -117,6 +119,7 @@
             peers: PeerPool::new(limits, tasks, clock),
             controls: ControlTable::default(),
             calls: CallTable::new(options.secret),
+            checks: RunChecks::default(),
             hosts: Mutex::default(),
             announced: watch::Sender::default(),
             open_requests: Arc::default(),
@@ -202,6 +205,12 @@
         OpenGuard::new(&self.0.caller_connections)
     }
 
+    /// What is settled before a request is handed over.
+    #[must_use]
+    pub fn checks(&self) -> &RunChecks {
+        &self.0.checks
+    }
+
     /// Calls that run at the backend servers of this node.
     pub(crate) fn calls(&self) -> &CallTable {
         &self.0.calls
--- /dev/null
+++ b/crates/fescueway_proxy/src/request_digest.rs
@@ -0,0 +1,40 @@
+//! Digests by which a request is known again: of its idempotency key, and of itself.
+
+use fescueway_core::{KeyDigest, ServiceName};
+use http::{HeaderMap, HeaderName, Method};
+use sha2::{Digest, Sha256};
+
+/// Names a non-idempotent request, so that its caller can send it again
+/// (draft-ietf-httpapi-idempotency-key-header).
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Bytes of a body that its fingerprint covers.
+const FINGERPRINT_BYTES: usize = 1_024;
+
+/// The digest of a request's idempotency key, if it has one. Several field lines count as one
+/// key.
+pub fn key_digest(service: &ServiceName, headers: &HeaderMap) -> Option<KeyDigest> {
+    let mut lines = headers.get_all(IDEMPOTENCY_KEY).iter().peekable();
+    lines.peek()?;
+    let mut digest = Sha256::new();
+    digest.update(service.as_str());
+    for line in lines {
+        digest.update([0]);
+        digest.update(line.as_bytes());
+    }
+    let bytes = digest.finalize();
+    let mut key = [0; 16];
+    key.copy_from_slice(&bytes[..16]);
+    Some(KeyDigest(key))
+}
+
+/// The fingerprint of a request: of its method, its path and query, and the start of its body.
+/// FNV-1a (Fowler, Noll and Vo).
+pub fn fingerprint(method: &Method, target: &str, body: &[u8]) -> u64 {
+    let start = &body[..body.len().min(FINGERPRINT_BYTES)];
+    let parts = [method.as_str().as_bytes(), target.as_bytes(), start];
+    let bytes = parts.into_iter().flat_map(|part| part.iter().chain(&[0]));
+    bytes.fold(0xCBF2_9CE4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01B3)
+    })
+}
