Read and write header fields without a copy of each

Cause: a head travelled as a list of owned names and values, built from the HTTP library's map and turned back into one; the frame's buffer grew from 5 bytes by doubling. And a head with more fields than the map takes made it panic: the new test more_fields_than_a_map_takes_are_refused builds one.

Now a HeaderList is written from the map and read into it, borrowing each name and value from the frame, and the buffer starts at 512 bytes.

--- a/crates/fescueway_proxy/src/headers.rs
+++ b/crates/fescueway_proxy/src/headers.rs
@@ -1,10 +1,7 @@
-//! Header fields: what is removed, what is added, and how they travel between nodes.
+//! Header fields: what is removed, and what is added.
 
-use std::sync::Arc;
-
-use fescueway_wire::HeaderField;
 use http::{
-    HeaderMap, HeaderName, HeaderValue,
+    HeaderMap, HeaderName,
     header::{
         CONNECTION, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRANSFER_ENCODING, UPGRADE,
     },
@@ -83,25 +80,3 @@
         .filter_map(|option| option.trim().parse().ok())
         .collect()
 }
-
-/// The fields as they travel between nodes.
-#[must_use]
-pub fn to_fields(headers: &HeaderMap) -> Vec<HeaderField> {
-    let field = |(name, value): (&HeaderName, &HeaderValue)| HeaderField {
-        name: Arc::from(name.as_str()),
-        value: value.as_bytes().to_vec(),
-    };
-    headers.iter().map(field).collect()
-}
-
-/// The fields as the HTTP libraries take them, `None` when one is no valid field.
-#[must_use]
-pub fn from_fields(fields: &[HeaderField]) -> Option<HeaderMap> {
-    let mut headers = HeaderMap::with_capacity(fields.len());
-    for field in fields {
-        let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
-        let value = HeaderValue::from_bytes(&field.value).ok()?;
-        headers.append(name, value);
-    }
-    Some(headers)
-}
--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -4,7 +4,7 @@
 
 use fescueway_core::{Idempotency, LoadReport, Outcome, Refusal, RefusalReason};
 use fescueway_telemetry::{emit, events::path};
-use fescueway_wire::{AnswerHead, OfferHead};
+use fescueway_wire::{AnswerHead, HeaderList, OfferHead};
 use http::{Response, StatusCode};
 use http_body::Body;
 use tokio::{sync::oneshot, time::timeout};
@@ -13,7 +13,6 @@
 use crate::{
     body::{AnswerBody, HostBody, pump_body},
     duplicate_answer::duplicate_answer,
-    headers,
     offer_answer::OfferAnswer,
     offer_request::{HostRequest, OfferRequest},
     peer::{FrameReader, PeerReply},
@@ -58,11 +57,12 @@
     reader: FrameReader,
     mut reply: PeerReply,
 ) {
-    let Some(request) = HostRequest::from_head(&head) else {
+    let (host, is_body_held) = (head.host, head.is_body_held);
+    let Some(request) = HostRequest::from_head(head) else {
         return reply.reject(StatusCode::BAD_REQUEST);
     };
     let target = state.host_target(&request.terms.service);
-    let target = target.filter(|_| head.host == state.node());
+    let target = target.filter(|_| host == state.node());
     let Some(target) = target else {
         return refuse(&mut reply, unknown_service(), LoadReport::default());
     };
@@ -75,7 +75,7 @@
         Ok(run) => run,
         Err(stop) => return stop_offer(&mut reply, stop, target.report()),
     };
-    if head.is_body_held && reply.send(&AnswerHead::Accepted, false).is_err() {
+    if is_body_held && reply.send(&AnswerHead::Accepted, false).is_err() {
         return;
     }
     let body = HostBody::Peer(Box::new(reader.into_body(state.limits().body_idle)));
@@ -142,13 +142,13 @@
     idle: Duration,
     reply: &mut PeerReply,
 ) {
+    let (parts, body) = response.into_parts();
     let head = AnswerHead::Answered {
-        status: response.status().as_u16(),
-        headers: headers::to_fields(response.headers()),
+        status: parts.status.as_u16(),
+        headers: HeaderList::new(parts.headers),
         outcome: Outcome::Ran,
         load,
     };
-    let body = response.into_body();
     let is_end = body.is_end_stream();
     if reply.send(&head, is_end).is_err() || is_end {
         return;
@@ -175,10 +175,10 @@
     match stop {
         RunStop::Refused(refusal) => refuse(reply, refusal, load),
         RunStop::Duplicate { outcome, status } => {
-            let response = duplicate_answer(outcome, status);
+            let (parts, _body) = duplicate_answer(outcome, status).into_parts();
             let head = AnswerHead::Answered {
-                status: response.status().as_u16(),
-                headers: headers::to_fields(response.headers()),
+                status: parts.status.as_u16(),
+                headers: HeaderList::new(parts.headers),
                 outcome,
                 load,
             };
--- a/crates/fescueway_proxy/src/offer_request.rs
+++ b/crates/fescueway_proxy/src/offer_request.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use fescueway_core::{NodeId, RequestTerms};
-use fescueway_wire::OfferHead;
+use fescueway_wire::{HeaderList, OfferHead};
 use http::{HeaderMap, HeaderValue, Method, Uri};
 
-use crate::{body::RequestBody, headers};
+use crate::body::RequestBody;
 
 /// A request as it is offered to a host. Its header fields are stripped already.
 #[derive(Clone, Debug)]
@@ -40,7 +40,7 @@
             method: Arc::from(self.method.as_str()),
             target: Arc::clone(&self.target),
             authority: Arc::clone(&self.authority),
-            headers: headers::to_fields(&self.headers),
+            headers: HeaderList::new(Arc::clone(&self.headers)),
             is_body_held: matches!(self.body, RequestBody::Streaming(_)),
         }
     }
@@ -64,15 +64,15 @@
 impl HostRequest {
     /// The request of an offer from another node, `None` when it is no HTTP request.
     #[must_use]
-    pub fn from_head(head: &OfferHead) -> Option<Self> {
+    pub fn from_head(head: OfferHead) -> Option<Self> {
         let target: Uri = head.target.parse().ok()?;
         target.path_and_query()?;
         Some(Self {
-            terms: head.terms.clone(),
+            terms: head.terms,
             method: Method::from_bytes(head.method.as_bytes()).ok()?,
             target,
-            authority: Arc::clone(&head.authority),
-            headers: headers::from_fields(&head.headers)?,
+            authority: head.authority,
+            headers: head.headers.into_map(),
         })
     }
 
--- a/crates/fescueway_proxy/src/peer/peer_offer.rs
+++ b/crates/fescueway_proxy/src/peer/peer_offer.rs
@@ -14,7 +14,6 @@
 };
 use crate::{
     body::{AnswerBody, RequestBody, pump_body},
-    headers,
     offer_answer::OfferAnswer,
     offer_request::OfferRequest,
 };
@@ -130,7 +129,7 @@
             let mut response = Response::new(body);
             *response.status_mut() =
                 StatusCode::from_u16(status).map_err(|_invalid| PeerCause::Malformed)?;
-            *response.headers_mut() = headers::from_fields(&headers).ok_or(PeerCause::Malformed)?;
+            *response.headers_mut() = headers.into_map();
             response.extensions_mut().insert(outcome);
             Ok(OfferAnswer::Answered { response, load })
         }
--- a/crates/fescueway_wire/src/frame_codec.rs
+++ b/crates/fescueway_wire/src/frame_codec.rs
@@ -1,7 +1,7 @@
 //! Frames: one version byte, the payload's length, then the payload in bincode.
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// The version of the messages between nodes. Nodes of different versions refuse each other.
@@ -16,6 +16,9 @@
 /// The largest head of an offer or an answer in bytes.
 pub const MAX_HEAD_BYTES: usize = 131_072;
 
+/// Room for most frames, so that few grow while they are written.
+const FIRST_BYTES: usize = 512;
+
 /// Integers take as few bytes as they need; reading stops at the limit.
 type PayloadConfig = Configuration<LittleEndian, Varint, Limit<MAX_PAYLOAD_BYTES>>;
 
@@ -61,7 +64,8 @@
 ///
 /// [`FrameError::TooLarge`] when the payload is above [`MAX_PAYLOAD_BYTES`].
 pub fn encode_frame(message: &impl Serialize) -> Result<Vec<u8>, FrameError> {
-    let mut frame = vec![WIRE_VERSION, 0, 0, 0, 0];
+    let mut frame = Vec::with_capacity(FIRST_BYTES);
+    frame.extend_from_slice(&[WIRE_VERSION, 0, 0, 0, 0]);
     bincode::serde::encode_into_std_write(message, &mut frame, payload_config()).map_err(
         |error| FrameError::Unencodable {
             detail: error.to_string(),
@@ -107,12 +111,10 @@
 /// # Errors
 ///
 /// [`FrameError::Garbage`] when it is no `T`, or more than one.
-pub fn decode_payload<T: DeserializeOwned>(payload: &[u8]) -> Result<T, FrameError> {
-    let (message, used) =
-        bincode::serde::decode_from_slice(payload, payload_config()).map_err(|error| {
-            FrameError::Garbage {
-                detail: error.to_string(),
-            }
+pub fn decode_payload<'a, T: Deserialize<'a>>(payload: &'a [u8]) -> Result<T, FrameError> {
+    let (message, used) = bincode::serde::borrow_decode_from_slice(payload, payload_config())
+        .map_err(|error| FrameError::Garbage {
+            detail: error.to_string(),
         })?;
     if used != payload.len() {
         return Err(FrameError::Garbage {
--- a/crates/fescueway_wire/src/lib.rs
+++ b/crates/fescueway_wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod control_message;
 mod frame_codec;
+mod header_list;
 mod offer_head;
 
 pub use crate::{
@@ -13,5 +14,6 @@
         FrameError, MAX_HEAD_BYTES, MAX_PAYLOAD_BYTES, PREFIX_BYTES, WIRE_VERSION, decode_payload,
         decode_prefix, encode_frame,
     },
-    offer_head::{AnswerHead, ClaimGrant, HeaderField, OfferHead},
+    header_list::HeaderList,
+    offer_head::{AnswerHead, ClaimGrant, OfferHead},
 };
--- a/crates/fescueway_wire/src/offer_head.rs
+++ b/crates/fescueway_wire/src/offer_head.rs
@@ -5,14 +5,7 @@
 use fescueway_core::{LoadReport, NodeId, Outcome, Refusal, RequestTerms};
 use serde::{Deserialize, Serialize};
 
-/// One HTTP header field, its value as bytes.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HeaderField {
-    /// The field's name in lower case.
-    pub name: Arc<str>,
-    /// The field's value.
-    pub value: Vec<u8>,
-}
+use crate::HeaderList;
 
 /// Opens an offer: all of the request but its body, which follows as the stream's data.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -30,7 +23,7 @@
     /// HTTP authority.
     pub authority: Arc<str>,
     /// Header fields without hop-by-hop ones.
-    pub headers: Vec<HeaderField>,
+    pub headers: HeaderList,
     /// Whether the body is held back until [`AnswerHead::Accepted`]; otherwise it comes at once.
     pub is_body_held: bool,
 }
@@ -61,7 +54,7 @@
         /// HTTP status.
         status: u16,
         /// Header fields without hop-by-hop ones.
-        headers: Vec<HeaderField>,
+        headers: HeaderList,
         /// What became of the request.
         outcome: Outcome,
         /// The target's load.
--- a/crates/fescueway_wire/tests/frames.rs
+++ b/crates/fescueway_wire/tests/frames.rs
@@ -1,9 +1,10 @@
 //! Frames survive the trip, and bytes of strangers are refused without harm.
 
 use fescueway_wire::{
-    ControlKind, ControlRequest, FrameError, MAX_HEAD_BYTES, OfferHead, PREFIX_BYTES, StreamHead,
-    WIRE_VERSION, decode_payload, decode_prefix, encode_frame,
+    ControlKind, ControlRequest, FrameError, HeaderList, MAX_HEAD_BYTES, OfferHead, PREFIX_BYTES,
+    StreamHead, WIRE_VERSION, decode_payload, decode_prefix, encode_frame,
 };
+use http::{HeaderMap, HeaderValue};
 use quickcheck::QuickCheck;
 
 fn control_head(body: Vec<u8>) -> StreamHead {
@@ -53,6 +54,32 @@
     );
 }
 
+#[test]
+fn more_fields_than_a_map_takes_are_refused() {
+    // A list of 40,000 fields with one-letter names and empty values: 251 is a 16-bit length.
+    let mut payload = vec![251];
+    payload.extend_from_slice(&40_000_u16.to_le_bytes());
+    for index in 0..40_000_u32 {
+        let name = format!("a{index}");
+        payload.push(name.len() as u8);
+        payload.extend_from_slice(name.as_bytes());
+        payload.push(0);
+    }
+    let decoded = decode_payload::<HeaderList>(&payload);
+    assert!(matches!(decoded, Err(FrameError::Garbage { .. })));
+}
+
+#[test]
+fn header_fields_come_back_whole() {
+    let mut fields = HeaderMap::new();
+    fields.append("accept", HeaderValue::from_static("text/plain"));
+    fields.append("accept", HeaderValue::from_bytes(b"\xff").expect("opaque"));
+    fields.append("x-empty", HeaderValue::from_static(""));
+    let frame = encode_frame(&HeaderList::new(fields.clone())).expect("small messages encode");
+    let decoded = decode_payload::<HeaderList>(&frame[PREFIX_BYTES..]).expect("our own");
+    assert_eq!(decoded.into_map(), fields);
+}
+
 #[test]
 fn other_versions_and_oversize_frames_are_refused() {
     let other = decode_prefix(&[WIRE_VERSION + 1], MAX_HEAD_BYTES);
