Let connections go that acknowledge nothing or take nothing

Cause: a caller that stops reading is not polled by the HTTP library, so no timer of ours runs and its slot stays taken; a VM that vanishes holds node-to-node connections for the operating system's quarter of an hour. TCP_USER_TIMEOUT covers both.

--- a/crates/fescueway_proxy/src/entry/entry_server.rs
+++ b/crates/fescueway_proxy/src/entry/entry_server.rs
@@ -15,7 +15,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::answer_request::answer_request;
-use crate::{proxy_limits::ProxyLimits, proxy_state::ProxyState};
+use crate::{
+    proxy_limits::ProxyLimits, proxy_state::ProxyState, socket_options::set_socket_options,
+};
 
 /// Header fields of one request at most.
 const MAX_HEADERS: usize = 100;
@@ -75,8 +77,9 @@
     closing: CancellationToken,
 ) {
     let _open = state.caller_connection();
-    // Without it answers are only slower.
-    let _ = socket.set_nodelay(true);
+    if let Err(error) = set_socket_options(&socket, state.limits().body_idle) {
+        return emit(&path::CALLER_FAILED, &[&caller, &error]);
+    }
     let service = service_fn(move |request| {
         let state = state.clone();
         async move { Ok::<_, Infallible>(answer_request(&state, request, caller).await) }
--- a/crates/fescueway_proxy/src/host/backend_pool.rs
+++ b/crates/fescueway_proxy/src/host/backend_pool.rs
@@ -24,7 +24,10 @@
 };
 
 use super::{BackendError, BackendStep};
-use crate::{body::HostBody, proxy_limits::ProxyLimits, task_group::TaskGroup};
+use crate::{
+    body::HostBody, proxy_limits::ProxyLimits, socket_options::set_socket_options,
+    task_group::TaskGroup,
+};
 
 /// The largest read buffer of a connection to a backend server in bytes.
 const READ_BUFFER_BYTES: usize = 64 * 1_024;
@@ -232,8 +235,7 @@
         let permit = self.permit().await;
         let socket = TcpStream::connect(self.0.address).await;
         let socket = socket.map_err(|error| error.to_string())?;
-        // Without it requests are only slower.
-        let _ = socket.set_nodelay(true);
+        set_socket_options(&socket, self.0.limits.body_idle).map_err(|error| error.to_string())?;
         let (sender, connection) = Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(socket))
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -20,6 +20,7 @@
 mod request_digest;
 mod request_record;
 mod route_table;
+mod socket_options;
 mod task_group;
 
 pub use crate::{
--- a/crates/fescueway_proxy/src/peer/peer_link.rs
+++ b/crates/fescueway_proxy/src/peer/peer_link.rs
@@ -6,6 +6,7 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use super::{PeerError, PeerStep, peer_error::PeerCause};
-use crate::{proxy_limits::ProxyLimits, task_group::TaskGroup};
+use crate::{proxy_limits::ProxyLimits, socket_options::set_socket_options, task_group::TaskGroup};
 
 /// Bytes of one stream that may be on their way unread. A slow reader holds no more.
 pub const STREAM_WINDOW_BYTES: u32 = 128 * 1_024;
@@ -26,6 +27,9 @@
 /// slow readers on all other streams can't stall one.
 pub const LINK_WINDOW_BYTES: u32 = STREAM_WINDOW_BYTES * STREAMS_PER_LINK;
 
+/// A connection between nodes closes when the other side acknowledges nothing for this long.
+pub const PEER_SILENCE: Duration = Duration::from_secs(5);
+
 /// One connection to a peer. Clones share it.
 #[derive(Clone, Debug)]
 pub struct PeerLink {
@@ -82,7 +86,7 @@
         peer: SocketAddr,
     ) -> Result<(SendRequest<Bytes>, h2::client::Connection<TcpStream>), PeerCause> {
         let socket = TcpStream::connect(peer).await?;
-        socket.set_nodelay(true)?;
+        set_socket_options(&socket, PEER_SILENCE)?;
         let connected = Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(LINK_WINDOW_BYTES)
--- a/crates/fescueway_proxy/src/peer/peer_server.rs
+++ b/crates/fescueway_proxy/src/peer/peer_server.rs
@@ -20,9 +20,9 @@
 use super::{
     FrameReader, PeerReply,
     peer_error::PeerCause,
-    peer_link::{LINK_WINDOW_BYTES, STREAM_WINDOW_BYTES, STREAMS_PER_LINK},
+    peer_link::{LINK_WINDOW_BYTES, PEER_SILENCE, STREAM_WINDOW_BYTES, STREAMS_PER_LINK},
 };
-use crate::{host::serve_offer, proxy_state::ProxyState};
+use crate::{host::serve_offer, proxy_state::ProxyState, socket_options::set_socket_options};
 
 /// The largest list of HTTP/2 header fields in bytes. Ours are a handful.
 const HEADER_LIST_BYTES: u32 = 4_096;
@@ -61,8 +61,9 @@
     peer: SocketAddr,
     closing: CancellationToken,
 ) {
-    // Without it the answers are only slower.
-    let _ = socket.set_nodelay(true);
+    if let Err(error) = set_socket_options(&socket, PEER_SILENCE) {
+        return emit(&path::PEER_REFUSED, &[&peer, &error]);
+    }
     let handshake = Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(LINK_WINDOW_BYTES)
--- a/crates/fescuewayd/tests/path/common.rs
+++ b/crates/fescuewayd/tests/path/common.rs
@@ -38,9 +38,19 @@
 
 /// A node on loopback that knows the peers.
 pub async fn node(plan: &Arc<SitePlan>, seed_peers: &[SocketAddr]) -> Daemon {
+    node_with(plan, seed_peers, |_settings| {}).await
+}
+
+/// A node on loopback whose settings are changed before it starts.
+pub async fn node_with(
+    plan: &Arc<SitePlan>,
+    seed_peers: &[SocketAddr],
+    change: impl FnOnce(&mut DaemonSettings),
+) -> Daemon {
     let mut settings = DaemonSettings::on_loopback(SiteName::from("test"), DomainName::from("a"));
     settings.plan = Some(Arc::clone(plan));
     settings.seed_peers = seed_peers.to_vec();
+    change(&mut settings);
     Daemon::start(settings).await.expect("loopback has ports")
 }
 
@@ -137,9 +147,18 @@
 impl TwoNodes {
     /// Starts both; callers wait `deadline`.
     pub async fn start(deadline: Duration, backend: BackendPlan) -> Self {
+        Self::start_with(deadline, backend, |_settings| {}).await
+    }
+
+    /// Starts both; the entry's settings are changed before.
+    pub async fn start_with(
+        deadline: Duration,
+        backend: BackendPlan,
+        change: impl FnOnce(&mut DaemonSettings),
+    ) -> Self {
         let plan = plan("windows", deadline);
         let backend = BackendStub::start(backend).await.expect("a port");
-        let entry = node(&plan, &[]).await;
+        let entry = node_with(&plan, &[], change).await;
         let host = node(&plan, &[entry.addresses().peers]).await;
         announce(&host, "windows", backend.address());
         knows_targets(&entry, 1).await;
--- a/crates/fescuewayd/tests/path/streaming.rs
+++ b/crates/fescuewayd/tests/path/streaming.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fescueway_testkit::BackendPlan;
+use fescueway_testkit::{BackendPlan, BackendStub};
 use http::{HeaderMap, HeaderValue, Request};
 use http_body::Frame;
 use http_body_util::{BodyExt, channel::Channel};
@@ -15,7 +15,7 @@
     time::timeout,
 };
 
-use crate::common::{SOON, TwoNodes, get, text};
+use crate::common::{SOON, TwoNodes, announce, eventually, get, node_with, plan, send, text};
 
 const DEADLINE: Duration = Duration::from_secs(20);
 
@@ -133,3 +133,54 @@
     assert!(seen.contains("\"body_bytes\":1048576"), "{seen}");
     assert!(seen.contains("\"trailer\":\"the end\""), "{seen}");
 }
+
+#[tokio::test]
+async fn a_caller_that_stops_reading_loses_its_slot() {
+    let backend = BackendStub::start(BackendPlan::default())
+        .await
+        .expect("a port");
+    let node = node_with(&plan("windows", DEADLINE), &[], |settings| {
+        settings.limits.body_idle = Duration::from_millis(300);
+    })
+    .await;
+    announce(&node, "windows", backend.address());
+    let path = format!("/windows/download/{DOWNLOAD_BYTES}");
+    let unread = send(node.addresses().callers, get(&path)).await;
+    assert_eq!(unread.status(), 200);
+    eventually("the slot is free", || {
+        let target = node.state().host_target(&"windows".into());
+        target.is_some_and(|target| target.is_idle())
+    })
+    .await;
+    drop(unread);
+}
+
+#[tokio::test]
+async fn a_caller_that_stops_sending_is_told_so() {
+    let nodes = TwoNodes::start_with(DEADLINE, BackendPlan::default(), |settings| {
+        settings.limits.body_idle = Duration::from_millis(300);
+        settings.limits.header_timeout = Duration::from_millis(300);
+    })
+    .await;
+    let address = nodes.entry.addresses().callers;
+    let half_head = "GET /windows HTTP/1.1\r\nhost: a\r\n";
+    let half_body = "POST /windows HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhalf";
+    for (sent, is_answered) in [(half_head, false), (half_body, true)] {
+        let mut socket = TcpStream::connect(address).await.expect("the node listens");
+        socket
+            .write_all(sent.as_bytes())
+            .await
+            .expect("an open socket");
+        let mut answer = String::new();
+        let reading = socket.read_to_string(&mut answer);
+        timeout(SOON, reading)
+            .await
+            .expect("in time")
+            .expect("an end");
+        assert!(
+            !is_answered || answer.starts_with("HTTP/1.1 408"),
+            "{answer}"
+        );
+    }
+    assert_eq!(nodes.backend.tally().runs, 0);
+}
