--- a/crates/fescueway_proxy/src/peer/peer_server.rs
+++ b/crates/fescueway_proxy/src/peer/peer_server.rs
@@ -61,6 +61,7 @@
     peer: SocketAddr,
     closing: CancellationToken,
 ) {
+    let _open = state.peer_connection();
     if let Err(error) = set_socket_options(&socket, PEER_SILENCE) {
         return emit(&path::PEER_REFUSED, &[&peer, &error]);
     }
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -96,6 +96,8 @@
     open_requests: Arc<AtomicUsize>,
     /// Connections of callers that are open.
     caller_connections: Arc<AtomicUsize>,
+    /// Connections that peers opened.
+    peer_connections: Arc<AtomicUsize>,
     /// Hears of each request.
     observer: Mutex<Option<RequestObserver>>,
 }
@@ -124,6 +126,7 @@
             announced: watch::Sender::default(),
             open_requests: Arc::default(),
             caller_connections: Arc::default(),
+            peer_connections: Arc::default(),
             observer: Mutex::default(),
             options,
         }))
@@ -200,6 +203,17 @@
         self.0.caller_connections.load(Ordering::Relaxed)
     }
 
+    /// Connections that peers opened.
+    #[must_use]
+    pub fn peer_connections(&self) -> usize {
+        self.0.peer_connections.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection that a peer opened until the guard is dropped.
+    pub(crate) fn peer_connection(&self) -> OpenGuard {
+        OpenGuard::new(&self.0.peer_connections)
+    }
+
     /// Counts a caller's connection until the guard is dropped.
     pub(crate) fn caller_connection(&self) -> OpenGuard {
         OpenGuard::new(&self.0.caller_connections)
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -12,7 +12,7 @@
 use fescueway_telemetry::{MetricSet, emit, events::operator};
 use tokio::{
     net::UdpSocket,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -33,8 +33,8 @@
 /// How often a stopping daemon looks whether its last request is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
-/// How long peers may take to hear the goodbye.
-const GOODBYE_TIME: Duration = Duration::from_millis(200);
+/// Time in which the goodbye leaves for the peers.
+const GOODBYE_TIME: Duration = Duration::from_millis(100);
 
 /// One running node. Dropping it leaves it running; [`Daemon::stop`] ends it in order.
 #[derive(Debug)]
@@ -127,15 +127,20 @@
         while !self.is_idle() && start.elapsed() < limit {
             sleep(STOP_POLL).await;
         }
-        if !self.is_idle() {
+        self.leave().await;
+        // Peers close their connections once the last stream on them is read.
+        while self.is_open() && start.elapsed() < limit {
+            sleep(STOP_POLL).await;
+        }
+        if self.is_open() {
             let cut = self.state.open_requests();
             emit(&operator::STOP_CUT_REQUESTS, &[&cut, &limit.as_millis()]);
         }
-        self.leave().await;
+        self.state.tasks().cancel();
         emit(&operator::STOP_ENDED, &[&start.elapsed().as_millis()]);
     }
 
-    /// Says goodbye to the peers and ends every task.
+    /// Says goodbye to the peers, and takes no new stream of theirs.
     async fn leave(&self) {
         for service in self.state.local_services() {
             self.state.withdraw(&service);
@@ -144,10 +149,7 @@
             members.handle(MemberEvent::Leave);
         }
         self.closing_peers.cancel();
-        let finished = self.state.tasks().finished();
-        // Tasks that wait for work never finish by themselves.
-        let _ = timeout(GOODBYE_TIME, finished).await;
-        self.state.tasks().cancel();
+        sleep(GOODBYE_TIME).await;
     }
 
     /// Ends at once, as a crash would.
@@ -205,6 +207,11 @@
         emit(&operator::OPERATORS_LISTEN, &[&self.addresses.operators]);
     }
 
+    /// Whether a request is in flight, or an answer on its way to a peer.
+    fn is_open(&self) -> bool {
+        !self.is_idle() || self.state.peer_connections() > 0
+    }
+
     /// Whether nothing is in flight.
     fn is_idle(&self) -> bool {
         let services = self.state.local_services();
--- a/crates/fescuewayd/tests/path/stopping.rs
+++ b/crates/fescuewayd/tests/path/stopping.rs
@@ -2,17 +2,24 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use fescueway_core::{NodeId, RequestTerms};
 use fescueway_testkit::BackendPlan;
+use fescueway_wire::{HeaderList, OfferHead, StreamHead, encode_frame};
+use http::Request;
 use http_body_util::BodyExt;
-use tokio::time::sleep;
+use tokio::{net::TcpStream, time::sleep};
 
-use crate::common::{TwoNodes, get, header, request, send};
+use crate::common::{TwoNodes, eventually, get, header, request, send};
 
 const DEADLINE: Duration = Duration::from_secs(5);
 
 /// Time until the requests below are in flight.
 const UNDER_WAY: Duration = Duration::from_millis(100);
 
+/// Bytes that a slow entry takes at once.
+const SMALL_WINDOW: u32 = 1_024;
+
 fn slow_plan() -> BackendPlan {
     BackendPlan {
         service_time: Duration::from_millis(400),
@@ -79,3 +86,52 @@
     }
     assert_eq!(status, 200);
 }
+
+#[tokio::test]
+async fn a_stopping_host_waits_for_an_entry_that_reads_slowly() {
+    let nodes = TwoNodes::start(DEADLINE, BackendPlan::default()).await;
+    let address = nodes.host.addresses().peers;
+    let socket = TcpStream::connect(address).await.expect("the node listens");
+    let mut builder = h2::client::Builder::new();
+    let handshake = builder
+        .initial_window_size(SMALL_WINDOW)
+        .handshake::<_, Bytes>(socket);
+    let (sender, connection) = handshake.await.expect("HTTP/2");
+    tokio::spawn(connection);
+    let mut sender = sender.ready().await.expect("a stream");
+    let opening = Request::post("http://fescueway/").body(()).expect("valid");
+    let (response, mut stream) = sender.send_request(opening, false).expect("a stream");
+    let head = StreamHead::Offer(OfferHead {
+        entry: NodeId(1),
+        host: nodes.host.state().node(),
+        terms: RequestTerms::new("windows".into(), DEADLINE),
+        method: "GET".into(),
+        target: "/windows/download/3000".into(),
+        authority: "a".into(),
+        headers: HeaderList::default(),
+        is_body_held: false,
+    });
+    let frame = encode_frame(&head).expect("a small head");
+    stream
+        .send_data(frame.into(), true)
+        .expect("an open stream");
+    let mut body = response.await.expect("an answer").into_body();
+    let mut count = body.data().await.expect("data").expect("data").len();
+    let windows = "windows".into();
+    eventually("the backend server is done", || {
+        let target = nodes.host.state().host_target(&windows);
+        target.is_some_and(|target| target.is_idle())
+    })
+    .await;
+
+    let stopping = tokio::spawn(nodes.host.stop());
+    sleep(4 * UNDER_WAY).await;
+    let _ = body.flow_control().release_capacity(count);
+    while let Some(data) = body.data().await {
+        let length = data.expect("a whole download").len();
+        let _ = body.flow_control().release_capacity(length);
+        count += length;
+    }
+    assert!(count > 3_000, "{count} bytes with the head");
+    stopping.await.expect("no panic");
+}
