Lower the limit by the slowdown, and notice a jump in the service time at once

Cause: at a 10x straggler the recent mean took a second to follow, so stalls showed only between two ends; one request at a time was 0.3% of all requests, each 200 ms; what waited there stayed. Change: the mean of the last eight counts once it is 2.5 times the recent one; a straggler tries one request a second and gives back what waits; the limit moves until the slowdown is in tolerance; the baseline follows a mean over 256 requests, so that chance doesn't draw it down.

--- a/crates/fescueway_admission/src/concurrency_limit.rs
+++ b/crates/fescueway_admission/src/concurrency_limit.rs
@@ -2,19 +2,20 @@
 //! processor time.
 
 /// Slowdown that is taken for noise of the measurement.
-const TOLERATED_SLOWDOWN: f64 = 100.0;
+const TOLERATED_SLOWDOWN: f64 = 1.25;
 
 /// Share of the slots below which the limit never falls.
 const LEAST_SHARE: f64 = 0.3;
 
-/// Weight of one finished request in the limit.
-const STEP_WEIGHT: f64 = 1.0 / 16.0;
+/// Change of the limit for one finished request and a slowdown of 1 out of tolerance, as a share
+/// of the slots.
+const STEP_SHARE: f64 = 1.0 / 64.0;
 
 /// How many requests run at once.
 ///
-/// The limit follows the gradient between the undisturbed and the recent service time: when
-/// requests take longer with no more of them running, a neighbour has the processor, and fewer at
-/// once finish as much in total but each of them sooner.
+/// When requests take longer than on an undisturbed day, a neighbour has the processor: fewer at
+/// once then finish as much in total, but each of them sooner. So the limit falls while the
+/// slowdown is out of tolerance, and rises again when it isn't.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConcurrencyLimit {
     /// The announced slots.
@@ -35,8 +36,9 @@
 
     /// Takes in how much slower requests became.
     pub(crate) fn learn(&mut self, slowdown: f64) {
-        let share = (TOLERATED_SLOWDOWN / slowdown).clamp(LEAST_SHARE, 1.0);
-        self.limit += (self.slots * share - self.limit) * STEP_WEIGHT;
+        let room = (TOLERATED_SLOWDOWN - slowdown).clamp(-1.0, 1.0);
+        let limit = self.limit + room * STEP_SHARE * self.slots;
+        self.limit = limit.clamp(LEAST_SHARE * self.slots, self.slots);
     }
 
     /// Requests that may run at once while the target has ramped up to `share`. At least one and
--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -1,23 +1,35 @@
 //! How long a request holds a slot, learned from those that did.
 
+use std::time::Duration;
+
 use fescueway_core::MonoTime;
 
 use crate::TicketId;
 
 /// Weight of one finished request in the recent mean.
-const RECENT_WEIGHT: f64 = 1.0 / 32.0;
+const RECENT_WEIGHT: f64 = 1.0 / 64.0;
+
+/// Weight of one finished request in the mean of the last few.
+const FAST_WEIGHT: f64 = 1.0 / 8.0;
+
+/// How many times the recent mean the mean of the last few has to be to be believed at once.
+const JUMP_FACTOR: f64 = 2.5;
 
 /// Weight of one finished request in the recent share of failures.
 const FAILURE_WEIGHT: f64 = 1.0 / 16.0;
 
+/// Weight of one finished request in the mean that the baseline follows: long enough that the
+/// baseline isn't drawn down by chance.
+const LONG_WEIGHT: f64 = 1.0 / 256.0;
+
 /// How fast the baseline follows a falling mean, per finished request.
-const BASELINE_FALL: f64 = 1.0 / 32.0;
+const BASELINE_FALL: f64 = 1.0 / 256.0;
 
 /// How fast the baseline forgets, per finished request, so that it can rise again.
 const BASELINE_RISE: f64 = 1.0 / 20_000.0;
 
 /// Requests after which the recent mean can serve as a first baseline.
-const BASELINE_COUNT: u32 = 64;
+const BASELINE_COUNT: u32 = 256;
 
 /// A backend server stalls when none of its running requests has ended for as long as this many
 /// usually take to.
@@ -47,8 +59,12 @@
     ended: MonoTime,
     /// Recent mean, in microseconds; zero until the first request ended.
     recent_us: f64,
+    /// Mean over more requests, in microseconds.
+    long_us: f64,
     /// The mean on an undisturbed day, in microseconds; never far above `recent_us`.
     baseline_us: f64,
+    /// Mean of the last few, in microseconds.
+    fast_us: f64,
     /// Requests that ended well, up to [`BASELINE_COUNT`].
     count: u32,
     /// Recent share of failures, from 0 to 1.
@@ -63,7 +79,9 @@
             stall_count: (slots as usize).div_ceil(2),
             ended: MonoTime::ZERO,
             recent_us: 0.0,
+            long_us: 0.0,
             baseline_us: 0.0,
+            fast_us: 0.0,
             count: 0,
             failed_share: 0.0,
         }
@@ -103,21 +121,24 @@
         self.count = (self.count + 1).min(BASELINE_COUNT);
         let weight = RECENT_WEIGHT.max(1.0 / f64::from(self.count));
         self.recent_us += (held_us - self.recent_us) * weight;
+        let long_weight = LONG_WEIGHT.max(1.0 / f64::from(self.count));
+        self.long_us += (held_us - self.long_us) * long_weight;
+        self.fast_us += (held_us - self.fast_us) * FAST_WEIGHT;
         self.learn_baseline();
     }
 
     /// Follows a falling mean and forgets slowly.
     fn learn_baseline(&mut self) {
         if self.count < BASELINE_COUNT {
-            self.baseline_us = self.recent_us;
+            self.baseline_us = self.long_us;
             return;
         }
-        let rate = if self.recent_us < self.baseline_us {
+        let rate = if self.long_us < self.baseline_us {
             BASELINE_FALL
         } else {
             BASELINE_RISE
         };
-        self.baseline_us += (self.recent_us - self.baseline_us) * rate;
+        self.baseline_us += (self.long_us - self.baseline_us) * rate;
     }
 
     /// Mean time that a request holds a slot now, in microseconds.
@@ -130,11 +151,26 @@
         let is_stalled = self.open.len() >= self.stall_count
             && self.recent_us > 0.0
             && implied_us > STALL_ENDS * self.recent_us;
-        if is_stalled {
-            implied_us
+        let mean_us = if self.fast_us > JUMP_FACTOR * self.recent_us {
+            self.fast_us
         } else {
             self.recent_us
+        };
+        if is_stalled {
+            implied_us.max(mean_us)
+        } else {
+            mean_us
+        }
+    }
+
+    /// When the backend server has stalled unless a request ends before, `None` while too few run
+    /// to tell.
+    pub(crate) fn stall_time(&self) -> Option<MonoTime> {
+        if self.open.len() < self.stall_count || self.recent_us <= 0.0 {
+            return None;
         }
+        let silence_us = STALL_ENDS * self.recent_us / self.open.len() as f64;
+        Some(self.ended + Duration::from_micros(silence_us as u64 + 1))
     }
 
     /// How much longer than on an undisturbed day a request takes at a straggler, in
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -20,6 +20,9 @@
 /// the mean service time.
 const START_MARGIN: f64 = 0.5;
 
+/// Time between requests that a straggler runs although others are better.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Shortest time after which a refused caller is told to come back.
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -97,6 +100,10 @@
     ramp: SlowStart,
     /// What waits.
     queue: WaitQueue,
+    /// The last tick.
+    ticked: MonoTime,
+    /// When a straggler may be tried next.
+    next_trial: MonoTime,
     /// Whether the target is leaving.
     is_draining: bool,
 }
@@ -111,6 +118,8 @@
             limit: ConcurrencyLimit::new(plan.slots),
             ramp: SlowStart::new(now, plan.ramp_time),
             queue: WaitQueue::new(capacity),
+            ticked: MonoTime::ZERO,
+            next_trial: MonoTime::ZERO,
             is_draining: false,
             plan,
         }
@@ -121,7 +130,7 @@
         if self.is_draining {
             return GateResult::Refuse(Self::draining());
         }
-        if self.is_better_elsewhere(now, terms) {
+        if self.is_better_elsewhere(now, terms) && !self.take_trial(now) {
             let wait = Duration::from_micros(self.service.straggler_us(now) as u64);
             return GateResult::Refuse(Self::refusal(RefusalReason::QueueFull, wait));
         }
@@ -165,6 +174,7 @@
 
     /// Time passed: refuses what waits and can no longer finish in time.
     pub fn tick(&mut self, now: MonoTime) -> Vec<GateAction> {
+        self.ticked = now;
         self.fill(now)
     }
 
@@ -172,11 +182,12 @@
     #[must_use]
     pub fn next_wake(&self) -> Option<MonoTime> {
         let deadline = self.queue.next_deadline()?;
-        let margin = self.start_margin();
-        let micros = deadline
-            .as_micros()
-            .saturating_sub(margin.as_micros() as u64);
-        Some(MonoTime::from_micros(micros))
+        let margin_us = self.start_margin().as_micros() as u64;
+        let wake = MonoTime::from_micros(deadline.as_micros().saturating_sub(margin_us));
+        match self.service.stall_time() {
+            Some(stall) if stall > self.ticked => Some(wake.min(stall)),
+            _ => Some(wake),
+        }
     }
 
     /// From now on takes nothing new, refuses what waits, and lets finish what runs.
@@ -232,6 +243,10 @@
         let mut actions: Vec<_> = expired
             .map(|offer| GateAction::Refuse(offer.ticket, refusal))
             .collect();
+        let slow = Duration::from_micros(self.service.straggler_us(now) as u64);
+        let refusal = Self::refusal(RefusalReason::QueueFull, slow);
+        let released = self.queue.release(slow);
+        actions.extend(released.map(|offer| GateAction::Refuse(offer.ticket, refusal)));
         while self.has_slot(now)
             && let Some(offer) = self.queue.pop()
         {
@@ -241,11 +256,20 @@
         actions
     }
 
-    /// Whether this target is a straggler and the entry knows a better one. One request at a time
-    /// still runs here, so that the end of the trouble is seen.
+    /// Whether this target is a straggler and the entry knows a better one.
     fn is_better_elsewhere(&self, now: MonoTime, terms: &RequestTerms) -> bool {
         let straggler_us = self.service.straggler_us(now);
-        self.service.open_count() > 0 && straggler_us > terms.wait_limit.as_micros() as f64
+        straggler_us > terms.wait_limit.as_micros() as f64
+    }
+
+    /// Whether a straggler should run a request all the same, so that the end of the trouble is
+    /// seen: one at a time, and not often.
+    fn take_trial(&mut self, now: MonoTime) -> bool {
+        let is_due = self.service.open_count() == 0 && now >= self.next_trial;
+        if is_due {
+            self.next_trial = now + TRIAL_INTERVAL;
+        }
+        is_due
     }
 
     /// Whether another request may run.
--- a/crates/fescueway_admission/src/wait_queue.rs
+++ b/crates/fescueway_admission/src/wait_queue.rs
@@ -24,6 +24,8 @@
     rank: MonoTime,
     /// When its caller stops waiting.
     pub(crate) deadline: MonoTime,
+    /// The longest wait that its entry accepts.
+    wait_limit: Duration,
 }
 
 /// Offers that wait for a slot, ordered by deadline with a handicap for each priority.
@@ -48,6 +50,7 @@
             ticket,
             rank: now + terms.time_left.min(DEADLINE_CAP) + handicap,
             deadline: now + terms.time_left,
+            wait_limit: terms.wait_limit,
         }
     }
 }
@@ -93,6 +96,12 @@
             .extract_if(.., move |offer| offer.deadline <= limit)
     }
 
+    /// Takes out every offer whose entry accepts less than this wait.
+    pub(crate) fn release(&mut self, wait: Duration) -> impl Iterator<Item = QueuedOffer> {
+        self.offers
+            .extract_if(.., move |offer| offer.wait_limit < wait)
+    }
+
     /// The nearest deadline.
     pub(crate) fn next_deadline(&self) -> Option<MonoTime> {
         self.offers.iter().map(|offer| offer.deadline).min()
--- /dev/null
+++ b/crates/fescueway_admission/tests/gate.rs
@@ -0,0 +1,257 @@
+//! The gate: order, limits, early refusal, drain and slow start.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use fescueway_admission::{GateAction, GatePlan, GateResult, RunEnd, TargetGate, TicketId};
+use fescueway_core::{MonoTime, Priority, RefusalReason, RequestTerms};
+use quickcheck::{QuickCheck, TestResult};
+
+fn millis(value: u64) -> MonoTime {
+    MonoTime::from_micros(value * 1_000)
+}
+
+fn terms(priority: Priority, time_left_ms: u64) -> RequestTerms {
+    RequestTerms {
+        priority,
+        ..RequestTerms::new("windows".into(), Duration::from_millis(time_left_ms))
+    }
+}
+
+fn warm_gate(slots: u32) -> TargetGate {
+    let plan = GatePlan {
+        slots,
+        queue_per_slot: 10.0,
+        ramp_time: Duration::ZERO,
+    };
+    TargetGate::new(plan, MonoTime::ZERO)
+}
+
+/// A gate of one slot that knows a service time of 20 ms and is busy since 2 s.
+fn busy_gate() -> TargetGate {
+    let mut gate = warm_gate(1);
+    for index in 0..100 {
+        let ticket = TicketId(1_000 + index);
+        let long = terms(Priority::Normal, 10_000);
+        assert_eq!(
+            gate.offer(millis(index * 20), ticket, &long),
+            GateResult::Run
+        );
+        gate.finish(millis(index * 20 + 20), ticket, RunEnd::Answered);
+    }
+    let first = gate.offer(millis(2_000), TicketId(0), &terms(Priority::Normal, 10_000));
+    assert_eq!(first, GateResult::Run);
+    gate
+}
+
+/// The tickets that run, in order, as each run ends after 20 ms.
+fn run_order(gate: &mut TargetGate, from_ms: u64) -> Vec<u64> {
+    let mut order = Vec::new();
+    let mut running = TicketId(0);
+    for step in 1..20 {
+        let actions = gate.finish(millis(from_ms + step * 20), running, RunEnd::Answered);
+        let Some(GateAction::Run(next)) = actions.first() else {
+            break;
+        };
+        order.push(next.0);
+        running = *next;
+    }
+    order
+}
+
+#[test]
+fn the_queue_goes_by_deadline_and_priority() {
+    let mut gate = busy_gate();
+    let now = millis(2_000);
+    let offers = [
+        (1, Priority::Normal, 400),
+        (2, Priority::High, 500),
+        (3, Priority::High, 300),
+        (4, Priority::Low, 400),
+    ];
+    for (ticket, priority, time_left) in offers {
+        let result = gate.offer(now, TicketId(ticket), &terms(priority, time_left));
+        assert_eq!(result, GateResult::Wait);
+    }
+    assert_eq!(run_order(&mut gate, 2_000), [3, 2, 1, 4]);
+}
+
+#[test]
+fn a_low_priority_request_is_not_starved_by_a_stream_of_high_ones() {
+    let mut gate = busy_gate();
+    let low = terms(Priority::Low, 30_000);
+    assert_eq!(
+        gate.offer(millis(2_000), TicketId(1), &low),
+        GateResult::Wait
+    );
+    let mut running = TicketId(0);
+    for step in 1..=200 {
+        let now = millis(2_000 + step * 20);
+        // Two urgent requests wait whenever one slot is free.
+        for ticket in [10 * step, 10 * step + 1] {
+            gate.offer(now, TicketId(ticket), &terms(Priority::High, 500));
+        }
+        let actions = gate.finish(now, running, RunEnd::Answered);
+        let next = actions.iter().find_map(|action| match action {
+            GateAction::Run(ticket) => Some(*ticket),
+            GateAction::Refuse(..) => None,
+        });
+        match next {
+            Some(TicketId(1)) => return,
+            Some(ticket) => running = ticket,
+            None => panic!("a slot stays free while requests wait"),
+        }
+    }
+    panic!("the low-priority request did not run within 4 s");
+}
+
+#[test]
+fn what_cannot_finish_in_time_is_refused_at_once() {
+    let mut gate = busy_gate();
+    let GateResult::Refuse(refusal) =
+        gate.offer(millis(2_000), TicketId(1), &terms(Priority::High, 30))
+    else {
+        panic!("20 ms of wait and 20 ms of service don't fit into 30 ms");
+    };
+    assert_eq!(refusal.reason, RefusalReason::DeadlineTooShort);
+    assert!(refusal.retry_after >= Duration::from_millis(100));
+}
+
+#[test]
+fn a_waiting_request_is_refused_when_its_time_is_nearly_over() {
+    let mut gate = busy_gate();
+    let waiting = gate.offer(millis(2_000), TicketId(1), &terms(Priority::High, 100));
+    assert_eq!(waiting, GateResult::Wait);
+    let wake = gate.next_wake().expect("a request waits");
+    assert!(wake < millis(2_100));
+    let actions = gate.tick(wake);
+    assert!(
+        matches!(actions[..], [GateAction::Refuse(TicketId(1), refusal)]
+            if refusal.reason == RefusalReason::DeadlineTooShort)
+    );
+    assert_eq!(gate.next_wake(), None);
+}
+
+#[test]
+fn a_wait_beyond_what_the_entry_accepts_is_refused() {
+    let mut gate = busy_gate();
+    let mut choosy = terms(Priority::High, 1_000);
+    choosy.wait_limit = Duration::from_millis(5);
+    let refused = gate.offer(millis(2_000), TicketId(1), &choosy);
+    assert!(matches!(refused, GateResult::Refuse(refusal)
+        if refusal.reason == RefusalReason::QueueFull));
+    choosy.wait_limit = Duration::from_millis(25);
+    let waiting = gate.offer(millis(2_000), TicketId(2), &choosy);
+    assert_eq!(waiting, GateResult::Wait);
+}
+
+#[test]
+fn a_drain_refuses_what_waits_and_cuts_nothing() {
+    let mut gate = busy_gate();
+    gate.offer(millis(2_000), TicketId(1), &terms(Priority::High, 1_000));
+    let actions = gate.drain(millis(2_001));
+    assert!(
+        matches!(actions[..], [GateAction::Refuse(TicketId(1), refusal)]
+        if refusal.reason == RefusalReason::Draining)
+    );
+    let late = gate.offer(millis(2_002), TicketId(2), &terms(Priority::High, 1_000));
+    assert!(matches!(late, GateResult::Refuse(refusal)
+        if refusal.reason == RefusalReason::Draining));
+    assert!(!gate.is_idle(), "the running request goes on");
+    assert!(gate.report(millis(2_003)).is_draining);
+    gate.finish(millis(2_020), TicketId(0), RunEnd::Answered);
+    assert!(gate.is_idle());
+}
+
+#[test]
+fn a_cold_target_ramps_up() {
+    let plan = GatePlan::default();
+    let gate = TargetGate::new(plan.clone(), MonoTime::ZERO);
+    let first = gate.report(MonoTime::ZERO).limit;
+    assert!(first >= 1 && first <= plan.slots / 3);
+    assert_eq!(
+        gate.report(MonoTime::ZERO + plan.ramp_time).limit,
+        plan.slots
+    );
+}
+
+#[test]
+fn a_noisy_neighbour_lowers_the_limit_and_its_end_restores_it() {
+    let mut gate = warm_gate(10);
+    let mut now_us = 0;
+    let mut serve = |gate: &mut TargetGate, service_ms: u64, count: u64| {
+        for _ in 0..count {
+            let ticket = TicketId(now_us);
+            gate.offer(
+                MonoTime::from_micros(now_us),
+                ticket,
+                &terms(Priority::High, 1_000),
+            );
+            now_us += service_ms * 1_000;
+            gate.finish(MonoTime::from_micros(now_us), ticket, RunEnd::Answered);
+        }
+        gate.report(MonoTime::from_micros(now_us)).limit
+    };
+    assert_eq!(serve(&mut gate, 20, 200), 10);
+    assert!(
+        serve(&mut gate, 40, 300) <= 8,
+        "half speed lowers the limit"
+    );
+    assert_eq!(serve(&mut gate, 20, 600), 10);
+}
+
+/// One step of the property test: what happens, and how many milliseconds later.
+type GateStep = (u8, u8);
+
+#[test]
+fn the_limit_is_kept_and_every_offer_is_settled_once() {
+    /// Runs the steps; `false` when an invariant is broken.
+    fn check(steps: Vec<GateStep>, slots: u8) -> TestResult {
+        let slots = u32::from(slots % 12) + 1;
+        let mut gate = warm_gate(slots);
+        let mut running: BTreeMap<u64, MonoTime> = BTreeMap::new();
+        let mut waiting: BTreeMap<u64, MonoTime> = BTreeMap::new();
+        let mut now = MonoTime::ZERO;
+        for (index, (kind, gap)) in steps.into_iter().enumerate() {
+            now = now + Duration::from_millis(u64::from(gap));
+            let ticket = TicketId(index as u64);
+            let oldest = running.keys().next().copied();
+            let actions = match (kind % 4, oldest) {
+                (0, Some(oldest)) => {
+                    running.remove(&oldest);
+                    gate.finish(now, TicketId(oldest), RunEnd::Answered)
+                }
+                (1, _) => gate.tick(now),
+                _ => {
+                    let offer = terms(Priority::Normal, u64::from(kind) * 4 + 1);
+                    match gate.offer(now, ticket, &offer) {
+                        GateResult::Run => drop(running.insert(ticket.0, now)),
+                        GateResult::Wait => drop(waiting.insert(ticket.0, now)),
+                        GateResult::Refuse(_) => {}
+                    }
+                    Vec::new()
+                }
+            };
+            for action in actions {
+                let (GateAction::Run(TicketId(id)) | GateAction::Refuse(TicketId(id), _)) = action;
+                if waiting.remove(&id).is_none() {
+                    return TestResult::failed();
+                }
+                if matches!(action, GateAction::Run(_)) {
+                    running.insert(id, now);
+                }
+            }
+            let report = gate.report(now);
+            let is_kept = running.len() <= slots as usize
+                && report.limit <= slots
+                && report.in_flight as usize == running.len()
+                && report.queued as usize == waiting.len();
+            if !is_kept {
+                return TestResult::failed();
+            }
+        }
+        TestResult::passed()
+    }
+    QuickCheck::new()
+        .tests(300)
+        .quickcheck(check as fn(Vec<GateStep>, u8) -> TestResult);
+}
