Draw a part of the uncertain load, price a refusal, and refuse what the next place beats

Cause: views are stale, above all at 60 entries. Change: a random part of the load's deviation is drawn per choice; a likely refusal costs 0.2 service times; the accepted wait is the next place's score, at most half a service time, longer as the budget (0.13 of the first offers, with a small debt) runs out; slowness is forgotten over 2 s. The second offer of a refused request isn't lost to others' spending any more.

--- a/crates/fescueway_routing/src/place_choice.rs
+++ b/crates/fescueway_routing/src/place_choice.rs
@@ -1,9 +1,9 @@
 //! The choice among the targets of a subset.
 
-use fescueway_core::{MonoTime, NodeId};
+use fescueway_core::NodeId;
 use rand_core::Rng;
 
-use crate::{pool_view::PoolView, target_view::TargetView};
+use crate::target_view::{PickScene, TargetView};
 
 /// Targets that are compared for one offer. A larger subset is sampled.
 const MAX_COMPARED: usize = 8;
@@ -12,6 +12,12 @@
 /// cause is likelier to lie elsewhere and the few left would be overrun.
 const PANIC_SHARE: f64 = 0.5;
 
+/// Range of a uniform variable of 16 bits.
+const UNIFORM_RANGE: f64 = 65_536.0;
+
+/// Scales the sum of four uniform variables from 0 to 1 to a variance of 1.
+const UNIFORM_SCALE: f64 = 1.732;
+
 /// The best and the second best place for an offer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlaceChoice {
@@ -25,16 +31,14 @@
 /// most are.
 pub(crate) fn choose_place(
     views: &mut [TargetView],
-    now: MonoTime,
-    pool: &PoolView,
-    far_trip_us: f64,
+    scene: &PickScene<'_>,
     tried: &[NodeId],
     random: &mut impl Rng,
 ) -> Option<PlaceChoice> {
     let mut serving = 0_usize;
     let mut trusted = 0_usize;
     for view in views.iter_mut().filter(|view| !view.is_draining) {
-        view.tick(now);
+        view.tick(scene.now);
         serving += 1;
         trusted += usize::from(view.is_trusted());
     }
@@ -49,7 +53,11 @@
     let candidates = order
         .filter(|&index| may_use(&views[index]))
         .take(open.min(MAX_COMPARED));
-    best_two(candidates.map(|index| (index, views[index].score_us(now, pool, far_trip_us))))
+    let scores = candidates.map(|index| {
+        let noise = standard_normal(random);
+        (index, views[index].score_us(scene, noise))
+    });
+    best_two(scores)
 }
 
 /// The lowest score's index and the second lowest score.
@@ -73,3 +81,12 @@
         next_score_us,
     })
 }
+
+/// A nearly standard normal variable: the sum of four uniform ones.
+fn standard_normal(random: &mut impl Rng) -> f64 {
+    let bits = random.next_u64();
+    let sum: f64 = (0..4)
+        .map(|part| f64::from((bits >> (16 * part)) as u16))
+        .sum();
+    (sum / UNIFORM_RANGE - 2.0) * UNIFORM_SCALE
+}
--- a/crates/fescueway_routing/src/pool_view.rs
+++ b/crates/fescueway_routing/src/pool_view.rs
@@ -4,7 +4,10 @@
 
 use fescueway_core::LoadReport;
 
-/// Weight of one report in the pool's means.
+/// Weight of one report in the pool's load.
+const LOAD_WEIGHT: f64 = 0.2;
+
+/// Weight of one report in the pool's service time and wait.
 const REPORT_WEIGHT: f64 = 0.05;
 
 /// Service time that is assumed before the first report, in microseconds.
@@ -57,7 +60,7 @@
     pub(crate) fn learn(&mut self, report: &LoadReport) {
         let load = f64::from(report.in_flight + report.queued);
         let share = load / f64::from(report.limit.max(1));
-        self.load_share += (share - self.load_share) * REPORT_WEIGHT;
+        self.load_share += (share - self.load_share) * LOAD_WEIGHT;
         self.wait_us += (f64::from(report.wait_us) - self.wait_us) * REPORT_WEIGHT;
         self.learn_service(f64::from(report.service_time_us));
     }
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -9,26 +9,38 @@
 use rand_core::Rng;
 
 use crate::{
-    OfferEnd, OfferPermit, RouteEvent, RoutingPlan, latency_quantile::LatencyQuantile,
-    offer_budget::OfferBudget, place_choice::choose_place, pool_view::PoolView,
-    target_subset::subset_rank, target_view::TargetView,
+    OfferEnd, OfferPermit, RouteEvent, RoutingPlan,
+    latency_quantile::LatencyQuantile,
+    offer_budget::OfferBudget,
+    place_choice::choose_place,
+    pool_view::PoolView,
+    target_subset::subset_rank,
+    target_view::{PickScene, TargetView},
 };
 
 /// Further offers after refusals, as a share of the first offers.
-const REFUSAL_SHARE: f64 = 0.2;
+const REFUSAL_SHARE: f64 = 0.13;
 
 /// Further offers after refusals that can be saved up.
 const REFUSAL_RESERVE: f64 = 10.0;
 
+/// Further offers after refusals that can be owed: hosts were told to refuse while there was
+/// budget, and several may do so at once.
+const REFUSAL_DEBT: f64 = 10.0;
+
 /// Retries and hedges that can be saved up.
 const RETRY_RESERVE: f64 = 10.0;
 
-/// How many times the wait at the next best place the wait at a host has to be before the host
-/// refuses.
-const REFUSAL_GAIN: f64 = 1.5;
-
 /// Shortest wait at which a host refuses because another place is likely better.
-const LEAST_WAIT_LIMIT: Duration = Duration::from_millis(2);
+const LEAST_WAIT_LIMIT: Duration = Duration::from_millis(1);
+
+/// Wait at which a host refuses however bad the other places look, in mean service times: views
+/// of them are stale, while the host knows its own queue.
+const MOST_WAIT_SHARE: f64 = 0.5;
+
+/// How much longer a wait is accepted as the budget of offers after refusals runs out, so that
+/// what is left of it goes to the longest waits.
+const SCARCITY_PRICE: f64 = 3.0;
 
 /// When to come back after a refusal by the entry, at the soonest.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -77,7 +89,7 @@
             targets: BTreeMap::new(),
             views: Vec::with_capacity(capacity),
             pool: PoolView::default(),
-            refusals: OfferBudget::new(REFUSAL_RESERVE),
+            refusals: OfferBudget::new(REFUSAL_RESERVE).with_debt(REFUSAL_DEBT),
             retries: OfferBudget::new(RETRY_RESERVE),
             latency: LatencyQuantile::default(),
         }
@@ -136,8 +148,12 @@
         if terms.offers_left == 0 || !self.charge(terms.cause) {
             return PickResult::Refuse(self.refusal(RefusalReason::BudgetSpent));
         }
-        let far_trip_us = self.plan.domain_trip.as_micros() as f64;
-        let choice = choose_place(&mut self.views, now, &self.pool, far_trip_us, tried, random);
+        let scene = PickScene {
+            now,
+            pool: &self.pool,
+            far_trip_us: self.plan.domain_trip.as_micros() as f64,
+        };
+        let choice = choose_place(&mut self.views, &scene, tried, random);
         let Some(choice) = choice else {
             return PickResult::Refuse(self.refusal(RefusalReason::NoTarget));
         };
@@ -219,7 +235,10 @@
         let may_offer_again = terms.offers_left > 0 && self.refusals.has_token();
         match next_score_us {
             Some(score_us) if may_offer_again => {
-                let limit_us = score_us * REFUSAL_GAIN;
+                let scarcity = self.refusals.spent_share();
+                let price = 1.0 + SCARCITY_PRICE * scarcity * scarcity;
+                let most_us = MOST_WAIT_SHARE * self.pool.service_us();
+                let limit_us = (score_us * price).min(most_us);
                 Duration::from_micros(limit_us as u64).max(LEAST_WAIT_LIMIT)
             }
             _ => terms.time_left,
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -10,7 +10,7 @@
 };
 
 /// Weight of a new report in the target's mean load.
-const MEAN_WEIGHT: f64 = 0.2;
+const MEAN_WEIGHT: f64 = 0.3;
 
 /// Weight of one answer in the entry's own share of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
@@ -19,21 +19,41 @@
 const COLD_SHARE: f64 = 0.3;
 
 /// A target is silent when nothing came back for this many usual service times.
-const SILENCE_FACTOR: f64 = 5.0;
+const SILENCE_FACTOR: f64 = 4.0;
 
-/// Weight of the load's variance in the expected wait, so that the smooth form equals the mean of
-/// a normal variable's positive part where the load equals the limit.
-const VARIANCE_WEIGHT: f64 = 0.64;
+/// Share of the load's standard deviation that is drawn at random, so that entries with the same
+/// view don't all choose the same target.
+const DRAWN_SHARE: f64 = 0.6;
+
+/// Weight of the load's variance in the expected wait: what isn't drawn.
+const VARIANCE_WEIGHT: f64 = 1.0 - DRAWN_SHARE * DRAWN_SHARE;
+
+/// Keeps the share of full targets defined when nothing varies.
+const LEAST_SPREAD: f64 = 1e-3;
+
+/// What a refusal counts, in mean service times: the trip to the next place and the extra offer.
+const REFUSAL_PRICE: f64 = 0.2;
 
 /// A service time up to this many times the pool's counts as equal: the recent means vary by
 /// chance.
-const TOLERATED_SLOWNESS: f64 = 1.5;
+const TOLERATED_SLOWNESS: f64 = 1.6;
 
 /// How steeply slowness counts once it is out of tolerance, up to its full amount.
 const SLOWNESS_SLOPE: f64 = 3.0;
 
 /// How long it takes to forget most of a target's slowness. Its host refuses, should it last.
-const SLOWNESS_MEMORY: Duration = Duration::from_secs(1);
+const SLOWNESS_MEMORY: Duration = Duration::from_secs(2);
+
+/// What a pick sees besides the targets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PickScene<'router> {
+    /// The time.
+    pub(crate) now: MonoTime,
+    /// The targets taken together.
+    pub(crate) pool: &'router PoolView,
+    /// One-way trip to another failure domain beyond that within the own, in microseconds.
+    pub(crate) far_trip_us: f64,
+}
 
 /// What one entry knows of one target.
 #[derive(Debug)]
@@ -163,26 +183,34 @@
 
     /// Expected time from an offer now to its answer beyond the pool's service time, in
     /// microseconds; trips within the own failure domain are left out.
-    pub(crate) fn score_us(&self, now: MonoTime, pool: &PoolView, far_trip_us: f64) -> f64 {
-        let trip_us = if self.is_near { 0.0 } else { 2.0 * far_trip_us };
-        let service_us = self.service_now_us(now, pool);
-        let usual_us = pool.service_us();
-        let over_us = service_us - TOLERATED_SLOWNESS * usual_us;
-        let slower_us = (over_us * SLOWNESS_SLOPE).clamp(0.0, (service_us - usual_us).max(0.0));
-        let slower_us = slower_us * decay(now.since(self.load_at), SLOWNESS_MEMORY);
-        trip_us + slower_us + self.wait_us(now, pool, service_us)
+    ///
+    /// `noise` is a standard normal variable, by which a part of the load's uncertainty is drawn.
+    pub(crate) fn score_us(&self, scene: &PickScene<'_>, noise: f64) -> f64 {
+        let trip_us = if self.is_near {
+            0.0
+        } else {
+            2.0 * scene.far_trip_us
+        };
+        let service_us = self.service_now_us(scene.now, scene.pool);
+        let slower_us = slower_us(scene.pool.service_us(), service_us);
+        trip_us + slower_us + self.wait_us(scene, service_us, noise)
     }
 
-    /// Expected wait for a slot of an offer that arrives now, in microseconds.
-    fn wait_us(&self, now: MonoTime, pool: &PoolView, service_us: f64) -> f64 {
-        let staleness = 1.0 - self.freshness(now, service_us);
-        let load = self.load_now(now, pool);
-        let over = load + 1.0 - self.limit;
-        // A smooth form of the mean of max(0, N - limit) for a load N that varies as a Poisson
-        // variable does, the more the older the report.
+    /// Expected wait for a slot of an offer that arrives now, with the price of a likely refusal,
+    /// in microseconds.
+    ///
+    /// The load varies as a Poisson variable does, the more the older the report. A part of that
+    /// is drawn, the mean of max(0, load - limit) is taken over the rest in a smooth form.
+    fn wait_us(&self, scene: &PickScene<'_>, service_us: f64, noise: f64) -> f64 {
+        let staleness = 1.0 - self.freshness(scene.now, service_us);
+        let load = self.load_now(scene.now, scene.pool);
         let variance = load * staleness;
-        let expected = f64::midpoint(over, (over * over + VARIANCE_WEIGHT * variance).sqrt());
-        expected.max(0.0) * service_us / self.limit
+        let drawn = noise * DRAWN_SHARE * variance.sqrt();
+        let over = load + 1.0 - self.limit + drawn;
+        let spread = (over * over + VARIANCE_WEIGHT * variance).sqrt();
+        let waiting = f64::midpoint(over, spread);
+        let full_share = f64::midpoint(1.0, over / spread.max(LEAST_SPREAD));
+        waiting * service_us / self.limit + full_share * REFUSAL_PRICE * scene.pool.service_us()
     }
 
     /// The load expected now: the last report's, drifting to the mean as it ages.
@@ -201,19 +229,20 @@
         )
     }
 
-    /// Time that a request holds a slot now, in microseconds: what the host reported, or longer
-    /// when the target has been silent for longer.
+    /// Time that a request holds a slot now, in microseconds: what the host reported, the less
+    /// told from the pool's the older the report, or longer when the target has been silent.
     fn service_now_us(&self, now: MonoTime, pool: &PoolView) -> f64 {
-        let usual_us = if self.service_us > 0.0 {
-            self.service_us
-        } else {
-            pool.service_us()
-        };
-        if self.open == 0 {
+        let usual_us = pool.service_us();
+        if self.service_us <= 0.0 {
             return usual_us;
         }
+        let memory = decay(now.since(self.load_at), SLOWNESS_MEMORY);
+        let known_us = usual_us + (self.service_us - usual_us) * memory;
+        if self.open == 0 {
+            return known_us;
+        }
         let silence_us = now.since(self.silent_since).as_micros() as f64;
-        usual_us + (silence_us - SILENCE_FACTOR * usual_us).max(0.0)
+        known_us + (silence_us - SILENCE_FACTOR * known_us).max(0.0)
     }
 }
 
@@ -221,3 +250,10 @@
 fn decay(age: Duration, memory: Duration) -> f64 {
     (-age.as_secs_f64() / memory.as_secs_f64().max(1e-6)).exp()
 }
+
+/// How much a service time counts against a target whose pool usually has `usual_us`, in
+/// microseconds.
+fn slower_us(usual_us: f64, service_us: f64) -> f64 {
+    let over_us = service_us - TOLERATED_SLOWNESS * usual_us;
+    (over_us * SLOWNESS_SLOPE).clamp(0.0, (service_us - usual_us).max(0.0))
+}
--- /dev/null
+++ b/crates/fescueway_routing/tests/router.rs
@@ -0,0 +1,349 @@
+//! The router: budgets, ejection, drains, subsets and what each offer carries.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use fescueway_core::{
+    Idempotency, LoadReport, MonoTime, NodeId, OfferCause, Refusal, RefusalReason, RequestTerms,
+    TargetRecord, TargetState,
+};
+use fescueway_routing::{
+    OfferEnd, OfferPermit, PickResult, RouteEvent, RoutingPlan, ServiceRouter,
+};
+use quickcheck::QuickCheck;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64;
+
+const QUEUE_FULL: Refusal = Refusal {
+    reason: RefusalReason::QueueFull,
+    retry_after: Duration::from_millis(100),
+};
+
+fn millis(value: u64) -> MonoTime {
+    MonoTime::from_micros(value * 1_000)
+}
+
+fn record(node: u64, domain: &str, state: TargetState) -> TargetRecord {
+    TargetRecord {
+        node: NodeId(node),
+        service: "windows".into(),
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        domain: domain.into(),
+        slots: 10,
+        connections: 250,
+        state,
+    }
+}
+
+/// A router in domain `a` with targets in that domain.
+fn router(targets: u64, plan: RoutingPlan) -> ServiceRouter {
+    let mut router = ServiceRouter::new(plan, "a".into()).with_seed(NodeId(99));
+    for node in 0..targets {
+        router.set_target(MonoTime::ZERO, &record(node, "a", TargetState::Serving));
+    }
+    router
+}
+
+fn terms() -> RequestTerms {
+    RequestTerms {
+        idempotency: Idempotency::Idempotent,
+        ..RequestTerms::new("windows".into(), Duration::from_millis(300))
+    }
+}
+
+fn offer(
+    router: &mut ServiceRouter,
+    now: MonoTime,
+    terms: RequestTerms,
+    tried: &[NodeId],
+    random: &mut Pcg64,
+) -> Option<OfferPermit> {
+    match router.pick(now, terms, tried, random) {
+        PickResult::Offer(permit) => Some(permit),
+        PickResult::Refuse(_) => None,
+    }
+}
+
+fn report(in_flight: u32, service_time_us: u32) -> LoadReport {
+    LoadReport {
+        in_flight,
+        limit: 10,
+        service_time_us,
+        ..LoadReport::default()
+    }
+}
+
+fn answered(is_failure: bool) -> OfferEnd {
+    OfferEnd::Answered {
+        latency: Duration::from_millis(20),
+        is_failure,
+    }
+}
+
+/// Serves `count` requests a millisecond apart, each answered at once as `end_at` says, and counts
+/// the offers that `watched` got.
+fn serve(
+    router: &mut ServiceRouter,
+    from_ms: u64,
+    count: u64,
+    watched: NodeId,
+    end_at: impl Fn(NodeId) -> (LoadReport, OfferEnd),
+) -> u64 {
+    let mut random = Pcg64::seed_from_u64(from_ms);
+    let mut watched_offers = 0;
+    for step in 0..count {
+        let now = millis(from_ms + step);
+        let permit = offer(router, now, terms(), &[], &mut random).expect("a target is open");
+        let node = permit.node();
+        watched_offers += u64::from(node == watched);
+        let (report, end) = end_at(node);
+        router.handle(now, RouteEvent::LoadReported { node, report });
+        router.handle(now, RouteEvent::OfferEnded { node, end });
+    }
+    watched_offers
+}
+
+#[test]
+fn a_target_that_fails_fast_attracts_no_load() {
+    let mut router = router(5, RoutingPlan::default());
+    let bad = NodeId(2);
+    let end_at = |node| (report(2, 20_000), answered(node == bad));
+    serve(&mut router, 0, 200, bad, end_at);
+    let later = serve(&mut router, 200, 1_000, bad, end_at);
+    assert!(
+        later <= 5,
+        "{later} of 1000 offers went to the failing target"
+    );
+}
+
+#[test]
+fn when_all_look_bad_it_still_spreads() {
+    let mut router = router(5, RoutingPlan::default());
+    let mut used = BTreeSet::new();
+    serve(&mut router, 0, 200, NodeId(0), |_| {
+        (report(2, 20_000), answered(true))
+    });
+    let mut random = Pcg64::seed_from_u64(3);
+    for step in 0..100 {
+        let permit = offer(&mut router, millis(200 + step), terms(), &[], &mut random);
+        used.insert(permit.expect("no target is given up").node());
+    }
+    assert_eq!(used.len(), 5);
+}
+
+#[test]
+fn a_straggler_gets_next_to_nothing_until_it_recovers() {
+    let mut router = router(5, RoutingPlan::default());
+    let slow = NodeId(1);
+    let slow_end = |node| {
+        let service = if node == slow { 200_000 } else { 20_000 };
+        (report(2, service), answered(false))
+    };
+    serve(&mut router, 0, 100, slow, slow_end);
+    let while_slow = serve(&mut router, 100, 2_000, slow, slow_end);
+    assert!(
+        while_slow <= 10,
+        "{while_slow} of 2000 offers went to the straggler"
+    );
+    let recovered = serve(&mut router, 8_000, 1_000, slow, |_| {
+        (report(8, 20_000), answered(false))
+    });
+    assert!(
+        recovered >= 50,
+        "only {recovered} of 1000 offers after the recovery"
+    );
+}
+
+#[test]
+fn a_silent_target_is_left_before_it_answers() {
+    let mut router = router(2, RoutingPlan::default());
+    let mut random = Pcg64::seed_from_u64(5);
+    // So many slots that the load alone never counts against a target.
+    let wide = LoadReport {
+        limit: 10_000,
+        ..report(2, 20_000)
+    };
+    serve(&mut router, 0, 50, NodeId(0), |_| (wide, answered(false)));
+    // Target 0 keeps its offers, target 1 answers at once.
+    let mut stuck = 0;
+    for step in 50..1_050 {
+        let now = millis(step);
+        let permit = offer(&mut router, now, terms(), &[], &mut random).expect("open");
+        if permit.node() == NodeId(0) {
+            stuck += 1;
+            continue;
+        }
+        let node = permit.node();
+        let end = answered(false);
+        router.handle(now, RouteEvent::OfferEnded { node, end });
+    }
+    assert!(
+        stuck <= 20,
+        "{stuck} offers were stuck at the silent target"
+    );
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_new() {
+    let mut router = router(3, RoutingPlan::default());
+    let told = |_| (report(2, 20_000), answered(false));
+    router.set_target(millis(1), &record(0, "a", TargetState::Draining));
+    assert_eq!(
+        serve(&mut router, 2, 200, NodeId(0), told),
+        0,
+        "by membership"
+    );
+    router.handle(
+        millis(300),
+        RouteEvent::OfferEnded {
+            node: NodeId(1),
+            end: OfferEnd::Refused(Refusal {
+                reason: RefusalReason::Draining,
+                ..QUEUE_FULL
+            }),
+        },
+    );
+    assert_eq!(
+        serve(&mut router, 301, 200, NodeId(1), told),
+        0,
+        "by a refusal"
+    );
+    assert_eq!(serve(&mut router, 600, 200, NodeId(2), told), 200);
+}
+
+#[test]
+fn offers_are_bounded_over_the_depth_of_calls() {
+    let mut router = router(5, RoutingPlan::default());
+    let mut random = Pcg64::seed_from_u64(1);
+    let mut next = RequestTerms {
+        offers_left: 2,
+        depth: 7,
+        ..terms()
+    };
+    for left in [1, 0] {
+        let permit = offer(&mut router, millis(1), next, &[], &mut random).expect("offers left");
+        assert_eq!(permit.terms().offers_left, left);
+        assert_eq!(permit.terms().depth, 7);
+        next = permit.refused(&QUEUE_FULL);
+    }
+    assert!(offer(&mut router, millis(1), next, &[], &mut random).is_none());
+}
+
+#[test]
+fn the_last_offer_waits_as_long_as_its_caller() {
+    let mut router = router(5, RoutingPlan::default());
+    let mut random = Pcg64::seed_from_u64(1);
+    let first = offer(&mut router, millis(1), terms(), &[], &mut random).expect("open");
+    assert!(first.terms().wait_limit < first.terms().time_left);
+    let last = RequestTerms {
+        offers_left: 1,
+        ..terms()
+    };
+    let last = offer(&mut router, millis(1), last, &[], &mut random).expect("open");
+    assert_eq!(last.terms().wait_limit, last.terms().time_left);
+}
+
+#[test]
+fn budgets_hold_under_total_overload() {
+    /// Every offer is refused or lost; `false` when more is offered again than the budgets allow.
+    #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
+    fn check(kinds: Vec<bool>, seed: u64) -> bool {
+        let mut router = router(8, RoutingPlan::default());
+        let mut random = Pcg64::seed_from_u64(seed);
+        let (mut firsts, mut refused, mut retried) = (0_u64, 0_u64, 0_u64);
+        for (step, is_refused) in kinds.iter().cycle().take(400).enumerate() {
+            let now = millis(step as u64);
+            let mut next = Some(terms());
+            let mut tried = Vec::new();
+            while let Some(terms) = next.take() {
+                let cause = terms.cause;
+                let Some(permit) = offer(&mut router, now, terms, &tried, &mut random) else {
+                    break;
+                };
+                match cause {
+                    OfferCause::First => firsts += 1,
+                    OfferCause::Refused => refused += 1,
+                    OfferCause::Retried => retried += 1,
+                }
+                let node = permit.node();
+                tried.push(node);
+                let end;
+                (end, next) = if *is_refused {
+                    (
+                        OfferEnd::Refused(QUEUE_FULL),
+                        Some(permit.refused(&QUEUE_FULL)),
+                    )
+                } else {
+                    (OfferEnd::Lost, permit.hand_over().retry())
+                };
+                router.handle(now, RouteEvent::OfferEnded { node, end });
+            }
+        }
+        // Nothing succeeds, so retries are what was saved up before.
+        retried <= 10 && refused as f64 <= 0.2 * firsts as f64 + 10.0
+    }
+    QuickCheck::new()
+        .tests(50)
+        .quickcheck(check as fn(Vec<bool>, u64) -> bool);
+}
+
+#[test]
+fn a_subset_is_stable_and_prefers_the_own_domain() {
+    let plan = RoutingPlan {
+        subset_size: 16,
+        ..RoutingPlan::default()
+    };
+    let mut router = ServiceRouter::new(plan, "a".into()).with_seed(NodeId(4));
+    for node in 0..600 {
+        let domain = ["a", "b", "c", "d", "e", "f"][node as usize % 6];
+        router.set_target(MonoTime::ZERO, &record(node, domain, TargetState::Serving));
+    }
+    let members = |router: &mut ServiceRouter| {
+        let mut random = Pcg64::seed_from_u64(9);
+        let mut seen = BTreeSet::new();
+        for step in 0..2_000 {
+            let now = millis(step);
+            let permit = offer(router, now, terms(), &[], &mut random).expect("open");
+            let node = permit.node();
+            seen.insert(node);
+            let end = answered(false);
+            let report = report(9, 20_000);
+            router.handle(now, RouteEvent::LoadReported { node, report });
+            router.handle(now, RouteEvent::OfferEnded { node, end });
+        }
+        seen
+    };
+    let before = members(&mut router);
+    assert!(before.len() <= 16);
+    let near = before.iter().filter(|node| node.0 % 6 == 0).count();
+    assert!(near >= 5, "{near} of {} are near", before.len());
+    let gone = *before.first().expect("a subset");
+    router.remove_target(gone);
+    let after = members(&mut router);
+    assert!(after.difference(&before).count() <= 1 && !after.contains(&gone));
+}
+
+#[test]
+fn only_an_idempotent_request_is_hedged_or_retried() {
+    let mut router = router(3, RoutingPlan::default());
+    let mut random = Pcg64::seed_from_u64(2);
+    serve(&mut router, 0, 50, NodeId(0), |_| {
+        (report(2, 20_000), answered(false))
+    });
+    let booking = RequestTerms {
+        idempotency: Idempotency::NonIdempotent,
+        ..terms()
+    };
+    let permit = offer(&mut router, millis(60), booking, &[], &mut random).expect("open");
+    assert!(permit.hedge().is_none());
+    assert_eq!(
+        router.hedge_after(millis(60), permit.terms(), permit.node()),
+        None
+    );
+    assert!(permit.hand_over().retry().is_none());
+    let permit = offer(&mut router, millis(60), terms(), &[], &mut random).expect("open");
+    assert!(
+        router
+            .hedge_after(millis(60), permit.terms(), permit.node())
+            .is_some()
+    );
+}
