--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -2,9 +2,7 @@
 
 use std::{pin::pin, time::Duration};
 
-use fescueway_core::{
-    Idempotency, MonoTime, NodeId, Outcome, Refusal, RefusalReason, RequestTerms,
-};
+use fescueway_core::{MonoTime, NodeId, Outcome, Refusal, RefusalReason, RequestTerms};
 use fescueway_routing::{HandedOver, OfferPermit, PickResult};
 use http::{Response, StatusCode};
 use tokio::time::{sleep, timeout_at};
@@ -32,6 +30,8 @@
     tried: Vec<NodeId>,
     /// Offers that are left, hedges counted.
     offers_left: u8,
+    /// How many of them were hedges.
+    hedges: u32,
     /// The latest refusal by a host.
     refusal: Option<Refusal>,
     /// Whether the answer to an offer was lost, so that the request may have run.
@@ -50,6 +50,7 @@
             offers_left: request.terms.offers_left,
             request,
             tried: Vec::new(),
+            hedges: 0,
             refusal: None,
             is_lost: false,
             failure: None,
@@ -61,6 +62,7 @@
         let deadline = self.state.clock().instant(self.deadline);
         let ended = timeout_at(deadline, self.offer_on()).await;
         record.offers = self.tried.len() as u32;
+        record.hedges = self.hedges;
         match ended {
             Ok(Ok(response)) => answered(response, record),
             Ok(Err(refusal)) => self.give_up(refusal, record),
@@ -116,10 +118,9 @@
     async fn attempt_hedged(&mut self, permit: OfferPermit) -> AttemptEnd {
         let (state, deadline) = (self.state, self.deadline);
         let request = self.request.clone();
-        let terms = permit.terms().clone();
-        let delay = self.hedge_delay(&permit);
+        let hedge = self.hedge_plan(&permit);
         let mut first = pin!(attempt(state, permit, &request, deadline));
-        let Some(delay) = delay else {
+        let Some((delay, terms)) = hedge else {
             return first.await;
         };
         tokio::select! {
@@ -129,6 +130,7 @@
         let Ok(permit) = self.pick(terms) else {
             return first.await;
         };
+        self.hedges += 1;
         let mut second = pin!(attempt(state, permit, &request, deadline));
         tokio::select! {
             end = first.as_mut() => {
@@ -140,16 +142,16 @@
         }
     }
 
-    /// When to hedge the offer: idempotent requests without a body only.
-    fn hedge_delay(&self, permit: &OfferPermit) -> Option<Duration> {
-        let terms = permit.terms();
-        let is_hedged =
-            terms.idempotency == Idempotency::Idempotent && self.request.body.is_empty();
-        if !is_hedged {
+    /// When to hedge the offer, and the terms of the second one. Only idempotent requests without
+    /// a body are hedged.
+    fn hedge_plan(&self, permit: &OfferPermit) -> Option<(Duration, RequestTerms)> {
+        if !self.request.body.is_empty() {
             return None;
         }
+        let terms = permit.hedge()?;
         let routes = self.state.routes();
-        routes.hedge_after(self.state.now(), terms, permit.node())
+        let delay = routes.hedge_after(self.state.now(), &terms, permit.node())?;
+        Some((delay, terms))
     }
 
     /// The answer to a request that won't be offered again.
--- a/crates/fescueway_testkit/src/member_network.rs
+++ b/crates/fescueway_testkit/src/member_network.rs
@@ -6,9 +6,11 @@
     time::Duration,
 };
 
-use fescueway_core::{DomainName, MonoTime, NodeId, ServiceName, TargetRecord, TargetState};
+use fescueway_core::{
+    ConfigMark, DomainName, MonoTime, NodeId, ServiceName, SiteName, TargetRecord, TargetState,
+};
 use fescueway_membership::{
-    ConfigMark, DownCause, FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings,
+    DownCause, FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings,
 };
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
@@ -142,6 +144,7 @@
             gossip_address: address,
             peer_address: SocketAddr::new(address.ip(), address.port() + 1),
             domain: DomainName::new(format!("domain-{}", index % DOMAINS)),
+            site: SiteName::from("site"),
             seeds,
             secret: FleetSecret::new(b"secret of the test fleet"),
         };
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -1,20 +1,41 @@
 //! One running node.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use fescueway_core::NodeId;
+use fescueway_membership::MemberEvent;
 use fescueway_proxy::{ProxyOptions, ProxyState, TaskGroup, serve_callers, serve_peers};
+use fescueway_telemetry::{MetricSet, emit, events::operator};
 use tokio::{
-    net::TcpListener,
+    net::UdpSocket,
     time::{Instant, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{DaemonError, DaemonSettings, DaemonStep, announce_task::run_announcements};
+use crate::{
+    DaemonError, DaemonSettings,
+    backend_api::BackendApi,
+    daemon_sockets::{DaemonAddresses, DaemonSockets},
+    local_http::serve_local,
+    member_link::MemberLink,
+    membership_task::run_membership,
+    node_meter::NodeMeter,
+    operator_api::OperatorApi,
+    rollout_task::run_rollout,
+    status_board::StatusBoard,
+    store_link::StoreLink,
+};
 
 /// How often a stopping daemon looks whether its last request is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// How long peers may take to hear the goodbye.
+const GOODBYE_TIME: Duration = Duration::from_millis(200);
+
 /// One running node. Dropping it leaves it running; [`Daemon::stop`] ends it in order.
 #[derive(Debug)]
 pub struct Daemon {
@@ -24,37 +45,18 @@
     addresses: DaemonAddresses,
     /// What it was started with.
     settings: Arc<DaemonSettings>,
+    /// Metrics and burn.
+    meter: NodeMeter,
+    /// What its tasks tell operators.
+    board: StatusBoard,
+    /// Who is there, once the tasks run.
+    members: OnceLock<MemberLink>,
     /// Stops taking callers' connections.
     closing_callers: CancellationToken,
     /// Stops taking peers' connections.
     closing_peers: CancellationToken,
 }
 
-/// Where a daemon listens, with the ports that the operating system chose.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct DaemonAddresses {
-    /// For callers.
-    pub callers: SocketAddr,
-    /// For other nodes.
-    pub peers: SocketAddr,
-    /// For the backend servers of its VM.
-    pub backends: SocketAddr,
-    /// For operators.
-    pub operators: SocketAddr,
-}
-
-/// The sockets of a daemon.
-struct DaemonSockets {
-    /// For callers.
-    callers: TcpListener,
-    /// For other nodes.
-    peers: TcpListener,
-    /// For the backend servers of its VM.
-    backends: TcpListener,
-    /// For operators.
-    operators: TcpListener,
-}
-
 impl Daemon {
     /// Starts a node on the current runtime.
     ///
@@ -71,6 +73,9 @@
             state.apply_plan(Arc::clone(plan));
         }
         let daemon = Self {
+            meter: NodeMeter::start(&state)?,
+            board: StatusBoard::default(),
+            members: OnceLock::new(),
             state,
             addresses,
             settings: Arc::new(settings),
@@ -78,6 +83,7 @@
             closing_peers: CancellationToken::new(),
         };
         daemon.run(sockets);
+        daemon.tell_start();
         Ok(daemon)
     }
 
@@ -87,6 +93,18 @@
         &self.state
     }
 
+    /// What its tasks tell operators.
+    #[must_use]
+    pub fn board(&self) -> &StatusBoard {
+        &self.board
+    }
+
+    /// Metrics.
+    #[must_use]
+    pub fn metrics(&self) -> &Arc<MetricSet> {
+        self.meter.metrics()
+    }
+
     /// Where it listens.
     #[must_use]
     pub fn addresses(&self) -> DaemonAddresses {
@@ -96,22 +114,39 @@
     /// Takes no new work, finishes what is in flight within the time that the settings allow,
     /// says goodbye to its peers, and ends.
     pub async fn stop(self) {
+        let start = Instant::now();
+        let limit = self.settings.stop_timeout;
+        emit(
+            &operator::STOP_BEGAN,
+            &[&self.state.open_requests(), &limit.as_millis()],
+        );
         for service in self.state.local_services() {
             self.state.drain(&service);
         }
         self.closing_callers.cancel();
-        let end = Instant::now() + self.settings.stop_timeout;
-        while !self.is_idle() && Instant::now() < end {
+        while !self.is_idle() && start.elapsed() < limit {
             sleep(STOP_POLL).await;
         }
+        if !self.is_idle() {
+            let cut = self.state.open_requests();
+            emit(&operator::STOP_CUT_REQUESTS, &[&cut, &limit.as_millis()]);
+        }
+        self.leave().await;
+        emit(&operator::STOP_ENDED, &[&start.elapsed().as_millis()]);
+    }
+
+    /// Says goodbye to the peers and ends every task.
+    async fn leave(&self) {
         for service in self.state.local_services() {
             self.state.withdraw(&service);
         }
+        if let Some(members) = self.members.get() {
+            members.handle(MemberEvent::Leave);
+        }
         self.closing_peers.cancel();
-        let left = end.saturating_duration_since(Instant::now());
         let finished = self.state.tasks().finished();
-        // Whatever is left is over its time.
-        let _ = timeout(left.min(STOP_POLL), finished).await;
+        // Tasks that wait for work never finish by themselves.
+        let _ = timeout(GOODBYE_TIME, finished).await;
         self.state.tasks().cancel();
     }
 
@@ -128,8 +163,46 @@
         tasks.spawn(serve_callers(state.clone(), sockets.callers, callers));
         let peers = self.closing_peers.clone();
         tasks.spawn(serve_peers(state.clone(), sockets.peers, peers));
-        run_announcements(state, &self.settings.seed_peers);
-        drop((sockets.backends, sockets.operators));
+        self.run_control(sockets.gossip);
+        let backends = BackendApi::new(state.clone(), self.settings.announce_timeout);
+        let answer = move |request| backends.answer(&request);
+        tasks.spawn(serve_local(
+            tasks.clone(),
+            sockets.backends,
+            "backends",
+            answer,
+        ));
+        let operators = OperatorApi::new(state.clone(), self.meter.clone(), self.board.clone());
+        let answer = move |request| operators.answer(&request);
+        tasks.spawn(serve_local(
+            tasks.clone(),
+            sockets.operators,
+            "operators",
+            answer,
+        ));
+    }
+
+    /// Starts what the nodes agree on: who is there, and which configuration is in force.
+    fn run_control(&self, socket: UdpSocket) {
+        let (state, board) = (&self.state, &self.board);
+        let (link, notes) = MemberLink::new(state.clone(), board.clone(), socket, &self.settings);
+        run_membership(state, &link);
+        let store = StoreLink::new(state, board, &self.settings);
+        run_rollout(state, &link, board, store, notes);
+        // Nobody else starts the membership, so that it is set once.
+        let _ = self.members.set(link);
+    }
+
+    /// Tells that the node takes requests.
+    fn tell_start(&self) {
+        let options = self.state.options();
+        let (site, domain) = (&options.site, &options.domain);
+        let address = self.addresses.callers;
+        emit(
+            &operator::NODE_STARTED,
+            &[&options.node, site, domain, &address],
+        );
+        emit(&operator::OPERATORS_LISTEN, &[&self.addresses.operators]);
     }
 
     /// Whether nothing is in flight.
@@ -138,43 +211,12 @@
         let mut targets = services
             .iter()
             .filter_map(|service| self.state.host_target(service));
-        targets.all(|target| target.is_idle()) && self.state.open_requests() == 0
+        targets.all(|target| target.is_idle())
+            && self.state.open_requests() == 0
+            && self.state.caller_connections() == 0
     }
 }
 
-impl DaemonSockets {
-    /// Binds every address of the settings.
-    async fn bind(settings: &DaemonSettings) -> Result<Self, DaemonError> {
-        Ok(Self {
-            callers: bind(DaemonStep::Callers, settings.callers).await?,
-            peers: bind(DaemonStep::Peers, settings.peers).await?,
-            backends: bind(DaemonStep::Backends, settings.backends).await?,
-            operators: bind(DaemonStep::Operators, settings.operators).await?,
-        })
-    }
-
-    /// Where they listen; an address that can't be told is as in the settings.
-    fn addresses(&self, settings: &DaemonSettings) -> DaemonAddresses {
-        let local = |listener: &TcpListener, wanted| listener.local_addr().unwrap_or(wanted);
-        DaemonAddresses {
-            callers: local(&self.callers, settings.callers),
-            peers: local(&self.peers, settings.peers),
-            backends: local(&self.backends, settings.backends),
-            operators: local(&self.operators, settings.operators),
-        }
-    }
-}
-
-/// Binds one address.
-async fn bind(step: DaemonStep, address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| DaemonError::Bind {
-        step,
-        address,
-        source,
-    })
-}
-
 /// What the path starts with.
 fn proxy_options(
     settings: &DaemonSettings,
--- a/crates/fescuewayd/src/daemon_error.rs
+++ b/crates/fescuewayd/src/daemon_error.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr};
 
+use fescueway_telemetry::MetricError;
 use thiserror::Error;
 
 /// The step at which a daemon's start failed.
@@ -11,6 +12,8 @@
     Callers,
     /// Binding the address for other nodes.
     Peers,
+    /// Binding the address for datagrams of other nodes.
+    Datagrams,
     /// Binding the address for the backend servers of the VM.
     Backends,
     /// Binding the address for operators.
@@ -31,6 +34,9 @@
         #[source]
         source: io::Error,
     },
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metric(#[from] MetricError),
     /// The operating system gives no random numbers.
     #[error("drawing the node's identity: {0}")]
     Random(getrandom::Error),
--- a/crates/fescuewayd/tests/common/mod.rs
+++ b/crates/fescuewayd/tests/path/common.rs
@@ -1,14 +1,12 @@
 //! What the tests of the path share: nodes on loopback and a plain HTTP client.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use fescueway_config::{
-    ClaimPlan, LimitPlan, LocalityPlan, ObjectivePlan, ProbePlan, RetryPlan, RoutePlan,
-    ServicePlan, SitePlan,
-};
-use fescueway_core::{DomainName, Idempotency, Priority, ServiceName, SiteName};
+use fescueway_config::{ConfigSet, Document, SitePlan};
+use fescueway_core::{DomainName, ServiceName, SiteName};
 use fescueway_proxy::BackendAnnouncement;
+use fescueway_testkit::{BackendPlan, BackendStub};
 use fescuewayd::{Daemon, DaemonSettings};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -21,53 +19,21 @@
 
 /// A service on every path: GET is idempotent, all else is not.
 pub fn plan(service: &str, deadline: Duration) -> Arc<SitePlan> {
-    let route = |method: Option<&str>, idempotency| RoutePlan {
-        name: Arc::from(""),
-        method: method.map(Arc::from),
-        path_prefix: Arc::from("/"),
-        idempotency,
-        priority: Priority::Normal,
-        deadline,
-    };
-    let service = ServicePlan {
-        name: ServiceName::from(service),
-        hosts: Vec::new(),
-        path_prefixes: vec![Arc::from("/")],
-        routes: vec![route(Some("GET"), Idempotency::Idempotent)],
-        default_route: route(None, Idempotency::NonIdempotent),
-        probe: ProbePlan {
-            budget_ms_per_s: 0.0,
-            path: Arc::from("/load"),
-            timeout: Duration::from_millis(100),
-        },
-        retry: RetryPlan {
-            budget_share: 0.2,
-            max_offers: 3,
-            is_hedging: false,
-        },
-        objective: ObjectivePlan {
-            availability: 0.999,
-            latency: Duration::from_millis(100),
-            window: Duration::from_hours(1),
-        },
-        claim: ClaimPlan {
-            partitions: 1,
-            retention: Duration::from_mins(1),
-        },
-        limit: LimitPlan {
-            max_body_bytes: 1 << 30,
-            queue_per_slot: 0.5,
-        },
-        locality: LocalityPlan {
-            subset_size: 32,
-            domain_trip: Duration::ZERO,
-        },
-    };
-    let services = BTreeMap::from([(service.name.clone(), Arc::new(service))]);
-    Arc::new(SitePlan {
-        site: SiteName::from("test"),
-        services,
-    })
+    let deadline_ms = deadline.as_millis();
+    let base = format!(
+        r#"{{ "services": {{ "{service}": {{
+            "path_prefixes": ["/"],
+            "default_route": {{ "idempotency": "non-idempotent", "deadline_ms": {deadline_ms} }},
+            "routes": {{ "read": {{
+                "method": "GET", "path_prefix": "/",
+                "idempotency": "idempotent", "deadline_ms": {deadline_ms}
+            }} }}
+        }} }} }}"#
+    );
+    let base = Document::parse("base.json", &base).expect("valid JSON");
+    let overlay = Document::parse("test.json", r#"{ "site": "test" }"#).expect("valid JSON");
+    let config = ConfigSet::check(&base, &[overlay]).expect("a valid configuration");
+    Arc::new(config.sites()[&SiteName::from("test")].clone())
 }
 
 /// A node on loopback that knows the peers.
@@ -80,10 +46,15 @@
 
 /// Announces a backend server to its node.
 pub fn announce(node: &Daemon, service: &str, address: SocketAddr) {
+    announce_slots(node, service, address, 10);
+}
+
+/// Announces a backend server with this many slots to its node.
+pub fn announce_slots(node: &Daemon, service: &str, address: SocketAddr, slots: u32) {
     node.state().announce(&BackendAnnouncement {
         service: ServiceName::from(service),
         address,
-        slots: 10,
+        slots,
         connections: 50,
     });
 }
@@ -152,3 +123,35 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default()
 }
+
+/// An entry without a backend server, and a host with one.
+pub struct TwoNodes {
+    /// Takes the requests.
+    pub entry: Daemon,
+    /// Has the backend server.
+    pub host: Daemon,
+    /// The backend server.
+    pub backend: BackendStub,
+}
+
+impl TwoNodes {
+    /// Starts both; callers wait `deadline`.
+    pub async fn start(deadline: Duration, backend: BackendPlan) -> Self {
+        let plan = plan("windows", deadline);
+        let backend = BackendStub::start(backend).await.expect("a port");
+        let entry = node(&plan, &[]).await;
+        let host = node(&plan, &[entry.addresses().peers]).await;
+        announce(&host, "windows", backend.address());
+        knows_targets(&entry, 1).await;
+        Self {
+            entry,
+            host,
+            backend,
+        }
+    }
+
+    /// Sends one request to the entry.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Response<Incoming> {
+        send(self.entry.addresses().callers, request).await
+    }
+}
