Pass on trailers of answers, to HTTP/2 callers too; test hedges

Cause: TE is a field of one connection and was removed, so a backend server never heard that trailers are taken and left them out. It is now kept as 'trailers' and sent on with Connection: te. Proved by http2_callers_get_bodies_and_trailers, which also is the first test of h2c. a_read_that_takes_long_is_hedged stalls one of two backend servers.

--- a/crates/fescueway_proxy/src/headers.rs
+++ b/crates/fescueway_proxy/src/headers.rs
@@ -1,7 +1,7 @@
 //! Header fields: what is removed, and what is added.
 
 use http::{
-    HeaderMap, HeaderName,
+    HeaderMap, HeaderName, HeaderValue,
     header::{
         CONNECTION, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRANSFER_ENCODING, UPGRADE,
     },
@@ -26,6 +26,9 @@
 /// Header fields that begin with this are fescueway's own.
 const OWN_PREFIX: &str = "fescueway-";
 
+/// The value of `TE` of a caller that takes trailers.
+const TRAILERS: &str = "trailers";
+
 /// Fields of one connection, not of the message (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [HeaderName; 8] = [
     CONNECTION,
@@ -50,10 +53,26 @@
 }
 
 /// Removes what only one connection means and what only fescueway may say.
+///
+/// That a caller takes trailers is kept, since every hop passes them on (RFC 9110, section 10.1.4).
 pub fn strip_request(headers: &mut HeaderMap) {
+    let takes_trailers = takes_trailers(headers);
     strip_hop_by_hop(headers);
     headers.remove(EXPECT);
     strip_own(headers);
+    if takes_trailers {
+        headers.insert(TE, HeaderValue::from_static(TRAILERS));
+    }
+}
+
+/// Whether the caller takes trailers.
+fn takes_trailers(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(TE).into_iter();
+    let mut texts = values.filter_map(|value| value.to_str().ok());
+    texts.any(|text| {
+        let mut options = text.split(',');
+        options.any(|option| option.trim().eq_ignore_ascii_case(TRAILERS))
+    })
 }
 
 /// Removes what only one connection means and what only fescueway may say from an answer.
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -4,7 +4,10 @@
 
 use fescueway_admission::RunEnd;
 use fescueway_core::{Idempotency, Refusal, RefusalReason};
-use http::{HeaderValue, Request, Response, header::HOST};
+use http::{
+    HeaderValue, Request, Response,
+    header::{CONNECTION, HOST, TE},
+};
 use hyper::body::Incoming;
 
 use super::{
@@ -124,6 +127,9 @@
         headers.insert(headers::CALL, token);
     }
     headers.insert(headers::TIME_LEFT, HeaderValue::from(time_left));
+    if headers.contains_key(TE) {
+        headers.insert(CONNECTION, HeaderValue::from_static("te"));
+    }
     let mut to_send = Request::new(body);
     *to_send.method_mut() = request.method;
     *to_send.uri_mut() = request.target;
--- a/crates/fescueway_proxy/src/peer/frame_reader.rs
+++ b/crates/fescueway_proxy/src/peer/frame_reader.rs
@@ -67,8 +67,8 @@
             self.buffer = data;
             return Ok(());
         }
-        let mut joined = BytesMut::with_capacity(self.buffer.len() + data.len());
-        joined.extend_from_slice(&self.buffer);
+        // Grows with what came, never with what the sender claims.
+        let mut joined = BytesMut::from(std::mem::take(&mut self.buffer));
         joined.extend_from_slice(&data);
         self.buffer = joined.freeze();
         Ok(())
--- a/crates/fescuewayd/tests/path/outcomes.rs
+++ b/crates/fescuewayd/tests/path/outcomes.rs
@@ -1,6 +1,6 @@
 //! What callers hear of their requests, and how often backend servers run them.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use fescueway_testkit::{BackendFault, BackendPlan, BackendStub};
 use http_body_util::BodyExt;
@@ -11,6 +11,12 @@
 
 const DEADLINE: Duration = Duration::from_secs(2);
 
+/// Reads from which the entry learns what is usual.
+const USUAL_READS: usize = 100;
+
+/// Time that a stalled backend server takes.
+const STALL: Duration = Duration::from_secs(5);
+
 /// Reads that are sent at once.
 const READERS: usize = 4;
 
@@ -96,14 +102,7 @@
 
     // Many at once, so that both targets get some.
     let address = entry.addresses().callers;
-    let reads: Vec<_> = (0..READERS)
-        .map(|_| tokio::spawn(send(address, get("/windows"))))
-        .collect();
-    for read in reads {
-        let response = read.await.expect("no panic");
-        let outcome = header(&response, "fescueway-outcome");
-        assert!(matches!(outcome, "ran" | "not-run"), "{outcome}");
-    }
+    read_at_once(address, READERS).await;
     assert!(lossy.tally().runs > 0);
 }
 
@@ -184,3 +183,47 @@
     assert_eq!(header(&response, "fescueway-outcome"), "unknown");
     assert!(start.elapsed() < DEADLINE, "{:?}", start.elapsed());
 }
+
+#[tokio::test]
+async fn a_read_that_takes_long_is_hedged() {
+    let plan = plan("windows", Duration::from_secs(10));
+    let entry = node(&plan, &[]).await;
+    let mut backends = Vec::new();
+    let mut hosts = Vec::new();
+    for _ in 0..2 {
+        let backend = BackendStub::start(BackendPlan::default())
+            .await
+            .expect("a port");
+        let host = node(&plan, &[entry.addresses().peers]).await;
+        announce(&host, "windows", backend.address());
+        backends.push(backend);
+        hosts.push(host);
+    }
+    knows_targets(&entry, 2).await;
+    let address = entry.addresses().callers;
+    for _ in 0..USUAL_READS {
+        assert_eq!(send(address, get("/windows")).await.status(), 200);
+    }
+    backends[0].change(|plan| plan.service_time = STALL);
+    let before = backends[0].tally().runs;
+    let mut batches = 0;
+    while backends[0].tally().runs == before {
+        assert!(batches < 50, "no read met the slow one");
+        batches += 1;
+        let start = std::time::Instant::now();
+        read_at_once(address, 2 * READERS).await;
+        assert!(start.elapsed() < STALL, "{:?}", start.elapsed());
+    }
+}
+
+/// Sends reads at once; none may be lost.
+async fn read_at_once(address: SocketAddr, count: usize) {
+    let reads: Vec<_> = (0..count)
+        .map(|_| tokio::spawn(send(address, get("/windows"))))
+        .collect();
+    for read in reads {
+        let response = read.await.expect("no panic");
+        let outcome = header(&response, "fescueway-outcome");
+        assert!(matches!(outcome, "ran" | "not-run"), "{outcome}");
+    }
+}
--- a/crates/fescuewayd/tests/path/streaming.rs
+++ b/crates/fescuewayd/tests/path/streaming.rs
@@ -1,21 +1,28 @@
 //! Bodies stream in both directions at bounded memory.
 
-use std::time::Duration;
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use fescueway_testkit::{BackendPlan, BackendStub};
-use http::{HeaderMap, HeaderValue, Request};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body::Frame;
-use http_body_util::{BodyExt, channel::Channel};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use http_body_util::{BodyExt, Empty, channel::Channel};
+use hyper::{
+    client::conn::{http1, http2},
+    server::conn as server,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     time::timeout,
 };
 
-use crate::common::{SOON, TwoNodes, announce, eventually, get, node_with, plan, send, text};
+use crate::common::{
+    SOON, TwoNodes, announce, eventually, get, header, knows_targets, node, node_with, plan, send,
+    text,
+};
 
 const DEADLINE: Duration = Duration::from_secs(20);
 
@@ -184,3 +191,61 @@
     }
     assert_eq!(nodes.backend.tally().runs, 0);
 }
+
+/// A backend server that ends its answer with a trailer.
+async fn start_trailing_backend() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            let service = service_fn(async |_request| Ok::<_, Infallible>(trailing_answer()));
+            tokio::spawn(async move {
+                let builder = server::http1::Builder::new();
+                builder
+                    .serve_connection(TokioIo::new(socket), service)
+                    .await
+            });
+        }
+    });
+    address
+}
+
+/// An answer that ends with a trailer.
+fn trailing_answer() -> Response<Channel<Bytes>> {
+    let (mut body, channel) = Channel::<Bytes>::new(2);
+    tokio::spawn(async move {
+        let mut trailers = HeaderMap::new();
+        trailers.insert("x-end", HeaderValue::from_static("whole"));
+        let _ = body.send_data(Bytes::from_static(b"data")).await;
+        let _ = body.send_trailers(trailers).await;
+    });
+    let mut response = Response::new(channel);
+    let names = HeaderValue::from_static("x-end");
+    response.headers_mut().insert("trailer", names);
+    response
+}
+
+#[tokio::test]
+async fn http2_callers_get_bodies_and_trailers() {
+    let plan = plan("windows", DEADLINE);
+    let entry = node(&plan, &[]).await;
+    let host = node(&plan, &[entry.addresses().peers]).await;
+    announce(&host, "windows", start_trailing_backend().await);
+    knows_targets(&entry, 1).await;
+    let address = entry.addresses().callers;
+    let socket = TcpStream::connect(address).await.expect("the node listens");
+    let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(socket));
+    let (mut sender, connection) = handshake.await.expect("HTTP/2");
+    tokio::spawn(connection);
+    let request = Request::get("http://a/windows").header("te", "trailers");
+    let request = request.body(Empty::<Bytes>::new()).expect("valid");
+    let response = sender.send_request(request).await.expect("an answer");
+    assert_eq!(header(&response, "fescueway-outcome"), "ran");
+    let body = response.into_body().collect().await.expect("a whole body");
+    let trailers = body.trailers().cloned().unwrap_or_default();
+    assert_eq!(body.to_bytes(), "data");
+    assert_eq!(
+        trailers.get("x-end").map(HeaderValue::as_bytes),
+        Some(&b"whole"[..])
+    );
+}
