--- a/crates/fescueway_proxy/src/body/answer_body.rs
+++ b/crates/fescueway_proxy/src/body/answer_body.rs
@@ -11,8 +11,8 @@
 use super::{BodyError, PeerBody};
 use crate::{
     host::BackendBody,
+    open_guard::OpenGuard,
     peer::{LinkLease, PumpGuard},
-    proxy_state::OpenGuard,
 };
 
 /// Where the body of an answer comes from. An error aborts the stream.
--- a/crates/fescueway_proxy/src/entry/entry_server.rs
+++ b/crates/fescueway_proxy/src/entry/entry_server.rs
@@ -5,7 +5,7 @@
 use fescueway_telemetry::{emit, events::path};
 use hyper::service::service_fn;
 use hyper_util::{
-    rt::{TokioExecutor, TokioIo, TokioTimer},
+    rt::{TokioIo, TokioTimer},
     server::conn::auto::Builder,
 };
 use tokio::{
@@ -15,9 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::answer_request::answer_request;
-use crate::{
-    proxy_limits::ProxyLimits, proxy_state::ProxyState, socket_options::set_socket_options,
-};
+use crate::{proxy_state::ProxyState, socket_options::set_socket_options, task_group::TaskGroup};
 
 /// Header fields of one request at most.
 const MAX_HEADERS: usize = 100;
@@ -28,7 +26,7 @@
 /// Takes connections of callers until `closing` is cancelled. What is in flight is finished.
 pub async fn serve_callers(state: ProxyState, listener: TcpListener, closing: CancellationToken) {
     let places = Arc::new(Semaphore::new(state.limits().caller_connections));
-    let builder = Arc::new(server_builder(state.limits()));
+    let builder = Arc::new(server_builder(&state));
     loop {
         let Ok(place) = Arc::clone(&places).acquire_owned().await else {
             return;
@@ -52,8 +50,9 @@
 }
 
 /// The HTTP server with its limits.
-fn server_builder(limits: &ProxyLimits) -> Builder<TokioExecutor> {
-    let mut builder = Builder::new(TokioExecutor::new());
+fn server_builder(state: &ProxyState) -> Builder<TaskGroup> {
+    let mut builder = Builder::new(state.tasks().clone());
+    let limits = state.limits();
     builder
         .http1()
         .timer(TokioTimer::new())
@@ -71,7 +70,7 @@
 /// Serves one connection.
 async fn serve_connection(
     state: ProxyState,
-    builder: &Builder<TokioExecutor>,
+    builder: &Builder<TaskGroup>,
     socket: TcpStream,
     caller: SocketAddr,
     closing: CancellationToken,
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! and whether the host admits it, is decided in `fescueway_routing` and `fescueway_admission`:
 //! this crate moves the bytes.
 
+mod backend_announcement;
 pub mod body;
 mod call_table;
 mod duplicate_answer;
@@ -14,8 +15,10 @@
 mod mono_clock;
 mod offer_answer;
 mod offer_request;
+mod open_guard;
 mod peer;
 mod proxy_limits;
+mod proxy_options;
 mod proxy_state;
 mod request_digest;
 mod request_record;
@@ -24,12 +27,14 @@
 mod task_group;
 
 pub use crate::{
+    backend_announcement::BackendAnnouncement,
     entry::serve_callers,
     host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunPermit, RunStop},
     mono_clock::MonoClock,
     peer::{ControlTable, PeerError, PeerPool, PeerStep, serve_peers},
     proxy_limits::ProxyLimits,
-    proxy_state::{BackendAnnouncement, ProxyOptions, ProxyState},
+    proxy_options::ProxyOptions,
+    proxy_state::ProxyState,
     request_record::RequestRecord,
     route_table::{RouteTable, TargetView},
     task_group::TaskGroup,
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -11,17 +11,18 @@
 
 use fescueway_admission::GatePlan;
 use fescueway_config::SitePlan;
-use fescueway_core::{
-    DomainName, MonoTime, NodeId, ServiceName, SiteName, TargetRecord, TargetState,
-};
+use fescueway_core::{MonoTime, NodeId, ServiceName, TargetRecord, TargetState};
 use tokio::sync::watch;
 
 use crate::{
+    backend_announcement::BackendAnnouncement,
     call_table::CallTable,
     host::{HostTarget, RunChecks},
     mono_clock::MonoClock,
+    open_guard::OpenGuard,
     peer::{ControlTable, PeerPool},
     proxy_limits::ProxyLimits,
+    proxy_options::ProxyOptions,
     request_record::RequestRecord,
     route_table::RouteTable,
     task_group::TaskGroup,
@@ -30,38 +31,6 @@
 /// Hears of each request that got its answer's head.
 type RequestObserver = Arc<dyn Fn(&RequestRecord) + Send + Sync>;
 
-/// What a node's path starts with.
-#[derive(Clone, Debug)]
-pub struct ProxyOptions {
-    /// The node.
-    pub node: NodeId,
-    /// The failure domain of its VM.
-    pub domain: DomainName,
-    /// The site whose configuration it serves.
-    pub site: SiteName,
-    /// Where it takes streams from other nodes.
-    pub peer_address: SocketAddr,
-    /// Limits.
-    pub limits: ProxyLimits,
-    /// Seeds the choice of targets.
-    pub seed: u64,
-    /// Makes the tokens of calls unguessable.
-    pub secret: u128,
-}
-
-/// What a backend server says of itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct BackendAnnouncement {
-    /// The service that it serves.
-    pub service: ServiceName,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    /// Requests that it can run at once. At least one.
-    pub slots: u32,
-    /// Connections that it accepts at once. At least one.
-    pub connections: u32,
-}
-
 /// What the path of requests shares with the rest of a node. Cheap to clone.
 #[derive(Clone)]
 pub struct ProxyState(Arc<SharedState>);
@@ -408,24 +377,6 @@
     }
 }
 
-/// Counts something that is open, until it is dropped.
-#[derive(Debug)]
-pub struct OpenGuard(Arc<AtomicUsize>);
-
-impl OpenGuard {
-    /// Counts one more.
-    fn new(count: &Arc<AtomicUsize>) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(count))
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl std::fmt::Debug for ProxyState {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("ProxyState")
--- a/crates/fescueway_proxy/src/task_group.rs
+++ b/crates/fescueway_proxy/src/task_group.rs
@@ -1,5 +1,6 @@
 //! The tasks of one node, ended together.
 
+use hyper::rt::Executor;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 /// The tasks of one node, ended together. Cheap to clone.
@@ -13,6 +14,12 @@
     tracker: TaskTracker,
 }
 
+impl<F: Future<Output = ()> + Send + 'static> Executor<F> for TaskGroup {
+    fn execute(&self, fut: F) {
+        self.spawn(fut);
+    }
+}
+
 impl TaskGroup {
     /// Runs `task` until it ends or the group is cancelled.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
