Eject a target at the first refusal that says it can't be reached

Cause: bookings were refused as backend-unreachable while two other targets had room. A killed backend server's host refuses at once with an empty load, so it looked like the best place, and each entry spent its budget of further offers on it: the router learned nothing from such a refusal. Ruled out: the request's body (it was whole), the offers of a request (3).

--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -213,7 +213,7 @@
         match end {
             OfferEnd::Answered { is_failure, .. } => view.learn_answer(now, is_failure),
             OfferEnd::Lost => view.learn_answer(now, true),
-            OfferEnd::Refused(refusal) => view.learn_refusal(refusal.reason),
+            OfferEnd::Refused(refusal) => view.learn_refusal(now, refusal.reason),
             OfferEnd::Cancelled => {}
         }
     }
--- a/crates/fescueway_routing/src/target_phase.rs
+++ b/crates/fescueway_routing/src/target_phase.rs
@@ -29,6 +29,8 @@
         /// Recent share of failures, from 0 to 1.
         failed_share: f64,
     },
+    /// Its backend server or its host can't be reached, as of this time.
+    Unreachable(MonoTime),
     /// Time passed.
     Tick(MonoTime),
 }
@@ -99,6 +101,8 @@
                 self.ejections = 0;
                 Handled
             }
+            // One try is proof enough: unlike a failed answer, it says nothing of the request.
+            PhaseEvent::Unreachable(now) => Transition(self.eject(now)),
             _ => Handled,
         }
     }
@@ -120,7 +124,8 @@
                 now,
                 is_failure: true,
                 ..
-            } => Transition(self.eject(now)),
+            }
+            | PhaseEvent::Unreachable(now) => Transition(self.eject(now)),
             PhaseEvent::Answered { .. } => Transition(State::trusted()),
             PhaseEvent::Tick(_) => Handled,
         }
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -148,8 +148,14 @@
     }
 
     /// Takes in why the host refused.
-    pub(crate) fn learn_refusal(&mut self, reason: RefusalReason) {
-        self.is_draining |= reason == RefusalReason::Draining;
+    pub(crate) fn learn_refusal(&mut self, now: MonoTime, reason: RefusalReason) {
+        match reason {
+            RefusalReason::Draining => self.is_draining = true,
+            RefusalReason::BackendUnreachable | RefusalReason::HostUnreachable => {
+                self.phase.handle(&PhaseEvent::Unreachable(now));
+            }
+            _ => {}
+        }
     }
 
     /// Lets an ejection end.
--- a/crates/fescueway_routing/tests/router.rs
+++ b/crates/fescueway_routing/tests/router.rs
@@ -347,3 +347,34 @@
             .is_some()
     );
 }
+
+#[test]
+fn a_target_whose_backend_server_is_gone_gets_one_offer_and_no_more_for_a_while() {
+    let mut router = router(3, RoutingPlan::default());
+    let mut random = Pcg64::seed_from_u64(11);
+    let gone = NodeId(0);
+    let unreachable = OfferEnd::Refused(Refusal {
+        reason: RefusalReason::BackendUnreachable,
+        ..QUEUE_FULL
+    });
+    let mut offers_to_gone = 0;
+    for step in 0..200 {
+        let now = millis(10 + step);
+        let permit = offer(&mut router, now, terms(), &[], &mut random).expect("a target");
+        let node = permit.node();
+        // An idle target answers with an empty load, which makes it look like the best place.
+        let report = report(u32::from(node != gone), 25_000);
+        router.handle(now, RouteEvent::LoadReported { node, report });
+        let end = if node == gone {
+            unreachable
+        } else {
+            answered(false)
+        };
+        router.handle(now, RouteEvent::OfferEnded { node, end });
+        offers_to_gone += u32::from(node == gone);
+    }
+    assert_eq!(
+        offers_to_gone, 1,
+        "offers to a target without a backend server in 200 ms"
+    );
+}
