--- a/crates/fescueway_admission/src/lib.rs
+++ b/crates/fescueway_admission/src/lib.rs
@@ -5,12 +5,22 @@
 
 mod concurrency_limit;
 mod gate_plan;
+mod health_belief;
+mod probe_budget;
+mod probe_scheduler;
 mod service_estimate;
 mod slow_start;
+mod suspect_list;
+mod suspect_message;
 mod target_gate;
 mod wait_queue;
 
 pub use crate::{
     gate_plan::GatePlan,
+    health_belief::{HealthBelief, HealthVerdict},
+    probe_budget::ProbeBudget,
+    probe_scheduler::{ProbeEnd, ProbeScheduler},
+    suspect_list::{SuspectEnd, SuspectList, SuspectStep},
+    suspect_message::{CrashId, SuspectMessage, SuspectReply},
     target_gate::{GateAction, GateResult, RunEnd, TargetGate, TicketId},
 };
