Keep no more idle connections than a backend server has slots

Cause: each booking opens a fresh connection, which was kept after its answer. With more bookings than reads the kept ones fill what the backend server announced, and then each booking waits until one of them is closed.

--- a/crates/fescueway_proxy/src/host/backend_pool.rs
+++ b/crates/fescueway_proxy/src/host/backend_pool.rs
@@ -45,8 +45,11 @@
     address: SocketAddr,
     /// A permit for each connection that may be open.
     permits: Arc<Semaphore>,
-    /// Connections without a request, the latest used last.
+    /// Connections without a request, the latest used last. Never more than `idle_limit`: fresh
+    /// connections of non-idempotent requests would pile up until there is room for no other.
     idle: Mutex<VecDeque<IdleConnection>>,
+    /// Connections that are kept without a request at most.
+    idle_limit: usize,
     /// Limits.
     limits: Arc<ProxyLimits>,
     /// Runs the connections.
@@ -83,11 +86,13 @@
 }
 
 impl BackendPool {
-    /// A pool of at most `connections` connections to `address`.
+    /// A pool of at most `connections` connections to `address`, of which `idle_limit` are kept
+    /// without a request.
     #[must_use]
     pub fn new(
         address: SocketAddr,
         connections: u32,
+        idle_limit: u32,
         limits: Arc<ProxyLimits>,
         tasks: TaskGroup,
     ) -> Self {
@@ -95,6 +100,7 @@
             address,
             permits: Arc::new(Semaphore::new(connections.max(1) as usize)),
             idle: Mutex::default(),
+            idle_limit: idle_limit as usize,
             limits,
             tasks,
             is_sweeping: AtomicBool::new(false),
@@ -197,10 +203,15 @@
         if connection.sender.is_closed() {
             return;
         }
-        self.idle().push_back(IdleConnection {
+        let mut idle = self.idle();
+        if idle.len() >= self.0.idle_limit {
+            idle.pop_front();
+        }
+        idle.push_back(IdleConnection {
             sender: connection.sender,
             since: Instant::now(),
         });
+        drop(idle);
         self.sweep_later();
     }
 
--- a/crates/fescueway_proxy/src/host/host_target.rs
+++ b/crates/fescueway_proxy/src/host/host_target.rs
@@ -66,7 +66,7 @@
         clock: MonoClock,
     ) -> Self {
         Self {
-            pool: BackendPool::new(address, connections, limits, tasks.clone()),
+            pool: BackendPool::new(address, connections, plan.slots, limits, tasks.clone()),
             state: Mutex::new(GateState {
                 gate: TargetGate::new(plan, clock.now()),
                 waiters: BTreeMap::new(),
