Announce a warm target as serving, and take a refused stream for a refusal

Cause: a target was announced as starting and stayed so, and entries that came to know it later took it for cold for ever. It is now announced as serving after the gate's ramp, unless it left or drains (test a_cold_target_is_announced_as_serving_once_it_is_warm). And a stream that the peer's h2 refused was told unknown, though RFC 9113 says that it was not processed.

--- a/crates/fescueway_proxy/src/peer/peer_offer.rs
+++ b/crates/fescueway_proxy/src/peer/peer_offer.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use fescueway_core::{Refusal, RefusalReason};
 use fescueway_wire::{AnswerHead, MAX_HEAD_BYTES, StreamHead, encode_frame};
+use h2::Reason;
 use http::{Response, StatusCode};
 
 use super::{
@@ -39,8 +40,17 @@
 }
 
 /// Whether the error proves that the request did not run.
+///
+/// A host rejects with a status only what it didn't hand over; a refused stream was not processed
+/// at all (RFC 9113, section 8.7).
 fn is_refusal(error: &PeerError) -> bool {
-    error.is_unsent() || matches!(error.cause, PeerCause::Status(_))
+    match &error.cause {
+        PeerCause::Status(_) => true,
+        PeerCause::Stream(cause) if cause.is_remote() => {
+            error.is_unsent() || cause.reason() == Some(Reason::REFUSED_STREAM)
+        }
+        _ => error.is_unsent(),
+    }
 }
 
 /// Sends the offer and waits for the answer's head.
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -7,12 +7,13 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 use fescueway_admission::GatePlan;
 use fescueway_config::SitePlan;
 use fescueway_core::{MonoTime, NodeId, ServiceName, TargetRecord, TargetState};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::sleep};
 
 use crate::{
     backend_announcement::BackendAnnouncement,
@@ -255,16 +256,20 @@
         {
             return;
         }
-        let target = HostTarget::new(
+        let plan = self.gate_plan(announcement);
+        let ramp_time = plan.ramp_time;
+        let target = Arc::new(HostTarget::new(
             announcement.address,
             announcement.connections,
-            self.gate_plan(announcement),
+            plan,
             Arc::clone(&self.0.limits),
             self.0.tasks.clone(),
             self.0.clock,
-        );
-        self.hosts()
-            .insert(announcement.service.clone(), Arc::new(target));
+        ));
+        let service = announcement.service.clone();
+        self.hosts().insert(service.clone(), Arc::clone(&target));
+        let warming = self.clone().end_start(service, target, ramp_time);
+        self.0.tasks.spawn(warming);
         self.publish(record);
     }
 
@@ -316,6 +321,18 @@
         addresses.any(|own| own == address)
     }
 
+    /// Announces a target as serving once it has warmed up, unless it left or drains by then.
+    async fn end_start(self, service: ServiceName, target: Arc<HostTarget>, ramp_time: Duration) {
+        sleep(ramp_time).await;
+        let current = self.host_target(&service);
+        let is_current = current.is_some_and(|current| Arc::ptr_eq(&current, &target));
+        let record = self.known_announcement(&service);
+        let is_starting = record.is_some_and(|record| record.state == TargetState::Starting);
+        if is_current && is_starting {
+            self.set_state(&service, TargetState::Serving);
+        }
+    }
+
     /// The record of an announcement.
     fn local_record(&self, announcement: &BackendAnnouncement) -> TargetRecord {
         TargetRecord {
--- a/crates/fescuewayd/tests/path/two_nodes.rs
+++ b/crates/fescuewayd/tests/path/two_nodes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fescueway_core::TargetState;
 use fescueway_testkit::{BackendPlan, BackendStub};
 
 use crate::common::{announce, get, header, knows_targets, node, plan, request, send, text};
@@ -44,3 +45,16 @@
     assert_eq!(response.status(), 200);
     assert!(node.state().peers().connected().is_empty());
 }
+
+#[tokio::test]
+async fn a_cold_target_is_announced_as_serving_once_it_is_warm() {
+    let node = node(&plan("windows", Duration::from_secs(2)), &[]).await;
+    announce(&node, "windows", node.addresses().callers);
+    let mut announced = node.state().announced();
+    assert_eq!(
+        announced.borrow_and_update()[0].state,
+        TargetState::Starting
+    );
+    announced.changed().await.expect("the node runs");
+    assert_eq!(announced.borrow_and_update()[0].state, TargetState::Serving);
+}
