Measure what control costs and work it out for 6,000 nodes

Cause: the budgets of the target size had only been estimated. Ruled out: a straight line for the quiet traffic, which gave 2,057 B/s at 6,000 nodes, since it went on growing where the digest does not. Not measured: sockets' processor time, and lost domains at 6,000 nodes.

--- /dev/null
+++ b/crates/fescueway_bench/benches/membership.rs
@@ -0,0 +1,46 @@
+//! Membership, configuration and the store: slopes, bounds from the target, and the table of
+//! `docs/CAPACITY.md`.
+
+use std::{fs, process::ExitCode};
+
+use fescueway_bench::fleet::{CapacityPage, CountingAllocator};
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+/// The page that holds the table.
+const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/CAPACITY.md");
+
+fn main() -> ExitCode {
+    let page = CapacityPage::measure();
+    print!("{}\n{}", page.measured, page.table());
+    println!(
+        "processor time of one instance of 6,000 members: {:.5}% of a core (by the wall clock)",
+        page.core_share * 100.0
+    );
+    let mut faults: Vec<_> = page
+        .rows
+        .iter()
+        .filter(|row| !row.is_met())
+        .map(|row| format!("{}: {} {}", row.what, row.value, row.unit))
+        .collect();
+    if page.missed > 0 {
+        faults.push(format!("{} nodes never learned some news", page.missed));
+    }
+    let text = fs::read_to_string(PAGE).unwrap_or_default();
+    if !text.contains(&page.table()) {
+        faults.push(
+            "docs/CAPACITY.md is stale: put in what `cargo run --release -p fescueway_bench \
+             --bin capacity` prints"
+                .to_owned(),
+        );
+    }
+    for fault in &faults {
+        eprintln!("bound broken: {fault}");
+    }
+    if faults.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
