Split long files of control, and let idle nodes rest

Change: datagrams and figures in files of their own; a node that doesn't watch looks every 5 s, and following the head waits for its lease. Shown by crates/fescuewayd/tests/control, unchanged. No decision changed.

--- a/crates/fescueway_bench/src/fleet/capacity_page.rs
+++ b/crates/fescueway_bench/src/fleet/capacity_page.rs
@@ -1,17 +1,11 @@
 //! The table of `docs/CAPACITY.md`, worked out from what was measured.
 
-use std::{fmt::Write as _, thread};
-
-use super::{ConfigCost, FleetTarget, GossipCost, InstanceCost, NewsTime, StoreLoad, slope};
-
-/// Sizes at which slopes are measured, in nodes.
-const SIZES: [usize; 3] = [50, 100, 300];
-
-/// Seed of the measurements.
-const SEED: u64 = 7;
-
-/// Pieces of news whose way is timed at each size.
-const TIMED_NEWS: usize = 12;
+use super::{
+    CapacityRow, FleetTarget, NewsTime,
+    capacity_row::figure,
+    fleet_figures::{FleetFigures, filled_share},
+    slope,
+};
 
 /// Bytes of HTTP/2 frames, TCP and IP for one control call between two nodes, both ways.
 const CALL_OVERHEAD_BYTES: f64 = 400.0;
@@ -19,23 +13,6 @@
 /// Bytes of a datagram besides the note in it.
 const NOTE_OVERHEAD_BYTES: f64 = 75.0;
 
-/// One line of the table.
-#[derive(Clone, Debug, PartialEq)]
-pub struct CapacityRow {
-    /// What is counted.
-    pub what: &'static str,
-    /// The figure at the target's size.
-    pub value: f64,
-    /// The unit.
-    pub unit: &'static str,
-    /// What it may be at most, `None` where nothing is said.
-    pub limit: Option<f64>,
-    /// The measured slope that it is worked from.
-    pub basis: String,
-    /// The mechanism that carries it.
-    pub mechanism: &'static str,
-}
-
 /// What control costs at the target's size.
 #[derive(Clone, Debug)]
 pub struct CapacityPage {
@@ -50,49 +27,11 @@
     pub missed: usize,
 }
 
-/// Everything that is measured.
-struct Measured {
-    gossip: Vec<GossipCost>,
-    drain: Vec<(f64, NewsTime)>,
-    crash: Vec<(f64, NewsTime)>,
-    domain: Vec<(f64, NewsTime)>,
-    revision: Vec<(f64, NewsTime)>,
-    small: InstanceCost,
-    large: InstanceCost,
-    config: ConfigCost,
-    store: StoreLoad,
-}
-
-impl CapacityRow {
-    /// Whether the figure is within its limit.
-    #[must_use]
-    pub fn is_met(&self) -> bool {
-        self.limit.is_none_or(|limit| self.value <= limit)
-    }
-
-    fn line(&self) -> String {
-        let limit = self.limit.map_or_else(|| "-".to_owned(), figure);
-        let met = match self.limit {
-            None => "-",
-            Some(_) if self.is_met() => "yes",
-            Some(_) => "**no**",
-        };
-        format!(
-            "| {} | {} {} | {limit} | {met} | {} | {} |\n",
-            self.what,
-            figure(self.value),
-            self.unit,
-            self.basis,
-            self.mechanism
-        )
-    }
-}
-
 impl CapacityPage {
     /// Measures everything. Takes some seconds in a release build.
     #[must_use]
     pub fn measure() -> Self {
-        let measured = Measured::take();
+        let measured = FleetFigures::take();
         let mut rows = measured.traffic_rows();
         rows.extend(measured.time_rows());
         rows.extend(measured.state_rows());
@@ -116,48 +55,7 @@
     }
 }
 
-impl Measured {
-    fn take() -> Self {
-        let timed = |measure: fn(u64, usize, usize) -> NewsTime| {
-            in_parallel(move |nodes| (nodes as f64, measure(SEED, nodes, TIMED_NEWS)))
-        };
-        // Memory is counted for the whole process, so the instances come by themselves.
-        Self {
-            gossip: in_parallel(|nodes| GossipCost::measure(SEED, nodes)),
-            drain: timed(NewsTime::of_drain),
-            crash: timed(NewsTime::of_crash),
-            domain: timed(NewsTime::of_domain_loss),
-            revision: timed(NewsTime::of_revision),
-            small: InstanceCost::measure(SEED, 300),
-            large: InstanceCost::measure(SEED, FleetTarget::NODES as usize),
-            config: ConfigCost::measure(),
-            store: StoreLoad::measure(SEED),
-        }
-    }
-
-    /// A slope over the sizes, and the figure at the target's size. Where the slope falls it is
-    /// taken for noise, and the figure is the largest that was measured.
-    fn gossip_line(&self, read: impl Fn(&GossipCost) -> f64) -> (f64, f64) {
-        let points: Vec<_> = self
-            .gossip
-            .iter()
-            .map(|cost| (cost.nodes, read(cost)))
-            .collect();
-        let largest = points.iter().map(|point| point.1).fold(0.0, f64::max);
-        let (slope, value) = slope(&points, FleetTarget::NODES);
-        (slope, value.max(largest))
-    }
-
-    /// Quiet traffic against the share of filled buckets.
-    fn quiet_line(&self) -> (f64, f64) {
-        let points = self.gossip.iter();
-        let points = points.map(|cost| (filled_share(cost.nodes), cost.quiet_bytes_per_s));
-        slope(
-            &points.collect::<Vec<_>>(),
-            filled_share(FleetTarget::NODES),
-        )
-    }
-
+impl FleetFigures {
     fn traffic_rows(&self) -> Vec<CapacityRow> {
         let quiet = self.quiet_line();
         let news = self.gossip_line(|cost| cost.news_bytes);
@@ -408,99 +306,4 @@
             ),
         ]
     }
-
-    fn text(&self) -> String {
-        let mut text = String::new();
-        for cost in &self.gossip {
-            let _ = writeln!(
-                text,
-                "{:>4} nodes: quiet {:.0} B/s in {:.2} messages/s; news {:.0} B, revision {:.0} B, join {:.0} B",
-                cost.nodes,
-                cost.quiet_bytes_per_s,
-                cost.quiet_messages_per_s,
-                cost.news_bytes,
-                cost.mark_bytes,
-                cost.join_bytes
-            );
-        }
-        for (name, times) in [
-            ("drain", &self.drain),
-            ("crash", &self.crash),
-            ("domain loss", &self.domain),
-            ("revision", &self.revision),
-        ] {
-            for (nodes, time) in times {
-                let _ = writeln!(
-                    text,
-                    "{nodes:>4} nodes: {name} known after p50 {:.2} s, p99 {:.2} s, max {:.2} s; {} missed it",
-                    time.quantile(0.5),
-                    time.quantile(0.99),
-                    time.quantile(1.0),
-                    time.missed
-                );
-            }
-        }
-        for cost in [&self.small, &self.large] {
-            let _ = writeln!(
-                text,
-                "one instance of {} members: {:.0} B a member, {:.1} allocations/s, sends {:.2} messages/s, {:.0} B/s",
-                cost.members,
-                cost.bytes_per_member,
-                cost.allocations_per_s,
-                cost.sent_per_s,
-                cost.sent_bytes_per_s
-            );
-        }
-        let config = &self.config;
-        let _ = writeln!(
-            text,
-            "configuration of 190 services: one change {:.0} B, all {:.0} B, held in {:.0} B; {:.2} reports sent by a node, at most {:.0} received, {:.0} B each, summed up in {:.2} s",
-            config.change_bytes,
-            config.full_bytes,
-            config.memory_bytes,
-            config.reports_sent,
-            config.most_received,
-            config.report_bytes,
-            config.report_s
-        );
-        text
-    }
-
-    fn missed(&self) -> usize {
-        let all = [&self.drain, &self.crash, &self.domain, &self.revision];
-        all.into_iter().flatten().map(|(_, time)| time.missed).sum()
-    }
-}
-
-/// Measures at every size, each on a thread of its own.
-fn in_parallel<T: Send>(measure: impl Fn(usize) -> T + Sync) -> Vec<T> {
-    thread::scope(|scope| {
-        let measure = &measure;
-        let threads = SIZES.map(|nodes| scope.spawn(move || measure(nodes)));
-        let results = threads.into_iter().map(thread::ScopedJoinHandle::join);
-        results.flatten().collect()
-    })
-}
-
-/// Share of the buckets of a digest that hold a member of a fleet of this size. Quiet traffic
-/// grows with it, since an empty bucket takes one byte and any other five.
-fn filled_share(nodes: f64) -> f64 {
-    const BUCKETS: f64 = 128.0;
-    1.0 - (1.0 - 1.0 / BUCKETS).powf(nodes)
-}
-
-/// A figure with about three digits.
-fn figure(value: f64) -> String {
-    let size = value.abs();
-    if size == 0.0 {
-        "0".to_owned()
-    } else if size >= 100.0 {
-        format!("{value:.0}")
-    } else if size >= 10.0 {
-        format!("{value:.1}")
-    } else if size >= 0.1 {
-        format!("{value:.2}")
-    } else {
-        format!("{value:.4}")
-    }
 }
--- a/crates/fescueway_bench/src/fleet/mod.rs
+++ b/crates/fescueway_bench/src/fleet/mod.rs
@@ -3,7 +3,9 @@
 
 mod alloc_count;
 mod capacity_page;
+mod capacity_row;
 mod config_cost;
+mod fleet_figures;
 mod fleet_target;
 mod gossip_cost;
 mod news_time;
@@ -12,7 +14,8 @@
 
 pub use self::{
     alloc_count::CountingAllocator,
-    capacity_page::{CapacityPage, CapacityRow},
+    capacity_page::CapacityPage,
+    capacity_row::CapacityRow,
     config_cost::ConfigCost,
     fleet_target::FleetTarget,
     gossip_cost::{GossipCost, slope},
--- a/crates/fescueway_membership/src/fleet_sync.rs
+++ b/crates/fescueway_membership/src/fleet_sync.rs
@@ -97,14 +97,13 @@
         &mut self,
         step: &mut Step<'_, impl Rng>,
         address: SocketAddr,
-        sender: NodeId,
         stamps: &[MemberStamp],
     ) -> Vec<NodeId> {
         self.sync.hasten(step.now);
         let newer = self.newer_than(stamps);
         let rumors: Vec<_> = stamps.iter().map(|stamp| bare_rumor(*stamp)).collect();
         let wanted = self.take_rumors(step, &rumors, true);
-        self.send_rumors(step, address, sender, newer);
+        self.send_rumors(step, address, newer);
         wanted
     }
 
@@ -112,13 +111,12 @@
         &mut self,
         step: &mut Step<'_, impl Rng>,
         address: SocketAddr,
-        sender: NodeId,
         nodes: &[NodeId],
     ) {
         let nodes = nodes.iter().take(WANTED_AT_ONCE);
         let known = nodes.filter_map(|node| Some((*node, self.table.get(*node)?)));
         let rumors = known.map(|(node, state)| state.rumor(node, true)).collect();
-        self.send_rumors(step, address, sender, rumors);
+        self.send_rumors(step, address, rumors);
     }
 
     /// Asks another member whether a suspicion was refuted, in case that was missed here.
@@ -189,7 +187,6 @@
         &mut self,
         step: &mut Step<'_, impl Rng>,
         address: SocketAddr,
-        _sender: NodeId,
         rumors: Vec<Rumor>,
     ) {
         for page in split_pages(rumors) {
--- a/crates/fescueway_membership/src/lib.rs
+++ b/crates/fescueway_membership/src/lib.rs
@@ -26,6 +26,7 @@
 mod byte_budget;
 mod datagram;
 mod datagram_codec;
+mod datagram_intake;
 mod fleet_join;
 mod fleet_sync;
 mod gossip_push;
--- a/crates/fescueway_membership/src/member_list.rs
+++ b/crates/fescueway_membership/src/member_list.rs
@@ -6,8 +6,8 @@
 use rand_core::Rng;
 
 use crate::{
-    Datagram, DatagramCodec, DownCause, FleetSecret, MemberAction, MemberEvent, MemberState,
-    MemberStatus, MessageBody, Rumor, ServedService, TrafficCounts, byte_budget::ByteBudget,
+    DatagramCodec, DownCause, FleetSecret, MemberAction, MemberEvent, MemberState, MemberStatus,
+    MessageBody, Rumor, ServedService, TrafficCounts, byte_budget::ByteBudget,
     fleet_join::FleetJoin, fleet_sync::FleetSync, gossip_push::GossipPush, live_ring::LiveRing,
     member_table::MemberTable, peer_probe::PeerProbe, rumor_intake::targets_of,
     rumor_queue::RumorQueue,
@@ -67,13 +67,13 @@
     /// What this node has in force.
     pub(crate) mark: ConfigMark,
     /// The highest revision that the owner was told of.
-    told_mark: ConfigMark,
+    pub(crate) told_mark: ConfigMark,
     /// Most live members that any other node told of.
     pub(crate) fleet_size: usize,
     next_period: MonoTime,
     last_event: MonoTime,
     /// Until then datagrams are dropped: they waited in the socket during a long pause.
-    deaf_until: MonoTime,
+    pub(crate) deaf_until: MonoTime,
     pub(crate) is_leaving: bool,
 }
 
@@ -215,71 +215,6 @@
 
     // Events
 
-    fn on_bytes(&mut self, step: &mut Step<'_, impl Rng>, from: SocketAddr, bytes: &[u8]) {
-        self.counts.on_received(bytes.len());
-        if step.now < self.deaf_until {
-            return;
-        }
-        match self.codec.open(bytes) {
-            Ok(datagram) if datagram.from != self.settings.node => {
-                self.on_datagram(step, from, datagram);
-            }
-            Ok(_own) => {}
-            Err(error) => self.counts.on_dropped(error),
-        }
-    }
-
-    fn on_datagram(
-        &mut self,
-        step: &mut Step<'_, impl Rng>,
-        address: SocketAddr,
-        datagram: Datagram,
-    ) {
-        let sender = datagram.from;
-        self.fleet_size = self.fleet_size.max(datagram.live_count as usize);
-        self.note_replacement(step, address, sender);
-        let is_page = matches!(datagram.body, MessageBody::Page { .. });
-        let mut wanted = self.take_rumors(step, &datagram.rumors, !is_page);
-        if self
-            .table
-            .get(sender)
-            .is_none_or(|state| state.record.is_none())
-        {
-            wanted.push(sender);
-        }
-        self.note_mark(step, sender, datagram.mark);
-        let body = datagram.body;
-        self.on_body(step, address, sender, body, &mut wanted);
-        self.send_want(step, address, sender, wanted);
-    }
-
-    fn on_body(
-        &mut self,
-        step: &mut Step<'_, impl Rng>,
-        address: SocketAddr,
-        sender: NodeId,
-        body: MessageBody,
-        wanted: &mut Vec<NodeId>,
-    ) {
-        match body {
-            MessageBody::Ping { sequence } => self.on_ping(step, address, sender, sequence),
-            MessageBody::Ack { sequence, node } => self.on_ack(step, sequence, node),
-            MessageBody::PingRequest { sequence, node } => {
-                self.on_ping_request(step, address, sequence, node);
-            }
-            MessageBody::Gossip => {}
-            MessageBody::Digests(digests) => self.on_digests(step, address, sender, &digests),
-            MessageBody::Stamps { stamps, .. } => {
-                let more = self.on_stamps(step, address, sender, &stamps);
-                wanted.extend(more);
-            }
-            MessageBody::Want(nodes) => self.on_want(step, address, sender, &nodes),
-            MessageBody::Pull { first, count } => self.on_pull(step, address, first, count),
-            MessageBody::Page { first, page, pages } => self.on_page(step, first, page, pages),
-            MessageBody::Note(body) => step.actions.push(MemberAction::Note { from: sender, body }),
-        }
-    }
-
     fn on_tick(&mut self, step: &mut Step<'_, impl Rng>) {
         if self.is_leaving {
             return;
@@ -356,42 +291,7 @@
         }
     }
 
-    // What datagrams show besides their rumors
-
-    fn note_mark(&mut self, step: &mut Step<'_, impl Rng>, sender: NodeId, mark: ConfigMark) {
-        self.table.set_mark(sender, mark);
-        if mark.revision <= self.told_mark.revision {
-            return;
-        }
-        let state = self.table.get(sender);
-        if let Some(record) = state.and_then(|state| state.record.as_ref()) {
-            self.told_mark = mark;
-            step.actions.push(MemberAction::NewerMark {
-                node: sender,
-                peer_address: record.peer_address,
-                mark,
-            });
-        }
-    }
-
-    /// A node that speaks from the address of another one has taken its place.
-    fn note_replacement(
-        &mut self,
-        step: &mut Step<'_, impl Rng>,
-        address: SocketAddr,
-        sender: NodeId,
-    ) {
-        let is_gone = self
-            .table
-            .get(sender)
-            .is_some_and(|state| !state.status.is_live());
-        if let Some(held) = self.table.at_address(address)
-            && held != sender
-            && !is_gone
-        {
-            self.declare(step, held, MemberStatus::Down, DownCause::Replaced);
-        }
-    }
+    // Time
 
     fn lapse_suspects(&mut self, step: &mut Step<'_, impl Rng>) {
         for node in self.table.lapsed_suspects(step.now) {
--- a/crates/fescuewayd/src/watch_task.rs
+++ b/crates/fescuewayd/src/watch_task.rs
@@ -14,7 +14,7 @@
 };
 use fescueway_telemetry::{emit, events::control};
 use tokio::{
-    sync::mpsc,
+    sync::{Notify, mpsc},
     time::{sleep, timeout},
 };
 
@@ -26,9 +26,12 @@
 /// Nodes of a failure domain that watch the store.
 const WATCHERS: usize = 2;
 
-/// How often a node looks whether it should watch, and whether its lease is due.
+/// How often a watcher looks whether its lease is due.
 const LOOK_PERIOD: Duration = Duration::from_secs(2);
 
+/// How often any other node looks whether it should watch.
+const IDLE_PERIOD: Duration = Duration::from_secs(5);
+
 /// Time after which a silent watch is opened anew.
 const WATCH_IDLE: Duration = Duration::from_mins(1);
 
@@ -43,6 +46,8 @@
     store: StoreLink,
     /// The lease of each slot of this failure domain.
     leases: Arc<Mutex<Vec<LeaseHolder>>>,
+    /// Tells that a lease was got or lost.
+    lease_changed: Arc<Notify>,
 }
 
 impl WatchDuty {
@@ -55,6 +60,7 @@
         });
         Self {
             leases: Arc::new(Mutex::new(holders.collect())),
+            lease_changed: Arc::default(),
             proxy,
             members,
             store,
@@ -100,7 +106,14 @@
             let now = self.proxy.now();
             let action = self.leases()[slot].action(now);
             if action == LeaseAction::Wait {
-                sleep(LOOK_PERIOD).await;
+                let is_idle = self.leases()[slot].next_wake() == MonoTime::NEVER;
+                let is_early = !self.is_settled();
+                sleep(if is_idle && !is_early {
+                    IDLE_PERIOD
+                } else {
+                    LOOK_PERIOD / 2
+                })
+                .await;
             } else {
                 self.store.turn().await;
                 let event = self.act(action).await;
@@ -115,6 +128,7 @@
                     &control::WATCH_ENDED
                 };
                 emit(kind, &[&slot]);
+                self.lease_changed.notify_waiters();
             }
         }
     }
@@ -170,7 +184,8 @@
                 // A watch that ends is opened anew, at the pace of the store.
                 let _ = self.watch_head(&heads).await;
             } else {
-                sleep(LOOK_PERIOD / 4).await;
+                // The period covers a change between the look and the wait.
+                let _ = timeout(IDLE_PERIOD, self.lease_changed.notified()).await;
             }
         }
     }
