Count kept and missed objectives as a metric, and feed the metrics of a node

Cause: the burn of a large fleet could not be worked out from what Prometheus scrapes, since the latency objective is in no other metric; and the probe budget, the revision in force and the known nodes were always zero because nothing set them. Alarm changes now log themselves.

--- a/crates/fescueway_telemetry/src/service_metrics.rs
+++ b/crates/fescueway_telemetry/src/service_metrics.rs
@@ -30,6 +30,7 @@
 #[derive(Clone)]
 pub(crate) struct ServiceInstruments {
     requests: Counter<u64>,
+    objective: Counter<u64>,
     latency: Histogram<f64>,
     refusals: Counter<u64>,
     offers: Histogram<u64>,
@@ -47,6 +48,11 @@
         let requests = meter
             .u64_counter("fescueway.requests")
             .with_description("Requests that ended at this entry, by outcome and status class.");
+        let objective = meter
+            .u64_counter("fescueway.objective.requests")
+            .with_description(
+                "Requests that ended at this entry, by whether they kept the objective.",
+            );
         let latency = meter
             .f64_histogram("fescueway.request.latency")
             .with_description("From the arrival to the first byte of the answer.")
@@ -71,6 +77,7 @@
         };
         Self {
             requests: requests.build(),
+            objective: objective.build(),
             latency: latency.build(),
             refusals: refusals.build(),
             offers: offers.build(),
@@ -98,6 +105,10 @@
     requests: Mutex<BTreeMap<(Outcome, &'static str), BoundCounter<u64>>>,
     /// Refusals by reason, bound when first seen.
     refusals: Mutex<BTreeMap<RefusalReason, BoundCounter<u64>>>,
+    /// Requests that kept their objective.
+    kept: BoundCounter<u64>,
+    /// Requests that missed their objective.
+    missed: BoundCounter<u64>,
     latency: BoundHistogram<f64>,
     offers: BoundHistogram<u64>,
     hedges: BoundCounter<u64>,
@@ -121,7 +132,13 @@
     pub(crate) fn new(name: &ServiceName, instruments: ServiceInstruments) -> Self {
         let label = KeyValue::new("service", name.as_str().to_owned());
         let labels = [label.clone()];
+        let objective = |is_kept: bool| {
+            let labels = [label.clone(), KeyValue::new("kept", is_kept)];
+            instruments.objective.bind(&labels)
+        };
         Self {
+            kept: objective(true),
+            missed: objective(false),
             requests: Mutex::default(),
             refusals: Mutex::default(),
             latency: instruments.latency.bind(&labels),
@@ -157,6 +174,15 @@
         }
     }
 
+    /// A request of a caller kept or missed its objective; see [`RequestEnd::is_good`].
+    pub fn objective_counted(&self, is_good: bool) {
+        if is_good {
+            self.kept.add(1);
+        } else {
+            self.missed.add(1);
+        }
+    }
+
     /// This node refused, as entry or as host.
     pub fn refused(&self, reason: RefusalReason) {
         let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -19,6 +19,7 @@
     };
     bands.request_ended(&end);
     set.service(&ServiceName::new("bands")).request_ended(&end);
+    bands.objective_counted(false);
     bands.refused(RefusalReason::QueueFull);
     bands.probed(Duration::from_millis(5));
     bands.set_probe_budget(10.0);
@@ -36,6 +37,8 @@
         r#"fescueway_request_latency_seconds_bucket{service="bands",le="0.005"} 2"#,
         r#"fescueway_request_latency_seconds_bucket{service="bands",le="0.002"} 0"#,
         r#"fescueway_request_offers_sum{service="bands"} 4"#,
+        r#"fescueway_objective_requests_total{kept="false",service="bands"} 1"#,
+        r#"fescueway_objective_requests_total{kept="true",service="bands"} 0"#,
         r#"fescueway_hedges_total{service="bands"} 2"#,
         r#"fescueway_refusals_total{reason="queue-full",service="bands"} 1"#,
         r#"fescueway_probe_spent_seconds_total{service="bands"} 0.005"#,
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -9,11 +9,12 @@
 use fescueway_core::{Outcome, ServiceName};
 use fescueway_proxy::{ProxyState, RequestRecord};
 use fescueway_telemetry::{
-    AlarmChange, BurnReport, BurnTracker, MetricError, MetricSet, RequestEnd, emit,
-    events::operator,
+    AlarmChange, BurnReport, BurnTracker, MetricError, MetricSet, RequestEnd,
 };
 use tokio::time::sleep;
 
+use crate::status_board::BoardFacts;
+
 /// How often the alarms are checked.
 const ALARM_PERIOD: Duration = Duration::from_mins(1);
 
@@ -74,17 +75,24 @@
         burn.tracker.report(state.now())
     }
 
-    /// All metrics in Prometheus' text form, with the load as it is now.
+    /// All metrics in Prometheus' text form, with the load and `facts` as they are now.
     ///
     /// # Errors
     ///
     /// When the library can't encode them.
-    pub fn render(&self, state: &ProxyState) -> Result<String, MetricError> {
+    pub fn render(&self, state: &ProxyState, facts: &BoardFacts) -> Result<String, MetricError> {
+        let plan = state.plan();
         for service in state.local_services() {
+            let metrics = self.metrics.service(&service);
             if let Some(target) = state.host_target(&service) {
-                self.metrics.service(&service).set_load(&target.report());
+                metrics.set_load(&target.report());
+            }
+            if let Some(plan) = plan.services.get(&service) {
+                metrics.set_probe_budget(plan.probe.budget_ms_per_s);
             }
         }
+        self.metrics.set_revision(facts.in_force);
+        self.metrics.set_known_nodes(facts.peers.into());
         self.metrics.render()
     }
 
@@ -105,7 +113,9 @@
         if let Some(reason) = record.reason {
             metrics.refused(reason);
         }
-        self.burn().count(state, service, &end);
+        if let Some(is_good) = self.burn().count(state, service, &end) {
+            metrics.objective_counted(is_good);
+        }
     }
 
     /// Tells the alarms as they begin and end.
@@ -113,9 +123,7 @@
         loop {
             sleep(ALARM_PERIOD).await;
             let changes = self.burn().tracker.check_alarms(state.now());
-            for change in &changes {
-                tell_alarm(change);
-            }
+            changes.iter().for_each(AlarmChange::emit);
         }
     }
 
@@ -126,14 +134,19 @@
 }
 
 impl BurnState {
-    /// Counts a request against its objective.
-    fn count(&mut self, state: &ProxyState, service: &ServiceName, end: &RequestEnd) {
+    /// Counts a request against its objective and tells whether it was kept; `None` for a service
+    /// that the configuration no longer has.
+    fn count(
+        &mut self,
+        state: &ProxyState,
+        service: &ServiceName,
+        end: &RequestEnd,
+    ) -> Option<bool> {
         self.follow(state);
-        let Some(plan) = self.plan.services.get(service) else {
-            return;
-        };
+        let plan = self.plan.services.get(service)?;
         let is_good = end.is_good(plan.objective.latency);
         self.tracker.record(state.now(), service, is_good);
+        Some(is_good)
     }
 
     /// Takes the objectives of the configuration in force.
@@ -155,27 +168,3 @@
         self.plan = plan;
     }
 }
-
-/// Tells that an alarm began or ended.
-fn tell_alarm(change: &AlarmChange) {
-    let alarm = change.alarm;
-    let windows = format!("{:?}/{:?}", alarm.short, alarm.long);
-    let severity = format!("{:?}", alarm.severity);
-    if change.is_active {
-        emit(
-            &operator::BURN_ALARM_BEGAN,
-            &[
-                &change.service,
-                &severity,
-                &windows,
-                &change.burn,
-                &alarm.threshold,
-            ],
-        );
-    } else {
-        emit(
-            &operator::BURN_ALARM_ENDED,
-            &[&change.service, &severity, &windows],
-        );
-    }
-}
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -93,7 +93,7 @@
 
     /// Metrics in Prometheus' text form.
     fn metrics(&self) -> LocalAnswer {
-        match self.meter.render(&self.state) {
+        match self.meter.render(&self.state, &self.board.facts()) {
             Ok(page) => content(StatusCode::OK, METRICS_TYPE, page),
             Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
         }
