Hold the command line and a running node together

Cause: each side was tested against its own idea of the other. The test runs status, targets, drain, undrain and burn against a node with a backend server, and reads its metrics: one request served, one refused while it drains, which is a burn of 500 against 99.9%. The tests of the command line are one binary now.

--- a/crates/fescueway/tests/command_line.rs
+++ b/crates/fescueway/tests/cli/command_line.rs
@@ -1,7 +1,5 @@
 //! The built command line with right, wrong and missing input.
 
-mod support;
-
 use std::{
     fs,
     io::{BufRead, BufReader, Write},
--- /dev/null
+++ b/crates/fescueway/tests/cli/daemon.rs
@@ -0,0 +1,118 @@
+//! The command line against a running node.
+
+use std::{
+    future::pending,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::{Arc, mpsc::channel},
+    thread,
+};
+
+use fescueway_config::{ConfigSet, Document, SitePlan};
+use fescueway_core::ServiceName;
+use fescueway_proxy::BackendAnnouncement;
+use fescueway_testkit::{BackendPlan, BackendStub};
+use fescuewayd::{Daemon, DaemonAddresses, DaemonSettings};
+use tokio::runtime::Builder;
+
+use crate::support::fescueway;
+
+/// The shipped configuration of Wales.
+fn wales() -> Arc<SitePlan> {
+    let document = |file: &str, text: &str| Document::parse(file, text).expect("JSON");
+    let base = document(
+        "base.json",
+        include_str!("../../../../configs/pwll/base.json"),
+    );
+    let overlay = document(
+        "wales.json",
+        include_str!("../../../../configs/pwll/wales.json"),
+    );
+    let config = ConfigSet::check(&base, &[overlay]).expect("valid");
+    Arc::new(config.sites()["wales"].clone())
+}
+
+/// Starts a node with a backend server of `cap-bands` on a thread of its own, where both run until
+/// the process ends.
+fn node() -> DaemonAddresses {
+    let (sender, addresses) = channel();
+    thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        runtime.expect("a runtime").block_on(async move {
+            let backend = BackendStub::start(BackendPlan::default())
+                .await
+                .expect("a port");
+            let mut settings = DaemonSettings::on_loopback("wales".into(), "wales-1".into());
+            settings.plan = Some(wales());
+            let daemon = Daemon::start(settings).await.expect("ports");
+            daemon.state().announce(&BackendAnnouncement {
+                service: ServiceName::new("cap-bands"),
+                address: backend.address(),
+                slots: 12,
+                connections: 200,
+            });
+            sender.send(daemon.addresses()).expect("a test that waits");
+            pending::<()>().await;
+        });
+    });
+    addresses.recv().expect("a node")
+}
+
+/// Sends a request on a connection of its own and reads the whole answer.
+fn get(address: SocketAddr, host: &str, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("a listener");
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: {host}\r\nconnection: close\r\n\r\n"
+    )
+    .expect("sent");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).expect("an answer");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn operators_see_and_drain_a_running_node() {
+    let node = node();
+    let operators = node.operators.to_string();
+    let run = |command: &[&str]| {
+        let run = fescueway(&[command, &["--node", &operators]].concat());
+        assert_eq!(run.status, 0, "{run:?}");
+        run.out
+    };
+    let look_up = || get(node.callers, "bands.pwll.example", "/bands/7");
+
+    let answer = look_up();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let targets = run(&["targets"]);
+    assert!(
+        targets.contains("cap-bands") && targets.contains("wales-1"),
+        "{targets}"
+    );
+
+    assert!(run(&["drain", "--wait"]).contains("is drained"));
+    assert!(run(&["status"]).contains("draining"));
+    let answer = look_up();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("fescueway-outcome: not-run"), "{answer}");
+
+    // One request of two missed its objective of 99.9%: 0.5 / 0.001.
+    let burn = run(&["burn"]);
+    let row = burn
+        .lines()
+        .find(|line| line.contains("cap-bands"))
+        .expect("a row");
+    assert!(row.contains("500.00"), "{burn}");
+    let metrics = get(node.operators, "node", "/metrics");
+    for line in [
+        r#"fescueway_objective_requests_total{kept="false",service="cap-bands"} 1"#,
+        r#"fescueway_objective_requests_total{kept="true",service="cap-bands"} 1"#,
+        r#"fescueway_probe_budget{service="cap-bands"} 0.01"#,
+    ] {
+        assert!(metrics.contains(line), "{line} is not in\n{metrics}");
+    }
+
+    run(&["undrain"]);
+    let answer = look_up();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/crates/fescueway/tests/fleet.rs
+++ b/crates/fescueway/tests/cli/fleet.rs
@@ -1,7 +1,5 @@
 //! Commands that talk to the platform's store, with its faults and with two operators at once.
 
-mod support;
-
 use std::{
     sync::{Arc, mpsc::channel},
     thread,
--- /dev/null
+++ b/crates/fescueway/tests/cli/main.rs
@@ -0,0 +1,6 @@
+//! The built command line: its arguments, the store, and a running node.
+
+mod command_line;
+mod daemon;
+mod fleet;
+mod support;
