Write the page of the command line, held to its help

Cause: exit statuses, races and lost answers were explained only in the help's few words. A test compares the page with what the binary prints.

--- a/crates/fescueway/src/cli_option.rs
+++ b/crates/fescueway/src/cli_option.rs
@@ -93,7 +93,7 @@
             Self::Store => "An address of the platform's store; may be given several times",
             Self::Svg => "Also write a picture of the burn by hour",
             Self::Timeout => "How long to wait at most (30)",
-            Self::Wait => "Wait until it is in force everywhere",
+            Self::Wait => "Wait until it is in force everywhere, or nothing runs any more",
         }
     }
 }
--- a/crates/fescueway/tests/cli/command_line.rs
+++ b/crates/fescueway/tests/cli/command_line.rs
@@ -70,6 +70,26 @@
     assert!(version.status == 0 && version.out.starts_with("fescueway 0."));
 }
 
+#[test]
+fn commands_page_holds_the_help() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/COMMANDS.md");
+    let page = fs::read_to_string(path).expect("docs/COMMANDS.md");
+    for command in [
+        "", "check", "render", "diff", "apply", "status", "history", "targets", "drain", "undrain",
+        "burn",
+    ] {
+        let arguments: Vec<_> = ["help", command]
+            .into_iter()
+            .filter(|name| !name.is_empty())
+            .collect();
+        let block = format!("```text\n{}```", fescueway(&arguments).out);
+        assert!(
+            page.contains(&block),
+            "docs/COMMANDS.md is stale: `help {command}`"
+        );
+    }
+}
+
 #[test]
 fn wrong_usage_names_what_was_meant() {
     assert_fails(&fescueway(&[]), 2, "no command given");
