--- a/crates/fescueway/tests/cli/main.rs
+++ b/crates/fescueway/tests/cli/main.rs
@@ -3,4 +3,5 @@
 mod command_line;
 mod daemon;
 mod fleet;
+mod rollout;
 mod support;
--- /dev/null
+++ b/crates/fescueway/tests/cli/rollout.rs
@@ -0,0 +1,80 @@
+//! A configuration on its way from an operator to running nodes.
+
+use std::{future::pending, net::SocketAddr, sync::mpsc::channel, thread};
+
+use fescueway_testkit::StoreStub;
+use fescuewayd::{Daemon, DaemonAddresses, DaemonSettings};
+use serde_json::Value;
+use tokio::runtime::Builder;
+
+use crate::support::fescueway;
+
+/// A store and the nodes that know it.
+struct Fleet {
+    store: SocketAddr,
+    nodes: Vec<DaemonAddresses>,
+}
+
+/// Starts a store and a node in each failure domain on a thread of their own, where they run
+/// until the process ends. The nodes begin without a configuration.
+fn fleet(domains: &'static [&'static str]) -> Fleet {
+    let (sender, fleets) = channel();
+    thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        runtime.expect("a runtime").block_on(async move {
+            let store = StoreStub::start().await.expect("a port");
+            let mut daemons = Vec::new();
+            for domain in domains {
+                let mut settings = DaemonSettings::on_loopback("wales".into(), (*domain).into());
+                settings.store = vec![store.address()];
+                let peers = daemons
+                    .iter()
+                    .map(|daemon: &Daemon| daemon.addresses().peers);
+                settings.seed_peers = peers.collect();
+                daemons.push(Daemon::start(settings).await.expect("ports"));
+            }
+            let nodes = daemons.iter().map(Daemon::addresses).collect();
+            let store = store.address();
+            sender
+                .send(Fleet { store, nodes })
+                .expect("a test that waits");
+            pending::<()>().await;
+        });
+    });
+    fleets.recv().expect("a fleet")
+}
+
+#[test]
+fn apply_waits_until_running_nodes_have_it() {
+    let fleet = fleet(&["wales-1", "wales-2", "wales-2"]);
+    let store = fleet.store.to_string();
+    let base = "configs/pwll/base.json";
+    let overlay = "configs/pwll/wales.json";
+    let apply = ["apply", "--store", &store, "--wait", "--timeout", "30"];
+    let run = fescueway(&[&apply[..], &[base, overlay]].concat());
+    assert_eq!(run.status, 0, "{run:?}");
+    assert!(run.out.contains("in force at all 3 nodes"), "{run:?}");
+
+    let mut status = vec!["status", "--json", "--store", &store];
+    let addresses: Vec<_> = fleet
+        .nodes
+        .iter()
+        .map(|node| node.operators.to_string())
+        .collect();
+    for address in &addresses {
+        status.extend(["--node", address]);
+    }
+    let run = fescueway(&status);
+    assert_eq!(run.status, 0, "{run:?}");
+    let report: Value = serde_json::from_str(&run.out).expect("JSON");
+    for node in report["nodes"].as_array().expect("nodes") {
+        assert_eq!(node["status"]["in_force"], 1, "{report}");
+    }
+    assert_eq!(
+        report["fleet"]["domains"]
+            .as_object()
+            .expect("domains")
+            .len(),
+        2
+    );
+}
