Feed the metrics of membership and of the store

Cause: fescueway_gossip_bytes and fescueway_store_calls existed, but nothing counted them. They are read from what the tasks tell the status board, when the metrics are read. The rollout test checks them at a running node.

--- a/crates/fescueway/tests/cli/rollout.rs
+++ b/crates/fescueway/tests/cli/rollout.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 use tokio::runtime::Builder;
 
-use crate::support::fescueway;
+use crate::support::{fescueway, get};
 
 /// A store and the nodes that know it.
 struct Fleet {
@@ -77,4 +77,22 @@
             .len(),
         2
     );
+
+    let metrics = get(fleet.nodes[0].operators, "node", "/metrics");
+    for line in ["fescueway_config_revision 1", "fescueway_nodes 2"] {
+        assert!(
+            metrics.lines().any(|found| found == line),
+            "{line} is not in\n{metrics}"
+        );
+    }
+    for counter in [
+        r#"fescueway_gossip_bytes_total{direction="sent"} "#,
+        r#"fescueway_store_calls_total{answered="true"} "#,
+    ] {
+        let count = metrics.lines().find_map(|line| line.strip_prefix(counter));
+        assert!(
+            count.is_some_and(|count| count != "0"),
+            "{counter} in\n{metrics}"
+        );
+    }
 }
--- a/crates/fescueway/tests/cli/support.rs
+++ b/crates/fescueway/tests/cli/support.rs
@@ -1,6 +1,11 @@
-//! Runs the built command line.
+//! Runs the built command line, and sends plain requests.
 
-use std::{path::PathBuf, process::Command};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    path::PathBuf,
+    process::Command,
+};
 
 /// What a run came to.
 #[derive(Debug)]
@@ -25,3 +30,16 @@
         err: String::from_utf8(output.stderr).expect("UTF-8"),
     }
 }
+
+/// Sends a request on a connection of its own and reads the whole answer.
+pub(crate) fn get(address: SocketAddr, host: &str, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("a listener");
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: {host}\r\nconnection: close\r\n\r\n"
+    )
+    .expect("sent");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).expect("an answer");
+    String::from_utf8_lossy(&answer).into_owned()
+}
--- a/crates/fescueway_telemetry/src/lib.rs
+++ b/crates/fescueway_telemetry/src/lib.rs
@@ -26,7 +26,7 @@
     event_kind::{EventKind, LOG_TARGET, emit},
     event_page::event_page,
     log_setup::{LogForm, LogPlan},
-    metric_set::{MetricError, MetricSet},
+    metric_set::{MetricError, MetricSet, NodeTotals},
     node_status::{NodeStatus, StoreState, TargetList, TargetStatus},
     request_end::RequestEnd,
     service_metrics::ServiceMetrics,
--- a/crates/fescueway_telemetry/src/metric_set.rs
+++ b/crates/fescueway_telemetry/src/metric_set.rs
@@ -9,7 +9,7 @@
 use fescueway_core::ServiceName;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Meter, MeterProvider},
+    metrics::{Gauge, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -26,6 +26,22 @@
     message: String,
 }
 
+/// Totals since the start of a node that are counted outside of its metrics.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct NodeTotals {
+    /// Bytes of membership messages that were sent.
+    pub gossip_sent_bytes: u64,
+    /// Bytes of membership messages that were received.
+    pub gossip_received_bytes: u64,
+    /// Answers of the store.
+    pub store_answers: u64,
+    /// Calls of the store that failed.
+    pub store_failures: u64,
+}
+
+/// Totals that the callbacks of the instruments read.
+type SharedTotals = Arc<Mutex<NodeTotals>>;
+
 /// The metrics of one node. Nothing is global: a process may hold several.
 pub struct MetricSet {
     /// Where the exporter registers.
@@ -36,10 +52,8 @@
     instruments: ServiceInstruments,
     /// Metrics of the services seen so far.
     services: Mutex<BTreeMap<ServiceName, Arc<ServiceMetrics>>>,
-    /// Calls of the platform's store.
-    store_calls: Counter<u64>,
-    /// Bytes of membership messages.
-    gossip_bytes: Counter<u64>,
+    /// Totals that are counted elsewhere, read when the metrics are.
+    totals: SharedTotals,
     /// Revision of the configuration in force.
     config_revision: Gauge<u64>,
     /// Nodes known to be up.
@@ -71,12 +85,13 @@
             })?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("fescueway");
+        let totals = SharedTotals::default();
+        observe_totals(&meter, &totals);
         Ok(Self {
             registry,
             instruments: ServiceInstruments::new(&meter),
             services: Mutex::default(),
-            store_calls: counter(&meter, "fescueway.store.calls", "Calls of the store."),
-            gossip_bytes: counter(&meter, "fescueway.gossip.bytes", "Membership bytes."),
+            totals,
             config_revision: gauge(
                 &meter,
                 "fescueway.config.revision",
@@ -97,25 +112,9 @@
         Arc::clone(metrics)
     }
 
-    /// Counts a call of the store, by its step and whether it was answered.
-    pub fn store_called(&self, step: &'static str, is_answered: bool) {
-        let labels = [
-            KeyValue::new("step", step),
-            KeyValue::new("answered", is_answered),
-        ];
-        self.store_calls.add(1, &labels);
-    }
-
-    /// Counts bytes of membership messages that were sent.
-    pub fn gossip_sent(&self, bytes: u64) {
-        let label = KeyValue::new("direction", "sent");
-        self.gossip_bytes.add(bytes, &[label]);
-    }
-
-    /// Counts bytes of membership messages that were received.
-    pub fn gossip_received(&self, bytes: u64) {
-        let label = KeyValue::new("direction", "received");
-        self.gossip_bytes.add(bytes, &[label]);
+    /// Notes totals that are counted elsewhere.
+    pub fn set_totals(&self, totals: NodeTotals) {
+        *self.totals.lock().unwrap_or_else(PoisonError::into_inner) = totals;
     }
 
     /// Notes the revision of the configuration in force.
@@ -143,9 +142,32 @@
     }
 }
 
-/// A counter.
-fn counter(meter: &Meter, name: &'static str, meaning: &'static str) -> Counter<u64> {
-    meter.u64_counter(name).with_description(meaning).build()
+/// Sets up the counters that are read from the totals.
+fn observe_totals(meter: &Meter, totals: &SharedTotals) {
+    let shared = Arc::clone(totals);
+    meter
+        .u64_observable_counter("fescueway.gossip.bytes")
+        .with_description("Bytes of membership messages.")
+        .with_callback(move |observer| {
+            let totals = *shared.lock().unwrap_or_else(PoisonError::into_inner);
+            observer.observe(
+                totals.gossip_sent_bytes,
+                &[KeyValue::new("direction", "sent")],
+            );
+            let received = [KeyValue::new("direction", "received")];
+            observer.observe(totals.gossip_received_bytes, &received);
+        })
+        .build();
+    let shared = Arc::clone(totals);
+    meter
+        .u64_observable_counter("fescueway.store.calls")
+        .with_description("Calls of the store, by whether they were answered.")
+        .with_callback(move |observer| {
+            let totals = *shared.lock().unwrap_or_else(PoisonError::into_inner);
+            observer.observe(totals.store_answers, &[KeyValue::new("answered", true)]);
+            observer.observe(totals.store_failures, &[KeyValue::new("answered", false)]);
+        })
+        .build();
 }
 
 /// A gauge.
--- a/crates/fescuewayd/src/member_link.rs
+++ b/crates/fescuewayd/src/member_link.rs
@@ -136,6 +136,12 @@
         self.core().list.counts()
     }
 
+    /// Tells operators what was sent and received so far.
+    pub fn tell_traffic(&self) {
+        let counts = self.counts();
+        self.0.board.change(|facts| facts.traffic = counts);
+    }
+
     /// The live nodes of this node's failure domain, itself included, sorted.
     pub fn domain_nodes(&self) -> Vec<NodeId> {
         self.core().list.domain_nodes()
--- a/crates/fescuewayd/src/membership_task.rs
+++ b/crates/fescuewayd/src/membership_task.rs
@@ -47,7 +47,10 @@
         }
         let wake = proxy.clock().instant(link.next_wake());
         tokio::select! {
-            () = sleep_until(wake) => link.handle(MemberEvent::Tick),
+            () = sleep_until(wake) => {
+                link.handle(MemberEvent::Tick);
+                link.tell_traffic();
+            }
             () = link.wake_changed() => {}
         }
     }
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -9,7 +9,7 @@
 use fescueway_core::{Outcome, ServiceName};
 use fescueway_proxy::{ProxyState, RequestRecord};
 use fescueway_telemetry::{
-    AlarmChange, BurnReport, BurnTracker, MetricError, MetricSet, RequestEnd,
+    AlarmChange, BurnReport, BurnTracker, MetricError, MetricSet, NodeTotals, RequestEnd,
 };
 use tokio::time::sleep;
 
@@ -93,6 +93,12 @@
         }
         self.metrics.set_revision(facts.in_force);
         self.metrics.set_known_nodes(facts.peers.into());
+        self.metrics.set_totals(NodeTotals {
+            gossip_sent_bytes: facts.traffic.sent_bytes,
+            gossip_received_bytes: facts.traffic.received_bytes,
+            store_answers: facts.store_answers,
+            store_failures: facts.store_failures,
+        });
         self.metrics.render()
     }
 
--- a/crates/fescuewayd/src/status_board.rs
+++ b/crates/fescuewayd/src/status_board.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use fescueway_membership::TrafficCounts;
 use fescueway_telemetry::StoreState;
 
 /// What the tasks of a node tell operators. Cheap to clone.
@@ -19,8 +20,14 @@
     pub config_error: Option<String>,
     /// Whether the store is reached.
     pub store: StoreState,
+    /// Answers of the store since the start.
+    pub store_answers: u64,
+    /// Calls of the store that failed since the start.
+    pub store_failures: u64,
     /// Other nodes that are known to be up.
     pub peers: u32,
+    /// What the membership sent and received.
+    pub traffic: TrafficCounts,
     /// Whether operators drain the targets beside this node.
     pub is_draining: bool,
 }
