Refuse a list where a document needs an object

Cause: derived types also take a list of their fields in order, so "probe": [5, "/load", 100] was accepted, and would have become another configuration with the next field added. Found by trying wrong documents on the command line; the new test failed before (the overlay was accepted).

Ruled out: checking the shape after decoding, which no longer knows it; a check at the root only, which misses nested objects. A thin deserializer refuses it at every level, for the daemon's settings as well.

--- a/crates/fescueway_config/src/document.rs
+++ b/crates/fescueway_config/src/document.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Number, Value};
 
-use crate::{ConfigError, ConfigStep, FieldFault, suggestion};
+use crate::{ConfigError, ConfigStep, FieldFault, strict_value::StrictValue, suggestion};
 
 /// A JSON document with comments that remembers where each field stands.
 ///
@@ -145,11 +145,12 @@
 
 /// Decodes a raw type, and names the field that is wrong.
 pub(crate) fn decode_value<T: DeserializeOwned>(value: &Value) -> Result<T, FieldFault> {
-    serde_path_to_error::deserialize(value).map_err(|error| {
+    serde_path_to_error::deserialize(StrictValue(value)).map_err(|error| {
         let path = error.path().to_string();
         let field = if path == "." { String::new() } else { path };
         let message = error.inner().to_string();
         match message.split_once(", expected ") {
+            Some((found, "a sequence")) => FieldFault::new(field, found, "a list"),
             Some((found, allowed)) => FieldFault::new(field, found, allowed),
             None => FieldFault::new(field, message, "all required fields, each once"),
         }
--- a/crates/fescueway_config/src/lib.rs
+++ b/crates/fescueway_config/src/lib.rs
@@ -20,6 +20,7 @@
 mod site_document;
 mod site_plan;
 mod stored_service;
+mod strict_value;
 mod suggestion;
 
 pub use crate::{
--- a/crates/fescueway_config/tests/documents.rs
+++ b/crates/fescueway_config/tests/documents.rs
@@ -94,6 +94,17 @@
     );
 }
 
+#[test]
+fn a_list_is_no_object() {
+    let overlay = "{ \"site\": \"bala\", \"services\": { \"bookings\": {\n \"probe\": [5, \"/load\", 100] } } }";
+    let error = first_error(BASE, overlay);
+    assert_eq!((&*error.file, error.line), ("site.json", 2));
+    assert_eq!(error.fault.field, "services.bookings.probe");
+    assert_eq!(error.fault.allowed, "an object");
+    let list = ConfigSet::check(&document("base.json", "[null, {}]"), &[]);
+    assert_eq!(list.expect_err("refused")[0].fault.allowed, "an object");
+}
+
 #[test]
 fn clashes_and_repetitions_are_refused() {
     let twin = r#"{ "site": "bala", "services": { "twin": { "path_prefixes": ["/bookings"] } } }"#;
--- a/crates/fescuewayd/src/raw_settings.rs
+++ b/crates/fescuewayd/src/raw_settings.rs
@@ -12,7 +12,7 @@
 
 /// Settings as they stand in their file.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, expecting = "an object")]
 pub struct RawSettings {
     /// The site that the node belongs to.
     pub site: String,
@@ -42,7 +42,7 @@
 
 /// The node's own addresses, each an IP number and a port.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, expecting = "an object")]
 pub struct RawListen {
     /// For callers.
     pub callers: String,
@@ -56,7 +56,7 @@
 
 /// Files with a configuration. Paths are relative to the settings' folder.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, expecting = "an object")]
 pub struct RawPlanFiles {
     /// The base.
     pub base: PathBuf,
@@ -67,7 +67,7 @@
 
 /// Limits that bound what others can take from the node.
 #[derive(Clone, Debug, Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default, deny_unknown_fields, expecting = "an object")]
 pub struct RawLimits {
     /// Connections of callers that are open at once.
     pub caller_connections: Option<Number>,
