Keep an operator's drain for backend servers that announce themselves later

Cause: drain went over the services announced at that moment. A backend server that announced itself, or came back, while the node drained got work, though status said draining.

--- a/crates/fescueway/tests/cli/daemon.rs
+++ b/crates/fescueway/tests/cli/daemon.rs
@@ -13,7 +13,7 @@
 use fescuewayd::{Daemon, DaemonAddresses, DaemonSettings};
 use tokio::runtime::Builder;
 
-use crate::support::{fescueway, get};
+use crate::support::{fescueway, get, post};
 
 /// The shipped configuration of Wales.
 fn wales() -> Arc<SitePlan> {
@@ -81,6 +81,14 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(answer.contains("fescueway-outcome: not-run"), "{answer}");
 
+    // Who announces itself while the node drains waits for the end of it.
+    let announcement = r#"{ "service": "timetables", "address": "127.0.0.1:1", "slots": 1,
+        "connections": 1 }"#;
+    let answer = post(node.backends, "/v1/announce", announcement);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let targets = run(&["targets"]);
+    assert_eq!(targets.matches(" draining ").count(), 2, "{targets}");
+
     // One request of two missed its objective of 99.9%: 0.5 / 0.001.
     let burn = run(&["burn"]);
     let row = burn
--- a/crates/fescueway/tests/cli/support.rs
+++ b/crates/fescueway/tests/cli/support.rs
@@ -31,14 +31,22 @@
     }
 }
 
-/// Sends a request on a connection of its own and reads the whole answer.
+/// Sends a GET on a connection of its own and reads the whole answer.
 pub(crate) fn get(address: SocketAddr, host: &str, path: &str) -> String {
+    send(address, &format!("GET {path} HTTP/1.1\r\nhost: {host}"), "")
+}
+
+/// Sends a POST on a connection of its own and reads the whole answer.
+pub(crate) fn post(address: SocketAddr, path: &str, body: &str) -> String {
+    let length = body.len();
+    let head = format!("POST {path} HTTP/1.1\r\nhost: node\r\ncontent-length: {length}");
+    send(address, &head, body)
+}
+
+/// Sends a request on a connection of its own and reads the whole answer.
+fn send(address: SocketAddr, head: &str, body: &str) -> String {
     let mut stream = TcpStream::connect(address).expect("a listener");
-    write!(
-        stream,
-        "GET {path} HTTP/1.1\r\nhost: {host}\r\nconnection: close\r\n\r\n"
-    )
-    .expect("sent");
+    write!(stream, "{head}\r\nconnection: close\r\n\r\n{body}").expect("sent");
     let mut answer = Vec::new();
     stream.read_to_end(&mut answer).expect("an answer");
     String::from_utf8_lossy(&answer).into_owned()
--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -14,7 +14,10 @@
 use serde::{Deserialize, de::DeserializeOwned};
 use tokio::time::sleep;
 
-use crate::local_http::{LocalAnswer, LocalRequest, text};
+use crate::{
+    StatusBoard,
+    local_http::{LocalAnswer, LocalRequest, text},
+};
 
 /// The body of `POST /v1/announce`.
 #[derive(Clone, Debug, Deserialize)]
@@ -46,6 +49,8 @@
 pub struct BackendApi {
     /// The path of requests.
     state: ProxyState,
+    /// What operators ordered.
+    board: StatusBoard,
     /// How long an announcement holds.
     timeout: Duration,
     /// When the announcement of each service ends.
@@ -55,9 +60,10 @@
 impl BackendApi {
     /// An interface without announcements.
     #[must_use]
-    pub fn new(state: ProxyState, timeout: Duration) -> Self {
+    pub fn new(state: ProxyState, board: StatusBoard, timeout: Duration) -> Self {
         Self {
             state,
+            board,
             timeout,
             ends: Arc::default(),
         }
@@ -91,6 +97,10 @@
             emit(&path::BACKEND_ANNOUNCED, &[&service, &announcement.address]);
         }
         self.state.announce(&announcement);
+        if self.board.facts().is_draining {
+            // Operators drain the whole node, whoever announces itself meanwhile.
+            self.state.drain(&service);
+        }
         let end = self.state.now() + self.timeout;
         let is_first = self.ends().insert(service.clone(), end).is_none();
         if is_first {
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -164,7 +164,11 @@
         let peers = self.closing_peers.clone();
         tasks.spawn(serve_peers(state.clone(), sockets.peers, peers));
         self.run_control(sockets.gossip);
-        let backends = BackendApi::new(state.clone(), self.settings.announce_timeout);
+        let backends = BackendApi::new(
+            state.clone(),
+            self.board.clone(),
+            self.settings.announce_timeout,
+        );
         let answer = move |request| backends.answer(&request);
         tasks.spawn(serve_local(
             tasks.clone(),
