--- a/crates/fescueway_config/src/document.rs
+++ b/crates/fescueway_config/src/document.rs
@@ -127,8 +127,7 @@
 
     /// The longest part of `path` that the document gives: the field itself, or the nearest
     /// object around it.
-    #[must_use]
-    pub fn known_part<'p>(&self, path: &'p str) -> &'p str {
+    pub(crate) fn known_part<'p>(&self, path: &'p str) -> &'p str {
         let mut part = path;
         while !part.is_empty() && !self.lines.contains_key(part) {
             part = part.rfind(['.', '[']).map_or("", |end| &part[..end]);
--- a/crates/fescueway_config/src/service_check.rs
+++ b/crates/fescueway_config/src/service_check.rs
@@ -140,6 +140,7 @@
     !text.is_empty() && text.bytes().all(|letter| letter.is_ascii_uppercase())
 }
 
+/// The hosts, each checked.
 fn hosts(scope: &str, raw: &[String]) -> Result<Vec<Arc<str>>, FieldFault> {
     let hosts = raw.iter().enumerate().map(|(index, host)| {
         let path = format!("{scope}.{}[{index}]", rules::HOSTS.field);
@@ -148,6 +149,7 @@
     hosts.collect()
 }
 
+/// The path prefixes, of which there has to be one.
 fn path_prefixes(scope: &str, raw: &[String]) -> Result<Vec<Arc<str>>, FieldFault> {
     let field = format!("{scope}.{}", rules::PATH_PREFIXES.field);
     if raw.is_empty() {
@@ -160,6 +162,7 @@
     prefixes.collect()
 }
 
+/// The rules for requests that no route matches.
 fn default_route(scope: &str, raw: &RawDefaultRoute) -> Result<RoutePlan, FieldFault> {
     let deadline = rules::DEFAULT_DEADLINE.check(scope, raw.deadline_ms.as_ref())?;
     Ok(RoutePlan {
@@ -206,6 +209,7 @@
     Ok(())
 }
 
+/// One route; what it does not give is as in `fallback`.
 fn route(
     path: &str,
     name: &str,
@@ -240,6 +244,7 @@
     })
 }
 
+/// How the backend servers are probed.
 fn probe(scope: &str, raw: &RawProbe) -> Result<ProbePlan, FieldFault> {
     let path = raw.path.as_deref().unwrap_or("/load");
     let field = format!("{scope}.{}", rules::PROBE_PATH.field);
@@ -251,6 +256,7 @@
     })
 }
 
+/// How often requests are offered again.
 fn retry(scope: &str, raw: &RawRetry) -> Result<RetryPlan, FieldFault> {
     Ok(RetryPlan {
         budget_share: rules::RETRY_SHARE.check(scope, raw.budget_share.as_ref())?,
@@ -259,6 +265,7 @@
     })
 }
 
+/// What the operators promise.
 fn objective(scope: &str, raw: &RawObjective) -> Result<ObjectivePlan, FieldFault> {
     let latency = rules::OBJECTIVE_LATENCY.check(scope, raw.latency_ms.as_ref())?;
     let days = rules::OBJECTIVE_WINDOW.check(scope, raw.window_days.as_ref())?;
@@ -269,6 +276,7 @@
     })
 }
 
+/// How idempotency keys are claimed.
 fn claim(scope: &str, raw: &RawClaim) -> Result<ClaimPlan, FieldFault> {
     let retention = rules::CLAIM_RETENTION.check(scope, raw.retention_s.as_ref())?;
     Ok(ClaimPlan {
@@ -277,6 +285,7 @@
     })
 }
 
+/// Bounds on single requests and on queues.
 fn limit(scope: &str, raw: &RawLimit) -> Result<LimitPlan, FieldFault> {
     Ok(LimitPlan {
         max_body_bytes: rules::MAX_BODY.check(scope, raw.max_body_bytes.as_ref())? as u64,
@@ -284,6 +293,7 @@
     })
 }
 
+/// Where the service's targets lie.
 fn locality(scope: &str, raw: &RawLocality) -> Result<LocalityPlan, FieldFault> {
     let trip = rules::DOMAIN_TRIP.check(scope, raw.domain_trip_us.as_ref())?;
     Ok(LocalityPlan {
