--- a/crates/fescueway/tests/cli/fleet.rs
+++ b/crates/fescueway/tests/cli/fleet.rs
@@ -138,8 +138,14 @@
 }
 
 #[test]
-fn a_change_made_against_an_older_revision_is_refused() {
+fn a_change_made_against_another_revision_is_refused() {
     let store = store_stub();
+    let run = apply(&store, CAPROCK, &["--revision", "3"]);
+    assert!(
+        run.status == 1 && run.err.contains("holds no configuration"),
+        "{run:?}"
+    );
+    assert!(history(&store).is_empty());
     assert_eq!(apply(&store, CAPROCK, &["--operator", "ann"]).status, 0);
     assert_eq!(
         apply(&store, PWLL, &["--operator", "nia", "--revision", "1"]).status,
