--- a/crates/fescuewayd/tests/path/streaming.rs
+++ b/crates/fescuewayd/tests/path/streaming.rs
@@ -1,21 +1,28 @@
 //! Bodies stream in both directions at bounded memory.
 
-use std::time::Duration;
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use fescueway_testkit::BackendPlan;
-use http::{HeaderMap, HeaderValue, Request};
+use fescueway_testkit::{BackendPlan, BackendStub};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body::Frame;
-use http_body_util::{BodyExt, channel::Channel};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use http_body_util::{BodyExt, Empty, channel::Channel};
+use hyper::{
+    client::conn::{http1, http2},
+    server::conn as server,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     time::timeout,
 };
 
-use crate::common::{SOON, TwoNodes, get, text};
+use crate::common::{
+    SOON, TwoNodes, announce, eventually, get, header, knows_targets, node, node_with, plan, send,
+    text,
+};
 
 const DEADLINE: Duration = Duration::from_secs(20);
 
@@ -133,3 +140,112 @@
     assert!(seen.contains("\"body_bytes\":1048576"), "{seen}");
     assert!(seen.contains("\"trailer\":\"the end\""), "{seen}");
 }
+
+#[tokio::test]
+async fn a_caller_that_stops_reading_loses_its_slot() {
+    let backend = BackendStub::start(BackendPlan::default())
+        .await
+        .expect("a port");
+    let node = node_with(&plan("windows", DEADLINE), &[], |settings| {
+        settings.limits.body_idle = Duration::from_millis(300);
+    })
+    .await;
+    announce(&node, "windows", backend.address());
+    let path = format!("/windows/download/{DOWNLOAD_BYTES}");
+    let unread = send(node.addresses().callers, get(&path)).await;
+    assert_eq!(unread.status(), 200);
+    eventually("the slot is free", || {
+        let target = node.state().host_target(&"windows".into());
+        target.is_some_and(|target| target.is_idle())
+    })
+    .await;
+    drop(unread);
+}
+
+#[tokio::test]
+async fn a_caller_that_stops_sending_is_told_so() {
+    let nodes = TwoNodes::start_with(DEADLINE, BackendPlan::default(), |settings| {
+        settings.limits.body_idle = Duration::from_millis(300);
+        settings.limits.header_timeout = Duration::from_millis(300);
+    })
+    .await;
+    let address = nodes.entry.addresses().callers;
+    let half_head = "GET /windows HTTP/1.1\r\nhost: a\r\n";
+    let half_body = "POST /windows HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhalf";
+    for (sent, is_answered) in [(half_head, false), (half_body, true)] {
+        let mut socket = TcpStream::connect(address).await.expect("the node listens");
+        socket
+            .write_all(sent.as_bytes())
+            .await
+            .expect("an open socket");
+        let mut answer = String::new();
+        let reading = socket.read_to_string(&mut answer);
+        timeout(SOON, reading)
+            .await
+            .expect("in time")
+            .expect("an end");
+        assert!(
+            !is_answered || answer.starts_with("HTTP/1.1 408"),
+            "{answer}"
+        );
+    }
+    assert_eq!(nodes.backend.tally().runs, 0);
+}
+
+/// A backend server that ends its answer with a trailer.
+async fn start_trailing_backend() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            let service = service_fn(async |_request| Ok::<_, Infallible>(trailing_answer()));
+            tokio::spawn(async move {
+                let builder = server::http1::Builder::new();
+                builder
+                    .serve_connection(TokioIo::new(socket), service)
+                    .await
+            });
+        }
+    });
+    address
+}
+
+/// An answer that ends with a trailer.
+fn trailing_answer() -> Response<Channel<Bytes>> {
+    let (mut body, channel) = Channel::<Bytes>::new(2);
+    tokio::spawn(async move {
+        let mut trailers = HeaderMap::new();
+        trailers.insert("x-end", HeaderValue::from_static("whole"));
+        let _ = body.send_data(Bytes::from_static(b"data")).await;
+        let _ = body.send_trailers(trailers).await;
+    });
+    let mut response = Response::new(channel);
+    let names = HeaderValue::from_static("x-end");
+    response.headers_mut().insert("trailer", names);
+    response
+}
+
+#[tokio::test]
+async fn http2_callers_get_bodies_and_trailers() {
+    let plan = plan("windows", DEADLINE);
+    let entry = node(&plan, &[]).await;
+    let host = node(&plan, &[entry.addresses().peers]).await;
+    announce(&host, "windows", start_trailing_backend().await);
+    knows_targets(&entry, 1).await;
+    let address = entry.addresses().callers;
+    let socket = TcpStream::connect(address).await.expect("the node listens");
+    let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(socket));
+    let (mut sender, connection) = handshake.await.expect("HTTP/2");
+    tokio::spawn(connection);
+    let request = Request::get("http://a/windows").header("te", "trailers");
+    let request = request.body(Empty::<Bytes>::new()).expect("valid");
+    let response = sender.send_request(request).await.expect("an answer");
+    assert_eq!(header(&response, "fescueway-outcome"), "ran");
+    let body = response.into_body().collect().await.expect("a whole body");
+    let trailers = body.trailers().cloned().unwrap_or_default();
+    assert_eq!(body.to_bytes(), "data");
+    assert_eq!(
+        trailers.get("x-end").map(HeaderValue::as_bytes),
+        Some(&b"whole"[..])
+    );
+}
