Hedge only while there is room

Cause: hedges go out at the p99 of the latency. When all targets queue, many requests pass it, so up to a tenth more load came just when there was none to spare.

--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -28,6 +28,10 @@
 /// budget, and several may do so at once.
 const REFUSAL_DEBT: f64 = 10.0;
 
+/// Mean load, as a share of the limits, above which nothing is hedged: a hedge would only add to
+/// what makes requests late.
+const MOST_HEDGED_LOAD: f64 = 0.8;
+
 /// Retries and hedges that can be saved up.
 const RETRY_RESERVE: f64 = 10.0;
 
@@ -176,6 +180,7 @@
         let may_hedge = self.plan.is_hedging
             && terms.idempotency == Idempotency::Idempotent
             && terms.offers_left > 0
+            && self.pool.load_share() < MOST_HEDGED_LOAD
             && self.retries.has_token();
         if !may_hedge {
             return None;
