Give back at the host what a failing backend server would only fail

Cause: with 60 entries each had to see failures of its own before it left a target that fails fast, and a booking that failed can't be offered again. Change: a gate whose runs mostly fail refuses what its entry can place elsewhere and tries one request a second; a report of that ejects the target at the entry at once.

--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -22,6 +22,9 @@
 /// baseline isn't drawn down by chance.
 const LONG_WEIGHT: f64 = 1.0 / 256.0;
 
+/// Share of failures from which a backend server counts as failing.
+const FAILING_SHARE: f64 = 0.5;
+
 /// How fast the baseline follows a falling mean, per finished request.
 const BASELINE_FALL: f64 = 1.0 / 256.0;
 
@@ -197,6 +200,11 @@
         (self.recent_us / self.baseline_us).max(1.0)
     }
 
+    /// Whether most of what ran lately failed.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failed_share >= FAILING_SHARE
+    }
+
     /// Recent share of failures, in 1/1000.
     pub(crate) fn failed_permille(&self) -> u16 {
         (self.failed_share * 1_000.0) as u16
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -20,7 +20,7 @@
 /// the mean service time.
 const START_MARGIN: f64 = 0.5;
 
-/// Time between requests that a straggler runs although others are better.
+/// Time between requests that a straggler or a failing target runs although others are better.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Shortest time after which a refused caller is told to come back.
@@ -102,7 +102,7 @@
     queue: WaitQueue,
     /// The last tick.
     ticked: MonoTime,
-    /// When a straggler may be tried next.
+    /// When a straggler or a failing target may be tried next.
     next_trial: MonoTime,
     /// Whether the target is leaving.
     is_draining: bool,
@@ -256,13 +256,17 @@
         actions
     }
 
-    /// Whether this target is a straggler and the entry knows a better one.
+    /// Whether the entry knows a better target than this one, which is a straggler or fails most
+    /// of what it runs.
     fn is_better_elsewhere(&self, now: MonoTime, terms: &RequestTerms) -> bool {
+        if terms.wait_limit >= terms.time_left {
+            return false;
+        }
         let straggler_us = self.service.straggler_us(now);
-        straggler_us > terms.wait_limit.as_micros() as f64
+        self.service.is_failing() || straggler_us > terms.wait_limit.as_micros() as f64
     }
 
-    /// Whether a straggler should run a request all the same, so that the end of the trouble is
+    /// Whether such a target should run a request all the same, so that the end of the trouble is
     /// seen: one at a time, and not often.
     fn take_trial(&mut self, now: MonoTime) -> bool {
         let is_due = self.service.open_count() == 0 && now >= self.next_trial;
--- a/crates/fescueway_admission/tests/gate.rs
+++ b/crates/fescueway_admission/tests/gate.rs
@@ -199,6 +199,28 @@
     assert_eq!(serve(&mut gate, 20, 600), 10);
 }
 
+#[test]
+fn a_failing_target_gives_back_what_its_entry_can_place_elsewhere() {
+    let mut gate = warm_gate(10);
+    let mut choosy = terms(Priority::High, 1_000);
+    choosy.wait_limit = Duration::from_millis(5);
+    let mut failed = 0;
+    for step in 0..100 {
+        let now = millis(step * 10);
+        match gate.offer(now, TicketId(step), &choosy) {
+            GateResult::Run => {
+                failed += 1;
+                gate.finish(now, TicketId(step), RunEnd::Failed);
+            }
+            GateResult::Refuse(_) => {}
+            GateResult::Wait => panic!("all slots are free"),
+        }
+    }
+    assert!(failed <= 15, "{failed} of 100 requests ran and failed");
+    let last = gate.offer(millis(1_001), TicketId(200), &terms(Priority::High, 1_000));
+    assert_eq!(last, GateResult::Run, "a last offer has no better place");
+}
+
 /// One step of the property test: what happens, and how many milliseconds later.
 type GateStep = (u8, u8);
 
--- a/crates/fescueway_routing/src/target_phase.rs
+++ b/crates/fescueway_routing/src/target_phase.rs
@@ -29,6 +29,8 @@
         /// Recent share of failures, from 0 to 1.
         failed_share: f64,
     },
+    /// The host reported that most of what it runs fails, as of this time.
+    Failing(MonoTime),
     /// Its backend server or its host can't be reached, as of this time.
     Unreachable(MonoTime),
     /// Time passed.
@@ -102,7 +104,7 @@
                 Handled
             }
             // One try is proof enough: unlike a failed answer, it says nothing of the request.
-            PhaseEvent::Unreachable(now) => Transition(self.eject(now)),
+            PhaseEvent::Unreachable(now) | PhaseEvent::Failing(now) => Transition(self.eject(now)),
             _ => Handled,
         }
     }
@@ -125,7 +127,8 @@
                 is_failure: true,
                 ..
             }
-            | PhaseEvent::Unreachable(now) => Transition(self.eject(now)),
+            | PhaseEvent::Unreachable(now)
+            | PhaseEvent::Failing(now) => Transition(self.eject(now)),
             PhaseEvent::Answered { .. } => Transition(State::trusted()),
             PhaseEvent::Tick(_) => Handled,
         }
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -15,6 +15,9 @@
 /// Weight of one answer in the entry's own share of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 
+/// Share of failures, in 1/1000, at which a host's report ejects its target.
+const FAILING_PERMILLE: u16 = 500;
+
 /// Share of its slots that a cold target is taken to offer before its first report.
 const COLD_SHARE: f64 = 0.3;
 
@@ -185,6 +188,9 @@
         let failed_share = f64::from(report.failed_permille) / 1_000.0;
         self.failed_share += (failed_share - self.failed_share) * FAILURE_WEIGHT;
         self.is_draining = report.is_draining;
+        if report.failed_permille >= FAILING_PERMILLE {
+            self.phase.handle(&PhaseEvent::Failing(now));
+        }
     }
 
     /// Expected time from an offer now to its answer beyond the pool's service time, in
