--- /dev/null
+++ b/crates/fescueway/tests/cli/support.rs
@@ -0,0 +1,53 @@
+//! Runs the built command line, and sends plain requests.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    path::PathBuf,
+    process::Command,
+};
+
+/// What a run came to.
+#[derive(Debug)]
+pub(crate) struct CliRun {
+    pub(crate) status: i32,
+    pub(crate) out: String,
+    pub(crate) err: String,
+}
+
+/// Runs `fescueway` in the root of the repository.
+pub(crate) fn fescueway(arguments: &[&str]) -> CliRun {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let output = Command::new(env!("CARGO_BIN_EXE_fescueway"))
+        .args(arguments)
+        .current_dir(root)
+        .env("USER", "tester")
+        .output()
+        .expect("the command line runs");
+    CliRun {
+        status: output.status.code().expect("an exit status"),
+        out: String::from_utf8(output.stdout).expect("UTF-8"),
+        err: String::from_utf8(output.stderr).expect("UTF-8"),
+    }
+}
+
+/// Sends a GET on a connection of its own and reads the whole answer.
+pub(crate) fn get(address: SocketAddr, host: &str, path: &str) -> String {
+    send(address, &format!("GET {path} HTTP/1.1\r\nhost: {host}"), "")
+}
+
+/// Sends a POST on a connection of its own and reads the whole answer.
+pub(crate) fn post(address: SocketAddr, path: &str, body: &str) -> String {
+    let length = body.len();
+    let head = format!("POST {path} HTTP/1.1\r\nhost: node\r\ncontent-length: {length}");
+    send(address, &head, body)
+}
+
+/// Sends a request on a connection of its own and reads the whole answer.
+fn send(address: SocketAddr, head: &str, body: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("a listener");
+    write!(stream, "{head}\r\nconnection: close\r\n\r\n{body}").expect("sent");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).expect("an answer");
+    String::from_utf8_lossy(&answer).into_owned()
+}
