--- a/crates/fescuewayd/tests/path/backends.rs
+++ b/crates/fescuewayd/tests/path/backends.rs
@@ -5,7 +5,7 @@
 use fescueway_testkit::BackendPlan;
 use tokio::time::timeout;
 
-use crate::common::{TwoNodes, eventually, get, request};
+use crate::common::{TwoNodes, eventually, get, request, send};
 
 /// How long the callers stay.
 const PATIENCE: Duration = Duration::from_millis(100);
@@ -37,9 +37,13 @@
 #[tokio::test]
 async fn a_booking_runs_to_its_end_when_its_caller_leaves() {
     let nodes = TwoNodes::start(Duration::from_secs(5), slow_plan()).await;
-    let booking = request("POST", "/windows", &[], "a booking");
-    let left = timeout(PATIENCE, nodes.send(booking)).await;
-    left.expect_err("the caller left before its answer");
-    eventually("the run ends", || nodes.backend.tally().finished == 1).await;
+    // Through the other node, and at the backend server's own.
+    for (index, node) in [&nodes.entry, &nodes.host].into_iter().enumerate() {
+        let booking = request("POST", "/windows", &[], "a booking");
+        let left = timeout(PATIENCE, send(node.addresses().callers, booking)).await;
+        left.expect_err("the caller left before its answer");
+        let ended = index as u64 + 1;
+        eventually("the run ends", || nodes.backend.tally().finished == ended).await;
+    }
     assert_eq!(nodes.backend.tally().cancelled, 0);
 }
--- a/crates/fescuewayd/tests/path/outcomes.rs
+++ b/crates/fescuewayd/tests/path/outcomes.rs
@@ -227,3 +227,21 @@
         assert!(matches!(outcome, "ran" | "not-run"), "{outcome}");
     }
 }
+
+#[tokio::test]
+async fn a_body_above_the_limit_is_not_run() {
+    let nodes = TwoNodes::start_with(DEADLINE, BackendPlan::default(), |settings| {
+        settings.limits.body_bytes = 8;
+    })
+    .await;
+    let fits = nodes
+        .send(request("POST", "/windows", &[], "8 bytes."))
+        .await;
+    assert_eq!(fits.status(), 200);
+    let exceeds = nodes
+        .send(request("POST", "/windows", &[], "9 bytes.."))
+        .await;
+    assert_eq!(exceeds.status(), 413);
+    assert_eq!(header(&exceeds, "fescueway-outcome"), "not-run");
+    assert_eq!(nodes.backend.tally().runs, 1);
+}
