Hold the probe budget over windows of five seconds

Cause: half a second's budget cut off every 5 ms probe at Pwll's 5 ms/s; and rounding could refuse a probe at the time that next_begin named (found by the property at budgets up to 500 ms/s). Change: the shortest window is 5 s, so that a probe may take 12.5 ms at 5 ms/s; next_begin adds a microsecond. Conclusion: the property holds over windows of 5, 6.5, 10 and 60 s; a full bucket at the start, a larger bucket and an uncharged slow probe each break it.

--- a/crates/fescueway_admission/src/health_belief.rs
+++ b/crates/fescueway_admission/src/health_belief.rs
@@ -33,6 +33,18 @@
     Unsure,
 }
 
+impl HealthVerdict {
+    /// The verdict as it stands in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Healthy => "healthy",
+            Self::Failing => "failing",
+            Self::Unsure => "unsure",
+        }
+    }
+}
+
 /// Whether a backend server is healthy, from its traffic and from its health endpoint.
 ///
 /// Fresh traffic decides. Without it the endpoint decides, unless traffic has contradicted it
--- a/crates/fescueway_admission/src/probe_budget.rs
+++ b/crates/fescueway_admission/src/probe_budget.rs
@@ -4,19 +4,23 @@
 
 use fescueway_core::MonoTime;
 
-/// The share of the budget that one probe may take at once. The rest flows in steadily, so that
-/// both together stay within the budget over any window of a second or more.
-const BURST_SHARE: f64 = 0.5;
+/// The shortest window over which the budget holds, in seconds. A single probe may take more
+/// than a second's budget of a small backend server.
+const MIN_WINDOW_S: f64 = 5.0;
+
+/// The share of the budget that flows in steadily. One probe may take at once what is left of
+/// the shortest window's budget.
+const REFILL_SHARE: f64 = 0.5;
 
 /// A token bucket of backend time for the probes of one target.
 ///
 /// A probe takes its timeout out of the bucket before it starts, and puts back what it did not
 /// use. One probe runs at a time.
 ///
-/// Invariant: in every window of at least a second, probes take no more than the budget times the
-/// window's length. It holds because the bucket starts empty (also after a restart), never holds
-/// more than half a second's budget, refills at half the budget, and doesn't refill while a probe
-/// runs.
+/// Invariant: in every window of five seconds or more, probes take no more than the budget times
+/// the window's length. It holds because the bucket starts empty (also after a restart), never
+/// holds more than half of five seconds' budget, refills at half the budget, and doesn't refill
+/// while a probe runs.
 ///
 /// ```
 /// # use std::time::Duration;
@@ -47,13 +51,14 @@
 impl ProbeBudget {
     /// An empty bucket for `budget_ms_per_s` milliseconds of backend time per second.
     ///
-    /// A probe is cut off after `timeout`, or after half a second's budget when that is less.
+    /// A probe is cut off after `timeout`, or after half of five seconds' budget when that is
+    /// less.
     #[must_use]
     pub fn new(now: MonoTime, budget_ms_per_s: f64, timeout: Duration) -> Self {
         let micros_per_s = budget_ms_per_s.max(0.0) * 1e3;
-        let capacity_us = micros_per_s * BURST_SHARE;
+        let capacity_us = micros_per_s * MIN_WINDOW_S * (1.0 - REFILL_SHARE);
         Self {
-            refill_rate: micros_per_s * (1.0 - BURST_SHARE) / 1e6,
+            refill_rate: micros_per_s * REFILL_SHARE / 1e6,
             capacity_us,
             timeout_us: capacity_us.min(timeout.as_micros() as f64).floor(),
             tokens_us: 0.0,
@@ -94,7 +99,8 @@
             return None;
         }
         let missing_us = (self.timeout_us - self.tokens_us).max(0.0);
-        let wait_us = (missing_us / self.refill_rate).ceil();
+        // One more microsecond makes up for rounding.
+        let wait_us = (missing_us / self.refill_rate).ceil() + 1.0;
         Some(self.updated_at + Duration::from_micros(wait_us as u64))
     }
 
