Treat a request whose answer was lost as a suspect at once

Cause: over real sockets an entry's own retry overtook the word of the crash, so that bystanders ran beside the crasher again and were struck twice. Change: the terms count lost runs, and a host asks for a trial on that alone; a suspect waits while another one runs alone at its host, instead of a refusal.

--- a/crates/fescueway_admission/src/suspect_list.rs
+++ b/crates/fescueway_admission/src/suspect_list.rs
@@ -28,6 +28,8 @@
     Run,
     /// Send this to the coordinator first, and give its reply to [`SuspectList::trial_reply`].
     AskTrial(SuspectMessage),
+    /// Another suspect runs alone here: ask again when it has ended.
+    Wait,
     /// Refuse it.
     Refuse,
 }
@@ -56,7 +58,7 @@
 
 /// Requests that were in flight when backend servers of one service crashed, by fingerprint.
 ///
-/// A fingerprint without strikes runs freely. With one strike it runs once at a time in the whole
+/// A fingerprint without strikes runs freely. With one strike, or after a lost answer, it runs once at a time in the whole
 /// service: its coordinator, one of the hosts, grants the trials, and a host runs one trial at a
 /// time, so that an innocent isn't struck again beside a guilty one. With two strikes it is
 /// refused everywhere. An answer of a backend server clears it.
@@ -115,14 +117,18 @@
 
     // --- The own backend server ---
 
-    /// A request is about to be handed to the own backend server.
-    pub fn begin(&mut self, now: MonoTime, fingerprint: u64) -> SuspectStep {
-        match self.strikes(now, fingerprint) {
+    /// A request is about to be handed to the own backend server. `lost_runs` are its earlier
+    /// hand-overs whose answer was lost: word of a crash may still be on its way.
+    pub fn begin(&mut self, now: MonoTime, fingerprint: u64, lost_runs: u8) -> SuspectStep {
+        let strikes = self.strikes(now, fingerprint);
+        match strikes.max(usize::from(lost_runs)) {
             0 => {
                 self.run(fingerprint);
                 SuspectStep::Run
             }
-            strikes if strikes < MAX_CRASHES && self.own_trial.is_none() => {
+            strikes if strikes >= MAX_CRASHES => SuspectStep::Refuse,
+            _ if self.own_trial.is_some() => SuspectStep::Wait,
+            _ => {
                 self.own_trial = Some(fingerprint);
                 let entry = self.entries.get(&fingerprint);
                 let crashes = entry.into_iter().flat_map(|entry| &entry.crashes);
@@ -132,7 +138,6 @@
                     crashes: crashes.copied().collect(),
                 })
             }
-            _ => SuspectStep::Refuse,
         }
     }
 
@@ -166,7 +171,7 @@
             return None;
         }
         let was_trial = self.end_trial(fingerprint);
-        let is_suspect = self.entries.contains_key(&fingerprint);
+        let is_suspect = was_trial || self.entries.contains_key(&fingerprint);
         if is_suspect && end == SuspectEnd::Answered {
             self.entries.remove(&fingerprint);
             return Some(SuspectMessage::Cleared { fingerprint });
@@ -235,16 +240,12 @@
                 self.grant(now, *fingerprint, *host)
             }
             SuspectMessage::Running { fingerprint, host } => {
-                if let Some(entry) = self.entries.get_mut(fingerprint) {
-                    entry.trial.get_or_insert((*host, now));
-                }
+                let entry = self.entry(now, *fingerprint);
+                entry.trial.get_or_insert((*host, now));
                 SuspectReply::Noted(Vec::new())
             }
             SuspectMessage::TrialEnded { fingerprint, host } => {
-                let entry = self.entries.get_mut(fingerprint);
-                if let Some(entry) = entry.filter(|entry| is_trial_at(entry, *host)) {
-                    entry.trial = None;
-                }
+                self.close_trial(*fingerprint, *host);
                 SuspectReply::Noted(Vec::new())
             }
             SuspectMessage::Cleared { fingerprint } => {
@@ -257,9 +258,7 @@
     /// As coordinator: lets a suspect run once at a time.
     fn grant(&mut self, now: MonoTime, fingerprint: u64, host: NodeId) -> SuspectReply {
         let strikes = self.strikes(now, fingerprint);
-        let Some(entry) = self.entries.get_mut(&fingerprint) else {
-            return SuspectReply::Denied;
-        };
+        let entry = self.entry(now, fingerprint);
         let open = entry
             .trial
             .filter(|(_, since)| now.since(*since) < TRIAL_EXPIRY);
@@ -287,12 +286,7 @@
     /// Notes a crash for each of `fingerprints`.
     fn strike(&mut self, now: MonoTime, crash: CrashId, fingerprints: &[u64]) {
         for fingerprint in fingerprints {
-            let entry = self.entries.entry(*fingerprint);
-            let entry = entry.or_insert_with(|| SuspectEntry {
-                crashes: BTreeSet::new(),
-                struck_at: now,
-                trial: None,
-            });
+            let entry = self.entry(now, *fingerprint);
             if !entry.crashes.insert(crash) {
                 continue;
             }
@@ -310,6 +304,29 @@
         }
     }
 
+    /// The suspect with this fingerprint, without strikes at first.
+    fn entry(&mut self, now: MonoTime, fingerprint: u64) -> &mut SuspectEntry {
+        let entry = self.entries.entry(fingerprint);
+        entry.or_insert_with(|| SuspectEntry {
+            crashes: BTreeSet::new(),
+            struck_at: now,
+            trial: None,
+        })
+    }
+
+    /// As coordinator: a trial showed nothing. What never struck is no suspect any more.
+    fn close_trial(&mut self, fingerprint: u64, host: NodeId) {
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return;
+        };
+        if is_trial_at(entry, host) {
+            entry.trial = None;
+        }
+        if entry.trial.is_none() && entry.crashes.is_empty() {
+            self.entries.remove(&fingerprint);
+        }
+    }
+
     /// Counts a request in flight.
     fn run(&mut self, fingerprint: u64) {
         *self.in_flight.entry(fingerprint).or_default() += 1;
--- a/crates/fescueway_admission/tests/suspects.rs
+++ b/crates/fescueway_admission/tests/suspects.rs
@@ -137,9 +137,10 @@
                     self.resend(print, 0);
                     return;
                 }
-                match self.list(host).begin(now, print) {
+                match self.list(host).begin(now, print, 0) {
                     SuspectStep::Run => self.start(host, print),
                     SuspectStep::AskTrial(message) => self.tell(host, &message),
+                    SuspectStep::Wait => self.after(5_000, Event::Arrive { host, print }),
                     SuspectStep::Refuse => self.resend(print, 100_000),
                 }
             }
@@ -251,14 +252,24 @@
     }
 }
 
+#[test]
+fn a_lost_answer_makes_a_suspect_before_word_of_the_crash_comes() {
+    let now = MonoTime::ZERO;
+    let mut list = SuspectList::new(NodeId(1));
+    assert!(matches!(list.begin(now, 7, 1), SuspectStep::AskTrial(_)));
+    assert_eq!(list.begin(now, 8, 1), SuspectStep::Wait);
+    assert_eq!(list.begin(now, 9, 2), SuspectStep::Refuse);
+    assert_eq!(list.begin(now, 10, 0), SuspectStep::Run);
+}
+
 #[test]
 fn a_trial_that_shows_nothing_leaves_room_for_the_next() {
     let now = MonoTime::ZERO;
     let mut list = SuspectList::new(NodeId(1));
-    assert_eq!(list.begin(now, 7), SuspectStep::Run);
+    assert_eq!(list.begin(now, 7, 0), SuspectStep::Run);
     list.settle_loss(now, true);
     for end in [SuspectEnd::Unused, SuspectEnd::Lost] {
-        let SuspectStep::AskTrial(message) = list.begin(now, 7) else {
+        let SuspectStep::AskTrial(message) = list.begin(now, 7, 0) else {
             panic!("a suspect with one strike needs a trial");
         };
         let reply = list.handle(now, &message);
--- a/crates/fescueway_core/src/request_terms.rs
+++ b/crates/fescueway_core/src/request_terms.rs
@@ -62,6 +62,9 @@
     /// Longest expected wait for a slot that the entry accepts: above it a refusal serves the
     /// caller better. The router sets it with each offer.
     pub wait_limit: Duration,
+    /// Earlier hand-overs of this request whose answer was lost. Its backend server may have
+    /// crashed on it.
+    pub lost_runs: u8,
     /// How many calls of services lie above this one; zero for a caller from outside.
     pub depth: u8,
     /// Digest of the caller's idempotency key, when it sent one.
@@ -96,6 +99,7 @@
             offers_left: Self::DEFAULT_OFFERS,
             cause: OfferCause::First,
             wait_limit: time_left,
+            lost_runs: 0,
             depth: 0,
             key: None,
             fingerprint: 0,
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -83,7 +83,9 @@
                 }
                 AttemptEnd::Lost(handed_over) => {
                     self.is_lost = true;
-                    retry_terms(handed_over)?
+                    let mut terms = retry_terms(handed_over)?;
+                    terms.lost_runs = terms.lost_runs.saturating_add(1);
+                    terms
                 }
                 AttemptEnd::Answered(response, handed_over) => {
                     if !is_retryable(response.status()) {
