Grant nothing without a backup while another host is up

Cause: on sockets a first node served alone for its first seconds; killed then, it closed its partitions for as long as keys are remembered.

--- a/crates/fescueway_idempotency/src/claim_node.rs
+++ b/crates/fescueway_idempotency/src/claim_node.rs
@@ -227,6 +227,10 @@
         live: &BTreeMap<NodeId, Replica>,
     ) -> Vec<(PartitionId, ReplicaAction)> {
         self.runs.expire(now, self.limits.run_retention());
+        // A claim whose caller left is not ended by anyone else.
+        let limit = 2 * self.limits.answer_limit;
+        self.attempts
+            .retain(|_, attempt| now.since(attempt.started_at) <= limit);
         let mut actions = Vec::new();
         for (index, replica) in (0..).zip(&mut self.replicas) {
             for action in replica.tick(now, &self.limits, live) {
--- a/crates/fescueway_idempotency/src/claim_replica.rs
+++ b/crates/fescueway_idempotency/src/claim_replica.rs
@@ -74,13 +74,18 @@
     absent: BTreeMap<NodeId, MonoTime>,
     /// Earliest time of the next call of the store.
     store_at: MonoTime,
-    /// Whether this node proposed a record that takes its memory of this epoch for lost. From
-    /// then on it can't become whole in this epoch, as the proposal may take effect late.
-    is_abandoned: bool,
+    /// Since when the node has looked after the partition.
+    started_at: MonoTime,
+    /// Whether the record names no backup though another host is up. Then nothing is granted:
+    /// a crash of this node would close the partition for as long as keys are remembered.
+    awaits_backup: bool,
+    /// The epoch for which this node proposed a record that takes its memory for lost. It can't
+    /// become whole in that epoch any more, as the proposal may take effect late.
+    abandoned_epoch: Option<u64>,
     /// Whether the node is leaving.
     is_leaving: bool,
-    /// Whether a successor fetched the whole memory.
-    is_handed_on: bool,
+    /// The epoch whose replicas fetched the whole memory.
+    handed_on_epoch: Option<u64>,
 }
 
 impl ClaimReplica {
@@ -100,9 +105,11 @@
             table: ClaimTable::default(),
             absent: BTreeMap::new(),
             store_at: now,
-            is_abandoned: false,
+            started_at: now,
+            awaits_backup: false,
+            abandoned_epoch: None,
             is_leaving: false,
-            is_handed_on: false,
+            handed_on_epoch: None,
         }
     }
 
@@ -112,6 +119,11 @@
         self.record.as_ref()
     }
 
+    /// The epoch of the newest record known.
+    fn epoch(&self) -> Option<u64> {
+        self.record.as_ref().map(|record| record.epoch)
+    }
+
     /// Where the node stands.
     #[must_use]
     pub fn tenure(&self) -> Tenure {
@@ -134,7 +146,7 @@
     pub fn has_left(&self) -> bool {
         match self.tenure() {
             Tenure::Closed => true,
-            Tenure::Retired => self.is_handed_on || !self.is_orphan(),
+            Tenure::Retired => self.handed_on_epoch == self.epoch() || !self.is_orphan(),
             Tenure::Recovering | Tenure::Serving => false,
         }
     }
@@ -143,15 +155,12 @@
 
     /// Takes a record from another node. An older one than is known is passed over.
     pub fn learn(&mut self, now: MonoTime, limits: &ClaimLimits, record: &PartitionRecord) {
-        let known = self.record.as_ref().map_or(0, |known| known.epoch);
-        if record.epoch <= known {
+        if Some(record.epoch) <= self.epoch() {
             return;
         }
         self.confirmed_at = None;
         self.fetched.clear();
-        self.is_handed_on = false;
         self.told.clear();
-        self.is_abandoned = false;
         self.recovered_at = self.recovery_end(now, limits, record);
         self.record = Some(record.clone());
         let event = self.tenure_event(record);
@@ -271,7 +280,7 @@
         let is_confirmed = self
             .confirmed_at
             .is_some_and(|at| now.since(at) <= limits.confirmed_for());
-        is_confirmed && self.tenure() == Tenure::Serving
+        is_confirmed && !self.awaits_backup && self.tenure() == Tenure::Serving
     }
 
     // --- Memory of other replicas ---
@@ -293,7 +302,9 @@
             return None;
         }
         let chunk = self.table.chunk(after);
-        self.is_handed_on |= chunk.is_last;
+        if chunk.is_last {
+            self.handed_on_epoch = Some(record.epoch);
+        }
         Some(chunk)
     }
 
@@ -320,7 +331,7 @@
 
     /// The memory is whole in `epoch`.
     fn complete(&mut self, epoch: u64) {
-        if self.is_abandoned {
+        if self.abandoned_epoch == Some(epoch) {
             return;
         }
         self.complete_epoch = Some(epoch);
@@ -339,6 +350,11 @@
     ) -> Vec<ReplicaAction> {
         self.table.expire(now, limits.key_retention());
         self.track_absent(now, live);
+        let is_alone = self
+            .record
+            .as_ref()
+            .is_some_and(|held| held.backup.is_none());
+        self.awaits_backup = is_alone && live.keys().any(|host| *host != self.own.node);
         self.end_recovery(now);
         let mut actions = self.fetches(live);
         actions.extend(self.tells(live));
@@ -346,7 +362,9 @@
             return actions;
         }
         let action = self.proposal(now, limits, live);
-        self.is_abandoned |= action.is_some() && self.tenure() == Tenure::Recovering;
+        if action.is_some() && self.tenure() == Tenure::Recovering {
+            self.abandoned_epoch = self.epoch();
+        }
         let action =
             action.or_else(|| self.is_read_due(now, limits).then_some(ReplicaAction::Read));
         if action.is_some() {
@@ -389,7 +407,7 @@
         if !is_over || self.tenure() != Tenure::Recovering {
             return;
         }
-        if let Some(epoch) = self.record.as_ref().map(|record| record.epoch) {
+        if let Some(epoch) = self.epoch() {
             self.complete(epoch);
         }
     }
@@ -461,8 +479,9 @@
             limits,
             now,
             absent: &self.absent,
+            started_at: self.started_at,
             is_whole: self.tenure() == Tenure::Serving,
-            is_abandoned: self.is_abandoned,
+            is_abandoned: self.abandoned_epoch == self.epoch() && self.record.is_some(),
             is_leaving: self.is_leaving,
         };
         let record = change.next_record(self.record.as_ref())?;
--- a/crates/fescueway_idempotency/src/record_change.rs
+++ b/crates/fescueway_idempotency/src/record_change.rs
@@ -24,6 +24,8 @@
     pub(crate) now: MonoTime,
     /// Nodes of the record that are absent, and since when.
     pub(crate) absent: &'a BTreeMap<NodeId, MonoTime>,
+    /// Since when this node has looked after the partition.
+    pub(crate) started_at: MonoTime,
     /// Whether this node serves, and so knows every key that may have run.
     pub(crate) is_whole: bool,
     /// Whether this node proposed before that its memory counts as lost.
@@ -42,10 +44,12 @@
         }
     }
 
-    /// The first record of a partition that never had one.
+    /// The first record of a partition that never had one. Other hosts get some time to appear.
     fn first_record(&self) -> Option<PartitionRecord> {
         let first = first_host(self.partition, self.live)?;
-        if first.node != self.own.node || self.is_leaving {
+        let is_patient = self.now.since(self.started_at) < self.limits.replica_patience;
+        let is_early = self.live.len() < 2 && is_patient;
+        if first.node != self.own.node || self.is_leaving || is_early {
             return None;
         }
         Some(PartitionRecord {
