Run claims, suspects and probes in the daemon

Cause: the decisions were not on the path yet. Change: run_rules settles a run before its hand-over; claim_task keeps the partitions, with one call to the store at a time for each service; suspect_task finds out by a new connection whether a lost one means a crash; probe_task probes the backend server of its own node only. Tests on sockets: three nodes, a backend server each, and a store; bookings sent again, lost answers, a node killed or leaving, the store down, a crasher beside bystanders, probes within 20 ms/s.

--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -19,20 +19,27 @@
 use crate::{
     DaemonError, DaemonSettings,
     backend_api::BackendApi,
+    claim_task::ClaimTask,
     daemon_sockets::{DaemonAddresses, DaemonSockets},
     local_http::serve_local,
     member_link::MemberLink,
     membership_task::run_membership,
     node_meter::NodeMeter,
     operator_api::OperatorApi,
+    probe_task::ProbeTask,
     rollout_task::run_rollout,
+    run_rules::RunRules,
     status_board::StatusBoard,
     store_link::StoreLink,
+    suspect_task::SuspectTask,
 };
 
 /// How often a stopping daemon looks whether its last request is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// How long handing idempotency keys over may take.
+const HAND_OVER_TIME: Duration = Duration::from_secs(2);
+
 /// How long peers may take to hear the goodbye.
 const GOODBYE_TIME: Duration = Duration::from_millis(200);
 
@@ -49,6 +56,8 @@
     meter: NodeMeter,
     /// What its tasks tell operators.
     board: StatusBoard,
+    /// The idempotency keys that it keeps, once the tasks run.
+    claims: OnceLock<ClaimTask>,
     /// Who is there, once the tasks run.
     members: OnceLock<MemberLink>,
     /// Stops taking callers' connections.
@@ -75,6 +84,7 @@
         let daemon = Self {
             meter: NodeMeter::start(&state)?,
             board: StatusBoard::default(),
+            claims: OnceLock::new(),
             members: OnceLock::new(),
             state,
             addresses,
@@ -137,6 +147,9 @@
 
     /// Says goodbye to the peers and ends every task.
     async fn leave(&self) {
+        if let Some(claims) = self.claims.get() {
+            claims.leave(HAND_OVER_TIME).await;
+        }
         for service in self.state.local_services() {
             self.state.withdraw(&service);
         }
@@ -188,11 +201,25 @@
         let (link, notes) = MemberLink::new(state.clone(), board.clone(), socket, &self.settings);
         run_membership(state, &link);
         let store = StoreLink::new(state, board, &self.settings);
-        run_rollout(state, &link, board, store, notes);
+        run_rollout(state, &link, board, store.clone(), notes);
+        self.run_rules(store);
         // Nobody else starts the membership, so that it is set once.
         let _ = self.members.set(link);
     }
 
+    /// Starts what is settled before a request is handed over.
+    fn run_rules(&self, store: Option<StoreLink>) {
+        let claims = ClaimTask::start(&self.state, store);
+        let rules = RunRules {
+            claims: claims.clone(),
+            suspects: SuspectTask::start(&self.state),
+            probes: ProbeTask::start(&self.state, self.meter.metrics()),
+        };
+        rules.install(&self.state);
+        // Nobody else starts the claims, so that they are set once.
+        let _ = self.claims.set(claims);
+    }
+
     /// Tells that the node takes requests.
     fn tell_start(&self) {
         let options = self.state.options();
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -4,6 +4,8 @@
 //! runtime; several daemons can share one. There is no global state besides the logger.
 
 mod backend_api;
+mod claim_records;
+mod claim_task;
 mod daemon;
 mod daemon_error;
 mod daemon_settings;
@@ -13,12 +15,15 @@
 mod membership_task;
 mod node_meter;
 mod operator_api;
+mod probe_task;
 mod raw_settings;
 mod rollout_task;
+mod run_rules;
 mod settings_file;
 mod settings_rules;
 mod status_board;
 mod store_link;
+mod suspect_task;
 mod watch_task;
 
 pub use crate::{
--- /dev/null
+++ b/crates/fescuewayd/src/probe_task.rs
@@ -0,0 +1,218 @@
+//! Probes the backend servers beside the node, within the budget of each.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use fescueway_admission::{HealthVerdict, ProbeBudget, ProbeEnd, ProbeScheduler};
+use fescueway_config::ProbePlan;
+use fescueway_core::{MonoTime, ServiceName};
+use fescueway_proxy::ProxyState;
+use fescueway_telemetry::{
+    MetricSet, emit,
+    events::claim::{HEALTH_CHANGED, PROBE_CONTRADICTED},
+};
+use http::{Request, header::HOST};
+use http_body_util::{BodyExt, Empty};
+use hyper::{body::Bytes, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    time::{sleep, sleep_until, timeout},
+};
+
+/// Pause between two looks for backend servers to probe.
+const LOOK_PAUSE: Duration = Duration::from_secs(1);
+
+/// Probes the backend servers beside the node. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct ProbeTask(Arc<TaskState>);
+
+/// What the clones of a [`ProbeTask`] share.
+#[derive(Debug)]
+struct TaskState {
+    /// The path of requests.
+    proxy: ProxyState,
+    /// Counts what probes take.
+    metrics: Arc<MetricSet>,
+    /// The backend servers that are probed.
+    targets: Mutex<BTreeMap<ServiceName, ProbedTarget>>,
+}
+
+/// One backend server that is probed.
+#[derive(Debug)]
+struct ProbedTarget {
+    /// Where it takes requests.
+    address: SocketAddr,
+    /// By which plan.
+    plan: ProbePlan,
+    /// Decides when.
+    scheduler: ProbeScheduler,
+    /// What was last told of its health.
+    health: HealthVerdict,
+}
+
+impl ProbeTask {
+    /// Starts to probe what is announced.
+    pub fn start(proxy: &ProxyState, metrics: &Arc<MetricSet>) -> Self {
+        let task = Self(Arc::new(TaskState {
+            proxy: proxy.clone(),
+            metrics: Arc::clone(metrics),
+            targets: Mutex::default(),
+        }));
+        proxy.tasks().spawn(task.clone().look_after());
+        task
+    }
+
+    /// A request ended at a backend server beside the node.
+    pub fn traffic(&self, service: &ServiceName, is_success: bool) {
+        let now = self.0.proxy.now();
+        if let Some(target) = self.targets().get_mut(service) {
+            target.scheduler.traffic(now, is_success);
+        }
+    }
+
+    /// Begins to probe what is announced, and forgets what has left.
+    async fn look_after(self) {
+        let mut announced = self.0.proxy.announced();
+        loop {
+            let services = self.0.proxy.local_services();
+            self.targets()
+                .retain(|service, _| services.contains(service));
+            for service in &services {
+                self.begin(service);
+            }
+            if services.is_empty() {
+                if announced.changed().await.is_err() {
+                    return;
+                }
+            } else {
+                sleep(LOOK_PAUSE).await;
+            }
+        }
+    }
+
+    /// Probes a service from now on, by its plan and at its address of today. A change starts
+    /// over with an empty budget.
+    fn begin(&self, service: &ServiceName) {
+        let proxy = &self.0.proxy;
+        let plan = proxy.plan();
+        let plan = plan.services.get(service).map(|plan| plan.probe.clone());
+        let address = proxy
+            .host_target(service)
+            .map(|target| target.pool().address());
+        let (Some(plan), Some(address)) = (plan, address) else {
+            return;
+        };
+        let mut targets = self.targets();
+        let known = targets.get(service);
+        if known.is_some_and(|known| known.plan == plan && known.address == address) {
+            return;
+        }
+        let is_new = known.is_none();
+        let metrics = self.0.metrics.service(service);
+        metrics.set_probe_budget(plan.budget_ms_per_s);
+        let now = proxy.now();
+        let budget = ProbeBudget::new(now, plan.budget_ms_per_s, plan.timeout);
+        let target = ProbedTarget {
+            address,
+            plan,
+            scheduler: ProbeScheduler::new(now, budget),
+            health: HealthVerdict::Unsure,
+        };
+        targets.insert(service.clone(), target);
+        drop(targets);
+        if is_new {
+            proxy.tasks().spawn(self.clone().probe_on(service.clone()));
+        }
+    }
+
+    /// Probes one service until it leaves.
+    async fn probe_on(self, service: ServiceName) {
+        while let Some(wake) = self.next_wake(&service) {
+            sleep_until(self.0.proxy.clock().instant(wake)).await;
+            let Some((address, path, limit)) = self.begin_probe(&service) else {
+                continue;
+            };
+            let probing = timeout(limit, probe(address, &path));
+            let end = match probing.await {
+                Ok(Ok(true)) => ProbeEnd::Healthy,
+                Ok(Ok(false) | Err(_)) | Err(_) => ProbeEnd::Unhealthy,
+            };
+            self.end_probe(&service, end);
+        }
+    }
+
+    /// When to look again at a service, `None` when it left.
+    fn next_wake(&self, service: &ServiceName) -> Option<MonoTime> {
+        let now = self.0.proxy.now();
+        let targets = self.targets();
+        let scheduler = &targets.get(service)?.scheduler;
+        let due = scheduler.next_wake(now).unwrap_or(MonoTime::ZERO);
+        // Traffic that stops brings the next probe forward, and nobody tells of that.
+        Some(due.clamp(now + LOOK_PAUSE / 10, now + LOOK_PAUSE))
+    }
+
+    /// Begins a probe when one is due: where, what, and for how long.
+    fn begin_probe(&self, service: &ServiceName) -> Option<(SocketAddr, Arc<str>, Duration)> {
+        let now = self.0.proxy.now();
+        let mut targets = self.targets();
+        let target = targets.get_mut(service)?;
+        let limit = target.scheduler.begin(now)?;
+        Some((target.address, Arc::clone(&target.plan.path), limit))
+    }
+
+    /// A probe ended.
+    fn end_probe(&self, service: &ServiceName, end: ProbeEnd) {
+        let now = self.0.proxy.now();
+        let mut targets = self.targets();
+        let Some(target) = targets.get_mut(service) else {
+            return;
+        };
+        let charged = target.scheduler.charged();
+        let is_contradicted = target.scheduler.end(now, end);
+        let spent = target.scheduler.charged().saturating_sub(charged);
+        self.0.metrics.service(service).probed(spent);
+        if is_contradicted {
+            emit(&PROBE_CONTRADICTED, &[service, &target.plan.path]);
+        }
+        let health = target.scheduler.verdict(now);
+        if health != target.health {
+            target.health = health;
+            emit(&HEALTH_CHANGED, &[service, &health.as_str()]);
+        }
+    }
+
+    /// The targets, locked.
+    fn targets(&self) -> MutexGuard<'_, BTreeMap<ServiceName, ProbedTarget>> {
+        self.0
+            .targets
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Asks the load endpoint on a connection of its own: whether it answers without failing.
+async fn probe(address: SocketAddr, path: &str) -> Result<bool, eyre::Report> {
+    let socket = TcpStream::connect(address).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
+    let request = Request::get(path)
+        .header(HOST, address.to_string())
+        .body(Empty::<Bytes>::new())?;
+    let asking = async {
+        let response = sender.send_request(request).await?;
+        let is_healthy = response.status().is_success();
+        response.into_body().collect().await?;
+        Ok(is_healthy)
+    };
+    tokio::select! {
+        answer = asking => answer,
+        ended = connection => {
+            ended?;
+            Ok(false)
+        }
+    }
+}
