--- /dev/null
+++ b/crates/fescueway_bench/benches/probe_and_claims/live_bytes.rs
@@ -0,0 +1,42 @@
+//! Counts the bytes that are allocated and not freed.
+
+use std::{
+    alloc::{GlobalAlloc, Layout, System},
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+/// Counts live bytes.
+struct LiveBytes;
+
+/// Bytes allocated so far.
+static ALLOCATED: AtomicU64 = AtomicU64::new(0);
+
+/// Bytes freed so far.
+static FREED: AtomicU64 = AtomicU64::new(0);
+
+#[global_allocator]
+static ALLOCATOR: LiveBytes = LiveBytes;
+
+#[expect(
+    unsafe_code,
+    reason = "counting bytes needs a global allocator, whose trait is unsafe"
+)]
+// SAFETY: every call is passed on unchanged to the system's allocator.
+unsafe impl GlobalAlloc for LiveBytes {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED.fetch_add(layout.size() as u64, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        FREED.fetch_add(layout.size() as u64, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+/// Bytes that are allocated and not freed.
+pub fn live_bytes() -> u64 {
+    ALLOCATED.load(Ordering::Relaxed) - FREED.load(Ordering::Relaxed)
+}
