--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -12,7 +12,7 @@
 use fescueway_telemetry::{MetricSet, emit, events::operator};
 use tokio::{
     net::UdpSocket,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -40,8 +40,8 @@
 /// How long handing idempotency keys over may take.
 const HAND_OVER_TIME: Duration = Duration::from_secs(2);
 
-/// How long peers may take to hear the goodbye.
-const GOODBYE_TIME: Duration = Duration::from_millis(200);
+/// Time in which the goodbye leaves for the peers.
+const GOODBYE_TIME: Duration = Duration::from_millis(100);
 
 /// One running node. Dropping it leaves it running; [`Daemon::stop`] ends it in order.
 #[derive(Debug)]
@@ -137,15 +137,20 @@
         while !self.is_idle() && start.elapsed() < limit {
             sleep(STOP_POLL).await;
         }
-        if !self.is_idle() {
+        self.leave().await;
+        // Peers close their connections once the last stream on them is read.
+        while self.is_open() && start.elapsed() < limit {
+            sleep(STOP_POLL).await;
+        }
+        if self.is_open() {
             let cut = self.state.open_requests();
             emit(&operator::STOP_CUT_REQUESTS, &[&cut, &limit.as_millis()]);
         }
-        self.leave().await;
+        self.state.tasks().cancel();
         emit(&operator::STOP_ENDED, &[&start.elapsed().as_millis()]);
     }
 
-    /// Says goodbye to the peers and ends every task.
+    /// Says goodbye to the peers, and takes no new stream of theirs.
     async fn leave(&self) {
         if let Some(claims) = self.claims.get() {
             claims.leave(HAND_OVER_TIME).await;
@@ -157,10 +162,7 @@
             members.handle(MemberEvent::Leave);
         }
         self.closing_peers.cancel();
-        let finished = self.state.tasks().finished();
-        // Tasks that wait for work never finish by themselves.
-        let _ = timeout(GOODBYE_TIME, finished).await;
-        self.state.tasks().cancel();
+        sleep(GOODBYE_TIME).await;
     }
 
     /// Ends at once, as a crash would.
@@ -177,7 +179,11 @@
         let peers = self.closing_peers.clone();
         tasks.spawn(serve_peers(state.clone(), sockets.peers, peers));
         self.run_control(sockets.gossip);
-        let backends = BackendApi::new(state.clone(), self.settings.announce_timeout);
+        let backends = BackendApi::new(
+            state.clone(),
+            self.board.clone(),
+            self.settings.announce_timeout,
+        );
         let answer = move |request| backends.answer(&request);
         tasks.spawn(serve_local(
             tasks.clone(),
@@ -232,6 +238,11 @@
         emit(&operator::OPERATORS_LISTEN, &[&self.addresses.operators]);
     }
 
+    /// Whether a request is in flight, or an answer on its way to a peer.
+    fn is_open(&self) -> bool {
+        !self.is_idle() || self.state.peer_connections() > 0
+    }
+
     /// Whether nothing is in flight.
     fn is_idle(&self) -> bool {
         let services = self.state.local_services();
