Fill the paused member's socket before the leaver leaves

Cause: the stale news and the leave both fitted into the socket, so that the test passed without the deaf time.

--- a/crates/fescueway_membership/tests/decoding.rs
+++ b/crates/fescueway_membership/tests/decoding.rs
@@ -2,8 +2,8 @@
 
 use fescueway_core::{ConfigMark, DomainName, MonoTime, NodeId, SiteName};
 use fescueway_membership::{
-    Datagram, DatagramCodec, DatagramError, FleetSecret, MAX_DATAGRAM, MemberAction, MemberEvent,
-    MemberList, MemberSettings, MemberStatus, MessageBody, NodeRecord, Rumor,
+    Datagram, DatagramCodec, DatagramError, DownCause, FleetSecret, MAX_DATAGRAM, MemberAction,
+    MemberEvent, MemberList, MemberSettings, MemberStatus, MessageBody, NodeRecord, Rumor,
 };
 use quickcheck::quickcheck;
 use rand_pcg::Pcg64Mcg;
@@ -154,3 +154,27 @@
     });
     assert!(asks.count() > 0);
 }
+
+#[test]
+fn a_node_that_speaks_from_anothers_address_ends_it_at_once() {
+    let (mut list, mut random) = (list(), Pcg64Mcg::new(3));
+    let from = ([127, 0, 0, 1], 7_003).into();
+    let mut hear = |datagram: &Datagram| {
+        let bytes = codec(b"ours").seal(datagram).unwrap();
+        list.handle(
+            MonoTime::ZERO,
+            MemberEvent::Datagram { from, bytes },
+            &mut random,
+        )
+    };
+    let known = Datagram {
+        rumors: vec![rumor(3, MemberStatus::Alive)],
+        ..ping(3, 1)
+    };
+    assert!(hear(&known).contains(&MemberAction::NodeUp(NodeId(3))));
+    let down = MemberAction::NodeDown {
+        node: NodeId(3),
+        cause: DownCause::Replaced,
+    };
+    assert!(hear(&ping(9, 1)).contains(&down));
+}
--- a/crates/fescueway_membership/tests/failures.rs
+++ b/crates/fescueway_membership/tests/failures.rs
@@ -113,11 +113,10 @@
 fn a_member_paused_for_hours_drops_its_old_view() {
     let mut network = MemberNetwork::settled(5, 12);
     network.pause(8);
-    network.run_for(Duration::from_secs(5));
     let left = network.members[10].node;
-    // News of it waits in the paused member's socket.
+    // News of it fills the paused member's socket.
     network.serve(10, TargetState::Draining);
-    network.run_for(Duration::from_secs(2));
+    network.run_for(Duration::from_secs(10));
     network.leave(10);
     network.run_for(Duration::from_hours(2));
     assert!(
--- a/crates/fescueway_testkit/src/member_network.rs
+++ b/crates/fescueway_testkit/src/member_network.rs
@@ -85,7 +85,7 @@
 
 impl MemberNetwork {
     /// Datagrams that a paused member's socket holds.
-    const SOCKET_BUFFER: usize = 200;
+    const SOCKET_BUFFER: usize = 16;
 
     /// A network without members, loss 1% and delays of 1 to 3 ms.
     #[must_use]
