--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -4,15 +4,15 @@
 
 use fescueway_core::{Idempotency, LoadReport, Outcome, Refusal, RefusalReason};
 use fescueway_telemetry::{emit, events::path};
-use fescueway_wire::{AnswerHead, OfferHead};
+use fescueway_wire::{AnswerHead, HeaderList, OfferHead};
 use http::{Response, StatusCode};
 use http_body::Body;
 use tokio::{sync::oneshot, time::timeout};
 
-use super::{BackendBody, BackendError, HostRun, HostTarget, host_run::RunAnswer};
+use super::{BackendBody, BackendError, HostRun, HostTarget, RunStop, host_run::RunAnswer};
 use crate::{
     body::{AnswerBody, HostBody, pump_body},
-    headers,
+    duplicate_answer::duplicate_answer,
     offer_answer::OfferAnswer,
     offer_request::{HostRequest, OfferRequest},
     peer::{FrameReader, PeerReply},
@@ -27,9 +27,9 @@
     let Some(request) = HostRequest::from_offer(offer) else {
         return OfferAnswer::refused(unknown_service(), None);
     };
-    let run = match HostRun::prepare(&target, &request).await {
+    let run = match HostRun::prepare(state.checks(), &target, &request).await {
         Ok(run) => run,
-        Err(refusal) => return OfferAnswer::refused(refusal, Some(target.report())),
+        Err(stop) => return stopped(stop, target.report()),
     };
     let body = HostBody::Local(offer.body.clone());
     let answer = start(state, run, request, body).await;
@@ -57,24 +57,25 @@
     reader: FrameReader,
     mut reply: PeerReply,
 ) {
-    let Some(request) = HostRequest::from_head(&head) else {
+    let (host, is_body_held) = (head.host, head.is_body_held);
+    let Some(request) = HostRequest::from_head(head) else {
         return reply.reject(StatusCode::BAD_REQUEST);
     };
     let target = state.host_target(&request.terms.service);
-    let target = target.filter(|_| head.host == state.node());
+    let target = target.filter(|_| host == state.node());
     let Some(target) = target else {
         return refuse(&mut reply, unknown_service(), LoadReport::default());
     };
     let prepared = tokio::select! {
-        prepared = HostRun::prepare(&target, &request) => prepared,
+        prepared = HostRun::prepare(state.checks(), &target, &request) => prepared,
         // The entry left: dropping the work withdraws the offer.
         () = reply.reset() => return,
     };
     let run = match prepared {
         Ok(run) => run,
-        Err(refusal) => return refuse(&mut reply, refusal, target.report()),
+        Err(stop) => return stop_offer(&mut reply, stop, target.report()),
     };
-    if head.is_body_held && reply.send(&AnswerHead::Accepted, false).is_err() {
+    if is_body_held && reply.send(&AnswerHead::Accepted, false).is_err() {
         return;
     }
     let body = HostBody::Peer(Box::new(reader.into_body(state.limits().body_idle)));
@@ -141,13 +142,13 @@
     idle: Duration,
     reply: &mut PeerReply,
 ) {
+    let (parts, body) = response.into_parts();
     let head = AnswerHead::Answered {
-        status: response.status().as_u16(),
-        headers: headers::to_fields(response.headers()),
+        status: parts.status.as_u16(),
+        headers: HeaderList::new(parts.headers),
         outcome: Outcome::Ran,
         load,
     };
-    let body = response.into_body();
     let is_end = body.is_end_stream();
     if reply.send(&head, is_end).is_err() || is_end {
         return;
@@ -158,6 +159,35 @@
     }
 }
 
+/// The answer to an offer of the entry on the same node that is not handed over.
+fn stopped(stop: RunStop, load: LoadReport) -> OfferAnswer {
+    match stop {
+        RunStop::Refused(refusal) => OfferAnswer::refused(refusal, Some(load)),
+        RunStop::Duplicate { outcome, status } => OfferAnswer::Answered {
+            response: duplicate_answer(outcome, status).map(AnswerBody::Own),
+            load,
+        },
+    }
+}
+
+/// Sends to the entry why its offer is not handed over.
+fn stop_offer(reply: &mut PeerReply, stop: RunStop, load: LoadReport) {
+    match stop {
+        RunStop::Refused(refusal) => refuse(reply, refusal, load),
+        RunStop::Duplicate { outcome, status } => {
+            let (parts, _body) = duplicate_answer(outcome, status).into_parts();
+            let head = AnswerHead::Answered {
+                status: parts.status.as_u16(),
+                headers: HeaderList::new(parts.headers),
+                outcome,
+                load,
+            };
+            // An entry that left needs no answer.
+            let _ = reply.send(&head, true);
+        }
+    }
+}
+
 /// Sends a refusal to the entry.
 fn refuse(reply: &mut PeerReply, refusal: Refusal, load: LoadReport) {
     // An entry that left needs no answer.
