--- a/crates/fescueway_routing/src/place_choice.rs
+++ b/crates/fescueway_routing/src/place_choice.rs
@@ -6,7 +6,7 @@
 use crate::target_view::{PickScene, TargetView};
 
 /// Targets that are compared for one offer. A larger subset is sampled.
-const MAX_COMPARED: usize = 8;
+const MAX_COMPARED: usize = 6;
 
 /// Share of the targets that has to be trusted; below it all of them get work, since then the
 /// cause is likelier to lie elsewhere and the few left would be overrun.
@@ -38,7 +38,9 @@
     let mut serving = 0_usize;
     let mut trusted = 0_usize;
     for view in views.iter_mut().filter(|view| !view.is_draining) {
-        view.tick(scene.now);
+        if !view.is_trusted() {
+            view.tick(scene.now);
+        }
         serving += 1;
         trusted += usize::from(view.is_trusted());
     }
