Take up claims when the configuration comes after the backend server

Change: it looks again while it has backend servers; what is wanted of the store is taken when the call's turn comes, not when it was first wanted.

--- a/crates/fescuewayd/src/claim_records.rs
+++ b/crates/fescuewayd/src/claim_records.rs
@@ -34,6 +34,11 @@
         Self { store }
     }
 
+    /// Waits until the node may call the store.
+    pub async fn turn(&self) {
+        self.store.turn().await;
+    }
+
     /// Reads and changes records of one service, and tells `task` what stands there.
     ///
     /// One call serves all partitions of a service. What fails, or doesn't fit into one
@@ -84,8 +89,9 @@
         }
         txn.then.push(StoreOp::Range(records_of(service)));
         txn.otherwise.push(StoreOp::Range(records_of(service)));
-        let call = self.store.client.commit(&txn, CALL_TIMEOUT);
-        let reply = self.store.call(call).await?;
+        let reply = self.store.client.commit(&txn, CALL_TIMEOUT).await;
+        self.store.note(reply.as_ref().err());
+        let reply = reply?;
         if reply.is_success {
             for (partition, _, record) in batch {
                 tell_change(partition, record);
@@ -98,8 +104,9 @@
     /// Reads the records of a service.
     async fn read(&self, service: &ServiceName) -> Result<FoundRecords, StoreError> {
         let range = records_of(service);
-        let call = self.store.client.range(&range, CALL_TIMEOUT);
-        let reply = self.store.call(call).await?;
+        let reply = self.store.client.range(&range, CALL_TIMEOUT).await;
+        self.store.note(reply.as_ref().err());
+        let reply = reply?;
         Ok(reply.values.into_iter().filter_map(from_value).collect())
     }
 }
--- a/crates/fescuewayd/src/claim_task.rs
+++ b/crates/fescuewayd/src/claim_task.rs
@@ -2,7 +2,7 @@
 //! partitions that the node is named for.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -32,6 +32,9 @@
 /// Pause between two looks while something is under way.
 const BUSY_PAUSE: Duration = Duration::from_millis(100);
 
+/// What the partitions of one service want of the store.
+type StoreActions = Vec<(PartitionId, ReplicaAction)>;
+
 /// The claims of the services beside this node. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct ClaimTask(Arc<TaskState>);
@@ -45,8 +48,9 @@
     records: Option<ClaimRecords>,
     /// The node's part in each service beside it.
     nodes: Mutex<BTreeMap<ServiceName, ClaimNode>>,
-    /// Services whose call to the store waits for its turn or its answer.
-    settling: Mutex<BTreeSet<ServiceName>>,
+    /// What is wanted of the store, by service. An entry stands while a call waits for its turn or
+    /// its answer; what is wanted meanwhile replaces what was wanted before.
+    wanted: Mutex<BTreeMap<ServiceName, StoreActions>>,
     /// Whether the node is leaving.
     is_leaving: Mutex<bool>,
     /// Asks for a look at the partitions now.
@@ -60,7 +64,7 @@
             proxy: proxy.clone(),
             records: store.map(ClaimRecords::new),
             nodes: Mutex::default(),
-            settling: Mutex::default(),
+            wanted: Mutex::default(),
             is_leaving: Mutex::default(),
             wake: Notify::new(),
         }));
@@ -200,7 +204,7 @@
             let is_busy = self.tick();
             let pause = if is_busy { BUSY_PAUSE } else { TICK_PAUSE };
             // A node without backend servers has nothing to look after.
-            if self.nodes().is_empty() {
+            if self.nodes().is_empty() && self.0.proxy.local_services().is_empty() {
                 if announced.changed().await.is_err() {
                     return;
                 }
@@ -264,16 +268,11 @@
             matches!(action, ReplicaAction::Read | ReplicaAction::Propose { .. })
         });
         let tasks = self.0.proxy.tasks();
-        let records = self.0.records.clone().filter(|_| !stored.is_empty());
-        // One call at a time: what is wanted meanwhile is wanted again at a later tick.
-        if let Some(records) = records
-            && lock(&self.0.settling).insert(service.clone())
-        {
-            let (task, service) = (self.clone(), service.clone());
-            tasks.spawn(async move {
-                records.settle(&task, &service, stored).await;
-                lock(&task.0.settling).remove(&service);
-            });
+        if let Some(records) = self.0.records.clone().filter(|_| !stored.is_empty()) {
+            let before = lock(&self.0.wanted).insert(service.clone(), stored);
+            if before.is_none() {
+                tasks.spawn(self.clone().settle(records, service.clone()));
+            }
         }
         for (partition, action) in sent {
             tasks.spawn(self.clone().exchange(partition, action));
@@ -281,6 +280,16 @@
         is_busy
     }
 
+    /// Calls the store when it is the node's turn, for what is wanted by then.
+    async fn settle(self, records: ClaimRecords, service: ServiceName) {
+        records.turn().await;
+        let wanted = lock(&self.0.wanted).get(&service).cloned();
+        records
+            .settle(&self, &service, wanted.unwrap_or_default())
+            .await;
+        lock(&self.0.wanted).remove(&service);
+    }
+
     /// Exchanges memory or a record with another replica.
     async fn exchange(self, partition: PartitionId, action: ReplicaAction) {
         let (to, request) = match &action {
