Look after claims every 100 ms until their records are known

Cause: bookings were refused for the first 2 s of a fleet, as the next look at the partitions came a second later.

--- a/crates/fescuewayd/src/claim_task.rs
+++ b/crates/fescuewayd/src/claim_task.rs
@@ -258,7 +258,18 @@
             let actions = self.with_node(&service, |node, now| node.tick(now, &live));
             is_busy |= self.act(&service, actions.unwrap_or_default());
         }
-        is_busy
+        is_busy || !self.is_settled()
+    }
+
+    /// Whether the node knows who keeps the keys of every service beside it.
+    fn is_settled(&self) -> bool {
+        let plan = self.0.proxy.plan();
+        let nodes = self.nodes();
+        let mut services = self.0.proxy.local_services().into_iter();
+        services.all(|service| match nodes.get(&service) {
+            Some(node) => node.replicas().iter().all(|held| held.record().is_some()),
+            None => plan.services.contains_key(&service),
+        })
     }
 
     /// Does what the partitions of a service want. Returns whether that is anything.
