Open the connection after a run is settled

Ruled out, though each was a fault of its own and is mended here: a trial whose reply got lost, or that was pending at the crash, stayed open at its coordinator for a minute; a late word of a run opened a trial for a request that was cleared. Change: slot, then checks, then connection.

--- a/crates/fescueway_admission/src/suspect_list.rs
+++ b/crates/fescueway_admission/src/suspect_list.rs
@@ -191,7 +191,8 @@
             return Some(self.trial_ended(trial));
         }
         struck.extend(std::mem::take(&mut self.in_flight).into_keys());
-        self.own_trial = None;
+        // A trial that was not handed over yet ends by itself.
+        self.own_trial = self.own_trial.filter(|own| !struck.contains(own));
         if struck.is_empty() {
             return None;
         }
@@ -240,8 +241,10 @@
                 self.grant(now, *fingerprint, *host)
             }
             SuspectMessage::Running { fingerprint, host } => {
-                let entry = self.entry(now, *fingerprint);
-                entry.trial.get_or_insert((*host, now));
+                // One that was cleared meanwhile is no suspect any more.
+                if let Some(entry) = self.entries.get_mut(fingerprint) {
+                    entry.trial.get_or_insert((*host, now));
+                }
                 SuspectReply::Noted(Vec::new())
             }
             SuspectMessage::TrialEnded { fingerprint, host } => {
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -37,7 +37,9 @@
 }
 
 impl HostRun {
-    /// Waits for a slot, a connection, and the right to hand the request over.
+    /// Waits for a slot, the right to hand the request over, and a connection.
+    ///
+    /// The connection comes last, so that it is fresh when the request is sent on it.
     ///
     /// # Errors
     ///
@@ -48,28 +50,22 @@
         request: &HostRequest,
     ) -> Result<Self, RunStop> {
         let terms = &request.terms;
-        let mut run = match Self::admit(target, request).await {
-            Ok(run) => run,
+        let mut ticket = match target.admit(terms).await {
+            Ok(ticket) => ticket,
             Err(refusal) => return Err(checks.refusal(terms, refusal).await),
         };
         match checks.hand_over(terms).await {
-            Ok(permit) => run.ticket.permit(permit),
+            Ok(permit) => ticket.permit(permit),
             Err(stop) => {
-                run.ticket.finish(RunEnd::Released);
+                ticket.finish(RunEnd::Released);
                 return Err(stop);
             }
         }
-        Ok(run)
-    }
-
-    /// Waits for a slot and a connection.
-    async fn admit(target: &Arc<HostTarget>, request: &HostRequest) -> Result<Self, Refusal> {
-        let ticket = target.admit(&request.terms).await?;
-        match target.pool().checkout(request.terms.idempotency).await {
+        match target.pool().checkout(terms.idempotency).await {
             Ok(connection) => Ok(Self { ticket, connection }),
             Err(_unreachable) => {
                 ticket.finish(RunEnd::Lost);
-                Err(unreachable_backend())
+                Err(RunStop::Refused(unreachable_backend()))
             }
         }
     }
--- a/crates/fescuewayd/src/suspect_task.rs
+++ b/crates/fescuewayd/src/suspect_task.rs
@@ -70,7 +70,8 @@
             SuspectStep::AskTrial(message) => {
                 let mut asking = OpenTrial::begin(self, service, fingerprint);
                 let reply = self.ask_coordinator(service, fingerprint, &message).await;
-                asking.is_open = false;
+                // Without a reply the trial may have been granted, and is given back.
+                asking.is_open = reply.is_none();
                 self.with_list(service, |list, now| {
                     list.trial_reply(now, fingerprint, reply.as_ref())
                 })
