--- /dev/null
+++ b/crates/fescuewayd/tests/faults/caller.rs
@@ -0,0 +1,123 @@
+//! A caller: one HTTP/1.1 connection for each request.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpStream;
+
+use crate::call_record::{CallRecord, SendEnd};
+
+/// What is called.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallKind {
+    /// An idempotent request with a small answer.
+    Read,
+    /// An idempotent request with an answer of this many bytes.
+    Download(usize),
+    /// A non-idempotent request with an idempotency key.
+    Booking,
+}
+
+/// Sends a request through one entry after another until it is answered. Entries that take no
+/// connection are passed over.
+pub async fn call(kind: CallKind, key: String, entries: &[SocketAddr]) -> CallRecord {
+    let mut ends = Vec::new();
+    for &entry in entries {
+        let Ok(sender) = connect(entry).await else {
+            continue;
+        };
+        let end = send(kind, &key, sender).await;
+        let is_done = end.is_success();
+        ends.push(end);
+        if is_done {
+            break;
+        }
+    }
+    let is_booking = kind == CallKind::Booking;
+    CallRecord {
+        key,
+        is_booking,
+        ends,
+    }
+}
+
+/// Opens a connection to an entry.
+async fn connect(entry: SocketAddr) -> std::io::Result<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(entry).await?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+/// Sends a request once.
+pub async fn send(kind: CallKind, key: &str, mut sender: SendRequest<Full<Bytes>>) -> SendEnd {
+    let Ok(response) = sender.send_request(request(kind, key)).await else {
+        return SendEnd {
+            status: None,
+            outcome: None,
+            reason: None,
+            is_cut: true,
+            is_wrong: false,
+        };
+    };
+    let status = response.status().as_u16();
+    let outcome = text(&response, "fescueway-outcome");
+    let reason = text(&response, "fescueway-reason");
+    let body = response.into_body().collect().await;
+    let is_cut = body.is_err();
+    let is_wrong =
+        status == 200 && body.is_ok_and(|body| !is_own_answer(kind, key, &body.to_bytes()));
+    SendEnd {
+        status: Some(status),
+        outcome,
+        reason,
+        is_cut,
+        is_wrong,
+    }
+}
+
+/// The request of `key`.
+fn request(kind: CallKind, key: &str) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .header("host", "test")
+        .header("x-request-id", key)
+        .header("x-run-key", key);
+    let mut body = Full::default();
+    builder = match kind {
+        CallKind::Read => builder.uri(format!("/windows/{key}")),
+        CallKind::Download(bytes) => builder.uri(format!("/windows/{key}/download/{bytes}")),
+        CallKind::Booking => {
+            body = Full::from(format!("booking {key}"));
+            let quoted = format!("\"{key}\"");
+            builder
+                .method("POST")
+                .uri("/bookings")
+                .header("idempotency-key", quoted)
+        }
+    };
+    builder.body(body).expect("a valid request")
+}
+
+/// A header of an answer.
+fn text(response: &Response<Incoming>, name: &str) -> Option<String> {
+    let value = response.headers().get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
+/// Whether `body` is the whole answer to the request of `key`.
+fn is_own_answer(kind: CallKind, key: &str, body: &Bytes) -> bool {
+    if let CallKind::Download(bytes) = kind {
+        return body.len() == bytes;
+    }
+    let echo = serde_json::from_slice::<Value>(body).unwrap_or_default();
+    echo["request_id"] == Value::String(key.to_owned())
+}
