--- a/examples/local_site/src/site_stage.rs
+++ b/examples/local_site/src/site_stage.rs
@@ -1,6 +1,9 @@
 //! The site: a store, its VMs and their configuration.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use eyre::{Result, eyre};
 use fescueway_config::{ConfigSet, Document, SitePlan};
@@ -203,7 +206,7 @@
         values: config.service_values(),
         operator: "local_site".into(),
         operation: "first".into(),
-        unix_time_s: 0,
+        unix_time_s: SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs(),
         note: "the site comes up".into(),
         base: None,
     };
