Measure a call's latency once

Cause: the caller of local_site read the clock in two functions, and the outer one overwrote what the inner one had measured. Conclusion: the figures mean the same: start of the call to the end of its answer.

--- a/examples/local_site/src/call_client.rs
+++ b/examples/local_site/src/call_client.rs
@@ -47,24 +47,24 @@
     /// Makes call number `id` to a service.
     pub async fn call(&self, service: &ServiceShape, id: u64) -> CallResult {
         let start = Instant::now();
-        let mut result = self
-            .try_call(service, id)
-            .await
-            .unwrap_or_else(|_error| CallResult {
-                status: None,
-                outcome: None,
-                reason: None,
-                latency: start.elapsed(),
-                is_cut: true,
-                is_mixed_up: false,
-            });
-        result.latency = start.elapsed();
-        result
+        let called = self.try_call(service, id, start).await;
+        called.unwrap_or_else(|_error| CallResult {
+            status: None,
+            outcome: None,
+            reason: None,
+            latency: start.elapsed(),
+            is_cut: true,
+            is_mixed_up: false,
+        })
     }
 
-    /// Makes a call; an error when no answer came.
-    async fn try_call(&self, service: &ServiceShape, id: u64) -> Result<CallResult> {
-        let start = Instant::now();
+    /// Makes a call that began at `start`; an error when no answer came.
+    async fn try_call(
+        &self,
+        service: &ServiceShape,
+        id: u64,
+        start: Instant,
+    ) -> Result<CallResult> {
         let mut sender = self.take().await?;
         let response = sender.send_request(request(service, id)?).await?;
         let status = response.status().as_u16();
