Wait for every partition before the booking tests begin

Cause: a booking that succeeds may have been refused by one host and run by another, so that 24 successes in a row at each entry didn't show that every host knew the record of every partition. The later refusals drained the budget of offers, and a resend heard 503 claim-unavailable. Seen in 2 of 150 runs of the test, the same 2 in which one partition was still closed at one host when the wait ended. Ruled out: starvation of the processor (160 runs, 80 at once on one core, none failed). Change: a node counts the partitions whose keys can't be claimed there (`unsettled_partitions` of GET /status), and the tests wait until that is 0 at every node; no assertion was changed.

--- a/crates/fescueway_idempotency/src/claim_node.rs
+++ b/crates/fescueway_idempotency/src/claim_node.rs
@@ -66,6 +66,15 @@
         &self.replicas
     }
 
+    /// Count of partitions of which the node knows no record, or that it keeps without granting
+    /// keys now.
+    #[must_use]
+    pub fn unsettled(&self, now: MonoTime) -> u16 {
+        let is_open = |held: &&ClaimReplica| !held.is_settled(now, &self.limits);
+        let open = self.replicas.iter().filter(is_open).count();
+        u16::try_from(open).unwrap_or(u16::MAX)
+    }
+
     /// From now on hands its partitions over.
     pub fn leave(&mut self) {
         self.replicas.iter_mut().for_each(ClaimReplica::leave);
--- a/crates/fescueway_idempotency/src/claim_replica.rs
+++ b/crates/fescueway_idempotency/src/claim_replica.rs
@@ -130,6 +130,16 @@
         Tenure::from(self.tenure.state())
     }
 
+    /// Whether the node knows who keeps the partition and, where it is named, grants keys.
+    #[must_use]
+    pub fn is_settled(&self, now: MonoTime, limits: &ClaimLimits) -> bool {
+        let named = self
+            .record
+            .as_ref()
+            .map(|record| record.names(self.own.node));
+        named.is_some_and(|is_named| !is_named || self.is_granting(now, limits))
+    }
+
     /// Keys held in memory.
     #[must_use]
     pub fn keys_held(&self) -> usize {
--- a/crates/fescueway_telemetry/src/node_status.rs
+++ b/crates/fescueway_telemetry/src/node_status.rs
@@ -58,6 +58,10 @@
     pub peers: u32,
     /// Time since it started, in milliseconds.
     pub uptime_ms: u64,
+    /// Partitions of the services beside the node whose idempotency keys can't be claimed there
+    /// now. Nodes of earlier versions don't tell.
+    #[serde(default)]
+    pub unsettled_partitions: u32,
 }
 
 /// One target as a node sees it.
--- a/crates/fescuewayd/src/claim_task.rs
+++ b/crates/fescuewayd/src/claim_task.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use fescueway_config::ServicePlan;
+use fescueway_config::{ServicePlan, SitePlan};
 use fescueway_core::{Idempotency, KeyDigest, MonoTime, NodeId, ServiceName, TargetState};
 use fescueway_idempotency::{
     AskId, ClaimCall, ClaimLimits, ClaimNode, ClaimReply, ClaimRequest, ClaimStep, ClaimVerdict,
@@ -140,6 +140,19 @@
         let _ = timeout(limit, handing_over).await;
     }
 
+    /// Count of partitions of the services beside this node whose keys can't be claimed here yet.
+    pub fn unsettled(&self) -> u32 {
+        let plan = self.0.proxy.plan();
+        let now = self.0.proxy.now();
+        let nodes = self.nodes();
+        let services = self.0.proxy.local_services().into_iter();
+        let open = services.map(|service| match nodes.get(&service) {
+            Some(node) => node.unsettled(now),
+            None => keyed_partitions(&plan, &service),
+        });
+        open.map(u32::from).sum()
+    }
+
     /// Whether the node may stop without taking memory with it that nobody else has, or there is
     /// nobody who could take it.
     fn has_left(&self) -> bool {
@@ -377,6 +390,13 @@
     }
 }
 
+/// Count of partitions of a service, 0 when all its requests may repeat.
+fn keyed_partitions(plan: &SitePlan, service: &ServiceName) -> u16 {
+    let known = plan.services.get(service);
+    let keyed = known.filter(|plan| is_keyed(plan));
+    keyed.map_or(0, |plan| plan.claim.partitions)
+}
+
 /// Whether a service has requests that may not repeat.
 fn is_keyed(plan: &ServicePlan) -> bool {
     let mut routes = plan.routes.iter().chain([&plan.default_route]);
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -109,6 +109,13 @@
         &self.board
     }
 
+    /// Partitions of the services beside this node whose idempotency keys can't be claimed here
+    /// now.
+    #[must_use]
+    pub fn unsettled_partitions(&self) -> u32 {
+        self.claims.get().map_or(0, ClaimTask::unsettled)
+    }
+
     /// Metrics.
     #[must_use]
     pub fn metrics(&self) -> &Arc<MetricSet> {
@@ -191,7 +198,12 @@
             "backends",
             answer,
         ));
-        let operators = OperatorApi::new(state.clone(), self.meter.clone(), self.board.clone());
+        let operators = OperatorApi::new(
+            state.clone(),
+            self.meter.clone(),
+            self.board.clone(),
+            self.claims.get().cloned(),
+        );
         let answer = move |request| operators.answer(&request);
         tasks.spawn(serve_local(
             tasks.clone(),
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
+    claim_task::ClaimTask,
     local_http::{LocalAnswer, LocalRequest, content, json, text},
     node_meter::NodeMeter,
     status_board::StatusBoard,
@@ -28,16 +29,24 @@
     meter: NodeMeter,
     /// What the node's tasks tell.
     board: StatusBoard,
+    /// The idempotency keys that the node keeps.
+    claims: Option<ClaimTask>,
 }
 
 impl OperatorApi {
     /// The interface of one node.
     #[must_use]
-    pub fn new(state: ProxyState, meter: NodeMeter, board: StatusBoard) -> Self {
+    pub fn new(
+        state: ProxyState,
+        meter: NodeMeter,
+        board: StatusBoard,
+        claims: Option<ClaimTask>,
+    ) -> Self {
         Self {
             state,
             meter,
             board,
+            claims,
         }
     }
 
@@ -76,6 +85,7 @@
             store: facts.store,
             peers: facts.peers,
             uptime_ms: self.state.now().as_micros() / 1_000,
+            unsettled_partitions: self.claims.as_ref().map_or(0, ClaimTask::unsettled),
         }
     }
 
--- a/crates/fescuewayd/tests/claims/bookings.rs
+++ b/crates/fescuewayd/tests/claims/bookings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fescueway_testkit::{BackendFault, BackendPlan, StoreFaults};
+use fescuewayd::Daemon;
 use tokio::time::sleep;
 
 use crate::fleet::Fleet;
@@ -21,6 +22,16 @@
     }
 }
 
+#[tokio::test]
+async fn a_node_tells_which_partitions_are_still_closed() {
+    let mut fleet = Fleet::start(BackendPlan::default()).await;
+    fleet.add(0, BackendPlan::default()).await;
+    assert_eq!(fleet.nodes[3].unsettled_partitions(), 4);
+    fleet.settle().await;
+    let open = fleet.nodes.iter().map(Daemon::unsettled_partitions);
+    assert_eq!(open.sum::<u32>(), 0);
+}
+
 #[tokio::test]
 async fn a_booking_whose_answer_was_lost_is_not_run_again() {
     let fleet = Fleet::start(BackendPlan::default()).await;
--- a/crates/fescuewayd/tests/claims/fleet.rs
+++ b/crates/fescuewayd/tests/claims/fleet.rs
@@ -12,7 +12,13 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, time::sleep};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep},
+};
+
+/// Longest wait until every partition is kept.
+const SETTLE_LIMIT: Duration = Duration::from_mins(1);
 
 /// A service whose POST may not repeat, probed within 20 ms/s.
 fn plan() -> Arc<SitePlan> {
@@ -42,6 +48,7 @@
 pub struct Heard {
     pub status: u16,
     pub outcome: String,
+    pub reason: String,
     pub original_status: String,
 }
 
@@ -85,6 +92,16 @@
 
     /// Waits until a key of each partition can be claimed at every node.
     pub async fn settle(&self) {
+        // A booking that succeeds may have been refused by another host before.
+        let start = Instant::now();
+        while self
+            .nodes
+            .iter()
+            .any(|node| node.unsettled_partitions() > 0)
+        {
+            assert!(start.elapsed() < SETTLE_LIMIT, "a partition stays closed");
+            sleep(Duration::from_millis(20)).await;
+        }
         for node in 0..self.nodes.len() {
             let mut in_row = 0;
             for number in 0.. {
@@ -144,6 +161,7 @@
     Heard {
         status: response.status().as_u16(),
         outcome: field("fescueway-outcome"),
+        reason: field("fescueway-reason"),
         original_status: field("fescueway-original-status"),
     }
 }
--- a/crates/fescuewayd/tests/faults/fault_site.rs
+++ b/crates/fescuewayd/tests/faults/fault_site.rs
@@ -184,6 +184,11 @@
     /// Waits until every entry has bookings served, for which the homes of the keys must be held.
     async fn wait_until_booked(&self) {
         let start = Instant::now();
+        // A booking that succeeds may have been refused by another host before.
+        while self.daemons().any(|node| node.unsettled_partitions() > 0) {
+            assert!(start.elapsed() < LIMIT, "a partition stays closed");
+            sleep(Duration::from_millis(20)).await;
+        }
         for (index, vm) in self.vms.iter().enumerate() {
             let mut number = 0;
             loop {
