Give every server under test a loopback address of its own

Cause: servers under test listened on 127.0.0.1 with ports that the operating system chooses. When a test ends a node or a backend server, its port may go to a server of another test that runs at the same time. Then callers and hosts reach a stranger at the old address. Change: stand-ins and nodes of the tests listen on an address within 127.0.0.0/8 that no other server of the process has.

--- a/crates/fescueway/tests/cli/daemon.rs
+++ b/crates/fescueway/tests/cli/daemon.rs
@@ -9,7 +9,7 @@
 use fescueway_config::{ConfigSet, Document, SitePlan};
 use fescueway_core::ServiceName;
 use fescueway_proxy::BackendAnnouncement;
-use fescueway_testkit::{BackendPlan, BackendStub};
+use fescueway_testkit::{BackendPlan, BackendStub, own_loopback};
 use fescuewayd::{Daemon, DaemonAddresses, DaemonSettings};
 use tokio::runtime::Builder;
 
@@ -40,7 +40,8 @@
             let backend = BackendStub::start(BackendPlan::default())
                 .await
                 .expect("a port");
-            let mut settings = DaemonSettings::on_loopback("wales".into(), "wales-1".into());
+            let mut settings =
+                DaemonSettings::on_loopback("wales".into(), "wales-1".into()).at(own_loopback());
             settings.plan = Some(wales());
             let daemon = Daemon::start(settings).await.expect("ports");
             daemon.state().announce(&BackendAnnouncement {
--- a/crates/fescueway_testkit/src/backend_server.rs
+++ b/crates/fescueway_testkit/src/backend_server.rs
@@ -24,7 +24,10 @@
     task::AbortHandle,
 };
 
-use crate::{backend_plan::BackendPlan, backend_tally::BackendTally, backend_work::answer};
+use crate::{
+    backend_plan::BackendPlan, backend_tally::BackendTally, backend_work::answer,
+    loopback::own_loopback,
+};
 
 /// The backend server stand-in. It ends when it is dropped.
 #[derive(Debug)]
@@ -67,7 +70,7 @@
     /// # Errors
     /// When no port can be bound.
     pub async fn start(plan: BackendPlan) -> io::Result<Self> {
-        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), plan).await
+        Self::start_at(SocketAddr::from((own_loopback(), 0)), plan).await
     }
 
     /// Starts a backend server at `address`.
--- a/crates/fescueway_testkit/src/lib.rs
+++ b/crates/fescueway_testkit/src/lib.rs
@@ -7,6 +7,7 @@
 mod backend_server;
 mod backend_tally;
 mod backend_work;
+mod loopback;
 pub mod member_network;
 mod store_core;
 mod store_faults;
@@ -17,6 +18,7 @@
     backend_plan::{BackendFault, BackendPlan},
     backend_server::BackendStub,
     backend_tally::BackendTally,
+    loopback::own_loopback,
     store_faults::{StoreFaults, StoreTally},
     store_server::StoreStub,
 };
--- a/crates/fescuewayd/src/daemon_settings.rs
+++ b/crates/fescuewayd/src/daemon_settings.rs
@@ -1,7 +1,7 @@
 //! Checked settings of one daemon.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
@@ -62,4 +62,18 @@
             plan: None,
         }
     }
+
+    /// The same settings, listening everywhere on `ip`.
+    #[must_use]
+    pub fn at(mut self, ip: IpAddr) -> Self {
+        for address in [
+            &mut self.callers,
+            &mut self.peers,
+            &mut self.backends,
+            &mut self.operators,
+        ] {
+            address.set_ip(ip);
+        }
+        self
+    }
 }
--- a/crates/fescuewayd/tests/claims/fleet.rs
+++ b/crates/fescuewayd/tests/claims/fleet.rs
@@ -6,7 +6,7 @@
 use fescueway_config::{ConfigSet, Document, SitePlan};
 use fescueway_core::{DomainName, ServiceName, SiteName};
 use fescueway_proxy::BackendAnnouncement;
-use fescueway_testkit::{BackendPlan, BackendStub, StoreStub};
+use fescueway_testkit::{BackendPlan, BackendStub, StoreStub, own_loopback};
 use fescuewayd::{Daemon, DaemonSettings};
 use http::{Request, Response};
 use http_body_util::Full;
@@ -70,7 +70,8 @@
     /// Adds a node with a backend server.
     pub async fn add(&mut self, place: usize, backend: BackendPlan) {
         let domain = DomainName::from(["a", "b", "c"][place % 3]);
-        let mut settings = DaemonSettings::on_loopback(SiteName::from("test"), domain);
+        let mut settings =
+            DaemonSettings::on_loopback(SiteName::from("test"), domain).at(own_loopback());
         settings.plan = Some(plan());
         settings.store = vec![self.store.address()];
         settings.seed_peers = self
--- a/crates/fescuewayd/tests/control/main.rs
+++ b/crates/fescuewayd/tests/control/main.rs
@@ -7,7 +7,7 @@
 use fescueway_platform::{StoreClient, StoreSettings};
 use fescueway_proxy::BackendAnnouncement;
 use fescueway_rollout::{ApplyOutcome, ApplyPlan, driver};
-use fescueway_testkit::{StoreFaults, StoreStub};
+use fescueway_testkit::{StoreFaults, StoreStub, own_loopback};
 use fescuewayd::{Daemon, DaemonSettings};
 use tokio::time::{Instant, sleep};
 
@@ -24,7 +24,8 @@
 
 async fn start(index: usize, seeds: &[SocketAddr], store: SocketAddr) -> Daemon {
     let domain = DomainName::new(format!("domain-{}", index % 3));
-    let mut settings = DaemonSettings::on_loopback(SiteName::from("bala"), domain);
+    let mut settings =
+        DaemonSettings::on_loopback(SiteName::from("bala"), domain).at(own_loopback());
     settings.seed_peers = seeds.to_vec();
     settings.store = vec![store];
     Daemon::start(settings).await.unwrap()
