--- a/crates/fescuewayd/tests/claims/bookings.rs
+++ b/crates/fescuewayd/tests/claims/bookings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fescueway_testkit::{BackendFault, BackendPlan, StoreFaults};
+use fescuewayd::Daemon;
 use tokio::time::sleep;
 
 use crate::fleet::Fleet;
@@ -15,12 +16,22 @@
         assert_eq!(fleet.book(number % 3, &key).await.status, 200);
         let again = fleet.book((number + 1) % 3, &key).await;
         assert_eq!(again.status, 409, "{again:?}");
-        assert_eq!(again.outcome, "ran");
+        assert_eq!((again.outcome.as_str(), again.reason.as_str()), ("ran", ""));
         assert_eq!(again.original_status, "200");
         assert_eq!(fleet.runs(&key), 1);
     }
 }
 
+#[tokio::test]
+async fn a_node_tells_which_partitions_are_still_closed() {
+    let mut fleet = Fleet::start(BackendPlan::default()).await;
+    fleet.add(0, BackendPlan::default()).await;
+    assert_eq!(fleet.nodes[3].unsettled_partitions(), 4);
+    fleet.settle().await;
+    let open = fleet.nodes.iter().map(Daemon::unsettled_partitions);
+    assert_eq!(open.sum::<u32>(), 0);
+}
+
 #[tokio::test]
 async fn a_booking_whose_answer_was_lost_is_not_run_again() {
     let fleet = Fleet::start(BackendPlan::default()).await;
--- a/crates/fescuewayd/tests/claims/fleet.rs
+++ b/crates/fescuewayd/tests/claims/fleet.rs
@@ -6,13 +6,19 @@
 use fescueway_config::{ConfigSet, Document, SitePlan};
 use fescueway_core::{DomainName, ServiceName, SiteName};
 use fescueway_proxy::BackendAnnouncement;
-use fescueway_testkit::{BackendPlan, BackendStub, StoreStub};
+use fescueway_testkit::{BackendPlan, BackendStub, StoreStub, own_loopback};
 use fescuewayd::{Daemon, DaemonSettings};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, time::sleep};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep},
+};
+
+/// Longest wait until every partition is kept.
+const SETTLE_LIMIT: Duration = Duration::from_mins(1);
 
 /// A service whose POST may not repeat, probed within 20 ms/s.
 fn plan() -> Arc<SitePlan> {
@@ -42,6 +48,7 @@
 pub struct Heard {
     pub status: u16,
     pub outcome: String,
+    pub reason: String,
     pub original_status: String,
 }
 
@@ -63,7 +70,8 @@
     /// Adds a node with a backend server.
     pub async fn add(&mut self, place: usize, backend: BackendPlan) {
         let domain = DomainName::from(["a", "b", "c"][place % 3]);
-        let mut settings = DaemonSettings::on_loopback(SiteName::from("test"), domain);
+        let mut settings =
+            DaemonSettings::on_loopback(SiteName::from("test"), domain).at(own_loopback());
         settings.plan = Some(plan());
         settings.store = vec![self.store.address()];
         settings.seed_peers = self
@@ -85,6 +93,16 @@
 
     /// Waits until a key of each partition can be claimed at every node.
     pub async fn settle(&self) {
+        // A booking that succeeds may have been refused by another host before.
+        let start = Instant::now();
+        while self
+            .nodes
+            .iter()
+            .any(|node| node.unsettled_partitions() > 0)
+        {
+            assert!(start.elapsed() < SETTLE_LIMIT, "a partition stays closed");
+            sleep(Duration::from_millis(20)).await;
+        }
         for node in 0..self.nodes.len() {
             let mut in_row = 0;
             for number in 0.. {
@@ -144,6 +162,7 @@
     Heard {
         status: response.status().as_u16(),
         outcome: field("fescueway-outcome"),
+        reason: field("fescueway-reason"),
         original_status: field("fescueway-original-status"),
     }
 }
--- a/crates/fescuewayd/tests/faults/fault_site.rs
+++ b/crates/fescuewayd/tests/faults/fault_site.rs
@@ -10,7 +10,7 @@
 use fescueway_core::{DomainName, ServiceName, SiteName};
 use fescueway_platform::{StoreClient, StoreSettings};
 use fescueway_rollout::{ApplyOutcome, ApplyPlan, driver};
-use fescueway_testkit::{BackendPlan, BackendTally, StoreFaults, StoreStub};
+use fescueway_testkit::{BackendPlan, BackendTally, StoreFaults, StoreStub, own_loopback};
 use fescuewayd::{Daemon, DaemonSettings, StatusBoard};
 use tokio::time::{Instant, sleep};
 
@@ -184,6 +184,11 @@
     /// Waits until every entry has bookings served, for which the homes of the keys must be held.
     async fn wait_until_booked(&self) {
         let start = Instant::now();
+        // A booking that succeeds may have been refused by another host before.
+        while self.daemons().any(|node| node.unsettled_partitions() > 0) {
+            assert!(start.elapsed() < LIMIT, "a partition stays closed");
+            sleep(Duration::from_millis(20)).await;
+        }
         for (index, vm) in self.vms.iter().enumerate() {
             let mut number = 0;
             loop {
@@ -202,7 +207,8 @@
     /// Starts the VM at `index`.
     async fn start_vm(&self, index: usize) -> SiteVm {
         let domain = DomainName::new(format!("domain-{}", index % DOMAINS));
-        let mut settings = DaemonSettings::on_loopback(SiteName::from(SITE), domain);
+        let mut settings =
+            DaemonSettings::on_loopback(SiteName::from(SITE), domain).at(own_loopback());
         settings.store = vec![self.store.address()];
         settings.announce_timeout = Duration::from_mins(1);
         settings.seed_peers = self.seed_peers();
