Strike requests also when the port of a crashed backend server is still open

Cause: a host took a backend server for alive when a connection opened after a loss. With a stand-in whose port stays open for 5 s after its crash the new test lost 3 of 3 backend servers; a window of about a millisecond was enough to make the test beside it fail as well. Change: a connection that is cut within 20 ms counts as none.

--- a/crates/fescueway_testkit/src/backend_plan.rs
+++ b/crates/fescueway_testkit/src/backend_plan.rs
@@ -30,6 +30,8 @@
     pub fault: Option<BackendFault>,
     /// Time that a probe takes at the load path.
     pub probe_time: Duration,
+    /// For how long its port stays open after a crash; connections are cut as soon as they open.
+    pub exit_time: Duration,
     /// Seed of the service times.
     pub seed: u64,
 }
@@ -43,6 +45,7 @@
             slowdown: 1.0,
             fault: None,
             probe_time: Duration::from_millis(1),
+            exit_time: Duration::ZERO,
             seed: 1,
         }
     }
--- a/crates/fescueway_testkit/src/backend_server.rs
+++ b/crates/fescueway_testkit/src/backend_server.rs
@@ -22,6 +22,7 @@
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
     task::AbortHandle,
+    time::timeout,
 };
 
 use crate::{
@@ -175,9 +176,18 @@
                     tokio::spawn(serve_connection(stream, Arc::clone(&state)));
                 }
             }
-            _ = crashed.wait_for(|&is_crashed| is_crashed) => return,
+            _ = crashed.wait_for(|&is_crashed| is_crashed) => break,
         }
     }
+    let exit_time = state.lock().plan.exit_time;
+    let _ = timeout(exit_time, cut_connections(listener)).await;
+}
+
+/// Takes connections and cuts them.
+async fn cut_connections(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        drop(stream);
+    }
 }
 
 /// Serves one connection until it ends or the backend server crashes.
--- a/crates/fescuewayd/src/suspect_task.rs
+++ b/crates/fescuewayd/src/suspect_task.rs
@@ -28,6 +28,9 @@
 /// A backend server that takes no connection within this long after a loss has crashed.
 const RECONNECT_TIME: Duration = Duration::from_millis(250);
 
+/// A connection that stays open for this long shows that the backend server lives.
+const CUT_TIME: Duration = Duration::from_millis(20);
+
 /// How long the word of a crash may take to reach the other hosts.
 const STRIKE_TIME: Duration = Duration::from_millis(10);
 
@@ -195,13 +198,18 @@
         });
     }
 
-    /// Whether the backend server takes no connection.
+    /// Whether the backend server takes no connection, or cuts one at once.
     async fn is_crashed(&self, service: &ServiceName) -> bool {
         let Some(target) = self.0.proxy.host_target(service) else {
             return true;
         };
         let connecting = TcpStream::connect(target.pool().address());
-        !matches!(timeout(RECONNECT_TIME, connecting).await, Ok(Ok(_)))
+        let Ok(Ok(stream)) = timeout(RECONNECT_TIME, connecting).await else {
+            return true;
+        };
+        // Nothing comes before a request but the end: the port of a process that exits may stay
+        // open for a while.
+        timeout(CUT_TIME, stream.readable()).await.is_ok()
     }
 
     // --- Messages ---
--- a/crates/fescuewayd/tests/claims/suspects.rs
+++ b/crates/fescuewayd/tests/claims/suspects.rs
@@ -64,6 +64,21 @@
     assert!(alive.count() >= 1);
 }
 
+#[tokio::test]
+async fn a_crash_counts_while_the_port_is_still_open() {
+    let plan = BackendPlan {
+        exit_time: Duration::from_secs(5),
+        ..BackendPlan::default()
+    };
+    let fleet = Fleet::start(plan).await;
+    for number in 0..10 {
+        fleet.send(number % 3, request("/crash", true)).await;
+        sleep(Duration::from_millis(50)).await;
+    }
+    let gone = fleet.backends.iter().filter(|backend| backend.is_crashed());
+    assert_eq!(gone.count(), 2);
+}
+
 /// The results of all `futures`, which run side by side.
 async fn join_all<F: Future>(futures: impl Iterator<Item = F>) -> Vec<F::Output> {
     let mut pending: Vec<_> = futures.map(|future| (Box::pin(future), None)).collect();
