Replace a silent replica of keys within seconds

Change: a host that got a reply from one replica only tells it of the silent one. The replica asks for itself, and also asks hosts that could follow, so that the new backup is one that answers. It proposes the next epoch after 2 s of silence and its share of a second, since a lost domain takes 358 replicas and the store writes a few hundred records a second. Only a replica with the whole memory goes by doubts. One that hears nobody may be the one that is cut off and waits twice as long. A host that is no replica reads only when no replica granted; the primary tells all hosts of a new record; a new replica takes the confirmation from its peer, counted from when it asked; reads that find no record are spaced out; takeovers that are near join a call. Partitions move to hosts that keep at least two fewer, and out of a shared failure domain.

Ruled out: a shorter patience, as a machine that is busy for a second would lose its parts; a third holder; calling not-run what could not be claimed, since the grant of one replica does not prove that a key is free.

The memory of replicas and the claiming of nodes stand in files of their own. The pinned schedules of at_most_once are unchanged but meet other events now.

--- a/crates/fescueway_bench/src/fleet/capacity_page.rs
+++ b/crates/fescueway_bench/src/fleet/capacity_page.rs
@@ -292,7 +292,7 @@
             ),
             row(
                 "the store's writes by the whole fleet",
-                store.steady_writes_per_s,
+                store.steady_writes_per_s + self.claims.steady_writes_per_s,
                 FleetTarget::STORE_WRITES_PER_S,
                 "a lease call in 5 s, 4 reports a change and domain",
                 "one reporter in each failure domain",
@@ -304,6 +304,16 @@
                 "600 nodes that all want it, times ten",
                 "jittered pauses, nothing saved up meanwhile",
             ),
+            row(
+                "the store's busiest second after a lost failure domain, writes",
+                store.steady_writes_per_s + self.claims.peak_writes_per_s,
+                FleetTarget::STORE_WRITES_PER_S,
+                &format!(
+                    "{} claim partitions lose a replica, one write each",
+                    figure(self.claims.lost_partitions)
+                ),
+                "takeovers begin with a partition's first key and spread over 1 s",
+            ),
         ]
     }
 }
--- a/crates/fescueway_bench/src/fleet/fleet_figures.rs
+++ b/crates/fescueway_bench/src/fleet/fleet_figures.rs
@@ -2,7 +2,9 @@
 
 use std::{fmt::Write as _, thread};
 
-use super::{ConfigCost, FleetTarget, GossipCost, InstanceCost, NewsTime, StoreLoad, slope};
+use super::{
+    ClaimLoad, ConfigCost, FleetTarget, GossipCost, InstanceCost, NewsTime, StoreLoad, slope,
+};
 
 /// Sizes at which slopes are measured, in nodes.
 const SIZES: [usize; 3] = [50, 100, 300];
@@ -34,6 +36,8 @@
     pub config: ConfigCost,
     /// Calls of the store.
     pub store: StoreLoad,
+    /// Calls of the store for idempotency keys.
+    pub claims: ClaimLoad,
 }
 
 impl FleetFigures {
@@ -53,6 +57,7 @@
             large: InstanceCost::measure(SEED, FleetTarget::NODES as usize),
             config: ConfigCost::measure(),
             store: StoreLoad::measure(SEED),
+            claims: ClaimLoad::new(SEED),
         }
     }
 
--- a/crates/fescueway_bench/src/fleet/mod.rs
+++ b/crates/fescueway_bench/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod alloc_count;
 mod capacity_page;
 mod capacity_row;
+mod claim_load;
 mod config_cost;
 mod fleet_figures;
 mod fleet_target;
@@ -16,6 +17,7 @@
     alloc_count::CountingAllocator,
     capacity_page::CapacityPage,
     capacity_row::CapacityRow,
+    claim_load::ClaimLoad,
     config_cost::ConfigCost,
     fleet_target::FleetTarget,
     gossip_cost::{GossipCost, slope},
--- a/crates/fescueway_idempotency/src/claim_attempt.rs
+++ b/crates/fescueway_idempotency/src/claim_attempt.rs
@@ -91,8 +91,10 @@
 pub(crate) struct ReplicaReplies {
     /// The nodes that granted.
     granted: Vec<NodeId>,
-    /// The nodes that can't grant now, or from which no reply came.
+    /// The nodes that can't grant now.
     refused: Vec<NodeId>,
+    /// The nodes from which no reply came.
+    silent: Vec<NodeId>,
 }
 
 /// What a reply means to a try.
@@ -123,7 +125,8 @@
                     Some(ClaimReply::Granted { epoch }) if epoch == self.record.epoch => {
                         replies.granted.push(call.node);
                     }
-                    _ => replies.refused.push(call.node),
+                    Some(_) => replies.refused.push(call.node),
+                    None => replies.silent.push(call.node),
                 }
                 replies.end(&self.record)
             }
@@ -146,6 +149,23 @@
         self.phase = AttemptPhase::Querying(states);
     }
 
+    /// The replica that left the try without a reply while the other one gave one.
+    pub(crate) fn silent_peer(&self) -> Option<NodeId> {
+        let AttemptPhase::Asking(replies) = &self.phase else {
+            return None;
+        };
+        let is_other_there = !replies.granted.is_empty() || !replies.refused.is_empty();
+        replies.silent.first().copied().filter(|_| is_other_there)
+    }
+
+    /// Whether no replica knows the record by which the try went.
+    pub(crate) fn is_record_doubtful(&self) -> bool {
+        match &self.phase {
+            AttemptPhase::Asking(replies) => replies.granted.is_empty(),
+            AttemptPhase::Querying(_) => false,
+        }
+    }
+
     /// Whether a grant may still let this try run.
     pub(crate) fn may_run(&self, ask: AskId) -> bool {
         let is_asking = matches!(self.phase, AttemptPhase::Asking(_));
@@ -157,11 +177,14 @@
     /// What the replies mean together. A refusal waits for the other reply, which may tell of a
     /// newer record.
     fn end(&self, record: &PartitionRecord) -> AttemptEnd {
-        let is_open = |node| !self.granted.contains(&node) && !self.refused.contains(&node);
+        let is_open = |node| {
+            let mut replied = self.granted.iter().chain(&self.refused).chain(&self.silent);
+            replied.all(|known| *known != node)
+        };
         if record.replicas().any(|replica| is_open(replica.node)) {
             return AttemptEnd::Open;
         }
-        if self.refused.is_empty() {
+        if self.refused.is_empty() && self.silent.is_empty() {
             AttemptEnd::Granted
         } else {
             AttemptEnd::Verdict(ClaimVerdict::Unavailable)
--- a/crates/fescueway_idempotency/src/claim_limits.rs
+++ b/crates/fescueway_idempotency/src/claim_limits.rs
@@ -11,8 +11,14 @@
     pub answer_limit: Duration,
     /// A replica that is absent for this long is replaced by the other one.
     pub replica_patience: Duration,
+    /// Replicas that are replaced at once are spread over this long beyond that patience, as a lost
+    /// failure domain takes hundreds and the store writes a few hundred records a second.
+    pub takeover_spread: Duration,
     /// When both replicas are absent for this long, a third node recovers the partition.
     pub recovery_patience: Duration,
+    /// A partition whose hosts keep unequally many moves this long after its last change, once or
+    /// twice that: hosts that were lost together come back, and the moves are spread.
+    pub balance_pause: Duration,
     /// Shortest time between two calls of the store for one partition.
     pub store_pause: Duration,
     /// Keys held for one partition. A claim above it is refused; nothing is evicted.
@@ -25,7 +31,9 @@
             retention: Duration::from_hours(24),
             answer_limit: Duration::from_secs(2),
             replica_patience: Duration::from_secs(2),
+            takeover_spread: Duration::from_secs(1),
             recovery_patience: Duration::from_secs(30),
+            balance_pause: Duration::from_secs(30),
             store_pause: Duration::from_secs(1),
             max_keys: 1 << 20,
         }
--- a/crates/fescueway_idempotency/src/claim_message.rs
+++ b/crates/fescueway_idempotency/src/claim_message.rs
@@ -1,6 +1,6 @@
 //! Messages about claims between nodes.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use fescueway_core::{KeyDigest, NodeId};
 use serde::{Deserialize, Serialize};
@@ -105,6 +105,22 @@
         /// The record.
         record: PartitionRecord,
     },
+    /// The other replica of the partition left the asker without a reply.
+    Doubt {
+        /// The partition.
+        partition: PartitionId,
+        /// The epoch of the record that the asker goes by.
+        epoch: u64,
+        /// The replica that gave no reply.
+        silent: NodeId,
+    },
+    /// Tell how you stand, so that the asker knows that you are there.
+    Stand {
+        /// The partition.
+        partition: PartitionId,
+        /// The node that is meant. Its successor at the same address must not answer for it.
+        node: NodeId,
+    },
 }
 
 /// The answer to a [`ClaimRequest`].
@@ -127,6 +143,13 @@
     Chunk(TableChunk),
     /// Done.
     Done,
+    /// How a node stands with the partition.
+    Standing {
+        /// The epoch of the newest record that it knows.
+        epoch: Option<u64>,
+        /// How long ago the store confirmed that record, if it did.
+        confirmed_ago: Option<Duration>,
+    },
 }
 
 impl ClaimRequest {
@@ -138,7 +161,9 @@
             Self::Release { partition, .. }
             | Self::Query { partition, .. }
             | Self::Fetch { partition, .. }
-            | Self::Learn { partition, .. } => partition,
+            | Self::Learn { partition, .. }
+            | Self::Doubt { partition, .. }
+            | Self::Stand { partition, .. } => partition,
         }
     }
 }
--- a/crates/fescueway_idempotency/src/claim_node/mod.rs
+++ b/crates/fescueway_idempotency/src/claim_node/mod.rs
@@ -1,13 +1,14 @@
 //! One node's part in the claims of one service.
 
+mod claiming;
+
 use std::collections::BTreeMap;
 
-use fescueway_core::{KeyDigest, MonoTime, NodeId, ServiceName};
+use fescueway_core::{MonoTime, NodeId, ServiceName};
 
 use crate::{
-    AskId, ClaimAsk, ClaimCall, ClaimLimits, ClaimReplica, ClaimReply, ClaimRequest, ClaimStep,
-    ClaimVerdict, Holder, PartitionId, PartitionRecord, Purpose, Replica, ReplicaAction, RunState,
-    claim_attempt::{AttemptEnd, AttemptPhase, ClaimAttempt, ReplicaReplies},
+    AskId, ClaimLimits, ClaimReplica, ClaimReply, ClaimRequest, PartitionId, PartitionRecord,
+    Replica, ReplicaAction, RunState, claim_attempt::ClaimAttempt, role_balance::RoleBalance,
     run_memory::RunMemory,
 };
 
@@ -77,73 +78,6 @@
         self.replicas.iter().all(ClaimReplica::has_left)
     }
 
-    // --- Claiming ---
-
-    /// Begins to claim `key`.
-    pub fn begin(&mut self, now: MonoTime, key: KeyDigest, purpose: Purpose) -> ClaimStep {
-        let partition = PartitionId::of_key(&self.service, key, self.partitions());
-        let Some(record) = self.record_of(&partition) else {
-            return ClaimStep::Done(ClaimVerdict::Unavailable, Vec::new());
-        };
-        let ask = self.next_ask();
-        let attempt = ClaimAttempt {
-            ask,
-            key,
-            partition,
-            record,
-            purpose,
-            started_at: now,
-            cleared: Vec::new(),
-            is_last: false,
-            phase: AttemptPhase::Asking(ReplicaReplies::default()),
-        };
-        self.attempts.insert(ask.serial, attempt);
-        self.send_asks(now, ask.serial)
-    }
-
-    /// Takes the reply to a call, `None` when none came in time.
-    pub fn reply(
-        &mut self,
-        now: MonoTime,
-        call: &ClaimCall,
-        reply: Option<ClaimReply>,
-    ) -> ClaimStep {
-        let Some(attempt) = self.attempts.get_mut(&call.claim) else {
-            // Another host was told that this try gave up.
-            return ClaimStep::Done(ClaimVerdict::Unavailable, Vec::new());
-        };
-        if attempt.ask != call.ask {
-            return ClaimStep::Wait;
-        }
-        match attempt.reply(call, reply) {
-            AttemptEnd::Open => ClaimStep::Wait,
-            AttemptEnd::Granted => self.granted(now, call.claim),
-            AttemptEnd::Held(holders) => self.send_queries(now, call.claim, &holders),
-            AttemptEnd::Cleared => self.try_again(now, call.claim),
-            AttemptEnd::Stale(record) => {
-                self.learn(now, &call.request.partition().clone(), &record);
-                self.try_again(now, call.claim)
-            }
-            AttemptEnd::Verdict(verdict) => self.end(now, call.claim, verdict),
-        }
-    }
-
-    /// A run that was granted ended; `None` when its end is not known.
-    pub fn finish(&mut self, ask: AskId, status: Option<u16>) {
-        let state = status.map_or(RunState::Unknown, RunState::Ended);
-        self.runs.end(ask.serial, state);
-    }
-
-    /// A run that was granted was given up before its hand-over. Send the calls without waiting.
-    pub fn give_up(&mut self, now: MonoTime, key: KeyDigest, ask: AskId) -> Vec<ClaimCall> {
-        self.runs.end(ask.serial, RunState::NotRun);
-        let partition = PartitionId::of_key(&self.service, key, self.partitions());
-        match self.record_of(&partition) {
-            Some(record) => self.releases(now, ask, &record, &partition, key),
-            None => Vec::new(),
-        }
-    }
-
     // --- Answering ---
 
     /// Answers another node, or this one.
@@ -170,7 +104,12 @@
                 replica.learn(now, &self.limits, record);
                 ClaimReply::Done
             }
-            ClaimRequest::Query { .. } => ClaimReply::Unavailable,
+            ClaimRequest::Doubt { epoch, silent, .. } => {
+                replica.doubt_peer(now, *epoch, *silent);
+                ClaimReply::Done
+            }
+            ClaimRequest::Stand { node, .. } if *node == self.own.node => replica.standing(now),
+            ClaimRequest::Stand { .. } | ClaimRequest::Query { .. } => ClaimReply::Unavailable,
         }
     }
 
@@ -200,23 +139,41 @@
         }
     }
 
-    /// Takes the reply to a [`ReplicaAction::Fetch`] or [`ReplicaAction::Tell`].
+    /// Takes the reply to a [`ReplicaAction::Fetch`], [`ReplicaAction::Tell`] or
+    /// [`ReplicaAction::Ask`]. Returns what is to be fetched next, at once.
     pub fn answered(
         &mut self,
         now: MonoTime,
         partition: &PartitionId,
         action: &ReplicaAction,
         reply: &ClaimReply,
-    ) {
-        let Some(replica) = self.replicas.get_mut(usize::from(partition.index)) else {
-            return;
-        };
+    ) -> Option<ReplicaAction> {
+        let replica = self.replicas.get_mut(usize::from(partition.index))?;
         match (action, reply) {
             (ReplicaAction::Fetch { from, record, .. }, ClaimReply::Chunk(chunk)) => {
-                replica.receive(now, from.node, record, chunk);
+                let is_more = replica.receive(now, from.node, record, chunk);
+                let after = chunk.entries.last().map(|(key, _)| *key);
+                is_more.then(|| ReplicaAction::Fetch {
+                    from: from.clone(),
+                    record: record.clone(),
+                    after,
+                })
+            }
+            (ReplicaAction::Tell { to, record }, ClaimReply::Done) => {
+                replica.told(to.node, record);
+                None
+            }
+            (
+                ReplicaAction::Ask { to, asked_at },
+                ClaimReply::Standing {
+                    epoch,
+                    confirmed_ago,
+                },
+            ) => {
+                replica.stood(now, to.node, *asked_at, *epoch, *confirmed_ago);
+                None
             }
-            (ReplicaAction::Tell { to, record }, ClaimReply::Done) => replica.told(to.node, record),
-            _ => {}
+            _ => None,
         }
     }
 
@@ -241,205 +198,53 @@
                 actions.push((partition, action));
             }
         }
-        actions
-    }
-
-    /// Takes a record from another node.
-    fn learn(&mut self, now: MonoTime, partition: &PartitionId, record: &PartitionRecord) {
-        if let Some(replica) = self.replicas.get_mut(usize::from(partition.index)) {
-            replica.learn(now, &self.limits, record);
+        if actions.is_empty() {
+            actions.extend(self.rebalance(now, live));
         }
+        actions
     }
 
-    // --- Parts of a claim ---
-
-    /// Count of partitions.
-    fn partitions(&self) -> u16 {
-        u16::try_from(self.replicas.len()).unwrap_or(u16::MAX)
-    }
-
-    /// The newest record of a partition.
-    fn record_of(&self, partition: &PartitionId) -> Option<PartitionRecord> {
-        let replica = self.replicas.get(usize::from(partition.index))?;
-        replica.record().cloned()
-    }
-
-    /// A try that was never used before.
-    fn next_ask(&mut self) -> AskId {
-        let serial = self.next_serial;
-        self.next_serial += 1;
-        AskId {
-            host: self.own.node,
-            serial,
-        }
-    }
-
-    /// Asks both replicas.
-    fn send_asks(&mut self, now: MonoTime, claim: u64) -> ClaimStep {
-        let Some(attempt) = self.attempts.get(&claim) else {
-            return ClaimStep::Wait;
-        };
-        let ask_of = |replica: &Replica| ClaimAsk {
-            replica: replica.node,
-            partition: attempt.partition.clone(),
-            epoch: attempt.record.epoch,
-            key: attempt.key,
-            ask: attempt.ask,
-            address: self.own.address,
-            cleared: attempt.cleared.clone(),
-            is_peek: attempt.purpose == Purpose::Peek,
-        };
-        let call = |replica: &Replica| ClaimCall {
-            claim,
-            ask: attempt.ask,
-            node: replica.node,
-            address: replica.address,
-            request: ClaimRequest::Claim(ask_of(replica)),
-        };
-        let calls = attempt.record.replicas().map(call).collect();
-        self.dispatch(now, calls)
-    }
-
-    /// Asks the hosts of the tries that hold the key what became of them.
-    fn send_queries(&mut self, now: MonoTime, claim: u64, holders: &[Holder]) -> ClaimStep {
-        let Some(attempt) = self.attempts.get_mut(&claim) else {
-            return ClaimStep::Wait;
-        };
-        attempt.query(holders);
-        let (ask, partition) = (attempt.ask, attempt.partition.clone());
-        let call = |held: &Holder| {
-            let request = ClaimRequest::Query {
-                partition: partition.clone(),
-                ask: held.ask,
-            };
-            let node = held.ask.host;
-            let address = held.address?;
-            Some(ClaimCall {
-                claim,
-                ask,
-                node,
-                address,
-                request,
-            })
-        };
-        match holders.iter().map(call).collect() {
-            Some(calls) => self.dispatch(now, calls),
-            None => self.end(now, claim, ClaimVerdict::Duplicate(RunState::Unknown)),
-        }
-    }
-
-    /// Answers the calls that are meant for this node, and leaves the others to be sent.
-    fn dispatch(&mut self, now: MonoTime, calls: Vec<ClaimCall>) -> ClaimStep {
-        let (own, mut rest): (Vec<_>, Vec<_>) = calls
-            .into_iter()
-            .partition(|call| call.node == self.own.node);
-        for call in own {
-            let reply = self.handle(now, &call.request);
-            match self.reply(now, &call, Some(reply)) {
-                ClaimStep::Wait => {}
-                // What was not sent yet belongs to a try that has ended.
-                step @ (ClaimStep::Send(_) | ClaimStep::Done(..)) => return step,
-            }
-        }
-        if rest.is_empty() {
-            return ClaimStep::Wait;
-        }
-        ClaimStep::Send(std::mem::take(&mut rest))
-    }
-
-    /// Both replicas granted.
-    fn granted(&mut self, now: MonoTime, claim: u64) -> ClaimStep {
-        let Some(attempt) = self.attempts.get(&claim) else {
-            return ClaimStep::Wait;
-        };
-        let (ask, purpose) = (attempt.ask, attempt.purpose);
-        let is_late = now.since(attempt.started_at) > self.limits.answer_limit;
-        if is_late {
-            return self.end(now, claim, ClaimVerdict::Unavailable);
-        }
-        match purpose {
-            Purpose::Peek => self.end(now, claim, ClaimVerdict::Free),
-            Purpose::Run => {
-                self.attempts.remove(&claim);
-                self.runs.begin(now, ask.serial);
-                ClaimStep::Done(ClaimVerdict::Run(ask), Vec::new())
+    /// What is wanted of the store now, when the turn for `asked` has come: that may be long after
+    /// it was asked for, and other partitions may join the call.
+    pub fn wanted(
+        &mut self,
+        now: MonoTime,
+        live: &BTreeMap<NodeId, Replica>,
+        asked: Vec<(PartitionId, ReplicaAction)>,
+    ) -> Vec<(PartitionId, ReplicaAction)> {
+        let mut wanted = Vec::new();
+        for (index, replica) in (0..).zip(&mut self.replicas) {
+            if let Some(action) = replica.wanted(now, &self.limits, live) {
+                let service = self.service.clone();
+                wanted.push((PartitionId { service, index }, action));
             }
         }
+        if wanted.is_empty() { asked } else { wanted }
     }
 
-    /// Begins another try for the same request, once.
-    fn try_again(&mut self, now: MonoTime, claim: u64) -> ClaimStep {
-        let ask = self.next_ask();
-        let Some(attempt) = self.attempts.get_mut(&claim) else {
-            return ClaimStep::Wait;
-        };
-        if attempt.is_last {
-            return self.end(now, claim, ClaimVerdict::Unavailable);
-        }
-        attempt.is_last = true;
-        attempt.cleared.push(attempt.ask);
-        if let AttemptPhase::Querying(states) = &attempt.phase {
-            attempt.cleared.extend(states.keys());
-        }
-        attempt.ask = ask;
-        attempt.phase = AttemptPhase::Asking(ReplicaReplies::default());
-        let index = usize::from(attempt.partition.index);
-        if let Some(record) = self.replicas.get(index).and_then(ClaimReplica::record) {
-            attempt.record = record.clone();
-        }
-        self.send_asks(now, claim)
-    }
-
-    /// Ends a claim that doesn't run, and takes back what it may have recorded.
-    fn end(&mut self, now: MonoTime, claim: u64, verdict: ClaimVerdict) -> ClaimStep {
-        let Some(attempt) = self.attempts.remove(&claim) else {
-            return ClaimStep::Done(verdict, Vec::new());
-        };
-        if verdict == ClaimVerdict::Unavailable {
-            let replica = self.replicas.get_mut(usize::from(attempt.partition.index));
-            replica.map(ClaimReplica::doubt);
-        }
-        let calls = match attempt.purpose {
-            Purpose::Peek => Vec::new(),
-            Purpose::Run => self.releases(
-                now,
-                attempt.ask,
-                &attempt.record,
-                &attempt.partition,
-                attempt.key,
-            ),
-        };
-        ClaimStep::Done(verdict, calls)
-    }
-
-    /// Takes a try back at both replicas.
-    fn releases(
+    /// Moves one partition at a time, when nothing else is to be done.
+    fn rebalance(
         &mut self,
         now: MonoTime,
-        ask: AskId,
-        record: &PartitionRecord,
-        partition: &PartitionId,
-        key: KeyDigest,
-    ) -> Vec<ClaimCall> {
-        let mut calls = Vec::new();
-        for replica in record.replicas() {
-            let request = ClaimRequest::Release {
-                partition: partition.clone(),
-                key,
-                ask,
-            };
-            if replica.node == self.own.node {
-                self.handle(now, &request);
-                continue;
-            }
-            calls.push(ClaimCall {
-                claim: ask.serial,
-                ask,
-                node: replica.node,
-                address: replica.address,
-                request,
-            });
+        live: &BTreeMap<NodeId, Replica>,
+    ) -> Option<(PartitionId, ReplicaAction)> {
+        let records = self.replicas.iter().map(ClaimReplica::record);
+        let known = records.collect::<Option<Vec<_>>>()?;
+        let balance = RoleBalance::new(known.into_iter(), live);
+        let limits = &self.limits;
+        let moved = (0..).zip(&mut self.replicas).find_map(|(index, replica)| {
+            let action = replica.rebalance(now, limits, &balance)?;
+            Some((index, action))
+        });
+        let (index, action) = moved?;
+        let service = self.service.clone();
+        Some((PartitionId { service, index }, action))
+    }
+
+    /// Takes a record from another node.
+    fn learn(&mut self, now: MonoTime, partition: &PartitionId, record: &PartitionRecord) {
+        if let Some(replica) = self.replicas.get_mut(usize::from(partition.index)) {
+            replica.learn(now, &self.limits, record);
         }
-        calls
     }
 }
--- a/crates/fescueway_idempotency/src/claim_replica/mod.rs
+++ b/crates/fescueway_idempotency/src/claim_replica/mod.rs
@@ -1,48 +1,22 @@
 //! One node's standing with one partition: what it remembers, grants and changes.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod memory;
+mod upkeep;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use fescueway_core::{KeyDigest, MonoTime, NodeId};
 use statig::blocking::{InitializedStateMachine, IntoStateMachineExt};
 
 use crate::{
-    ClaimAsk, ClaimLimits, ClaimReply, ClaimTable, PartitionId, PartitionRecord, Replica,
-    TableChunk, Tenure,
-    record_change::RecordChange,
-    replica_choice::LiveHosts,
+    ClaimAsk, ClaimLimits, ClaimReply, ClaimTable, PartitionId, PartitionRecord, Replica, Tenure,
+    peer_watch::PeerWatch,
     tenure::{TenureEvent, TenureMachine},
 };
 
-/// What a replica wants done. Each is tried again later when it doesn't succeed.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ReplicaAction {
-    /// Read the record from the store and give it to [`ClaimReplica::confirm`].
-    Read,
-    /// Swap the record in the store, and give [`ClaimReplica::confirm`] what stands afterwards.
-    Propose {
-        /// What must stand there before, `None` for nothing.
-        expected: Option<PartitionRecord>,
-        /// What is to stand there.
-        record: PartitionRecord,
-    },
-    /// Ask `from` for its memory and give it to [`ClaimReplica::receive`].
-    Fetch {
-        /// A node that may hold the whole memory.
-        from: Replica,
-        /// The record that entitles this node.
-        record: PartitionRecord,
-        /// Keys after this one.
-        after: Option<KeyDigest>,
-    },
-    /// Send `record` to `to`, and call [`ClaimReplica::told`] when it has come there.
-    Tell {
-        /// The other replica.
-        to: Replica,
-        /// The record that names it.
-        record: PartitionRecord,
-    },
-}
-
 /// One node's standing with one partition.
 ///
 /// Invariant: while it serves, it knows every key that may have run, but for keys that are past
@@ -64,7 +38,9 @@
     recovered_at: Option<MonoTime>,
     /// How far the fetch from each source has come.
     fetched: BTreeMap<NodeId, KeyDigest>,
-    /// Replicas of the record that know it.
+    /// When each source was last asked for memory, while its reply is waited for.
+    fetching: BTreeMap<NodeId, MonoTime>,
+    /// Nodes that know the record, or were told it once and can read it.
     told: BTreeSet<NodeId>,
     /// Where it stands.
     tenure: InitializedStateMachine<TenureMachine>,
@@ -72,8 +48,18 @@
     table: ClaimTable,
     /// Nodes of the record that are absent, and since when.
     absent: BTreeMap<NodeId, MonoTime>,
+    /// Whether the nodes that matter here answer.
+    watch: PeerWatch,
     /// Earliest time of the next call of the store.
     store_at: MonoTime,
+    /// When the newest record was learned.
+    learned_at: MonoTime,
+    /// Earliest time of the next read of a record that is not known or not confirmed.
+    read_at: MonoTime,
+    /// Reads so far that found no record.
+    reads: u32,
+    /// Whether hosts could not claim by the record that is known here.
+    is_doubtful: bool,
     /// Since when the node has looked after the partition.
     started_at: MonoTime,
     /// Whether the record names no backup though another host is up. Then nothing is granted:
@@ -100,11 +86,17 @@
             complete_epoch: None,
             recovered_at: None,
             fetched: BTreeMap::new(),
+            fetching: BTreeMap::new(),
             told: BTreeSet::new(),
             tenure: TenureMachine.uninitialized_state_machine().init(),
             table: ClaimTable::default(),
             absent: BTreeMap::new(),
+            watch: PeerWatch::default(),
             store_at: now,
+            learned_at: now,
+            read_at: now,
+            reads: 0,
+            is_doubtful: false,
             started_at: now,
             awaits_backup: false,
             abandoned_epoch: None,
@@ -130,6 +122,17 @@
         Tenure::from(self.tenure.state())
     }
 
+    /// Whether a record is known, and no replica that it names is doubted or absent.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let is_there = |replica: &Replica| {
+            let is_doubted = self.watch.doubted_since(replica.node).is_some();
+            !is_doubted && !self.absent.contains_key(&replica.node)
+        };
+        let record = self.record.as_ref();
+        record.is_some_and(|record| record.replicas().all(is_there))
+    }
+
     /// Keys held in memory.
     #[must_use]
     pub fn keys_held(&self) -> usize {
@@ -159,7 +162,13 @@
             return;
         }
         self.confirmed_at = None;
+        self.is_doubtful = false;
+        // The other replica is asked first whether the store confirmed the record.
+        self.learned_at = now;
+        self.read_at = now + limits.store_pause;
+        self.watch.ask_soon();
         self.fetched.clear();
+        self.fetching.clear();
         self.told.clear();
         self.recovered_at = self.recovery_end(now, limits, record);
         self.record = Some(record.clone());
@@ -183,10 +192,53 @@
         };
         self.learn(now, limits, record);
         if self.record.as_ref() == Some(record) {
+            self.is_doubtful = false;
             self.confirmed_at = self.confirmed_at.max(Some(sent_at));
         }
     }
 
+    /// Tells how this node stands.
+    #[must_use]
+    pub fn standing(&self, now: MonoTime) -> ClaimReply {
+        ClaimReply::Standing {
+            epoch: self.epoch(),
+            confirmed_ago: self.confirmed_at.map(|at| now.since(at)),
+        }
+    }
+
+    /// Takes the standing of `node`, asked for at `asked_at`. What the store confirmed to it is
+    /// confirmed here, at the earliest time that it can have been.
+    pub fn stood(
+        &mut self,
+        now: MonoTime,
+        node: NodeId,
+        asked_at: MonoTime,
+        epoch: Option<u64>,
+        confirmed_ago: Option<Duration>,
+    ) {
+        self.watch.hear(now, node);
+        if epoch != self.epoch() {
+            return;
+        }
+        let ago_us = confirmed_ago.and_then(|ago| u64::try_from(ago.as_micros()).ok());
+        let confirmed_us = ago_us.and_then(|ago_us| asked_at.as_micros().checked_sub(ago_us));
+        let confirmed_at = confirmed_us.map(MonoTime::from_micros);
+        self.confirmed_at = self.confirmed_at.max(confirmed_at);
+    }
+
+    /// A host got no reply from the other replica. One that lacks memory waits for it longer.
+    pub fn doubt_peer(&mut self, now: MonoTime, epoch: u64, silent: NodeId) {
+        let peer = self
+            .record
+            .as_ref()
+            .filter(|record| record.epoch == epoch)
+            .and_then(|record| record.peer_of(self.own.node));
+        let is_peer = peer.is_some_and(|peer| peer.node == silent);
+        if is_peer && self.tenure() == Tenure::Serving {
+            self.watch.doubt(now, silent);
+        }
+    }
+
     /// `node` knows `record`.
     pub fn told(&mut self, node: NodeId, record: &PartitionRecord) {
         if self.record.as_ref() == Some(record) {
@@ -282,212 +334,4 @@
             .is_some_and(|at| now.since(at) <= limits.confirmed_for());
         is_confirmed && !self.awaits_backup && self.tenure() == Tenure::Serving
     }
-
-    // --- Memory of other replicas ---
-
-    /// Hands memory to a replica that `record` names. `None` when this node hasn't the whole.
-    pub fn fetch(
-        &mut self,
-        now: MonoTime,
-        limits: &ClaimLimits,
-        record: &PartitionRecord,
-        after: Option<KeyDigest>,
-    ) -> Option<TableChunk> {
-        self.learn(now, limits, record);
-        let is_same = self.record.as_ref() == Some(record);
-        let is_whole = self.complete_epoch == Some(record.epoch)
-            || self.complete_epoch == Some(record.epoch - 1)
-            || self.is_source_of(record);
-        if !is_same || !is_whole {
-            return None;
-        }
-        let chunk = self.table.chunk(after);
-        if chunk.is_last {
-            self.handed_on_epoch = Some(record.epoch);
-        }
-        Some(chunk)
-    }
-
-    /// Takes memory that was fetched from `from` under `record`.
-    pub fn receive(
-        &mut self,
-        now: MonoTime,
-        from: NodeId,
-        record: &PartitionRecord,
-        chunk: &TableChunk,
-    ) {
-        let is_due = self.record.as_ref() == Some(record) && self.tenure() == Tenure::Recovering;
-        if !is_due {
-            return;
-        }
-        self.table.merge(now, chunk);
-        if let Some((key, _)) = chunk.entries.last() {
-            self.fetched.insert(from, *key);
-        }
-        if chunk.is_last {
-            self.complete(record.epoch);
-        }
-    }
-
-    /// The memory is whole in `epoch`.
-    fn complete(&mut self, epoch: u64) {
-        if self.abandoned_epoch == Some(epoch) {
-            return;
-        }
-        self.complete_epoch = Some(epoch);
-        self.recovered_at = None;
-        self.tenure.handle(&TenureEvent::Completed);
-    }
-
-    // --- Time ---
-
-    /// Time passed. `live` are the hosts of the service that are up, this node included.
-    pub fn tick(
-        &mut self,
-        now: MonoTime,
-        limits: &ClaimLimits,
-        live: &LiveHosts,
-    ) -> Vec<ReplicaAction> {
-        self.table.expire(now, limits.key_retention());
-        self.track_absent(now, live);
-        let is_alone = self
-            .record
-            .as_ref()
-            .is_some_and(|held| held.backup.is_none());
-        self.awaits_backup = is_alone && live.keys().any(|host| *host != self.own.node);
-        self.end_recovery(now);
-        let mut actions = self.fetches(live);
-        actions.extend(self.tells(live));
-        if now < self.store_at {
-            return actions;
-        }
-        let action = self.proposal(now, limits, live);
-        if action.is_some() && self.tenure() == Tenure::Recovering {
-            self.abandoned_epoch = self.epoch();
-        }
-        let action =
-            action.or_else(|| self.is_read_due(now, limits).then_some(ReplicaAction::Read));
-        if action.is_some() {
-            self.store_at = now + limits.store_pause;
-        }
-        actions.extend(action);
-        actions
-    }
-
-    /// Asks for a read of the record at the next tick, as after a claim that found no replica.
-    pub fn doubt(&mut self) {
-        let is_named = self
-            .record
-            .as_ref()
-            .is_some_and(|record| record.names(self.own.node));
-        if !is_named {
-            self.confirmed_at = None;
-        }
-    }
-
-    /// Notes since when replicas of the record are absent.
-    fn track_absent(&mut self, now: MonoTime, live: &LiveHosts) {
-        let Some(record) = &self.record else {
-            return;
-        };
-        let mut absent = BTreeMap::new();
-        for replica in record
-            .replicas()
-            .filter(|held| !live.contains_key(&held.node))
-        {
-            let since = self.absent.get(&replica.node).copied().unwrap_or(now);
-            absent.insert(replica.node, since);
-        }
-        self.absent = absent;
-    }
-
-    /// Ends the wait for memory that is past its retention.
-    fn end_recovery(&mut self, now: MonoTime) {
-        let is_over = self.recovered_at.is_some_and(|at| now >= at);
-        if !is_over || self.tenure() != Tenure::Recovering {
-            return;
-        }
-        if let Some(epoch) = self.epoch() {
-            self.complete(epoch);
-        }
-    }
-
-    /// Tells the replicas of a record that this node had a part in.
-    fn tells(&self, live: &LiveHosts) -> Vec<ReplicaAction> {
-        let Some(record) = self
-            .record
-            .as_ref()
-            .filter(|_| self.tenure() != Tenure::Closed)
-        else {
-            return Vec::new();
-        };
-        let is_known = |to: &Replica| to.node == self.own.node || self.told.contains(&to.node);
-        let is_due = |to: &&Replica| live.contains_key(&to.node) && !is_known(to);
-        let tell = |to: &Replica| ReplicaAction::Tell {
-            to: to.clone(),
-            record: record.clone(),
-        };
-        record.replicas().filter(is_due).map(tell).collect()
-    }
-
-    /// Fetches from every node that may have the whole memory.
-    fn fetches(&self, live: &LiveHosts) -> Vec<ReplicaAction> {
-        let Some(record) = &self.record else {
-            return Vec::new();
-        };
-        if self.tenure() != Tenure::Recovering {
-            return Vec::new();
-        }
-        let orphans = record.orphans.iter().flat_map(|set| &set.replicas);
-        let peers = record
-            .replicas()
-            .filter(|replica| live.contains_key(&replica.node));
-        let sources = peers
-            .chain(orphans)
-            .filter(|source| source.node != self.own.node);
-        let fetch = |from: &Replica| ReplicaAction::Fetch {
-            from: from.clone(),
-            record: record.clone(),
-            after: self.fetched.get(&from.node).copied(),
-        };
-        sources.map(fetch).collect()
-    }
-
-    /// Whether the store should be asked if the record still stands.
-    fn is_read_due(&self, now: MonoTime, limits: &ClaimLimits) -> bool {
-        let Some(confirmed_at) = self.confirmed_at else {
-            return true;
-        };
-        let is_named = self
-            .record
-            .as_ref()
-            .is_some_and(|record| record.names(self.own.node));
-        is_named && now.since(confirmed_at) >= limits.confirm_every()
-    }
-
-    /// The record that should stand instead of the known one, if any.
-    fn proposal(
-        &self,
-        now: MonoTime,
-        limits: &ClaimLimits,
-        live: &LiveHosts,
-    ) -> Option<ReplicaAction> {
-        let change = RecordChange {
-            own: &self.own,
-            partition: &self.partition,
-            live,
-            limits,
-            now,
-            absent: &self.absent,
-            started_at: self.started_at,
-            is_whole: self.tenure() == Tenure::Serving,
-            is_abandoned: self.abandoned_epoch == self.epoch() && self.record.is_some(),
-            is_leaving: self.is_leaving,
-        };
-        let record = change.next_record(self.record.as_ref())?;
-        Some(ReplicaAction::Propose {
-            expected: self.record.clone(),
-            record,
-        })
-    }
 }
--- a/crates/fescueway_idempotency/src/lib.rs
+++ b/crates/fescueway_idempotency/src/lib.rs
@@ -16,8 +16,11 @@
 mod claim_replica;
 mod claim_table;
 mod partition_record;
+mod peer_watch;
 mod record_change;
+mod replica_action;
 mod replica_choice;
+mod role_balance;
 mod run_memory;
 mod tenure;
 
@@ -26,8 +29,9 @@
     claim_limits::ClaimLimits,
     claim_message::{AskId, ClaimAsk, ClaimReply, ClaimRequest, Holder, RunState, TableChunk},
     claim_node::ClaimNode,
-    claim_replica::{ClaimReplica, ReplicaAction},
+    claim_replica::ClaimReplica,
     claim_table::ClaimTable,
     partition_record::{OrphanSet, PartitionId, PartitionRecord, Replica},
+    replica_action::ReplicaAction,
     tenure::Tenure,
 };
--- a/crates/fescueway_idempotency/src/record_change.rs
+++ b/crates/fescueway_idempotency/src/record_change.rs
@@ -30,6 +30,8 @@
     pub(crate) is_whole: bool,
     /// Whether this node proposed before that its memory counts as lost.
     pub(crate) is_abandoned: bool,
+    /// How long the other replica may be absent.
+    pub(crate) peer_patience: Duration,
     /// Whether this node is leaving.
     pub(crate) is_leaving: bool,
 }
@@ -64,8 +66,7 @@
     /// node leaves.
     fn changed_record(&self, record: &PartitionRecord) -> Option<PartitionRecord> {
         let peer = record.peer_of(self.own.node);
-        let is_peer_lost =
-            peer.is_some_and(|peer| self.is_absent(peer.node, self.limits.replica_patience));
+        let is_peer_lost = peer.is_some_and(|peer| self.is_absent(peer.node, self.peer_patience));
         if self.is_leaving {
             return self.record_without_own(record, peer.filter(|_| !is_peer_lost));
         }
--- a/crates/fescueway_idempotency/src/replica_choice.rs
+++ b/crates/fescueway_idempotency/src/replica_choice.rs
@@ -25,10 +25,29 @@
     let others = live
         .values()
         .filter(|host| host.node != primary.node && Some(host.node) != without);
-    others.max_by_key(|host| {
-        let is_apart = is_other_domain(&host.domain, &primary.domain);
-        (is_apart, rank_of(partition, host.node))
-    })
+    others.max_by_key(|host| backup_rank(partition, primary, host))
+}
+
+/// The backups for a primary, the best one first.
+pub(crate) fn best_backups<'a>(
+    partition: &PartitionId,
+    live: &'a LiveHosts,
+    primary: &Replica,
+) -> Vec<&'a Replica> {
+    let others = live.values().filter(|host| host.node != primary.node);
+    let mut others: Vec<_> = others.collect();
+    others.sort_by_key(|host| std::cmp::Reverse(backup_rank(partition, primary, host)));
+    others
+}
+
+/// How well `host` suits as the backup of `primary`: another failure domain goes first.
+pub(crate) fn backup_rank(
+    partition: &PartitionId,
+    primary: &Replica,
+    host: &Replica,
+) -> (bool, (u64, NodeId)) {
+    let is_apart = is_other_domain(&host.domain, &primary.domain);
+    (is_apart, rank_of(partition, host.node))
 }
 
 /// Whether a fault of one domain leaves the other alone.
@@ -45,6 +64,12 @@
     (mix(seed ^ node.0), node)
 }
 
+/// A share from 0 to 1 that differs from partition to partition and from epoch to epoch.
+pub(crate) fn spread_share(partition: &PartitionId, epoch: u64) -> f64 {
+    let (rank, _) = rank_of(partition, NodeId(epoch));
+    rank as f64 / u64::MAX as f64
+}
+
 /// The finalizer of `SplitMix64` (Steele, Lea and Flood, 2014).
 fn mix(value: u64) -> u64 {
     let mut mixed = value.wrapping_add(0x9E37_79B9_7F4A_7C15);
--- a/crates/fescueway_idempotency/tests/at_most_once/fleet/mod.rs
+++ b/crates/fescueway_idempotency/tests/at_most_once/fleet/mod.rs
@@ -23,6 +23,12 @@
 /// A call without a reply has failed after this, in microseconds.
 const CALL_TIMEOUT_US: u64 = 1_000_000;
 
+/// Store calls that a node may save up.
+const STORE_BURST: usize = 5;
+
+/// A node's budget of store calls grows by one in this time, in microseconds.
+const STORE_REFILL_US: u64 = 5_000_000;
+
 /// What became of one send.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SendEnd {
@@ -82,6 +88,8 @@
         granted_at: u64,
     },
     Tick(NodeId),
+    /// A node within its budget calls the store, for all that it wants.
+    StoreTurn(NodeId),
     View {
         node: NodeId,
         other: NodeId,
@@ -98,6 +106,10 @@
     cut_until: u64,
     is_leaving: bool,
     began: BTreeMap<u64, (KeyDigest, u64)>,
+    /// When each store call that is left of the budget may be made.
+    store_turns: Vec<u64>,
+    /// What waits for the next call of the store, by partition.
+    wanted: BTreeMap<PartitionId, ReplicaAction>,
 }
 
 /// The whole of it.
@@ -113,6 +125,12 @@
     pub store_down_until: u64,
     /// Whether the store's answers are lost after their effect.
     pub is_answer_lost: bool,
+    /// How long a crash stays unknown to membership: at least, and how much longer at most.
+    pub detection_us: (u64, u64),
+    /// Whether the nodes keep to an ordinary node's budget of store calls.
+    pub is_paced: bool,
+    /// Calls of the store.
+    pub store_calls: u64,
     pub ends: Vec<SendEnd>,
     pub runs: BTreeMap<KeyDigest, Vec<KeyRun>>,
     /// Control messages sent between nodes.
@@ -135,20 +153,45 @@
 }
 
 impl Fleet {
+    /// Nodes that remember keys for 40 s, and call the store as often as they want.
     pub fn new(seed: u64, nodes: u64, partitions: u16) -> Self {
-        let mut fleet = Self {
+        let limits = ClaimLimits {
+            retention: Duration::from_secs(40),
+            recovery_patience: Duration::from_secs(6),
+            ..ClaimLimits::default()
+        };
+        let mut fleet = Self::without_nodes(seed, partitions, limits);
+        (0..nodes).for_each(|place| {
+            fleet.start(place);
+        });
+        fleet
+    }
+
+    /// Nodes with the default limits and an ordinary node's budget of store calls. Membership
+    /// knows of a crash after 7 to 11 s.
+    pub fn paced(seed: u64, nodes: u64, partitions: u16) -> Self {
+        let mut fleet = Self::without_nodes(seed, partitions, ClaimLimits::default());
+        fleet.is_paced = true;
+        fleet.detection_us = (7_000_000, 4_000_000);
+        (0..nodes).for_each(|place| {
+            fleet.start(place);
+        });
+        fleet
+    }
+
+    fn without_nodes(seed: u64, partitions: u16, limits: ClaimLimits) -> Self {
+        Self {
             now: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            limits: ClaimLimits {
-                retention: Duration::from_secs(40),
-                recovery_patience: Duration::from_secs(6),
-                ..ClaimLimits::default()
-            },
+            limits,
             partitions,
             loss: 0,
             give_up: 0,
             store_down_until: 0,
             is_answer_lost: false,
+            detection_us: (100_000, 2_000_000),
+            is_paced: false,
+            store_calls: 0,
             ends: Vec::new(),
             runs: BTreeMap::new(),
             messages: 0,
@@ -157,11 +200,7 @@
             events: BTreeMap::new(),
             waiters: BTreeMap::new(),
             next_id: 1,
-        };
-        (0..nodes).for_each(|place| {
-            fleet.start(place);
-        });
-        fleet
+        }
     }
 
     // --- Faults ---
@@ -191,6 +230,8 @@
             cut_until: 0,
             is_leaving: false,
             began: BTreeMap::new(),
+            store_turns: vec![self.now; STORE_BURST],
+            wanted: BTreeMap::new(),
         };
         for other in self.nodes() {
             self.tell_view(id, other, true);
@@ -203,9 +244,19 @@
 
     pub fn crash(&mut self, id: NodeId) {
         self.processes.remove(&id);
-        self.nodes()
-            .into_iter()
-            .for_each(|other| self.tell_view(other, id, false));
+        let (least, span) = self.detection_us;
+        for node in self.nodes() {
+            let delay = least + self.below(span);
+            let is_up = false;
+            self.after(
+                delay,
+                Event::View {
+                    node,
+                    other: id,
+                    is_up,
+                },
+            );
+        }
     }
 
     /// A new process on the address of `id`, which is gone.
@@ -265,6 +316,11 @@
         &self.store[&PartitionId::of_key(&service(), key, self.partitions)]
     }
 
+    pub fn record_at(&self, index: u16) -> &PartitionRecord {
+        let service = service();
+        &self.store[&PartitionId { service, index }]
+    }
+
     pub fn below(&mut self, bound: u64) -> u64 {
         self.rng.next_u64() % bound
     }
@@ -303,6 +359,16 @@
         Ok(())
     }
 
+    /// When a node's next call of the store may be made.
+    fn store_turn(&mut self, id: NodeId) -> u64 {
+        let now = self.now;
+        let turns = &mut self.processes.get_mut(&id).unwrap().store_turns;
+        let turn = now.max(turns.remove(0));
+        let last = turns.last().copied().unwrap_or(turn).max(turn);
+        turns.push(last.max(now) + STORE_REFILL_US);
+        turn
+    }
+
     // --- Running ---
 
     /// Sends a request through `host`, now.
--- a/crates/fescueway_idempotency/tests/at_most_once/fleet/steps.rs
+++ b/crates/fescueway_idempotency/tests/at_most_once/fleet/steps.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// One way to the store for a node within its budget, in microseconds.
+const STORE_TRIP_US: u64 = 2_000;
+
 impl Fleet {
     pub(super) fn after(&mut self, delay_us: u64, event: Event) {
         self.next_id += 1;
@@ -40,7 +43,10 @@
                     .find(|process| process.own.address == *to)
                     .map(|found| found.own.node)
             }
-            Event::Found { node, .. } | Event::Tick(node) | Event::View { node, .. } => Some(*node),
+            Event::Found { node, .. }
+            | Event::Tick(node)
+            | Event::StoreTurn(node)
+            | Event::View { node, .. } => Some(*node),
             Event::Store { .. } => {
                 self.store_step(event);
                 return;
@@ -100,10 +106,7 @@
                 ..
             } => {
                 process.node.finish(ask, Some(200));
-                let run = KeyRun { granted_at };
-                let runs = self.runs.entry(key).or_default();
-                runs.push(run);
-                runs.sort_by_key(|run| run.granted_at);
+                self.note_run(key, granted_at);
             }
             Event::Tick(_) => {
                 let view = process.view.clone();
@@ -113,6 +116,7 @@
                     self.act(id, partition, action);
                 }
             }
+            Event::StoreTurn(_) => self.call_store(id),
             Event::View { other, is_up, .. } => {
                 let found = self.processes.get(&other);
                 let found = found.filter(|found| !found.is_leaving || other == id);
@@ -127,33 +131,47 @@
         }
     }
 
+    /// A request ran.
+    fn note_run(&mut self, key: KeyDigest, granted_at: u64) {
+        let runs = self.runs.entry(key).or_default();
+        runs.push(KeyRun { granted_at });
+        runs.sort_by_key(|run| run.granted_at);
+    }
+
+    /// One call of the store for all that a node wants by now.
+    fn call_store(&mut self, node: NodeId) {
+        let now = MonoTime::from_micros(self.now);
+        let process = self.processes.get_mut(&node).unwrap();
+        let asked = std::mem::take(&mut process.wanted).into_iter().collect();
+        let view = process.view.clone();
+        let wanted = process.node.wanted(now, &view, asked);
+        self.store_calls += 1;
+        for (partition, action) in wanted {
+            let event = Event::Store {
+                node,
+                partition,
+                sent_at: self.now,
+                action,
+            };
+            self.after(STORE_TRIP_US, event);
+        }
+    }
+
     pub(super) fn act(&mut self, node: NodeId, partition: PartitionId, action: ReplicaAction) {
-        let request = match &action {
-            ReplicaAction::Fetch {
-                from,
-                record,
-                after,
-            } => Some((
-                from.address,
-                ClaimRequest::Fetch {
-                    partition: partition.clone(),
-                    record: record.clone(),
-                    after: *after,
-                },
-            )),
-            ReplicaAction::Tell { to, record } => Some((
-                to.address,
-                ClaimRequest::Learn {
-                    partition: partition.clone(),
-                    record: record.clone(),
-                },
-            )),
-            ReplicaAction::Read | ReplicaAction::Propose { .. } => None,
-        };
-        if let Some((address, request)) = request {
+        if let Some((address, request)) = action.message(&partition) {
             self.call(node, address, &request, Waiter::Replica(partition, action));
             return;
         }
+        if self.is_paced {
+            let wanted = &mut self.processes.get_mut(&node).unwrap().wanted;
+            let is_waiting = !wanted.is_empty();
+            wanted.insert(partition, action);
+            if !is_waiting {
+                let delay = self.store_turn(node) - self.now;
+                self.after(delay, Event::StoreTurn(node));
+            }
+            return;
+        }
         let sent_at = self.now;
         let delay = self.delay().unwrap_or(3_000_000);
         self.after(
@@ -255,7 +273,10 @@
             }
             Waiter::Replica(partition, action) => {
                 let reply = reply.unwrap_or(ClaimReply::Unavailable);
-                process.node.answered(now, &partition, &action, &reply);
+                let next = process.node.answered(now, &partition, &action, &reply);
+                if let Some(action) = next {
+                    self.act(node, partition, action);
+                }
             }
             Waiter::Nothing => {}
         }
--- a/crates/fescueway_idempotency/tests/at_most_once/main.rs
+++ b/crates/fescueway_idempotency/tests/at_most_once/main.rs
@@ -1,6 +1,7 @@
 //! A request with an idempotency key runs at most once, whatever fails.
 
 mod fleet;
+mod takeover;
 
 use fescueway_core::{MonoTime, NodeId};
 use fescueway_idempotency::{
--- a/crates/fescuewayd/src/claim_task.rs
+++ b/crates/fescuewayd/src/claim_task.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -10,8 +11,8 @@
 use fescueway_config::ServicePlan;
 use fescueway_core::{Idempotency, KeyDigest, MonoTime, NodeId, ServiceName, TargetState};
 use fescueway_idempotency::{
-    AskId, ClaimCall, ClaimLimits, ClaimNode, ClaimReply, ClaimRequest, ClaimStep, ClaimVerdict,
-    PartitionId, Purpose, Replica, ReplicaAction,
+    AskId, ClaimCall, ClaimLimits, ClaimNode, ClaimReplica, ClaimReply, ClaimRequest, ClaimStep,
+    ClaimVerdict, PartitionId, Purpose, Replica, ReplicaAction,
 };
 use fescueway_proxy::ProxyState;
 use fescueway_wire::{ControlKind, PREFIX_BYTES, decode_payload, encode_frame};
@@ -162,11 +163,7 @@
     }
 
     /// Sends one message and waits for the reply, `None` when none comes.
-    async fn send(
-        &self,
-        address: std::net::SocketAddr,
-        request: &ClaimRequest,
-    ) -> Option<ClaimReply> {
+    async fn send(&self, address: SocketAddr, request: &ClaimRequest) -> Option<ClaimReply> {
         let body = encode_frame(request).ok()?;
         let peers = self.0.proxy.peers();
         let answer = peers.call(address, ControlKind::Claim, body, CALL_TIME);
@@ -191,6 +188,12 @@
         let service = &request.partition().service;
         let reply = self.with_node(service, |node, now| node.handle(now, &request));
         let reply = reply.unwrap_or(ClaimReply::Unavailable);
+        if matches!(
+            request,
+            ClaimRequest::Doubt { .. } | ClaimRequest::Learn { .. }
+        ) {
+            self.0.wake.notify_one();
+        }
         encode_frame(&reply).map_err(|error| error.to_string())
     }
 
@@ -261,13 +264,13 @@
         is_busy || !self.is_settled()
     }
 
-    /// Whether the node knows who keeps the keys of every service beside it.
+    /// Whether the node knows who keeps the keys of every service beside it, and that they are there.
     fn is_settled(&self) -> bool {
         let plan = self.0.proxy.plan();
         let nodes = self.nodes();
         let mut services = self.0.proxy.local_services().into_iter();
         services.all(|service| match nodes.get(&service) {
-            Some(node) => node.replicas().iter().all(|held| held.record().is_some()),
+            Some(node) => node.replicas().iter().all(ClaimReplica::is_settled),
             None => plan.services.contains_key(&service),
         })
     }
@@ -294,41 +297,30 @@
     /// Calls the store when it is the node's turn, for what is wanted by then.
     async fn settle(self, records: ClaimRecords, service: ServiceName) {
         records.turn().await;
-        let wanted = lock(&self.0.wanted).get(&service).cloned();
-        records
-            .settle(&self, &service, wanted.unwrap_or_default())
-            .await;
+        let asked = lock(&self.0.wanted).get(&service).cloned();
+        let live = self.live_hosts(&service);
+        let wanted = self.with_node(&service, |node, now| {
+            node.wanted(now, &live, asked.unwrap_or_default())
+        });
+        let wanted = wanted.unwrap_or_default();
+        records.settle(&self, &service, wanted).await;
         lock(&self.0.wanted).remove(&service);
     }
 
-    /// Exchanges memory or a record with another replica.
+    /// Exchanges memory, a record or a standing with another node, until there is no more.
     async fn exchange(self, partition: PartitionId, action: ReplicaAction) {
-        let (to, request) = match &action {
-            ReplicaAction::Fetch {
-                from,
-                record,
-                after,
-            } => {
-                let request = ClaimRequest::Fetch {
-                    partition: partition.clone(),
-                    record: record.clone(),
-                    after: *after,
-                };
-                (from.address, request)
-            }
-            ReplicaAction::Tell { to, record } => {
-                let request = ClaimRequest::Learn {
-                    partition: partition.clone(),
-                    record: record.clone(),
-                };
-                (to.address, request)
-            }
-            ReplicaAction::Read | ReplicaAction::Propose { .. } => return,
-        };
-        if let Some(reply) = self.send(to, &request).await {
-            self.with_node(&partition.service, |node, now| {
-                node.answered(now, &partition, &action, &reply);
+        let mut next = Some(action);
+        while let Some(action) = next.take() {
+            let Some((to, request)) = action.message(&partition) else {
+                return;
+            };
+            let Some(reply) = self.send(to, &request).await else {
+                return;
+            };
+            let answered = self.with_node(&partition.service, |node, now| {
+                node.answered(now, &partition, &action, &reply)
             });
+            next = answered.flatten();
         }
     }
 
