Try schedules of faults with slow membership as well

Replicas are then replaced by what hosts and replicas hear of each other, long before membership tells of a crash.

--- a/crates/fescueway_idempotency/tests/at_most_once/main.rs
+++ b/crates/fescueway_idempotency/tests/at_most_once/main.rs
@@ -26,7 +26,10 @@
 }
 
 fn storm(seed: u64) -> Result<Fleet, String> {
-    let mut fleet = Fleet::new(seed, 5, 2);
+    storm_over(Fleet::new(seed, 5, 2), seed)
+}
+
+fn storm_over(mut fleet: Fleet, seed: u64) -> Result<Fleet, String> {
     fleet.loss = seed % 3 * 40;
     fleet.give_up = 100;
     fleet.storm(120);
@@ -47,6 +50,17 @@
         .quickcheck(holds as fn(u64) -> TestResult);
 }
 
+/// Replicas are replaced by what hosts and replicas hear of each other, long before membership
+/// tells of a crash.
+#[test]
+fn no_schedule_of_faults_runs_a_key_twice_while_membership_is_slow() {
+    for seed in 0..60 {
+        let mut fleet = Fleet::new(seed, 5, 2);
+        fleet.detection_us = (7 * SECOND_US, 4 * SECOND_US);
+        storm_over(fleet, seed).unwrap();
+    }
+}
+
 /// Seeds under which a key ran twice before its fault was mended: a successor on the address of
 /// the primary answered for it (106, 345, 551), a node that missed an epoch took itself for whole
 /// (7, 18, 27), and a key that was taken over expired by its older claim (135, 540, 579).
