--- a/crates/fescueway_idempotency/tests/at_most_once/main.rs
+++ b/crates/fescueway_idempotency/tests/at_most_once/main.rs
@@ -5,8 +5,8 @@
 
 use fescueway_core::{MonoTime, NodeId};
 use fescueway_idempotency::{
-    ClaimLimits, ClaimReplica, ClaimVerdict, PartitionId, PartitionRecord, Purpose, Replica,
-    ReplicaAction, RunState, TableChunk, Tenure,
+    AskId, ClaimAsk, ClaimLimits, ClaimNode, ClaimReplica, ClaimRequest, ClaimVerdict, PartitionId,
+    PartitionRecord, Purpose, Replica, ReplicaAction, RunState, TableChunk, Tenure,
 };
 use quickcheck::{Gen, QuickCheck, TestResult};
 
@@ -107,6 +107,62 @@
     assert_eq!(node.tenure(), Tenure::Serving);
 }
 
+/// A day's keys of a partition are about forty parts: with a tick of 100 ms between them a takeover
+/// took four seconds more.
+#[test]
+fn memory_of_many_parts_is_fetched_without_a_tick() {
+    let now = MonoTime::ZERO;
+    let limits = ClaimLimits::default();
+    let replica = |number: u64| Replica {
+        node: NodeId(number),
+        address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
+        domain: "domain".into(),
+    };
+    let record = |epoch, backup| PartitionRecord {
+        epoch,
+        primary: replica(1),
+        backup: Some(replica(backup)),
+        orphans: None,
+    };
+    let partition = || PartitionId::of_key(&fleet::service(), key(1), 1);
+    let mut old = ClaimNode::new(replica(1), fleet::service(), 1, limits.clone(), now);
+    old.confirm(now, &partition(), now, Some(&record(1, 2)));
+    for serial in 0..20_000 {
+        let ask = ClaimAsk {
+            replica: NodeId(1),
+            partition: partition(),
+            epoch: 1,
+            key: key(serial),
+            ask: AskId {
+                host: NodeId(9),
+                serial,
+            },
+            address: replica(9).address,
+            cleared: Vec::new(),
+            is_peek: false,
+        };
+        old.handle(now, &ClaimRequest::Claim(ask));
+    }
+    let mut new = ClaimNode::new(replica(3), fleet::service(), 1, limits, now);
+    new.confirm(now, &partition(), now, Some(&record(2, 3)));
+    let live = [1, 3]
+        .map(|number| (NodeId(number), replica(number)))
+        .into();
+    let is_fetch = |(_, action): &(_, ReplicaAction)| matches!(action, ReplicaAction::Fetch { .. });
+    let mut wanted = new.tick(now, &live).into_iter().filter(is_fetch);
+    let mut next = wanted.next().map(|(_, action)| action);
+    assert!(next.is_some() && wanted.next().is_none());
+    while let Some(action) = next {
+        let (_, request) = action.message(&partition()).unwrap();
+        let reply = old.handle(now, &request);
+        // A tick meanwhile asks for nothing twice.
+        assert!(!new.tick(now, &live).iter().any(is_fetch));
+        next = new.answered(now, &partition(), &action, &reply);
+    }
+    assert_eq!(new.replicas()[0].tenure(), Tenure::Serving);
+    assert_eq!(new.replicas()[0].keys_held(), 20_000);
+}
+
 #[test]
 fn bookings_run_again_after_the_faults() {
     for seed in 0..6 {
