Test from when a peer's confirmation counts; split the suspect list

A replica that takes the confirmation of a record from its peer stops half a retention after the store gave it, and takes none from before its own start or for another record. The steps of a suspect stand in a file of their own.

--- a/crates/fescueway_admission/src/lib.rs
+++ b/crates/fescueway_admission/src/lib.rs
@@ -12,6 +12,7 @@
 mod slow_start;
 mod suspect_list;
 mod suspect_message;
+mod suspect_step;
 mod target_gate;
 mod wait_queue;
 
@@ -20,7 +21,8 @@
     health_belief::{HealthBelief, HealthVerdict},
     probe_budget::ProbeBudget,
     probe_scheduler::{ProbeEnd, ProbeScheduler},
-    suspect_list::{SuspectEnd, SuspectList, SuspectStep},
+    suspect_list::SuspectList,
     suspect_message::{CrashId, SuspectMessage, SuspectReply},
+    suspect_step::{SuspectEnd, SuspectStep},
     target_gate::{GateAction, GateResult, RunEnd, TargetGate, TicketId},
 };
--- a/crates/fescueway_admission/src/suspect_list.rs
+++ b/crates/fescueway_admission/src/suspect_list.rs
@@ -7,7 +7,7 @@
 
 use fescueway_core::{MonoTime, NodeId};
 
-use crate::{CrashId, SuspectMessage, SuspectReply};
+use crate::{CrashId, SuspectEnd, SuspectMessage, SuspectReply, SuspectStep};
 
 /// Crashes after which a request is refused.
 const MAX_CRASHES: usize = 2;
@@ -21,31 +21,6 @@
 /// Suspects held at once. The oldest go first.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// What a host does with a request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum SuspectStep {
-    /// Run it: report the moment with [`SuspectList::hand_over`] and its end with
-    /// [`SuspectList::finish`].
-    Run,
-    /// Send this to the coordinator first, and give its reply to [`SuspectList::trial_reply`].
-    AskTrial(SuspectMessage),
-    /// Another suspect runs here: ask again when it has ended.
-    Wait,
-    /// Refuse it.
-    Refuse,
-}
-
-/// How a request ended at the own backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SuspectEnd {
-    /// The backend server answered.
-    Answered,
-    /// The connection was lost. [`SuspectList::settle_loss`] tells whether by a crash.
-    Lost,
-    /// It was not handed over, or was cancelled.
-    Unused,
-}
-
 /// One fingerprint that was in flight at a crash.
 #[derive(Clone, Debug)]
 struct SuspectEntry {
--- a/crates/fescueway_idempotency/tests/at_most_once/main.rs
+++ b/crates/fescueway_idempotency/tests/at_most_once/main.rs
@@ -5,8 +5,8 @@
 
 use fescueway_core::{MonoTime, NodeId};
 use fescueway_idempotency::{
-    AskId, ClaimAsk, ClaimLimits, ClaimNode, ClaimReplica, ClaimRequest, ClaimVerdict, PartitionId,
-    PartitionRecord, Purpose, Replica, ReplicaAction, RunState, TableChunk, Tenure,
+    AskId, ClaimAsk, ClaimLimits, ClaimNode, ClaimReplica, ClaimReply, ClaimRequest, ClaimVerdict,
+    PartitionId, PartitionRecord, Purpose, Replica, ReplicaAction, RunState, TableChunk, Tenure,
 };
 use quickcheck::{Gen, QuickCheck, TestResult};
 
@@ -107,6 +107,52 @@
     assert_eq!(node.tenure(), Tenure::Serving);
 }
 
+/// It stops half a retention after the store confirmed the record to its peer, not after it asked.
+#[test]
+fn a_confirmation_of_the_peer_counts_from_its_own_time() {
+    let limits = ClaimLimits::default();
+    let replica = |number: u64| Replica {
+        node: NodeId(number),
+        address: ([127, 0, 0, 1], 1_000).into(),
+        domain: "domain".into(),
+    };
+    let record = PartitionRecord {
+        epoch: 1,
+        primary: replica(1),
+        backup: Some(replica(2)),
+        orphans: None,
+    };
+    let partition = PartitionId::of_key(&fleet::service(), key(1), 1);
+    let at = |seconds: u64| MonoTime::from_micros(seconds * SECOND_US);
+    let is_granting = |epoch, ago_s, now_s| {
+        let mut node = ClaimReplica::new(replica(2), partition.clone(), at(0));
+        node.learn(at(100), &limits, &record);
+        let ago = Some(std::time::Duration::from_secs(ago_s));
+        node.stood(at(101), NodeId(1), at(100), Some(epoch), ago);
+        let ask = ClaimAsk {
+            replica: NodeId(2),
+            partition: partition.clone(),
+            epoch: 1,
+            key: key(1),
+            ask: AskId {
+                host: NodeId(9),
+                serial: 1,
+            },
+            address: replica(9).address,
+            cleared: Vec::new(),
+            is_peek: false,
+        };
+        node.claim(at(now_s), &limits, &ask) == ClaimReply::Granted { epoch: 1 }
+    };
+    let half_s = limits.confirmed_for().as_secs();
+    assert!(is_granting(1, 60, 101));
+    assert!(is_granting(1, 60, 40 + half_s));
+    assert!(!is_granting(1, 60, 41 + half_s));
+    // Another record, and a time before this process began.
+    assert!(!is_granting(2, 60, 101));
+    assert!(!is_granting(1, 101, 101));
+}
+
 /// A day's keys of a partition are about forty parts: with a tick of 100 ms between them a takeover
 /// took four seconds more.
 #[test]
