--- a/crates/fescueway_idempotency/tests/at_most_once/takeover.rs
+++ b/crates/fescueway_idempotency/tests/at_most_once/takeover.rs
@@ -93,6 +93,19 @@
     }
 }
 
+/// Nodes learn of each other within 2.1 s. A host that knows no other one waits 2 s, the hosts
+/// may read the record a second too early, and a call of the store takes up to 2 s.
+#[test]
+fn a_service_that_starts_takes_keys_within_seconds() {
+    for seed in 1..=5 {
+        let mut fleet = Fleet::paced(seed, 9, 16);
+        let (refused, sent, longest_us) = closure(&mut fleet);
+        let calls = fleet.store_calls;
+        println!("seed {seed}: {refused} of {sent} refused, {longest_us} us; {calls} store calls");
+        assert!(longest_us <= 7 * SECOND_US, "seed {seed}: {longest_us} us");
+    }
+}
+
 #[test]
 fn a_partition_moves_out_of_one_failure_domain() {
     let mut fleet = Fleet::paced(1, 0, 16);
