--- a/crates/fescueway_idempotency/src/claim_node.rs
+++ b/crates/fescueway_idempotency/src/claim_node/claiming.rs
@@ -1,93 +1,15 @@
-//! One node's part in the claims of one service.
+//! How a node claims keys for its own runs.
 
-use std::collections::BTreeMap;
-
-use fescueway_core::{KeyDigest, MonoTime, NodeId, ServiceName};
+use fescueway_core::{KeyDigest, MonoTime};
 
+use super::ClaimNode;
 use crate::{
-    AskId, ClaimAsk, ClaimCall, ClaimLimits, ClaimReplica, ClaimReply, ClaimRequest, ClaimStep,
-    ClaimVerdict, Holder, PartitionId, PartitionRecord, Purpose, Replica, ReplicaAction, RunState,
+    AskId, ClaimAsk, ClaimCall, ClaimReplica, ClaimReply, ClaimRequest, ClaimStep, ClaimVerdict,
+    Holder, PartitionId, PartitionRecord, Purpose, Replica, RunState,
     claim_attempt::{AttemptEnd, AttemptPhase, ClaimAttempt, ReplicaReplies},
-    run_memory::RunMemory,
 };
 
-/// One node's part in the claims of one service: it asks for its own runs, and keeps the
-/// partitions for which it is named.
-#[derive(Debug)]
-pub struct ClaimNode {
-    /// This node, as a record names it.
-    own: Replica,
-    /// The service.
-    service: ServiceName,
-    /// Limits.
-    limits: ClaimLimits,
-    /// The node's standing with each partition, by index. Never empty.
-    replicas: Vec<ClaimReplica>,
-    /// Claims that wait for replies, by the serial number of their first try.
-    attempts: BTreeMap<u64, ClaimAttempt>,
-    /// The node's own runs.
-    runs: RunMemory,
-    /// The serial number of the next try.
-    next_serial: u64,
-}
-
 impl ClaimNode {
-    /// A node without a part in any partition of `service`.
-    #[must_use]
-    pub fn new(
-        own: Replica,
-        service: ServiceName,
-        partitions: u16,
-        limits: ClaimLimits,
-        now: MonoTime,
-    ) -> Self {
-        let replica = |index| {
-            let partition = PartitionId {
-                service: service.clone(),
-                index,
-            };
-            ClaimReplica::new(own.clone(), partition, now)
-        };
-        let replicas = (0..partitions.max(1)).map(replica).collect();
-        Self {
-            own,
-            service,
-            limits,
-            replicas,
-            attempts: BTreeMap::new(),
-            runs: RunMemory::default(),
-            next_serial: 1,
-        }
-    }
-
-    /// The node's standing with each partition, by index.
-    #[must_use]
-    pub fn replicas(&self) -> &[ClaimReplica] {
-        &self.replicas
-    }
-
-    /// Count of partitions of which the node knows no record, or that it keeps without granting
-    /// keys now.
-    #[must_use]
-    pub fn unsettled(&self, now: MonoTime) -> u16 {
-        let is_open = |held: &&ClaimReplica| !held.is_settled(now, &self.limits);
-        let open = self.replicas.iter().filter(is_open).count();
-        u16::try_from(open).unwrap_or(u16::MAX)
-    }
-
-    /// From now on hands its partitions over.
-    pub fn leave(&mut self) {
-        self.replicas.iter_mut().for_each(ClaimReplica::leave);
-    }
-
-    /// Whether the node may stop without taking memory with it that nobody else has.
-    #[must_use]
-    pub fn has_left(&self) -> bool {
-        self.replicas.iter().all(ClaimReplica::has_left)
-    }
-
-    // --- Claiming ---
-
     /// Begins to claim `key`.
     pub fn begin(&mut self, now: MonoTime, key: KeyDigest, purpose: Purpose) -> ClaimStep {
         let partition = PartitionId::of_key(&self.service, key, self.partitions());
@@ -153,113 +75,6 @@
         }
     }
 
-    // --- Answering ---
-
-    /// Answers another node, or this one.
-    pub fn handle(&mut self, now: MonoTime, request: &ClaimRequest) -> ClaimReply {
-        if let ClaimRequest::Query { ask, .. } = request {
-            return ClaimReply::Run(self.run_state(*ask));
-        }
-        let partition = request.partition();
-        let is_own = partition.service == self.service;
-        let replica = self.replicas.get_mut(usize::from(partition.index));
-        let Some(replica) = replica.filter(|_| is_own) else {
-            return ClaimReply::Unavailable;
-        };
-        match request {
-            ClaimRequest::Claim(ask) => replica.claim(now, &self.limits, ask),
-            ClaimRequest::Release { key, ask, .. } => {
-                replica.release(*key, *ask);
-                ClaimReply::Done
-            }
-            ClaimRequest::Fetch { record, after, .. } => replica
-                .fetch(now, &self.limits, record, *after)
-                .map_or(ClaimReply::Unavailable, ClaimReply::Chunk),
-            ClaimRequest::Learn { record, .. } => {
-                replica.learn(now, &self.limits, record);
-                ClaimReply::Done
-            }
-            ClaimRequest::Query { .. } => ClaimReply::Unavailable,
-        }
-    }
-
-    /// Tells what became of a try. One that still asks is given up, so that the answer stays
-    /// true.
-    fn run_state(&mut self, ask: AskId) -> RunState {
-        let is_own = ask.host == self.own.node && ask.serial < self.next_serial;
-        if !is_own {
-            return RunState::Unknown;
-        }
-        self.attempts.retain(|_, attempt| !attempt.may_run(ask));
-        self.runs.state(ask.serial)
-    }
-
-    // --- Records and time ---
-
-    /// Takes what the store holds of a partition, by a call that was sent at `sent_at`.
-    pub fn confirm(
-        &mut self,
-        now: MonoTime,
-        partition: &PartitionId,
-        sent_at: MonoTime,
-        found: Option<&PartitionRecord>,
-    ) {
-        if let Some(replica) = self.replicas.get_mut(usize::from(partition.index)) {
-            replica.confirm(now, &self.limits, sent_at, found);
-        }
-    }
-
-    /// Takes the reply to a [`ReplicaAction::Fetch`] or [`ReplicaAction::Tell`].
-    pub fn answered(
-        &mut self,
-        now: MonoTime,
-        partition: &PartitionId,
-        action: &ReplicaAction,
-        reply: &ClaimReply,
-    ) {
-        let Some(replica) = self.replicas.get_mut(usize::from(partition.index)) else {
-            return;
-        };
-        match (action, reply) {
-            (ReplicaAction::Fetch { from, record, .. }, ClaimReply::Chunk(chunk)) => {
-                replica.receive(now, from.node, record, chunk);
-            }
-            (ReplicaAction::Tell { to, record }, ClaimReply::Done) => replica.told(to.node, record),
-            _ => {}
-        }
-    }
-
-    /// Time passed. `live` are the hosts of the service that are up, this node included.
-    pub fn tick(
-        &mut self,
-        now: MonoTime,
-        live: &BTreeMap<NodeId, Replica>,
-    ) -> Vec<(PartitionId, ReplicaAction)> {
-        self.runs.expire(now, self.limits.run_retention());
-        // A claim whose caller left is not ended by anyone else.
-        let limit = 2 * self.limits.answer_limit;
-        self.attempts
-            .retain(|_, attempt| now.since(attempt.started_at) <= limit);
-        let mut actions = Vec::new();
-        for (index, replica) in (0..).zip(&mut self.replicas) {
-            for action in replica.tick(now, &self.limits, live) {
-                let partition = PartitionId {
-                    service: self.service.clone(),
-                    index,
-                };
-                actions.push((partition, action));
-            }
-        }
-        actions
-    }
-
-    /// Takes a record from another node.
-    fn learn(&mut self, now: MonoTime, partition: &PartitionId, record: &PartitionRecord) {
-        if let Some(replica) = self.replicas.get_mut(usize::from(partition.index)) {
-            replica.learn(now, &self.limits, record);
-        }
-    }
-
     // --- Parts of a claim ---
 
     /// Count of partitions.
@@ -404,23 +219,48 @@
         let Some(attempt) = self.attempts.remove(&claim) else {
             return ClaimStep::Done(verdict, Vec::new());
         };
+        let mut calls = Vec::new();
         if verdict == ClaimVerdict::Unavailable {
-            let replica = self.replicas.get_mut(usize::from(attempt.partition.index));
-            replica.map(ClaimReplica::doubt);
+            if attempt.is_record_doubtful() {
+                let replica = self.replicas.get_mut(usize::from(attempt.partition.index));
+                replica.map(ClaimReplica::doubt);
+            }
+            calls.extend(self.tell_doubt(now, &attempt));
         }
-        let calls = match attempt.purpose {
-            Purpose::Peek => Vec::new(),
-            Purpose::Run => self.releases(
+        if attempt.purpose == Purpose::Run {
+            calls.extend(self.releases(
                 now,
                 attempt.ask,
                 &attempt.record,
                 &attempt.partition,
                 attempt.key,
-            ),
-        };
+            ));
+        }
         ClaimStep::Done(verdict, calls)
     }
 
+    /// Tells the replica that replied of the one that did not.
+    fn tell_doubt(&mut self, now: MonoTime, attempt: &ClaimAttempt) -> Option<ClaimCall> {
+        let silent = attempt.silent_peer()?;
+        let peer = attempt.record.peer_of(silent)?;
+        let request = ClaimRequest::Doubt {
+            partition: attempt.partition.clone(),
+            epoch: attempt.record.epoch,
+            silent,
+        };
+        if peer.node == self.own.node {
+            self.handle(now, &request);
+            return None;
+        }
+        Some(ClaimCall {
+            claim: attempt.ask.serial,
+            ask: attempt.ask,
+            node: peer.node,
+            address: peer.address,
+            request,
+        })
+    }
+
     /// Takes a try back at both replicas.
     fn releases(
         &mut self,
--- a/crates/fescueway_idempotency/tests/fleet/steps.rs
+++ b/crates/fescueway_idempotency/tests/at_most_once/fleet/steps.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// One way to the store for a node within its budget, in microseconds.
+const STORE_TRIP_US: u64 = 2_000;
+
 impl Fleet {
     pub(super) fn after(&mut self, delay_us: u64, event: Event) {
         self.next_id += 1;
@@ -40,7 +43,11 @@
                     .find(|process| process.own.address == *to)
                     .map(|found| found.own.node)
             }
-            Event::Found { node, .. } | Event::Tick(node) | Event::View { node, .. } => Some(*node),
+            Event::Found { node, .. }
+            | Event::Tick(node)
+            | Event::Look(node)
+            | Event::StoreTurn(node)
+            | Event::View { node, .. } => Some(*node),
             Event::Store { .. } => {
                 self.store_step(event);
                 return;
@@ -67,6 +74,9 @@
                 ..
             } => {
                 let reply = process.node.handle(now, &request);
+                if matches!(request, ClaimRequest::Learn { .. }) {
+                    self.after(0, Event::Look(id));
+                }
                 let is_cut = self.is_cut(id) || self.is_cut(from);
                 if let Some(delay) = self.delay().filter(|_| !is_cut) {
                     self.after(
@@ -92,6 +102,7 @@
                 process
                     .node
                     .confirm(now, &partition, sent_at, found.as_ref());
+                self.after(0, Event::Look(id));
             }
             Event::Act {
                 key,
@@ -100,19 +111,14 @@
                 ..
             } => {
                 process.node.finish(ask, Some(200));
-                let run = KeyRun { granted_at };
-                let runs = self.runs.entry(key).or_default();
-                runs.push(run);
-                runs.sort_by_key(|run| run.granted_at);
+                self.note_run(key, granted_at);
             }
             Event::Tick(_) => {
-                let view = process.view.clone();
-                let actions = process.node.tick(now, &view);
+                self.look(id);
                 self.after(TICK_US, Event::Tick(id));
-                for (partition, action) in actions {
-                    self.act(id, partition, action);
-                }
             }
+            Event::Look(_) => self.look(id),
+            Event::StoreTurn(_) => self.call_store(id),
             Event::View { other, is_up, .. } => {
                 let found = self.processes.get(&other);
                 let found = found.filter(|found| !found.is_leaving || other == id);
@@ -127,33 +133,57 @@
         }
     }
 
+    /// A node looks after its partitions.
+    fn look(&mut self, id: NodeId) {
+        let now = MonoTime::from_micros(self.now);
+        let process = self.processes.get_mut(&id).unwrap();
+        let view = process.view.clone();
+        for (partition, action) in process.node.tick(now, &view) {
+            self.act(id, partition, action);
+        }
+    }
+
+    /// A request ran.
+    fn note_run(&mut self, key: KeyDigest, granted_at: u64) {
+        let runs = self.runs.entry(key).or_default();
+        runs.push(KeyRun { granted_at });
+        runs.sort_by_key(|run| run.granted_at);
+    }
+
+    /// One call of the store for all that a node wants by now.
+    fn call_store(&mut self, node: NodeId) {
+        let now = MonoTime::from_micros(self.now);
+        let process = self.processes.get_mut(&node).unwrap();
+        let asked = std::mem::take(&mut process.wanted).into_iter().collect();
+        let view = process.view.clone();
+        let wanted = process.node.wanted(now, &view, asked);
+        self.store_calls += 1;
+        for (partition, action) in wanted {
+            let event = Event::Store {
+                node,
+                partition,
+                sent_at: self.now,
+                action,
+            };
+            self.after(STORE_TRIP_US, event);
+        }
+    }
+
     pub(super) fn act(&mut self, node: NodeId, partition: PartitionId, action: ReplicaAction) {
-        let request = match &action {
-            ReplicaAction::Fetch {
-                from,
-                record,
-                after,
-            } => Some((
-                from.address,
-                ClaimRequest::Fetch {
-                    partition: partition.clone(),
-                    record: record.clone(),
-                    after: *after,
-                },
-            )),
-            ReplicaAction::Tell { to, record } => Some((
-                to.address,
-                ClaimRequest::Learn {
-                    partition: partition.clone(),
-                    record: record.clone(),
-                },
-            )),
-            ReplicaAction::Read | ReplicaAction::Propose { .. } => None,
-        };
-        if let Some((address, request)) = request {
+        if let Some((address, request)) = action.message(&partition) {
             self.call(node, address, &request, Waiter::Replica(partition, action));
             return;
         }
+        if self.is_paced {
+            let wanted = &mut self.processes.get_mut(&node).unwrap().wanted;
+            let is_waiting = !wanted.is_empty();
+            wanted.insert(partition, action);
+            if !is_waiting {
+                let delay = self.store_turn(node) - self.now;
+                self.after(delay, Event::StoreTurn(node));
+            }
+            return;
+        }
         let sent_at = self.now;
         let delay = self.delay().unwrap_or(3_000_000);
         self.after(
@@ -255,7 +285,10 @@
             }
             Waiter::Replica(partition, action) => {
                 let reply = reply.unwrap_or(ClaimReply::Unavailable);
-                process.node.answered(now, &partition, &action, &reply);
+                let next = process.node.answered(now, &partition, &action, &reply);
+                if let Some(action) = next {
+                    self.act(node, partition, action);
+                }
             }
             Waiter::Nothing => {}
         }
--- a/crates/fescueway_idempotency/tests/at_most_once.rs
+++ b/crates/fescueway_idempotency/tests/at_most_once/main.rs
@@ -1,11 +1,12 @@
 //! A request with an idempotency key runs at most once, whatever fails.
 
 mod fleet;
+mod takeover;
 
 use fescueway_core::{MonoTime, NodeId};
 use fescueway_idempotency::{
-    ClaimLimits, ClaimReplica, ClaimVerdict, PartitionId, PartitionRecord, Purpose, Replica,
-    ReplicaAction, RunState, TableChunk, Tenure,
+    AskId, ClaimAsk, ClaimLimits, ClaimNode, ClaimReplica, ClaimReply, ClaimRequest, ClaimVerdict,
+    PartitionId, PartitionRecord, Purpose, Replica, ReplicaAction, RunState, TableChunk, Tenure,
 };
 use quickcheck::{Gen, QuickCheck, TestResult};
 
@@ -25,7 +26,10 @@
 }
 
 fn storm(seed: u64) -> Result<Fleet, String> {
-    let mut fleet = Fleet::new(seed, 5, 2);
+    storm_over(Fleet::new(seed, 5, 2), seed)
+}
+
+fn storm_over(mut fleet: Fleet, seed: u64) -> Result<Fleet, String> {
     fleet.loss = seed % 3 * 40;
     fleet.give_up = 100;
     fleet.storm(120);
@@ -46,6 +50,17 @@
         .quickcheck(holds as fn(u64) -> TestResult);
 }
 
+/// Replicas are replaced by what hosts and replicas hear of each other, long before membership
+/// tells of a crash.
+#[test]
+fn no_schedule_of_faults_runs_a_key_twice_while_membership_is_slow() {
+    for seed in 0..60 {
+        let mut fleet = Fleet::new(seed, 5, 2);
+        fleet.detection_us = (7 * SECOND_US, 4 * SECOND_US);
+        storm_over(fleet, seed).unwrap();
+    }
+}
+
 /// Seeds under which a key ran twice before its fault was mended: a successor on the address of
 /// the primary answered for it (106, 345, 551), a node that missed an epoch took itself for whole
 /// (7, 18, 27), and a key that was taken over expired by its older claim (135, 540, 579).
@@ -92,6 +107,108 @@
     assert_eq!(node.tenure(), Tenure::Serving);
 }
 
+/// It stops half a retention after the store confirmed the record to its peer, not after it asked.
+#[test]
+fn a_confirmation_of_the_peer_counts_from_its_own_time() {
+    let limits = ClaimLimits::default();
+    let replica = |number: u64| Replica {
+        node: NodeId(number),
+        address: ([127, 0, 0, 1], 1_000).into(),
+        domain: "domain".into(),
+    };
+    let record = PartitionRecord {
+        epoch: 1,
+        primary: replica(1),
+        backup: Some(replica(2)),
+        orphans: None,
+    };
+    let partition = PartitionId::of_key(&fleet::service(), key(1), 1);
+    let at = |seconds: u64| MonoTime::from_micros(seconds * SECOND_US);
+    let is_granting = |epoch, ago_s, now_s| {
+        let mut node = ClaimReplica::new(replica(2), partition.clone(), at(0));
+        node.learn(at(100), &limits, &record);
+        let ago = Some(std::time::Duration::from_secs(ago_s));
+        node.stood(at(101), NodeId(1), at(100), Some(epoch), ago);
+        let ask = ClaimAsk {
+            replica: NodeId(2),
+            partition: partition.clone(),
+            epoch: 1,
+            key: key(1),
+            ask: AskId {
+                host: NodeId(9),
+                serial: 1,
+            },
+            address: replica(9).address,
+            cleared: Vec::new(),
+            is_peek: false,
+        };
+        node.claim(at(now_s), &limits, &ask) == ClaimReply::Granted { epoch: 1 }
+    };
+    let half_s = limits.confirmed_for().as_secs();
+    assert!(is_granting(1, 60, 101));
+    assert!(is_granting(1, 60, 40 + half_s));
+    assert!(!is_granting(1, 60, 41 + half_s));
+    // Another record, and a time before this process began.
+    assert!(!is_granting(2, 60, 101));
+    assert!(!is_granting(1, 101, 101));
+}
+
+/// A day's keys of a partition are about forty parts: with a tick of 100 ms between them a takeover
+/// took four seconds more.
+#[test]
+fn memory_of_many_parts_is_fetched_without_a_tick() {
+    let now = MonoTime::ZERO;
+    let limits = ClaimLimits::default();
+    let replica = |number: u64| Replica {
+        node: NodeId(number),
+        address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
+        domain: "domain".into(),
+    };
+    let record = |epoch, backup| PartitionRecord {
+        epoch,
+        primary: replica(1),
+        backup: Some(replica(backup)),
+        orphans: None,
+    };
+    let partition = || PartitionId::of_key(&fleet::service(), key(1), 1);
+    let mut old = ClaimNode::new(replica(1), fleet::service(), 1, limits.clone(), now);
+    old.confirm(now, &partition(), now, Some(&record(1, 2)));
+    for serial in 0..20_000 {
+        let ask = ClaimAsk {
+            replica: NodeId(1),
+            partition: partition(),
+            epoch: 1,
+            key: key(serial),
+            ask: AskId {
+                host: NodeId(9),
+                serial,
+            },
+            address: replica(9).address,
+            cleared: Vec::new(),
+            is_peek: false,
+        };
+        old.handle(now, &ClaimRequest::Claim(ask));
+    }
+    let mut new = ClaimNode::new(replica(3), fleet::service(), 1, limits, now);
+    new.confirm(now, &partition(), now, Some(&record(2, 3)));
+    let live = [1, 3]
+        .map(|number| (NodeId(number), replica(number)))
+        .into();
+    let is_fetch = |(_, action): &(_, ReplicaAction)| matches!(action, ReplicaAction::Fetch { .. });
+    let mut wanted = new.tick(now, &live).into_iter().filter(is_fetch);
+    let mut next = wanted.next().map(|(_, action)| action);
+    assert!(next.is_some() && wanted.next().is_none());
+    while let Some(action) = next {
+        let (_, request) = action.message(&partition()).unwrap();
+        let reply = old.handle(now, &request);
+        // A tick meanwhile asks for nothing twice.
+        assert!(!new.tick(now, &live).iter().any(is_fetch));
+        next = new.answered(now, &partition(), &action, &reply);
+    }
+    assert_eq!(new.replicas()[0].tenure(), Tenure::Serving);
+    assert_eq!(new.replicas()[0].keys_held(), 20_000);
+}
+
 #[test]
 fn bookings_run_again_after_the_faults() {
     for seed in 0..6 {
