Answer 413 to a streamed body that passes the size limit

Cause: a body of unknown length is read only after the hand-over, so the limit strikes on the way to the backend server. The error reached the entry as a lost answer: 502, and the host, its backend server and the request were blamed for it (a failure at the gate, a strike against the request, an ejection at the entry). The body now keeps in mind why it broke off, the entry answers with the status of that (413, 408 or 400), and the run ends as cancelled.

The outcome is `unknown` for idempotent requests too: the head and a part of the body had left by then, and what was handed over may have run. `not-run` stays for a length that is announced above the limit.

Found by the test on the way: a GET with a chunked body lost it between host and backend server, since the HTTP library sends none for such methods unless told. The host tells it now.

--- a/crates/fescueway_proxy/src/body/body_error.rs
+++ b/crates/fescueway_proxy/src/body/body_error.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use http::StatusCode;
 use thiserror::Error;
 
 /// Why a body ended before its end. The stream that carries it is aborted.
@@ -32,3 +33,15 @@
         limit: u64,
     },
 }
+
+impl BodyError {
+    /// The status for a caller whose own body broke off like this.
+    #[must_use]
+    pub fn caller_status(&self) -> StatusCode {
+        match self {
+            Self::Idle => StatusCode::REQUEST_TIMEOUT,
+            Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Backend { .. } | Self::Caller(_) | Self::Peer(_) => StatusCode::BAD_REQUEST,
+        }
+    }
+}
--- a/crates/fescueway_proxy/src/body/request_body.rs
+++ b/crates/fescueway_proxy/src/body/request_body.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use http::StatusCode;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use tokio::time::{Sleep, sleep};
@@ -36,6 +37,8 @@
     incoming: Incoming,
     /// Whether a byte was asked for. From then on it can't be offered again.
     is_touched: bool,
+    /// The status for the caller, once the body broke off.
+    broken: Option<StatusCode>,
     /// Bytes that may still come.
     bytes_left: u64,
     /// The limit on the whole body in bytes.
@@ -70,6 +73,15 @@
             Self::Streaming(body) => !body.is_touched(),
         }
     }
+
+    /// The status for the caller, when its body broke off.
+    #[must_use]
+    pub fn broken(&self) -> Option<StatusCode> {
+        match self {
+            Self::Empty | Self::Buffered(_) => None,
+            Self::Streaming(body) => body.with(|state| state.broken),
+        }
+    }
 }
 
 impl SharedBody {
@@ -79,6 +91,7 @@
         Self(Arc::new(Mutex::new(SharedState {
             incoming,
             is_touched: false,
+            broken: None,
             bytes_left: limit,
             limit,
             idle,
@@ -99,12 +112,24 @@
 }
 
 impl SharedState {
-    /// The next frame, or an error when it doesn't come in time.
+    /// The next frame. Keeps in mind whether the body broke off.
     fn poll_frame(
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.is_touched = true;
+        let frame = ready!(self.poll_in_time(context));
+        if let Some(Err(error)) = &frame {
+            self.broken = Some(error.caller_status());
+        }
+        Poll::Ready(frame)
+    }
+
+    /// The next frame, or an error when it doesn't come in time.
+    fn poll_in_time(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(frame) => {
                 self.timer = None;
--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    body::{BodyError, RequestBody, SharedBody},
+    body::{RequestBody, SharedBody},
     call_table::ParentCall,
     headers,
     offer_request::OfferRequest,
@@ -123,19 +123,11 @@
     if !is_small || is_expecting {
         return Ok(body);
     }
-    let read = body.collect().await.map_err(|error| body_status(&error))?;
+    let read = body.collect().await;
+    let read = read.map_err(|error| error.caller_status())?;
     Ok(RequestBody::Buffered(read.to_bytes()))
 }
 
-/// The status for a caller whose body broke off.
-fn body_status(error: &BodyError) -> StatusCode {
-    match error {
-        BodyError::Idle => StatusCode::REQUEST_TIMEOUT,
-        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-        _ => StatusCode::BAD_REQUEST,
-    }
-}
-
 /// The authority that the request names.
 fn authority(uri: &Uri, headers: &HeaderMap) -> Arc<str> {
     let named = uri.authority().map(Authority::as_str);
--- a/crates/fescueway_proxy/src/entry/final_answer.rs
+++ b/crates/fescueway_proxy/src/entry/final_answer.rs
@@ -47,6 +47,15 @@
     )
 }
 
+/// The caller's body broke off after the request was handed over.
+pub fn broken_answer(status: StatusCode) -> Response<AnswerBody> {
+    own_answer(
+        status,
+        Outcome::Unknown,
+        "the body was not read to its end; the request may have run",
+    )
+}
+
 /// The value of `fescueway-outcome`.
 pub fn outcome_value(outcome: Outcome) -> HeaderValue {
     HeaderValue::from_static(outcome.as_str())
--- a/crates/fescueway_proxy/src/entry/offer_attempt.rs
+++ b/crates/fescueway_proxy/src/entry/offer_attempt.rs
@@ -52,7 +52,8 @@
     request.terms = permit.terms().clone();
     request.terms.time_left = deadline.since(state.now());
     let answer = send(state, &request).await;
-    open.report(&answer);
+    let is_broken = request.body.broken().is_some();
+    open.report(&answer, is_broken);
     match answer {
         OfferAnswer::Refused { refusal, .. } => {
             let terms = permit.refused(&refusal);
@@ -62,7 +63,9 @@
             AttemptEnd::Answered(response, permit.hand_over())
         }
         OfferAnswer::Lost { error, .. } => {
-            if let Some(error) = error {
+            if let Some(error) = error
+                && !is_broken
+            {
                 emit(&path::ANSWER_LOST, &[&request.terms.service, &error]);
             }
             AttemptEnd::Lost(permit.hand_over())
@@ -94,9 +97,10 @@
         }
     }
 
-    /// The offer ended: takes in the load report.
-    fn report(&mut self, answer: &OfferAnswer) {
-        self.end = self.end_of(answer);
+    /// The offer ended: takes in the load report. A request whose own body is broken tells
+    /// nothing of the host.
+    fn report(&mut self, answer: &OfferAnswer, is_broken: bool) {
+        self.end = self.end_of(answer, is_broken);
         if let Some(load) = load_of(answer) {
             let now = self.state.now();
             let routes = self.state.routes();
@@ -105,8 +109,9 @@
     }
 
     /// What the router is told of `answer`.
-    fn end_of(&self, answer: &OfferAnswer) -> OfferEnd {
+    fn end_of(&self, answer: &OfferAnswer, is_broken: bool) -> OfferEnd {
         match answer {
+            OfferAnswer::Lost { .. } if is_broken => OfferEnd::Cancelled,
             OfferAnswer::Refused { refusal, .. } => OfferEnd::Refused(*refusal),
             OfferAnswer::Lost { .. } => OfferEnd::Lost,
             OfferAnswer::Answered { response, .. } => OfferEnd::Answered {
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -8,7 +8,7 @@
 use tokio::time::{sleep, timeout_at};
 
 use super::{
-    final_answer::{lost_answer, outcome_value, refused_answer},
+    final_answer::{broken_answer, lost_answer, outcome_value, refused_answer},
     hedge::{better_end, is_success},
     offer_attempt::{AttemptEnd, attempt},
 };
@@ -163,7 +163,10 @@
         }
         if self.is_lost {
             record.outcome = Some(Outcome::Unknown);
-            return lost_answer(StatusCode::BAD_GATEWAY);
+            return match self.request.body.broken() {
+                Some(status) => broken_answer(status),
+                None => lost_answer(StatusCode::BAD_GATEWAY),
+            };
         }
         // A host knows better than the entry why there is no place for the request.
         let outcome = self.refused_outcome();
--- a/crates/fescueway_proxy/src/host/backend_error.rs
+++ b/crates/fescueway_proxy/src/host/backend_error.rs
@@ -11,6 +11,8 @@
     Connect,
     /// Sending the request, of which no byte left.
     Send,
+    /// Reading the request's body, which broke off: the request may have run.
+    Body,
     /// Waiting for the answer: the request may have run.
     Receive,
 }
@@ -47,6 +49,12 @@
     /// Whether the request surely did not run.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
-        self.step != BackendStep::Receive
+        matches!(self.step, BackendStep::Connect | BackendStep::Send)
+    }
+
+    /// Whether the caller or the entry broke the request off, and not the backend server.
+    #[must_use]
+    pub fn is_caller_side(&self) -> bool {
+        self.step == BackendStep::Body
     }
 }
--- a/crates/fescueway_proxy/src/host/backend_pool.rs
+++ b/crates/fescueway_proxy/src/host/backend_pool.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::VecDeque,
+    error::Error,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -25,7 +26,9 @@
 
 use super::{BackendError, BackendStep};
 use crate::{
-    body::HostBody, proxy_limits::ProxyLimits, socket_options::set_socket_options,
+    body::{BodyError, HostBody},
+    proxy_limits::ProxyLimits,
+    socket_options::set_socket_options,
     task_group::TaskGroup,
 };
 
@@ -188,11 +191,7 @@
         let sent = connection.sender.try_send_request(request).await;
         sent.map_err(|mut failure| {
             let unsent = failure.take_message();
-            let step = if unsent.is_some() {
-                BackendStep::Send
-            } else {
-                BackendStep::Receive
-            };
+            let step = failed_step(unsent.is_some(), failure.error());
             let error = BackendError::new(step, self.0.address, failure.error());
             SendEnd { error, unsent }
         })
@@ -303,6 +302,17 @@
     }
 }
 
+/// The step at which sending a request failed.
+fn failed_step(is_unsent: bool, error: &hyper::Error) -> BackendStep {
+    if is_unsent {
+        return BackendStep::Send;
+    }
+    match error.source() {
+        Some(cause) if cause.is::<BodyError>() => BackendStep::Body,
+        _ => BackendStep::Receive,
+    }
+}
+
 /// The same request once more, when its body can be read again.
 fn replay(request: &Request<HostBody>) -> Option<Request<HostBody>> {
     let mut again = Request::new(request.body().replay()?);
--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -1,6 +1,6 @@
 //! Offers at the host, from other nodes and from the entry on the same node.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt::Display, sync::Arc, time::Duration};
 
 use fescueway_core::{Idempotency, LoadReport, Outcome, Refusal, RefusalReason};
 use fescueway_telemetry::{emit, events::path};
@@ -41,7 +41,7 @@
         },
         RunAnswer::Refused(refusal) => OfferAnswer::refused(refusal, Some(load)),
         RunAnswer::Lost(error) => {
-            emit(&path::ANSWER_LOST, &[&offer.terms.service, &error]);
+            tell_lost(&offer.terms.service, &error);
             OfferAnswer::Lost {
                 load: Some(load),
                 error: None,
@@ -128,13 +128,20 @@
         }
         RunAnswer::Refused(refusal) => refuse(reply, refusal, load),
         RunAnswer::Lost(error) => {
-            emit(&path::ANSWER_LOST, &[&target.pool().address(), &error]);
+            tell_lost(&target.pool().address(), &error);
             // An entry that left needs no answer.
             let _ = reply.send(&AnswerHead::Lost { load }, true);
         }
     }
 }
 
+/// Logs that the answer of `target` was lost, unless the caller broke its request off.
+fn tell_lost(target: &dyn Display, error: &BackendError) {
+    if !error.is_caller_side() {
+        emit(&path::ANSWER_LOST, &[target, error]);
+    }
+}
+
 /// Sends a backend server's answer to the entry.
 async fn send_answer(
     response: Response<BackendBody>,
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -6,8 +6,9 @@
 use fescueway_core::{Idempotency, Refusal, RefusalReason};
 use http::{
     HeaderValue, Request, Response,
-    header::{CONNECTION, HOST, TE},
+    header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRANSFER_ENCODING},
 };
+use http_body::Body;
 use hyper::body::Incoming;
 
 use super::{
@@ -100,7 +101,13 @@
                 RunAnswer::Answered(Box::new(to_answer(response, run, is_kept, idle)))
             }
             Err(error) => {
-                self.ticket.set_end(RunEnd::Lost);
+                // What the caller broke off says nothing about the backend server.
+                let is_cancelled = error.is_caller_side();
+                self.ticket.set_end(if is_cancelled {
+                    RunEnd::Cancelled
+                } else {
+                    RunEnd::Lost
+                });
                 if error.is_unsent() {
                     self.ticket.take_back();
                     RunAnswer::Refused(unreachable_backend())
@@ -123,6 +130,10 @@
         headers.insert(headers::CALL, token);
     }
     headers.insert(headers::TIME_LEFT, HeaderValue::from(time_left));
+    if !body.is_end_stream() && !headers.contains_key(CONTENT_LENGTH) {
+        // Without it the HTTP library sends no body with a method that seldom has one.
+        headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+    }
     if headers.contains_key(TE) {
         headers.insert(CONNECTION, HeaderValue::from_static("te"));
     }
--- a/crates/fescuewayd/tests/path/common.rs
+++ b/crates/fescuewayd/tests/path/common.rs
@@ -1,6 +1,6 @@
 //! What the tests of the path share: nodes on loopback and a plain HTTP client.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{error::Error, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use fescueway_config::{ConfigSet, Document, SitePlan};
@@ -10,7 +10,10 @@
 use fescuewayd::{Daemon, DaemonSettings};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::{
+    body::{Body, Incoming},
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::sleep};
 
@@ -19,10 +22,16 @@
 
 /// A service on every path: GET is idempotent, all else is not.
 pub fn plan(service: &str, deadline: Duration) -> Arc<SitePlan> {
+    plan_with(service, deadline, "{}")
+}
+
+/// The same with the service's `limit`, in JSON.
+pub fn plan_with(service: &str, deadline: Duration, limit: &str) -> Arc<SitePlan> {
     let deadline_ms = deadline.as_millis();
     let base = format!(
         r#"{{ "services": {{ "{service}": {{
             "path_prefixes": ["/"],
+            "limit": {limit},
             "default_route": {{ "idempotency": "non-idempotent", "deadline_ms": {deadline_ms} }},
             "routes": {{ "read": {{
                 "method": "GET", "path_prefix": "/",
@@ -90,12 +99,21 @@
 
 /// Sends one request on a connection of its own.
 pub async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    let mut sender = connect(address).await;
+    sender.send_request(request).await.expect("an answer")
+}
+
+/// Opens a connection for requests, one after the other.
+pub async fn connect<B>(address: SocketAddr) -> SendRequest<B>
+where
+    B: Body<Data = Bytes, Error: Error + Send + Sync> + Send + 'static,
+{
     let socket = TcpStream::connect(address).await.expect("the node listens");
-    let (mut sender, connection) = http1::handshake(TokioIo::new(socket))
+    let (sender, connection) = http1::handshake(TokioIo::new(socket))
         .await
         .expect("a handshake sends nothing");
     tokio::spawn(connection);
-    sender.send_request(request).await.expect("an answer")
+    sender
 }
 
 /// A request without a body.
--- a/crates/fescuewayd/tests/path/outcomes.rs
+++ b/crates/fescuewayd/tests/path/outcomes.rs
@@ -2,12 +2,17 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use fescueway_testkit::{BackendFault, BackendPlan, BackendStub};
-use http_body_util::BodyExt;
+use fescuewayd::DaemonSettings;
+use http::{Request, Response};
+use http_body_util::{BodyExt, channel::Channel};
+use hyper::body::Incoming;
 use tokio::{net::TcpStream, time::sleep};
 
 use crate::common::{
-    TwoNodes, announce, get, header, knows_targets, node, plan, request, send, text,
+    TwoNodes, announce, connect, get, header, knows_targets, node, node_with, plan, request, send,
+    text,
 };
 
 const DEADLINE: Duration = Duration::from_secs(2);
@@ -250,3 +255,53 @@
     assert_eq!(header(&exceeds, "fescueway-outcome"), "not-run");
     assert_eq!(nodes.backend.tally().runs, 1);
 }
+
+/// Sends a body of unknown length, in `pieces` of 8 bytes.
+async fn send_pieces(address: SocketAddr, method: &str, pieces: usize) -> Response<Incoming> {
+    let mut sender = connect(address).await;
+    let (mut body, channel) = Channel::<Bytes>::new(1);
+    tokio::spawn(async move {
+        for _ in 0..pieces {
+            // A node that has heard enough closes the connection.
+            let _ = body.send_data(Bytes::from_static(b"8 bytes.")).await;
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+    let request = Request::builder().method(method).uri("/windows");
+    let request = request.header("host", "test");
+    // For a GET the library wants to be told.
+    let request = request.header("transfer-encoding", "chunked").body(channel);
+    let answering = sender.send_request(request.expect("a valid request"));
+    answering.await.expect("an answer")
+}
+
+#[tokio::test]
+async fn a_streamed_body_that_passes_the_limit_is_too_large_and_blames_no_host() {
+    let plan = plan("windows", DEADLINE);
+    let limit = |settings: &mut DaemonSettings| settings.limits.body_bytes = 20;
+    let backend = BackendStub::start(BackendPlan::default())
+        .await
+        .expect("a port");
+    let entry = node_with(&plan, &[], limit).await;
+    let host = node_with(&plan, &[entry.addresses().peers], limit).await;
+    announce(&host, "windows", backend.address());
+    knows_targets(&entry, 1).await;
+    // Through the other node, and at the backend server's own.
+    for address in [entry.addresses().callers, host.addresses().callers] {
+        for method in ["POST", "GET"] {
+            let fits = send_pieces(address, method, 2).await;
+            assert_eq!(fits.status(), 200);
+            let seen = text(fits).await;
+            assert!(seen.contains("\"body_bytes\":16"), "{method}: {seen}");
+            let exceeds = send_pieces(address, method, 3).await;
+            assert_eq!(exceeds.status(), 413, "{method}");
+            assert_eq!(header(&exceeds, "fescueway-outcome"), "unknown", "{method}");
+        }
+    }
+    let target = host.state().host_target(&"windows".into());
+    assert_eq!(
+        target.map(|target| target.report().failed_permille),
+        Some(0)
+    );
+    assert_eq!(backend.tally().runs, 4);
+}
--- a/crates/fescuewayd/tests/path/streaming.rs
+++ b/crates/fescuewayd/tests/path/streaming.rs
@@ -7,11 +7,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body::Frame;
 use http_body_util::{BodyExt, Empty, channel::Channel};
-use hyper::{
-    client::conn::{http1, http2},
-    server::conn as server,
-    service::service_fn,
-};
+use hyper::{client::conn::http2, server::conn as server, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -20,8 +16,8 @@
 };
 
 use crate::common::{
-    SOON, TwoNodes, announce, eventually, get, header, knows_targets, node, node_with, plan, send,
-    text,
+    SOON, TwoNodes, announce, connect, eventually, get, header, knows_targets, node, node_with,
+    plan, send, text,
 };
 
 const DEADLINE: Duration = Duration::from_secs(20);
@@ -111,12 +107,7 @@
 #[tokio::test]
 async fn a_long_body_and_its_trailers_reach_the_backend_server() {
     let nodes = TwoNodes::start(DEADLINE, BackendPlan::default()).await;
-    let address = nodes.entry.addresses().callers;
-    let socket = TcpStream::connect(address).await.expect("the node listens");
-    let (mut sender, connection) = http1::handshake(TokioIo::new(socket))
-        .await
-        .expect("a handshake sends nothing");
-    tokio::spawn(connection);
+    let mut sender = connect(nodes.entry.addresses().callers).await;
     let (mut body, channel) = Channel::<Bytes>::new(1);
     let request = Request::post("/windows")
         .header("host", "a")
