Change live gates with the configuration

Cause: a gate took `limit.queue_per_slot` once, with the announcement of its target, and nobody told it of a later configuration; only a restart or another announcement did. `ProxyState::apply_plan` now tells every target. What waits stays when the queue gets shorter: the length counts when an offer arrives. A target that is announced while a configuration comes into force is made under the same lock.

Before: in the new test nothing waited after the queue was lengthened. After: both wait, and both are answered though the queue is shortened to none meanwhile.

--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -205,6 +205,12 @@
         self.is_draining = false;
     }
 
+    /// From now on lets this many requests wait for each slot. What waits already stays, also when
+    /// fewer may wait now.
+    pub fn set_queue_per_slot(&mut self, queue_per_slot: f64) {
+        self.plan.queue_per_slot = queue_per_slot;
+    }
+
     /// Whether nothing runs and nothing waits.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/crates/fescueway_admission/src/wait_queue.rs
+++ b/crates/fescueway_admission/src/wait_queue.rs
@@ -34,7 +34,7 @@
 /// [`LOW_HANDICAP`] longer than if the queue were in order of arrival, so none starves.
 #[derive(Debug)]
 pub(crate) struct WaitQueue {
-    /// The offers, the first one to go at the end. Its capacity is set once.
+    /// The offers, the first one to go at the end.
     offers: Vec<QueuedOffer>,
 }
 
@@ -56,7 +56,7 @@
 }
 
 impl WaitQueue {
-    /// An empty queue for at most `capacity` offers.
+    /// An empty queue with room for `capacity` offers.
     pub(crate) fn new(capacity: usize) -> Self {
         Self {
             offers: Vec::with_capacity(capacity),
--- a/crates/fescueway_proxy/src/host/host_target.rs
+++ b/crates/fescueway_proxy/src/host/host_target.rs
@@ -108,6 +108,11 @@
         self.state().gate.undrain(self.clock.now());
     }
 
+    /// From now on lets this many requests wait for each slot; none that waits is refused for it.
+    pub fn set_queue_per_slot(&self, queue_per_slot: f64) {
+        self.state().gate.set_queue_per_slot(queue_per_slot);
+    }
+
     /// Whether nothing runs and nothing waits.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -213,6 +213,11 @@
     pub fn apply_plan(&self, plan: Arc<SitePlan>) {
         self.0.routes.apply_plan(&plan);
         *lock(&self.0.plan) = plan;
+        let plan = self.plan();
+        // A target that is announced meanwhile is made under this lock, by the new plan or before.
+        for (service, target) in &*self.hosts() {
+            target.set_queue_per_slot(queue_per_slot(&plan, service));
+        }
     }
 
     /// Adds or replaces a target of the fleet.
@@ -256,6 +261,8 @@
         {
             return;
         }
+        let service = announcement.service.clone();
+        let mut hosts = self.hosts();
         let plan = self.gate_plan(announcement);
         let ramp_time = plan.ramp_time;
         let target = Arc::new(HostTarget::new(
@@ -266,8 +273,8 @@
             self.0.tasks.clone(),
             self.0.clock,
         ));
-        let service = announcement.service.clone();
-        self.hosts().insert(service.clone(), Arc::clone(&target));
+        hosts.insert(service.clone(), Arc::clone(&target));
+        drop(hosts);
         let warming = self.clone().end_start(service, target, ramp_time);
         self.0.tasks.spawn(warming);
         self.publish(record);
@@ -348,14 +355,10 @@
 
     /// What the announcement and the configuration mean for the gate.
     fn gate_plan(&self, announcement: &BackendAnnouncement) -> GatePlan {
-        let default = GatePlan::default();
-        let plan = self.plan();
-        let service = plan.services.get(&announcement.service);
-        let queue_per_slot = service.map(|plan| plan.limit.queue_per_slot);
         GatePlan {
             slots: announcement.slots,
-            queue_per_slot: queue_per_slot.unwrap_or(default.queue_per_slot),
-            ..default
+            queue_per_slot: queue_per_slot(&self.plan(), &announcement.service),
+            ..GatePlan::default()
         }
     }
 
@@ -402,6 +405,13 @@
     }
 }
 
+/// Requests of a service that may wait for each slot of its target.
+fn queue_per_slot(plan: &SitePlan, service: &ServiceName) -> f64 {
+    let service = plan.services.get(service);
+    let configured = service.map(|plan| plan.limit.queue_per_slot);
+    configured.unwrap_or(GatePlan::default().queue_per_slot)
+}
+
 /// Whether two records differ in nothing but their state.
 fn is_same(known: &TargetRecord, record: &TargetRecord) -> bool {
     known.slots == record.slots && known.connections == record.connections
--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -3,6 +3,7 @@
 mod backends;
 mod common;
 mod hostile_peers;
+mod live_gates;
 mod mixed_answers;
 mod nested_calls;
 mod outcomes;
