Limit what hostile and frozen peers cost, and hear load reports

Hostile peers. Cause: each refused frame or connection logged E1001, at the pace of whoever sends them.

Frozen peers. Cause: a stop waits until peers closed their connections, h2 waits for the answer to the ping of its goodbye, and a frozen peer never gives it; one that never spoke held up the handshake. Now a closing connection is let go once for 1 s no stream was served on it and the socket took every byte; a handshake, 1 s after the stop began. Not by the end of the last stream alone: an answer may still wait for a slow reader, and a stop cuts none. Ruled out: not waiting for peers at all, as offers that crossed the goodbye would be lost in place of refused.

--- a/crates/fescueway_proxy/src/headers.rs
+++ b/crates/fescueway_proxy/src/headers.rs
@@ -23,6 +23,12 @@
 /// tells it.
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("fescueway-time-left-ms");
 
+/// The load of a backend server, which it tells its host node with an answer (ORCA).
+pub const LOAD: HeaderName = HeaderName::from_static("endpoint-load-metrics");
+
+/// The same as a binary message, which is not read.
+const LOAD_BINARY: HeaderName = HeaderName::from_static("endpoint-load-metrics-bin");
+
 /// Header fields that begin with this are fescueway's own.
 const OWN_PREFIX: &str = "fescueway-";
 
@@ -75,9 +81,12 @@
     })
 }
 
-/// Removes what only one connection means and what only fescueway may say from an answer.
+/// Removes what only one connection means, what only fescueway may say, and what is meant for the
+/// host node alone from an answer.
 pub fn strip_answer(headers: &mut HeaderMap) {
     strip_hop_by_hop(headers);
+    headers.remove(LOAD);
+    headers.remove(LOAD_BINARY);
     strip_own(headers);
 }
 
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -84,6 +84,7 @@
         body: HostBody,
     ) -> RunAnswer {
         let pool = self.ticket.target().pool().clone();
+        let service = request.terms.service.clone();
         let call = state.calls().enter(&request.terms, state.now());
         let is_kept = request.terms.idempotency == Idempotency::NonIdempotent;
         let request = to_backend(request, body, call.token());
@@ -92,6 +93,9 @@
             Ok((response, connection)) => {
                 let mut ticket = self.ticket;
                 ticket.answered(response.status().as_u16());
+                if let Some(load) = response.headers().get(headers::LOAD) {
+                    state.record_load(&service, load.as_bytes());
+                }
                 let run = RunningCall {
                     ticket,
                     connection,
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -13,6 +13,7 @@
 mod headers;
 mod host;
 mod mono_clock;
+mod observer_slot;
 mod offer_answer;
 mod offer_request;
 mod open_guard;
--- a/crates/fescueway_proxy/src/peer/mod.rs
+++ b/crates/fescueway_proxy/src/peer/mod.rs
@@ -2,6 +2,7 @@
 
 mod control_table;
 mod frame_reader;
+mod link_activity;
 mod peer_error;
 mod peer_link;
 mod peer_offer;
@@ -9,6 +10,7 @@
 mod peer_reply;
 mod peer_server;
 mod pump_guard;
+mod watched_socket;
 
 pub use self::{
     control_table::ControlTable,
--- a/crates/fescueway_proxy/src/peer/peer_server.rs
+++ b/crates/fescueway_proxy/src/peer/peer_server.rs
@@ -1,6 +1,6 @@
 //! Takes streams from other nodes.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use fescueway_telemetry::{emit, events::path};
@@ -12,21 +12,27 @@
 use http::{Request, StatusCode};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
-    time::timeout,
+    sync::Semaphore,
+    time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
 use super::{
     FrameReader, PeerReply,
+    link_activity::LinkActivity,
     peer_error::PeerCause,
     peer_link::{LINK_WINDOW_BYTES, PEER_SILENCE, STREAM_WINDOW_BYTES, STREAMS_PER_LINK},
+    watched_socket::WatchedSocket,
 };
 use crate::{host::serve_offer, proxy_state::ProxyState, socket_options::set_socket_options};
 
 /// The largest list of HTTP/2 header fields in bytes. Ours are a handful.
 const HEADER_LIST_BYTES: u32 = 4_096;
 
+/// Time in which a peer that runs answers a goodbye. Until then it may have sent an offer that
+/// crossed it.
+const GOODBYE_ANSWER: Duration = Duration::from_secs(1);
+
 /// Takes connections of peers until `closing` is cancelled.
 pub async fn serve_peers(state: ProxyState, listener: TcpListener, closing: CancellationToken) {
     let places = Arc::new(Semaphore::new(state.limits().peer_connections));
@@ -48,10 +54,16 @@
     }
 }
 
-/// Keeps `place` while `work` runs.
-async fn hold(place: OwnedSemaphorePermit, work: impl Future<Output = ()>) {
+/// Keeps `guard` while `work` runs.
+async fn hold<T>(guard: T, work: impl Future<Output = ()>) {
     work.await;
-    drop(place);
+    drop(guard);
+}
+
+/// Waits until `time` after `token` was cancelled.
+async fn cancelled_for(token: &CancellationToken, time: Duration) {
+    token.cancelled().await;
+    sleep(time).await;
 }
 
 /// Takes the streams of one connection.
@@ -63,18 +75,26 @@
 ) {
     let _open = state.peer_connection();
     if let Err(error) = set_socket_options(&socket, PEER_SILENCE) {
-        return emit(&path::PEER_REFUSED, &[&peer, &error]);
+        return state.refuse_peer(peer, &error);
     }
+    let socket = WatchedSocket::new(socket);
+    let activity = LinkActivity::new(socket.blocked());
     let handshake = Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(LINK_WINDOW_BYTES)
         .max_concurrent_streams(STREAMS_PER_LINK)
         .max_header_list_size(HEADER_LIST_BYTES)
         .handshake(socket);
-    let mut connection = match timeout(state.limits().header_timeout, handshake).await {
+    let handshake = timeout(state.limits().header_timeout, handshake);
+    let ended = tokio::select! {
+        ended = handshake => ended,
+        // A peer that says nothing has nothing in flight.
+        () = cancelled_for(&closing, GOODBYE_ANSWER) => return,
+    };
+    let mut connection = match ended {
         Ok(Ok(connection)) => connection,
-        Ok(Err(error)) => return emit(&path::PEER_REFUSED, &[&peer, &error]),
-        Err(elapsed) => return emit(&path::PEER_REFUSED, &[&peer, &elapsed]),
+        Ok(Err(error)) => return state.refuse_peer(peer, &error),
+        Err(elapsed) => return state.refuse_peer(peer, &elapsed),
     };
     let mut is_closing = false;
     loop {
@@ -85,14 +105,17 @@
                 connection.graceful_shutdown();
                 continue;
             }
+            // A peer that is frozen never answers the goodbye.
+            () = activity.quiet_for(GOODBYE_ANSWER), if is_closing => return,
         };
         match accepted {
             Some(Ok((request, opener))) => {
+                let open = activity.open_stream();
                 let stream = serve_stream(state.clone(), peer, request, opener);
-                state.tasks().spawn(stream);
+                state.tasks().spawn(hold(open, stream));
             }
             Some(Err(error)) if error.is_io() => return,
-            Some(Err(error)) => return emit(&path::PEER_REFUSED, &[&peer, &error]),
+            Some(Err(error)) => return state.refuse_peer(peer, &error),
             None => return,
         }
     }
@@ -117,12 +140,12 @@
             let _ = reply.send(&answer, true);
         }
         Ok(Err(PeerCause::Frame(error))) => {
-            emit(&path::PEER_REFUSED, &[&peer, &error]);
+            state.refuse_peer(peer, &error);
             reply.reject(StatusCode::BAD_REQUEST);
         }
         Ok(Err(_)) => {}
         Err(elapsed) => {
-            emit(&path::PEER_REFUSED, &[&peer, &elapsed]);
+            state.refuse_peer(peer, &elapsed);
             reply.reject(StatusCode::REQUEST_TIMEOUT);
         }
     }
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt::Display,
     net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -13,6 +14,7 @@
 use fescueway_admission::GatePlan;
 use fescueway_config::SitePlan;
 use fescueway_core::{MonoTime, NodeId, ServiceName, TargetRecord, TargetState};
+use fescueway_telemetry::{EventLimit, events::path};
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
@@ -20,6 +22,7 @@
     call_table::CallTable,
     host::{HostTarget, RunChecks},
     mono_clock::MonoClock,
+    observer_slot::ObserverSlot,
     open_guard::OpenGuard,
     peer::{ControlTable, PeerPool},
     proxy_limits::ProxyLimits,
@@ -30,7 +33,11 @@
 };
 
 /// Hears of each request that got its answer's head.
-type RequestObserver = Arc<dyn Fn(&RequestRecord) + Send + Sync>;
+type RequestObserver = dyn Fn(&RequestRecord) + Send + Sync;
+
+/// Hears of each load report that came with an answer of a backend server beside the node: the
+/// service and the header field's value.
+type LoadObserver = dyn Fn(&ServiceName, &[u8]) + Send + Sync;
 
 /// What the path of requests shares with the rest of a node. Cheap to clone.
 #[derive(Clone)]
@@ -68,8 +75,12 @@
     caller_connections: Arc<AtomicUsize>,
     /// Connections that peers opened.
     peer_connections: Arc<AtomicUsize>,
+    /// Keeps hostile peers from flooding the log.
+    refused_peers: EventLimit<IpAddr>,
     /// Hears of each request.
-    observer: Mutex<Option<RequestObserver>>,
+    request_observer: ObserverSlot<RequestObserver>,
+    /// Hears of each load report.
+    load_observer: ObserverSlot<LoadObserver>,
 }
 
 impl ProxyState {
@@ -97,7 +108,9 @@
             open_requests: Arc::default(),
             caller_connections: Arc::default(),
             peer_connections: Arc::default(),
-            observer: Mutex::default(),
+            refused_peers: EventLimit::new(&path::PEER_REFUSED),
+            request_observer: ObserverSlot::default(),
+            load_observer: ObserverSlot::default(),
             options,
         }))
     }
@@ -184,6 +197,12 @@
         OpenGuard::new(&self.0.peer_connections)
     }
 
+    /// Logs that a peer's bytes were refused.
+    pub(crate) fn refuse_peer(&self, peer: SocketAddr, error: &dyn Display) {
+        let limit = &self.0.refused_peers;
+        limit.emit(self.now(), peer.ip(), &[&peer, error]);
+    }
+
     /// Counts a caller's connection until the guard is dropped.
     pub(crate) fn caller_connection(&self) -> OpenGuard {
         OpenGuard::new(&self.0.caller_connections)
@@ -232,16 +251,28 @@
 
     /// From now on `observer` hears of each request that got its answer's head.
     pub fn observe(&self, observer: impl Fn(&RequestRecord) + Send + Sync + 'static) {
-        *lock(&self.0.observer) = Some(Arc::new(observer));
+        self.0.request_observer.set(Arc::new(observer));
+    }
+
+    /// From now on `observer` hears of each load report that comes with an answer of a backend
+    /// server beside the node: the service and the value of its `endpoint-load-metrics` field.
+    pub fn observe_load(&self, observer: impl Fn(&ServiceName, &[u8]) + Send + Sync + 'static) {
+        self.0.load_observer.set(Arc::new(observer));
     }
 
     /// Tells the observer of a request.
     pub(crate) fn record(&self, record: &RequestRecord) {
-        let observer = lock(&self.0.observer).clone();
-        if let Some(observer) = observer {
+        if let Some(observer) = self.0.request_observer.get() {
             observer(record);
         }
     }
+
+    /// Tells the observer of a load report.
+    pub(crate) fn record_load(&self, service: &ServiceName, field: &[u8]) {
+        if let Some(observer) = self.0.load_observer.get() {
+            observer(service, field);
+        }
+    }
 }
 
 /// The backend servers beside this node.
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -13,12 +13,12 @@
     advice: "Raise the limit of open files, or lower the node's limits on connections.",
 };
 
-/// A peer's connection or message was refused.
+/// A peer's connection or message was refused. Logged once a second for each address.
 pub const PEER_REFUSED: EventKind = EventKind {
     number: 1001,
     level: Level::Warn,
     summary: "a peer's bytes were refused",
-    fields: &["peer", "error"],
+    fields: &["peer", "error", "suppressed"],
     advice: "Find out what connects to the peer address; during an upgrade, finish it.",
 };
 
@@ -67,6 +67,16 @@
     advice: "See whether it crashed. A backend server that stops on purpose leaves first.",
 };
 
+/// A load report that came with an answer was ignored. Logged once a second for each service.
+pub const LOAD_IGNORED: EventKind = EventKind {
+    number: 1007,
+    level: Level::Warn,
+    summary: "a load report in the header of an answer was ignored",
+    fields: &["service", "error", "suppressed"],
+    advice: "Mend what the backend server sends in `endpoint-load-metrics`, or send none. The \
+             answer itself was passed on.",
+};
+
 /// Every event of this area.
 pub const ALL: &[&EventKind] = &[
     &ACCEPT_FAILED,
@@ -76,4 +86,5 @@
     &BACKEND_ANNOUNCED,
     &BACKEND_LEFT,
     &BACKEND_SILENT,
+    &LOAD_IGNORED,
 ];
--- a/crates/fescueway_telemetry/src/lib.rs
+++ b/crates/fescueway_telemetry/src/lib.rs
@@ -1,6 +1,7 @@
 //! What operators see: numbered events, metrics and service-level burn.
 //!
-//! Events ([`EventKind`], [`emit`]) go to the log, whose form [`LogPlan`] sets. A [`MetricSet`]
+//! Events ([`EventKind`], [`emit`]) go to the log, whose form [`LogPlan`] sets; an [`EventLimit`]
+//! keeps those that strangers can cause at will from flooding it. A [`MetricSet`]
 //! holds the metrics of one node; nothing is global. A [`BurnTracker`] counts which requests kept
 //! their objective and makes the [`BurnReport`] from it; it is given the time and reads no clock.
 
@@ -9,6 +10,7 @@
 mod burn_tracker;
 mod count_ring;
 mod event_kind;
+mod event_limit;
 mod event_page;
 pub mod events;
 mod log_setup;
@@ -24,6 +26,7 @@
     },
     burn_tracker::{AlarmChange, BurnTracker},
     event_kind::{EventKind, LOG_TARGET, emit},
+    event_limit::EventLimit,
     event_page::event_page,
     log_setup::{LogForm, LogPlan},
     metric_set::{MetricError, MetricSet, NodeTotals},
--- a/crates/fescuewayd/tests/path/stopping.rs
+++ b/crates/fescuewayd/tests/path/stopping.rs
@@ -8,15 +8,22 @@
 use fescueway_wire::{HeaderList, OfferHead, StreamHead, encode_frame};
 use http::Request;
 use http_body_util::BodyExt;
-use tokio::{net::TcpStream, time::sleep};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
-use crate::common::{TwoNodes, eventually, get, header, request, send};
+use crate::common::{SOON, TwoNodes, eventually, get, header, node_with, plan, request, send};
 
 const DEADLINE: Duration = Duration::from_secs(5);
 
 /// Time until the requests below are in flight.
 const UNDER_WAY: Duration = Duration::from_millis(100);
 
+/// What opens an HTTP/2 connection: the preface and empty settings.
+const OPENING: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00";
+
 /// Bytes that a slow entry takes at once.
 const SMALL_WINDOW: u32 = 1_024;
 
@@ -135,3 +142,24 @@
     assert!(count > 3_000, "{count} bytes with the head");
     stopping.await.expect("no panic");
 }
+
+#[tokio::test]
+async fn a_stop_does_not_wait_for_frozen_peers_without_a_request() {
+    let node = node_with(&plan("windows", DEADLINE), &[], |settings| {
+        settings.stop_timeout = 6 * SOON;
+    })
+    .await;
+    let address = node.addresses().peers;
+    // One that said nothing yet, and one that never answers the goodbye.
+    let silent = TcpStream::connect(address).await.expect("the node listens");
+    let mut frozen = TcpStream::connect(address).await.expect("the node listens");
+    frozen.write_all(OPENING).await.expect("an open socket");
+    eventually("both are connected", || {
+        node.state().peer_connections() == 2
+    })
+    .await;
+    timeout(SOON, node.stop())
+        .await
+        .expect("nothing is in flight");
+    drop((silent, frozen));
+}
