Let load reports with answers spare probes, and allow for no load endpoint

Load reports. A backend server may tell of its load in `endpoint-load-metrics` (ORCA, text or JSON). The stand-in did so all along, the host passed it on to callers and probed beside it. A report counts as good as a probe for when the next one is due, and its utilization is a metric. It does not touch admission: the gate measures for itself.

No load endpoint. Cause: any status but 2xx counted as unhealthy, so a backend server without the endpoint was logged as failing (E4201) before its first request, and probed every second. 404, 405, 410 and 501 now mean that there is none: E4202 once, no verdict, and another look every 30 s.

--- a/crates/fescueway_admission/src/health_belief.rs
+++ b/crates/fescueway_admission/src/health_belief.rs
@@ -105,6 +105,11 @@
         is_contradicted
     }
 
+    /// The health endpoint is gone, and what it said last counts no more.
+    pub fn forget_probe(&mut self) {
+        self.probe = None;
+    }
+
     /// Whether the backend server is healthy.
     #[must_use]
     pub fn verdict(&self, now: MonoTime) -> HealthVerdict {
--- a/crates/fescueway_admission/src/probe_scheduler.rs
+++ b/crates/fescueway_admission/src/probe_scheduler.rs
@@ -10,7 +10,7 @@
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
 
 /// Longest time between two probes while traffic flows. They show whether the health endpoint
-/// tells the truth, for when traffic stops.
+/// tells the truth, for when traffic stops. Also how often one that was not there is looked for.
 const CHECK_PAUSE: Duration = Duration::from_secs(30);
 
 /// How a probe ended.
@@ -20,6 +20,8 @@
     Healthy,
     /// The endpoint said that it is not, or didn't answer in time.
     Unhealthy,
+    /// The backend server has no such endpoint, which says nothing of its health.
+    Absent,
 }
 
 /// Decides when a host probes its backend server: within the budget, and only for what traffic
@@ -30,8 +32,10 @@
     budget: ProbeBudget,
     /// What is believed of the backend server.
     belief: HealthBelief,
-    /// When the last probe began.
-    probed_at: MonoTime,
+    /// When the last probe began, or the backend server told of its load with an answer.
+    told_at: MonoTime,
+    /// Whether the last probe found no endpoint.
+    is_absent: bool,
     /// Backend time that probes took in all.
     charged: Duration,
     /// Probes begun in all.
@@ -45,7 +49,8 @@
         Self {
             budget,
             belief: HealthBelief::default(),
-            probed_at: now,
+            told_at: now,
+            is_absent: false,
             charged: Duration::ZERO,
             probes: 0,
         }
@@ -57,7 +62,7 @@
             return None;
         }
         let timeout = self.budget.begin(now)?;
-        self.probed_at = now;
+        self.told_at = now;
         self.probes += 1;
         Some(timeout)
     }
@@ -65,9 +70,19 @@
     /// The probe ended. Returns whether traffic contradicts what it said.
     pub fn end(&mut self, now: MonoTime, end: ProbeEnd) -> bool {
         self.charged += self.budget.end(now);
+        self.is_absent = end == ProbeEnd::Absent;
+        if self.is_absent {
+            self.belief.forget_probe();
+            return false;
+        }
         self.belief.probe(now, end == ProbeEnd::Healthy)
     }
 
+    /// The backend server told of its load with an answer, so that a probe now would tell no more.
+    pub fn reported(&mut self, now: MonoTime) {
+        self.told_at = self.told_at.max(now);
+    }
+
     /// A request ended: whether the backend server answered it without failing.
     pub fn traffic(&mut self, now: MonoTime, is_success: bool) {
         self.belief.traffic(now, is_success);
@@ -106,11 +121,11 @@
 
     /// When a probe would tell something that traffic doesn't.
     fn due_at(&self, now: MonoTime) -> MonoTime {
-        let pause = if self.belief.is_traffic_fresh(now) {
+        let pause = if self.is_absent || self.belief.is_traffic_fresh(now) {
             CHECK_PAUSE
         } else {
             PROBE_PAUSE
         };
-        self.probed_at + pause
+        self.told_at + pause
     }
 }
--- a/crates/fescueway_admission/tests/probes.rs
+++ b/crates/fescueway_admission/tests/probes.rs
@@ -123,3 +123,38 @@
         assert_eq!(belief.verdict(at(200)), HealthVerdict::Unsure);
     }
 }
+
+#[test]
+fn a_load_report_with_an_answer_spares_the_next_probe() {
+    let probes = |is_reporting: bool| {
+        let budget = ProbeBudget::new(MonoTime::ZERO, 20.0, Duration::from_millis(5));
+        let mut scheduler = ProbeScheduler::new(MonoTime::ZERO, budget);
+        for second in 1..=600 {
+            let now = MonoTime::from_micros(second * SECOND_US);
+            scheduler.traffic(now, true);
+            if is_reporting {
+                scheduler.reported(now);
+            }
+            if scheduler.begin(now).is_some() {
+                scheduler.end(now + Duration::from_millis(5), ProbeEnd::Healthy);
+            }
+        }
+        scheduler.probes()
+    };
+    assert_eq!(probes(false), 20);
+    assert_eq!(probes(true), 0);
+}
+
+#[test]
+fn an_endpoint_that_is_not_there_says_nothing_and_is_rarely_looked_for() {
+    let budget = ProbeBudget::new(MonoTime::ZERO, 20.0, Duration::from_millis(5));
+    let mut scheduler = ProbeScheduler::new(MonoTime::ZERO, budget);
+    for second in 1..=600 {
+        let now = MonoTime::from_micros(second * SECOND_US);
+        if scheduler.begin(now).is_some() {
+            assert!(!scheduler.end(now + Duration::from_millis(5), ProbeEnd::Absent));
+        }
+        assert_eq!(scheduler.verdict(now), HealthVerdict::Unsure);
+    }
+    assert_eq!(scheduler.probes(), 20);
+}
--- a/crates/fescueway_config/src/service_rules.rs
+++ b/crates/fescueway_config/src/service_rules.rs
@@ -91,7 +91,7 @@
     field: "probe.path",
     default: "\"/load\"",
     allowed: "a path that starts with `/`, without `?`, `#` or spaces",
-    meaning: "The load endpoint of the backend server.",
+    meaning: "The load endpoint of the backend server. It may do without: 404 says nothing of its health.",
 };
 
 pub(crate) const PROBE_TIMEOUT: NumberRule = NumberRule {
--- a/crates/fescueway_telemetry/src/events/claim.rs
+++ b/crates/fescueway_telemetry/src/events/claim.rs
@@ -78,6 +78,16 @@
     advice: "If it is failing, look at the backend server.",
 };
 
+/// A backend server has no load endpoint.
+pub const PROBE_ABSENT: EventKind = EventKind {
+    number: 4202,
+    level: Level::Info,
+    summary: "a backend server has no load endpoint",
+    fields: &["service", "endpoint"],
+    advice: "Nothing, if that is meant: traffic alone decides. Else mend `probe.path`. With \
+             `probe.budget_ms_per_s` 0 the endpoint is not looked for.",
+};
+
 /// Every event of this area.
 pub const ALL: &[&EventKind] = &[
     &PARTITION_CHANGED,
@@ -88,4 +98,5 @@
     &SUSPECT_REFUSED,
     &PROBE_CONTRADICTED,
     &HEALTH_CHANGED,
+    &PROBE_ABSENT,
 ];
--- a/crates/fescueway_telemetry/src/service_metrics.rs
+++ b/crates/fescueway_telemetry/src/service_metrics.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     fmt::{Debug, Formatter, Result as FormatResult},
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, OnceLock, PoisonError},
     time::Duration,
 };
 
@@ -37,6 +37,7 @@
     hedges: Counter<u64>,
     probe_spent: Counter<f64>,
     probe_budget: Gauge<f64>,
+    utilization: Gauge<f64>,
     in_flight: Gauge<u64>,
     queued: Gauge<u64>,
     limit: Gauge<u64>,
@@ -87,6 +88,10 @@
                 .f64_gauge("fescueway.probe.budget")
                 .with_description("Backend time that probes may take, in seconds per second.")
                 .build(),
+            utilization: meter
+                .f64_gauge("fescueway.target.reported.utilization")
+                .with_description("What the backend server last told of its use, as a share.")
+                .build(),
             in_flight: gauge("fescueway.target.in.flight", "Requests that run here."),
             queued: gauge("fescueway.target.queued", "Requests that wait here."),
             limit: gauge("fescueway.target.limit", "Requests that may run here now."),
@@ -114,6 +119,8 @@
     hedges: BoundCounter<u64>,
     probe_spent: BoundCounter<f64>,
     probe_budget: BoundGauge<f64>,
+    /// Bound with the first report, so that a target that reports nothing shows nothing.
+    utilization: OnceLock<BoundGauge<f64>>,
     in_flight: BoundGauge<u64>,
     queued: BoundGauge<u64>,
     limit: BoundGauge<u64>,
@@ -146,6 +153,7 @@
             hedges: instruments.hedges.bind(&labels),
             probe_spent: instruments.probe_spent.bind(&labels),
             probe_budget: instruments.probe_budget.bind(&labels),
+            utilization: OnceLock::new(),
             in_flight: instruments.in_flight.bind(&labels),
             queued: instruments.queued.bind(&labels),
             limit: instruments.limit.bind(&labels),
@@ -204,6 +212,14 @@
         self.probe_budget.record(budget_ms_per_s / 1e3);
     }
 
+    /// Notes what the backend server told of its use: of the application if it says so, else of
+    /// the processor.
+    pub fn set_reported_utilization(&self, utilization: f64) {
+        let labels = [self.label.clone()];
+        let bind = || self.instruments.utilization.bind(&labels);
+        self.utilization.get_or_init(bind).record(utilization);
+    }
+
     /// Notes the load of the target beside this node.
     pub fn set_load(&self, report: &LoadReport) {
         self.in_flight.record(report.in_flight.into());
--- a/crates/fescueway_testkit/src/backend_plan.rs
+++ b/crates/fescueway_testkit/src/backend_plan.rs
@@ -15,6 +15,17 @@
     CloseReused,
 }
 
+/// How a backend server stand-in tells of its load with its answers.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum ReportForm {
+    /// In the JSON form of ORCA.
+    Json,
+    /// In a form that nobody reads.
+    Garbage,
+    /// Not at all.
+    Silent,
+}
+
 /// How a backend server stand-in behaves. It can be changed while it runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BackendPlan {
@@ -30,6 +41,10 @@
     pub fault: Option<BackendFault>,
     /// Time that a probe takes at the load path.
     pub probe_time: Duration,
+    /// HTTP status of the answer to a probe.
+    pub probe_status: u16,
+    /// How it tells of its load.
+    pub report: ReportForm,
     /// Seed of the service times.
     pub seed: u64,
 }
@@ -43,6 +58,8 @@
             slowdown: 1.0,
             fault: None,
             probe_time: Duration::from_millis(1),
+            probe_status: 200,
+            report: ReportForm::Json,
             seed: 1,
         }
     }
--- a/crates/fescueway_testkit/src/backend_work.rs
+++ b/crates/fescueway_testkit/src/backend_work.rs
@@ -11,7 +11,10 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
-use crate::{backend_plan::BackendFault, backend_server::BackendState};
+use crate::{
+    backend_plan::{BackendFault, ReportForm},
+    backend_server::BackendState,
+};
 
 /// Bytes in one piece of a download.
 const PIECE_BYTES: usize = 16 << 10;
@@ -134,7 +137,9 @@
 async fn answer_probe(state: &Arc<BackendState>) -> Response<WorkBody> {
     let probe_time = state.lock().plan.probe_time;
     tokio::time::sleep(probe_time).await;
-    let mut response = whole(StatusCode::OK, String::new());
+    let status = state.lock().plan.probe_status;
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    let mut response = whole(status, String::new());
     add_load(&mut response, state);
     let tally = &mut state.lock().tally;
     tally.probes += 1;
@@ -142,14 +147,20 @@
     response
 }
 
-/// Adds the load report, in the JSON form of ORCA.
+/// Adds the load report.
 fn add_load(response: &mut Response<WorkBody>, state: &Arc<BackendState>) {
     let inner = state.lock();
     let slots = f64::from(inner.plan.slots.max(1));
     let utilization = f64::from(inner.tally.in_flight) / slots;
     let report = json!({ "application_utilization": utilization, "rps_fractional": 0.0 });
+    let form = inner.plan.report;
     drop(inner);
-    if let Ok(value) = format!("JSON {report}").parse() {
+    let field = match form {
+        ReportForm::Json => format!("JSON {report}"),
+        ReportForm::Garbage => "TEXT application_utilization".to_owned(),
+        ReportForm::Silent => return,
+    };
+    if let Ok(value) = field.parse() {
         response
             .headers_mut()
             .insert("endpoint-load-metrics", value);
--- a/crates/fescueway_testkit/src/lib.rs
+++ b/crates/fescueway_testkit/src/lib.rs
@@ -14,7 +14,7 @@
 mod store_watch;
 
 pub use crate::{
-    backend_plan::{BackendFault, BackendPlan},
+    backend_plan::{BackendFault, BackendPlan, ReportForm},
     backend_server::BackendStub,
     backend_tally::BackendTally,
     store_faults::{StoreFaults, StoreTally},
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -4,6 +4,7 @@
 //! runtime; several daemons can share one. There is no global state besides the logger.
 
 mod backend_api;
+mod backend_load;
 mod claim_records;
 mod claim_task;
 mod daemon;
@@ -27,6 +28,7 @@
 mod watch_task;
 
 pub use crate::{
+    backend_load::{BackendLoad, LoadError},
     daemon::Daemon,
     daemon_error::{DaemonError, DaemonStep},
     daemon_settings::DaemonSettings,
--- a/crates/fescuewayd/src/probe_task.rs
+++ b/crates/fescuewayd/src/probe_task.rs
@@ -12,10 +12,13 @@
 use fescueway_core::{MonoTime, ServiceName};
 use fescueway_proxy::ProxyState;
 use fescueway_telemetry::{
-    MetricSet, emit,
-    events::claim::{HEALTH_CHANGED, PROBE_CONTRADICTED},
+    EventLimit, MetricSet, emit,
+    events::{
+        claim::{HEALTH_CHANGED, PROBE_ABSENT, PROBE_CONTRADICTED},
+        path::LOAD_IGNORED,
+    },
 };
-use http::{Request, header::HOST};
+use http::{Request, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Empty};
 use hyper::{body::Bytes, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -24,6 +27,8 @@
     time::{sleep, sleep_until, timeout},
 };
 
+use crate::backend_load::BackendLoad;
+
 /// Pause between two looks for backend servers to probe.
 const LOOK_PAUSE: Duration = Duration::from_secs(1);
 
@@ -38,6 +43,8 @@
     proxy: ProxyState,
     /// Counts what probes take.
     metrics: Arc<MetricSet>,
+    /// Keeps reports that can't be read from flooding the log.
+    ignored: EventLimit<ServiceName>,
     /// The backend servers that are probed.
     targets: Mutex<BTreeMap<ServiceName, ProbedTarget>>,
 }
@@ -53,6 +60,8 @@
     scheduler: ProbeScheduler,
     /// What was last told of its health.
     health: HealthVerdict,
+    /// Whether the last probe found no endpoint.
+    is_absent: bool,
 }
 
 impl ProbeTask {
@@ -61,8 +70,11 @@
         let task = Self(Arc::new(TaskState {
             proxy: proxy.clone(),
             metrics: Arc::clone(metrics),
+            ignored: EventLimit::new(&LOAD_IGNORED),
             targets: Mutex::default(),
         }));
+        let hearing = task.clone();
+        proxy.observe_load(move |service, field| hearing.load_reported(service, field));
         proxy.tasks().spawn(task.clone().look_after());
         task
     }
@@ -75,6 +87,25 @@
         }
     }
 
+    /// A backend server beside the node told of its load with an answer, which spares a probe.
+    fn load_reported(&self, service: &ServiceName, field: &[u8]) {
+        let now = self.0.proxy.now();
+        let load = match BackendLoad::try_from(field) {
+            Ok(load) => load,
+            Err(error) => {
+                let ignored = &self.0.ignored;
+                return ignored.emit(now, service.clone(), &[service, &error]);
+            }
+        };
+        if let Some(utilization) = load.application_utilization.or(load.cpu_utilization) {
+            let metrics = self.0.metrics.service(service);
+            metrics.set_reported_utilization(utilization);
+        }
+        if let Some(target) = self.targets().get_mut(service) {
+            target.scheduler.reported(now);
+        }
+    }
+
     /// Begins to probe what is announced, and forgets what has left.
     async fn look_after(self) {
         let mut announced = self.0.proxy.announced();
@@ -122,6 +153,7 @@
             plan,
             scheduler: ProbeScheduler::new(now, budget),
             health: HealthVerdict::Unsure,
+            is_absent: false,
         };
         targets.insert(service.clone(), target);
         drop(targets);
@@ -139,8 +171,8 @@
             };
             let probing = timeout(limit, probe(address, &path));
             let end = match probing.await {
-                Ok(Ok(true)) => ProbeEnd::Healthy,
-                Ok(Ok(false) | Err(_)) | Err(_) => ProbeEnd::Unhealthy,
+                Ok(Ok(status)) => probe_end(status),
+                Ok(Err(_)) | Err(_) => ProbeEnd::Unhealthy,
             };
             self.end_probe(&service, end);
         }
@@ -179,6 +211,11 @@
         if is_contradicted {
             emit(&PROBE_CONTRADICTED, &[service, &target.plan.path]);
         }
+        let is_absent = end == ProbeEnd::Absent;
+        if is_absent && !target.is_absent {
+            emit(&PROBE_ABSENT, &[service, &target.plan.path]);
+        }
+        target.is_absent = is_absent;
         let health = target.scheduler.verdict(now);
         if health != target.health {
             target.health = health;
@@ -195,8 +232,20 @@
     }
 }
 
-/// Asks the load endpoint on a connection of its own: whether it answers without failing.
-async fn probe(address: SocketAddr, path: &str) -> Result<bool, eyre::Report> {
+/// What the status of the load endpoint says. A backend server need not have one.
+fn probe_end(status: StatusCode) -> ProbeEnd {
+    match status {
+        StatusCode::NOT_FOUND
+        | StatusCode::METHOD_NOT_ALLOWED
+        | StatusCode::GONE
+        | StatusCode::NOT_IMPLEMENTED => ProbeEnd::Absent,
+        _ if status.is_success() => ProbeEnd::Healthy,
+        _ => ProbeEnd::Unhealthy,
+    }
+}
+
+/// Asks the load endpoint on a connection of its own: the status that it answers with.
+async fn probe(address: SocketAddr, path: &str) -> Result<StatusCode, eyre::Report> {
     let socket = TcpStream::connect(address).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
     let request = Request::get(path)
@@ -204,15 +253,15 @@
         .body(Empty::<Bytes>::new())?;
     let asking = async {
         let response = sender.send_request(request).await?;
-        let is_healthy = response.status().is_success();
+        let status = response.status();
         response.into_body().collect().await?;
-        Ok(is_healthy)
+        Ok(status)
     };
     tokio::select! {
         answer = asking => answer,
         ended = connection => {
             ended?;
-            Ok(false)
+            Err(eyre::eyre!("the connection ended before the answer"))
         }
     }
 }
--- /dev/null
+++ b/crates/fescuewayd/tests/path/logged_process.rs
@@ -0,0 +1,144 @@
+//! What the daemon, as a process of its own, writes into its log.
+
+use std::{
+    fs::{self, File},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command},
+    time::{Duration, Instant},
+};
+
+use fescueway_testkit::{BackendPlan, BackendStub};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
+
+use crate::{
+    common::{SOON, request, send},
+    process::{free_addresses, settings_file, wait_until_open},
+};
+
+/// Connections of a hostile peer.
+const HOSTILE: usize = 60;
+
+/// A daemon whose log is kept. It is killed when dropped.
+struct LoggedProcess {
+    /// The process.
+    child: Child,
+    /// Its log.
+    log: PathBuf,
+    /// Where it takes streams of other nodes.
+    peers: SocketAddr,
+    /// Where backend servers announce themselves.
+    backends: SocketAddr,
+}
+
+impl LoggedProcess {
+    /// Starts a daemon on 127.0.0.`host` for the service `w` with this plan of probes.
+    async fn start(name: &str, host: u8, probe: &str) -> Self {
+        let [callers, peers, backends, operators] = free_addresses(host);
+        let base = format!(
+            r#"{{ "services": {{ "w": {{ "path_prefixes": ["/"], "probe": {probe} }} }} }}"#
+        );
+        let base = settings_file(&format!("{name}-base"), &base);
+        let overlay = settings_file(&format!("{name}-overlay"), r#"{ "site": "s" }"#);
+        let settings = format!(
+            r#"{{ "site": "s", "domain": "d",
+                "listen": {{ "callers": "{callers}", "peers": "{peers}",
+                             "backends": "{backends}", "operators": "{operators}" }},
+                "plan_files": {{ "base": "{}", "overlays": ["{}"] }} }}"#,
+            base.display(),
+            overlay.display(),
+        );
+        let log = settings_file(&format!("{name}-log"), "");
+        let output = File::create(&log).expect("a folder for temporary files");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fescuewayd"));
+        let file = settings_file(name, &settings);
+        let command = command.arg("--settings").arg(file).stderr(output);
+        let child = command.spawn().expect("it starts");
+        wait_until_open(operators).await;
+        Self {
+            child,
+            log,
+            peers,
+            backends,
+        }
+    }
+
+    /// Lines of the log that hold an event.
+    fn events(&self, number: &str) -> Vec<String> {
+        let log = fs::read_to_string(&self.log).expect("the log");
+        let lines = log.lines().filter(|line| line.contains(number));
+        lines.map(str::to_owned).collect()
+    }
+
+    /// Waits until an event is logged `count` times.
+    async fn knows(&self, number: &str, count: usize) {
+        let start = Instant::now();
+        while self.events(number).len() < count {
+            assert!(start.elapsed() < 2 * SOON, "{number} is not logged");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for LoggedProcess {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[tokio::test]
+async fn a_hostile_peer_does_not_flood_the_log() {
+    let process = LoggedProcess::start("hostile", 3, "{}").await;
+    let start = Instant::now();
+    for _ in 0..HOSTILE {
+        let mut socket = TcpStream::connect(process.peers).await.expect("it listens");
+        // The node may let go of it before all is written.
+        let _ = socket.write_all(&[0x5a; 64]).await;
+        let _ = socket.read(&mut [0]).await;
+    }
+    process.knows("E1001", 1).await;
+    let most = start.elapsed().as_secs() as usize + 1;
+    let lines = process.events("E1001");
+    assert!(lines.len() <= most, "{} lines, {most} seconds", lines.len());
+    // The next one tells what was left out.
+    sleep(Duration::from_secs(1)).await;
+    let mut socket = TcpStream::connect(process.peers).await.expect("it listens");
+    socket.write_all(&[0x5a; 64]).await.expect("an open socket");
+    process.knows("E1001", lines.len() + 1).await;
+    let lines = process.events("E1001");
+    let suppressed = |line: &String| {
+        let (_, count) = line.rsplit_once("suppressed=")?;
+        count.trim().parse::<usize>().ok()
+    };
+    let suppressed: usize = lines.iter().filter_map(suppressed).sum();
+    assert_eq!(lines.len() + suppressed, HOSTILE + 1, "{lines:?}");
+}
+
+#[tokio::test]
+async fn a_backend_server_without_a_load_endpoint_is_not_failing() {
+    let often = r#"{ "budget_ms_per_s": 1000, "timeout_ms": 400 }"#;
+    let process = LoggedProcess::start("absent", 4, often).await;
+    let backend = BackendPlan {
+        probe_status: 404,
+        ..BackendPlan::default()
+    };
+    let backend = BackendStub::start(backend).await.expect("a port");
+    let body = format!(
+        r#"{{"service":"w","address":"{}","slots":10,"connections":20}}"#,
+        backend.address()
+    );
+    let announcement = request("POST", "/v1/announce", &[], body.leak());
+    assert_eq!(send(process.backends, announcement).await.status(), 200);
+    process.knows("E42", 1).await;
+    // Time for more probes.
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(process.events("E4201"), Vec::<String>::new());
+    assert_eq!(process.events("E4202").len(), 1);
+    assert_eq!(backend.tally().probes, 1);
+}
--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -4,6 +4,8 @@
 mod common;
 mod hostile_peers;
 mod live_gates;
+mod load_header;
+mod logged_process;
 mod mixed_answers;
 mod nested_calls;
 mod outcomes;
--- a/crates/fescuewayd/tests/path/process.rs
+++ b/crates/fescuewayd/tests/path/process.rs
@@ -17,7 +17,7 @@
 const IDLE_KILOBYTES: u64 = 20 * 1_024;
 
 /// Writes settings into a file of this process.
-fn settings_file(name: &str, content: &str) -> PathBuf {
+pub fn settings_file(name: &str, content: &str) -> PathBuf {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let file = folder.join(format!("{name}-{}.json", std::process::id()));
     fs::write(&file, content).expect("a folder for temporary files");
@@ -34,9 +34,11 @@
         .expect("it starts")
 }
 
-/// Loopback addresses that were free a moment ago.
-fn free_addresses() -> [SocketAddr; 4] {
-    let listeners = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port"));
+/// Addresses on 127.0.0.`host` that were free a moment ago. No two tests use the same host, so
+/// that none takes a port of another before the daemon does.
+pub fn free_addresses(host: u8) -> [SocketAddr; 4] {
+    let address = SocketAddr::from(([127, 0, 0, host], 0));
+    let listeners = [(); 4].map(|()| TcpListener::bind(address).expect("a port"));
     listeners.map(|listener| listener.local_addr().expect("bound"))
 }
 
@@ -56,9 +58,27 @@
     }
 }
 
+#[test]
+fn an_address_that_is_taken_is_told_once() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("bound");
+    let file = settings_file(
+        "taken",
+        &format!(
+            r#"{{ "site": "s", "domain": "d",
+                "listen": {{ "callers": "{address}", "peers": "127.0.0.1:0" }} }}"#
+        ),
+    );
+    let output = run(&file);
+    assert_eq!(output.status.code(), Some(1));
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(message.contains(&address.to_string()), "{message}");
+    assert_eq!(message.matches("os error").count(), 1, "{message}");
+}
+
 #[tokio::test]
 async fn it_serves_and_stops_on_a_signal() {
-    let [callers, peers, backends, operators] = free_addresses();
+    let [callers, peers, backends, operators] = free_addresses(2);
     let base = settings_file(
         "base",
         r#"{ "services": { "w": { "path_prefixes": ["/"] } } }"#,
@@ -103,7 +123,7 @@
 }
 
 /// Waits until something listens.
-async fn wait_until_open(address: SocketAddr) {
+pub async fn wait_until_open(address: SocketAddr) {
     let start = Instant::now();
     while TcpStream::connect(address).await.is_err() {
         assert!(
