Tell once that an address is taken

Cause: `DaemonError::Bind` printed its source and also named it as its source, so the message of the chain held the system's text twice. It is left to the chain now. The new test counted two before.

--- a/crates/fescuewayd/src/daemon_error.rs
+++ b/crates/fescuewayd/src/daemon_error.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Error)]
 pub enum DaemonError {
     /// An address can't be bound.
-    #[error("binding {address} for {step:?}: {source}")]
+    #[error("binding {address} for {step:?}")]
     Bind {
         /// What the address is for.
         step: DaemonStep,
