Test the limit on open connections of callers

Nothing showed that a connection above the limit waits until another closes, and that those within it are served on meanwhile. It passes without a change.

--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! The path of requests through real nodes on loopback.
 
 mod backends;
+mod caller_limits;
 mod common;
 mod hostile_peers;
 mod live_gates;
