--- a/crates/fescueway_bench/benches/probe_and_claims/main.rs
+++ b/crates/fescueway_bench/benches/probe_and_claims/main.rs
@@ -3,6 +3,7 @@
 //! Times are printed; only counts, bytes and shares in virtual time are bounded.
 
 mod claims;
+#[path = "../common/live_bytes.rs"]
 mod live_bytes;
 mod probes;
 
--- a/crates/fescueway_bench/benches/probe_and_claims/probes.rs
+++ b/crates/fescueway_bench/benches/probe_and_claims/probes.rs
@@ -4,6 +4,8 @@
 
 use fescueway_admission::{ProbeBudget, ProbeEnd, ProbeScheduler};
 use fescueway_core::MonoTime;
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 use crate::bounded;
 
@@ -14,6 +16,15 @@
 /// under 1%".
 const MAX_SLOT_SHARE: f64 = 0.0025;
 
+/// Seed of the times at which requests end.
+const SEED: u64 = 31;
+
+/// Requests per second, on average.
+const RATES: [f64; 4] = [0.1, 0.5, 2.0, 20.0];
+
+/// Requests per second from which on a target tells of its load so often that no probe is due.
+const STEADY_RATE: f64 = 2.0;
+
 /// One kind of target.
 struct ProbedShape {
     /// Its name.
@@ -74,9 +85,51 @@
             broken += bounded(&name, share, MAX_SLOT_SHARE);
         }
     }
+    broken + report_spared()
+}
+
+/// Prints the probes of one target with and without load reports on its answers. Returns the
+/// broken bounds.
+fn report_spared() -> u32 {
+    let mut broken = 0;
+    for rate in RATES {
+        let without = probe_count(rate, false);
+        let with = probe_count(rate, true);
+        let name = format!("pwll 20 ms/s, {rate} requests/s, no reports: probes");
+        println!("{name:<56} {without:>12}");
+        let name = format!("pwll 20 ms/s, {rate} requests/s, reports: probes");
+        let most = if rate < STEADY_RATE { without } else { 0 };
+        broken += bounded(&name, with as f64, most as f64);
+    }
     broken
 }
 
+/// Probes of one target in [`RUN_S`] whose requests end at random, `rate` a second.
+fn probe_count(rate: f64, is_reporting: bool) -> u64 {
+    let mut random = Pcg64Mcg::seed_from_u64(SEED);
+    let mut gap = || {
+        let uniform = (f64::from(random.next_u32()) + 1.0) / (f64::from(u32::MAX) + 1.0);
+        Duration::from_secs_f64(-uniform.ln() / rate)
+    };
+    let budget = ProbeBudget::new(MonoTime::ZERO, 20.0, Duration::from_millis(50));
+    let mut scheduler = ProbeScheduler::new(MonoTime::ZERO, budget);
+    let mut next = MonoTime::ZERO + gap();
+    for step in 1..=RUN_S * 20 {
+        let now = MonoTime::from_micros(step * 50_000);
+        while next <= now {
+            scheduler.traffic(next, true);
+            if is_reporting {
+                scheduler.reported(next);
+            }
+            next = next + gap();
+        }
+        if scheduler.begin(now).is_some() {
+            scheduler.end(now + Duration::from_millis(5), ProbeEnd::Healthy);
+        }
+    }
+    scheduler.probes()
+}
+
 /// Backend time of probes in milliseconds per second.
 fn probe_ms_per_s(shape: &ProbedShape, is_busy: bool) -> f64 {
     let timeout = Duration::from_millis(shape.timeout_ms);
