--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -24,7 +24,7 @@
     caller: SocketAddr,
 ) -> Response<CountedBody> {
     let start = state.now();
-    let open = state.open_request();
+    let open = state.open().requests.open();
     let mut record = RequestRecord::default();
     let answering = route_request(state, request, caller, start, &mut record);
     let response = answering.await;
--- a/crates/fescueway_proxy/src/entry/entry_server.rs
+++ b/crates/fescueway_proxy/src/entry/entry_server.rs
@@ -75,7 +75,7 @@
     caller: SocketAddr,
     closing: CancellationToken,
 ) {
-    let _open = state.caller_connection();
+    let _open = state.open().caller_connections.open();
     if let Err(error) = set_socket_options(&socket, state.limits().body_idle) {
         return emit(&path::CALLER_FAILED, &[&caller, &error]);
     }
--- a/crates/fescueway_proxy/src/peer/link_activity.rs
+++ b/crates/fescueway_proxy/src/peer/link_activity.rs
@@ -3,14 +3,14 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
 
 use tokio::time::{Instant, sleep};
 
-use crate::open_guard::OpenGuard;
+use crate::{open_counts::OpenCount, open_guard::OpenGuard};
 
 /// How often a closing connection is looked at.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub struct LinkActivity {
     /// Streams that are served.
-    streams: Arc<AtomicUsize>,
+    streams: OpenCount,
     /// Whether bytes wait until the peer takes some.
     is_blocked: Arc<AtomicBool>,
 }
@@ -29,7 +29,7 @@
     #[must_use]
     pub fn new(is_blocked: Arc<AtomicBool>) -> Self {
         Self {
-            streams: Arc::default(),
+            streams: OpenCount::default(),
             is_blocked,
         }
     }
@@ -37,7 +37,7 @@
     /// Counts a stream until the guard is dropped.
     #[must_use]
     pub fn open_stream(&self) -> OpenGuard {
-        OpenGuard::new(&self.streams)
+        self.streams.open()
     }
 
     /// Waits until nothing was in flight for `time`.
@@ -53,6 +53,6 @@
 
     /// Whether anything is in flight.
     fn is_busy(&self) -> bool {
-        self.streams.load(Ordering::Relaxed) > 0 || self.is_blocked.load(Ordering::Relaxed)
+        self.streams.get() > 0 || self.is_blocked.load(Ordering::Relaxed)
     }
 }
--- a/crates/fescueway_proxy/src/peer/peer_server.rs
+++ b/crates/fescueway_proxy/src/peer/peer_server.rs
@@ -73,7 +73,7 @@
     peer: SocketAddr,
     closing: CancellationToken,
 ) {
-    let _open = state.peer_connection();
+    let _open = state.open().peer_connections.open();
     if let Err(error) = set_socket_options(&socket, PEER_SILENCE) {
         return state.refuse_peer(peer, &error);
     }
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -1,29 +1,25 @@
 //! What the path of requests shares with the rest of a node.
 
+mod local_backends;
+
 use std::{
     collections::BTreeMap,
     fmt::Display,
     net::{IpAddr, SocketAddr},
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use fescueway_admission::GatePlan;
 use fescueway_config::SitePlan;
-use fescueway_core::{MonoTime, NodeId, ServiceName, TargetRecord, TargetState};
+use fescueway_core::{MonoTime, NodeId, ServiceName, TargetRecord};
 use fescueway_telemetry::{EventLimit, events::path};
-use tokio::{sync::watch, time::sleep};
 
 use crate::{
-    backend_announcement::BackendAnnouncement,
     call_table::CallTable,
-    host::{HostTarget, RunChecks},
+    host::RunChecks,
+    local_targets::LocalTargets,
     mono_clock::MonoClock,
     observer_slot::ObserverSlot,
-    open_guard::OpenGuard,
+    open_counts::OpenCounts,
     peer::{ControlTable, PeerPool},
     proxy_limits::ProxyLimits,
     proxy_options::ProxyOptions,
@@ -66,15 +62,9 @@
     /// What is settled before a request is handed over.
     checks: RunChecks,
     /// Targets of this node.
-    hosts: Mutex<BTreeMap<ServiceName, Arc<HostTarget>>>,
-    /// What the backend servers of this node announced.
-    announced: watch::Sender<Vec<TargetRecord>>,
-    /// Requests of callers that are not answered whole.
-    open_requests: Arc<AtomicUsize>,
-    /// Connections of callers that are open.
-    caller_connections: Arc<AtomicUsize>,
-    /// Connections that peers opened.
-    peer_connections: Arc<AtomicUsize>,
+    targets: LocalTargets,
+    /// What callers and peers hold open.
+    open: OpenCounts,
     /// Keeps hostile peers from flooding the log.
     refused_peers: EventLimit<IpAddr>,
     /// Hears of each request.
@@ -103,11 +93,8 @@
             controls: ControlTable::default(),
             calls: CallTable::new(options.secret),
             checks: RunChecks::default(),
-            hosts: Mutex::default(),
-            announced: watch::Sender::default(),
-            open_requests: Arc::default(),
-            caller_connections: Arc::default(),
-            peer_connections: Arc::default(),
+            targets: LocalTargets::default(),
+            open: OpenCounts::default(),
             refused_peers: EventLimit::new(&path::PEER_REFUSED),
             request_observer: ObserverSlot::default(),
             load_observer: ObserverSlot::default(),
@@ -172,29 +159,24 @@
     /// Requests of callers that are not answered whole.
     #[must_use]
     pub fn open_requests(&self) -> usize {
-        self.0.open_requests.load(Ordering::Relaxed)
-    }
-
-    /// Counts a request until the guard is dropped.
-    pub(crate) fn open_request(&self) -> OpenGuard {
-        OpenGuard::new(&self.0.open_requests)
+        self.0.open.requests.get()
     }
 
     /// Connections of callers that are open.
     #[must_use]
     pub fn caller_connections(&self) -> usize {
-        self.0.caller_connections.load(Ordering::Relaxed)
+        self.0.open.caller_connections.get()
     }
 
     /// Connections that peers opened.
     #[must_use]
     pub fn peer_connections(&self) -> usize {
-        self.0.peer_connections.load(Ordering::Relaxed)
+        self.0.open.peer_connections.get()
     }
 
-    /// Counts a connection that a peer opened until the guard is dropped.
-    pub(crate) fn peer_connection(&self) -> OpenGuard {
-        OpenGuard::new(&self.0.peer_connections)
+    /// Counts what callers and peers hold open.
+    pub(crate) fn open(&self) -> &OpenCounts {
+        &self.0.open
     }
 
     /// Logs that a peer's bytes were refused.
@@ -203,11 +185,6 @@
         limit.emit(self.now(), peer.ip(), &[&peer, error]);
     }
 
-    /// Counts a caller's connection until the guard is dropped.
-    pub(crate) fn caller_connection(&self) -> OpenGuard {
-        OpenGuard::new(&self.0.caller_connections)
-    }
-
     /// What is settled before a request is handed over.
     #[must_use]
     pub fn checks(&self) -> &RunChecks {
@@ -232,11 +209,7 @@
     pub fn apply_plan(&self, plan: Arc<SitePlan>) {
         self.0.routes.apply_plan(&plan);
         *lock(&self.0.plan) = plan;
-        let plan = self.plan();
-        // A target that is announced meanwhile is made under this lock, by the new plan or before.
-        for (service, target) in &*self.hosts() {
-            target.set_queue_per_slot(queue_per_slot(&plan, service));
-        }
+        self.0.targets.apply_plan(&self.plan());
     }
 
     /// Adds or replaces a target of the fleet.
@@ -275,159 +248,6 @@
     }
 }
 
-/// The backend servers beside this node.
-impl ProxyState {
-    /// What the backend servers of this node announced, as it changes.
-    #[must_use]
-    pub fn announced(&self) -> watch::Receiver<Vec<TargetRecord>> {
-        self.0.announced.subscribe()
-    }
-
-    /// A backend server takes work. Announced again unchanged it goes on as it was.
-    pub fn announce(&self, announcement: &BackendAnnouncement) {
-        let record = self.local_record(announcement);
-        let known = self.known_announcement(&announcement.service);
-        if known.is_some_and(|known| is_same(&known, &record))
-            && self.backend_address(&announcement.service) == Some(announcement.address)
-        {
-            return;
-        }
-        let service = announcement.service.clone();
-        let mut hosts = self.hosts();
-        let plan = self.gate_plan(announcement);
-        let ramp_time = plan.ramp_time;
-        let target = Arc::new(HostTarget::new(
-            announcement.address,
-            announcement.connections,
-            plan,
-            Arc::clone(&self.0.limits),
-            self.0.tasks.clone(),
-            self.0.clock,
-        ));
-        hosts.insert(service.clone(), Arc::clone(&target));
-        drop(hosts);
-        let warming = self.clone().end_start(service, target, ramp_time);
-        self.0.tasks.spawn(warming);
-        self.publish(record);
-    }
-
-    /// A backend server left: its target is gone.
-    pub fn withdraw(&self, service: &ServiceName) {
-        if let Some(target) = self.hosts().remove(service) {
-            target.drain();
-        }
-        self.remove_target(self.node(), service);
-        self.0.announced.send_modify(|records| {
-            records.retain(|record| record.service != *service);
-        });
-    }
-
-    /// A backend server takes nothing new from now on. Nothing happens when there is none.
-    pub fn drain(&self, service: &ServiceName) {
-        let Some(target) = self.host_target(service) else {
-            return;
-        };
-        target.drain();
-        self.set_state(service, TargetState::Draining);
-    }
-
-    /// A backend server takes work again. Nothing happens when there is none.
-    pub fn undrain(&self, service: &ServiceName) {
-        let Some(target) = self.host_target(service) else {
-            return;
-        };
-        target.undrain();
-        self.set_state(service, TargetState::Serving);
-    }
-
-    /// Services whose backend server is beside this node.
-    #[must_use]
-    pub fn local_services(&self) -> Vec<ServiceName> {
-        self.hosts().keys().cloned().collect()
-    }
-
-    /// The target of this node that serves `service`.
-    #[must_use]
-    pub fn host_target(&self, service: &ServiceName) -> Option<Arc<HostTarget>> {
-        self.hosts().get(service).cloned()
-    }
-
-    /// Whether a backend server of this node has this address.
-    pub(crate) fn is_local_backend(&self, address: IpAddr) -> bool {
-        let hosts = self.hosts();
-        let mut addresses = hosts.values().map(|target| target.pool().address().ip());
-        addresses.any(|own| own == address)
-    }
-
-    /// Announces a target as serving once it has warmed up, unless it left or drains by then.
-    async fn end_start(self, service: ServiceName, target: Arc<HostTarget>, ramp_time: Duration) {
-        sleep(ramp_time).await;
-        let current = self.host_target(&service);
-        let is_current = current.is_some_and(|current| Arc::ptr_eq(&current, &target));
-        let record = self.known_announcement(&service);
-        let is_starting = record.is_some_and(|record| record.state == TargetState::Starting);
-        if is_current && is_starting {
-            self.set_state(&service, TargetState::Serving);
-        }
-    }
-
-    /// The record of an announcement.
-    fn local_record(&self, announcement: &BackendAnnouncement) -> TargetRecord {
-        TargetRecord {
-            node: self.node(),
-            service: announcement.service.clone(),
-            peer_address: self.0.options.peer_address,
-            domain: self.0.options.domain.clone(),
-            slots: announcement.slots,
-            connections: announcement.connections,
-            state: TargetState::Starting,
-        }
-    }
-
-    /// What the announcement and the configuration mean for the gate.
-    fn gate_plan(&self, announcement: &BackendAnnouncement) -> GatePlan {
-        GatePlan {
-            slots: announcement.slots,
-            queue_per_slot: queue_per_slot(&self.plan(), &announcement.service),
-            ..GatePlan::default()
-        }
-    }
-
-    /// What was announced for `service`.
-    fn known_announcement(&self, service: &ServiceName) -> Option<TargetRecord> {
-        let records = self.0.announced.borrow();
-        let mut records = records.iter();
-        records.find(|record| record.service == *service).cloned()
-    }
-
-    /// Where the backend server of `service` takes requests.
-    fn backend_address(&self, service: &ServiceName) -> Option<SocketAddr> {
-        Some(self.host_target(service)?.pool().address())
-    }
-
-    /// Changes the state in the record of `service`.
-    fn set_state(&self, service: &ServiceName, state: TargetState) {
-        if let Some(mut record) = self.known_announcement(service) {
-            record.state = state;
-            self.publish(record);
-        }
-    }
-
-    /// Tells a record to the entry and to those who watch.
-    fn publish(&self, record: TargetRecord) {
-        self.set_target(&record);
-        self.0.announced.send_modify(|records| {
-            records.retain(|known| known.service != record.service);
-            records.push(record);
-        });
-    }
-
-    /// The targets of this node, locked.
-    fn hosts(&self) -> MutexGuard<'_, BTreeMap<ServiceName, Arc<HostTarget>>> {
-        lock(&self.0.hosts)
-    }
-}
-
 impl std::fmt::Debug for ProxyState {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("ProxyState")
@@ -436,18 +256,6 @@
     }
 }
 
-/// Requests of a service that may wait for each slot of its target.
-fn queue_per_slot(plan: &SitePlan, service: &ServiceName) -> f64 {
-    let service = plan.services.get(service);
-    let configured = service.map(|plan| plan.limit.queue_per_slot);
-    configured.unwrap_or(GatePlan::default().queue_per_slot)
-}
-
-/// Whether two records differ in nothing but their state.
-fn is_same(known: &TargetRecord, record: &TargetRecord) -> bool {
-    known.slots == record.slots && known.connections == record.connections
-}
-
 /// The value, locked. A panic elsewhere leaves it whole: every change is one assignment.
 fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
     value.lock().unwrap_or_else(PoisonError::into_inner)
--- /dev/null
+++ b/crates/fescueway_proxy/src/proxy_state/local_backends.rs
@@ -0,0 +1,152 @@
+//! What backend servers beside a node announce, and what becomes of it.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use fescueway_admission::GatePlan;
+use fescueway_core::{ServiceName, TargetRecord, TargetState};
+use tokio::{sync::watch, time::sleep};
+
+use super::ProxyState;
+use crate::{
+    backend_announcement::BackendAnnouncement, host::HostTarget, local_targets::queue_per_slot,
+};
+
+/// The backend servers beside this node.
+impl ProxyState {
+    /// What the backend servers of this node announced, as it changes.
+    #[must_use]
+    pub fn announced(&self) -> watch::Receiver<Vec<TargetRecord>> {
+        self.0.targets.announced()
+    }
+
+    /// A backend server takes work. Announced again unchanged it goes on as it was.
+    pub fn announce(&self, announcement: &BackendAnnouncement) {
+        let record = self.local_record(announcement);
+        let known = self.0.targets.record(&announcement.service);
+        if known.is_some_and(|known| is_same(&known, &record))
+            && self.backend_address(&announcement.service) == Some(announcement.address)
+        {
+            return;
+        }
+        let service = announcement.service.clone();
+        let targets = &self.0.targets;
+        let target = targets.insert(service.clone(), || self.new_target(announcement));
+        let ramp_time = GatePlan::default().ramp_time;
+        let warming = self.clone().end_start(service, target, ramp_time);
+        self.0.tasks.spawn(warming);
+        self.publish(record);
+    }
+
+    /// A backend server left: its target is gone.
+    pub fn withdraw(&self, service: &ServiceName) {
+        if let Some(target) = self.0.targets.remove(service) {
+            target.drain();
+        }
+        self.remove_target(self.node(), service);
+    }
+
+    /// A backend server takes nothing new from now on. Nothing happens when there is none.
+    pub fn drain(&self, service: &ServiceName) {
+        let Some(target) = self.host_target(service) else {
+            return;
+        };
+        target.drain();
+        self.set_state(service, TargetState::Draining);
+    }
+
+    /// A backend server takes work again. Nothing happens when there is none.
+    pub fn undrain(&self, service: &ServiceName) {
+        let Some(target) = self.host_target(service) else {
+            return;
+        };
+        target.undrain();
+        self.set_state(service, TargetState::Serving);
+    }
+
+    /// Services whose backend server is beside this node.
+    #[must_use]
+    pub fn local_services(&self) -> Vec<ServiceName> {
+        self.0.targets.services()
+    }
+
+    /// The target of this node that serves `service`.
+    #[must_use]
+    pub fn host_target(&self, service: &ServiceName) -> Option<Arc<HostTarget>> {
+        self.0.targets.get(service)
+    }
+
+    /// Whether a backend server of this node has this address.
+    pub(crate) fn is_local_backend(&self, address: IpAddr) -> bool {
+        self.0.targets.has_address(address)
+    }
+
+    /// Announces a target as serving once it has warmed up, unless it left or drains by then.
+    async fn end_start(self, service: ServiceName, target: Arc<HostTarget>, ramp_time: Duration) {
+        sleep(ramp_time).await;
+        let current = self.host_target(&service);
+        let is_current = current.is_some_and(|current| Arc::ptr_eq(&current, &target));
+        let record = self.0.targets.record(&service);
+        let is_starting = record.is_some_and(|record| record.state == TargetState::Starting);
+        if is_current && is_starting {
+            self.set_state(&service, TargetState::Serving);
+        }
+    }
+
+    /// The record of an announcement.
+    fn local_record(&self, announcement: &BackendAnnouncement) -> TargetRecord {
+        TargetRecord {
+            node: self.node(),
+            service: announcement.service.clone(),
+            peer_address: self.0.options.peer_address,
+            domain: self.0.options.domain.clone(),
+            slots: announcement.slots,
+            connections: announcement.connections,
+            state: TargetState::Starting,
+        }
+    }
+
+    /// The target of an announcement, by the configuration in force.
+    fn new_target(&self, announcement: &BackendAnnouncement) -> HostTarget {
+        let plan = GatePlan {
+            slots: announcement.slots,
+            queue_per_slot: queue_per_slot(&self.plan(), &announcement.service),
+            ..GatePlan::default()
+        };
+        HostTarget::new(
+            announcement.address,
+            announcement.connections,
+            plan,
+            Arc::clone(&self.0.limits),
+            self.0.tasks.clone(),
+            self.0.clock,
+        )
+    }
+
+    /// Where the backend server of `service` takes requests.
+    fn backend_address(&self, service: &ServiceName) -> Option<SocketAddr> {
+        Some(self.host_target(service)?.pool().address())
+    }
+
+    /// Changes the state in the record of `service`.
+    fn set_state(&self, service: &ServiceName, state: TargetState) {
+        if let Some(mut record) = self.0.targets.record(service) {
+            record.state = state;
+            self.publish(record);
+        }
+    }
+
+    /// Tells a record to the entry and to those who watch.
+    fn publish(&self, record: TargetRecord) {
+        self.set_target(&record);
+        self.0.targets.publish(record);
+    }
+}
+
+/// Whether two records differ in nothing but their state.
+fn is_same(known: &TargetRecord, record: &TargetRecord) -> bool {
+    known.slots == record.slots && known.connections == record.connections
+}
