Bound the wait for a body's next frame in one place

Three bodies (of a caller, a peer, a backend server) held the same timer and the same five lines around it. `IdleTimer` has them now.

--- a/crates/fescueway_proxy/src/body/mod.rs
+++ b/crates/fescueway_proxy/src/body/mod.rs
@@ -4,6 +4,7 @@
 mod body_error;
 mod body_pump;
 mod host_body;
+mod idle_timer;
 mod peer_body;
 mod request_body;
 
@@ -12,6 +13,7 @@
     body_error::BodyError,
     body_pump::pump_body,
     host_body::HostBody,
+    idle_timer::IdleTimer,
     peer_body::PeerBody,
     request_body::{RequestBody, SharedBody},
 };
--- a/crates/fescueway_proxy/src/body/peer_body.rs
+++ b/crates/fescueway_proxy/src/body/peer_body.rs
@@ -9,9 +9,8 @@
 use bytes::Bytes;
 use h2::RecvStream;
 use http_body::{Body, Frame};
-use tokio::time::{Sleep, sleep};
 
-use super::BodyError;
+use super::{BodyError, IdleTimer};
 
 /// A body that arrives on a stream between nodes.
 ///
@@ -25,10 +24,8 @@
     stream: RecvStream,
     /// Whether all data came.
     is_data_done: bool,
-    /// The longest wait for the next byte.
-    idle: Duration,
-    /// Ends a wait, made when one begins.
-    timer: Option<Pin<Box<Sleep>>>,
+    /// Bounds the wait for the next byte.
+    timer: IdleTimer,
 }
 
 impl PeerBody {
@@ -39,8 +36,7 @@
             first: Some(first).filter(|bytes| !bytes.is_empty()),
             stream,
             is_data_done: false,
-            idle,
-            timer: None,
+            timer: IdleTimer::new(idle),
         }
     }
 
@@ -84,14 +80,8 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Poll::Ready(frame) = self.poll_any(cx) {
-            self.timer = None;
-            return Poll::Ready(frame);
-        }
-        let idle = self.idle;
-        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(idle)));
-        ready!(timer.as_mut().poll(cx));
-        Poll::Ready(Some(Err(BodyError::Idle)))
+        let frame = self.poll_any(cx);
+        self.timer.bound(cx, frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/fescueway_proxy/src/body/request_body.rs
+++ b/crates/fescueway_proxy/src/body/request_body.rs
@@ -12,9 +12,8 @@
 use http::StatusCode;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use tokio::time::{Sleep, sleep};
 
-use super::BodyError;
+use super::{BodyError, IdleTimer};
 
 /// The body of a request. Clones share a streaming body.
 #[derive(Clone, Debug)]
@@ -43,10 +42,8 @@
     bytes_left: u64,
     /// The limit on the whole body in bytes.
     limit: u64,
-    /// The longest wait for the next byte.
-    idle: Duration,
-    /// Ends a wait, made when one begins.
-    timer: Option<Pin<Box<Sleep>>>,
+    /// Bounds the wait for the next byte.
+    timer: IdleTimer,
 }
 
 impl RequestBody {
@@ -94,8 +91,7 @@
             broken: None,
             bytes_left: limit,
             limit,
-            idle,
-            timer: None,
+            timer: IdleTimer::new(idle),
         })))
     }
 
@@ -130,19 +126,10 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match Pin::new(&mut self.incoming).poll_frame(context) {
-            Poll::Ready(frame) => {
-                self.timer = None;
-                let frame = frame.map(|frame| self.count(frame.map_err(BodyError::Caller)?));
-                Poll::Ready(frame)
-            }
-            Poll::Pending => {
-                let idle = self.idle;
-                let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(idle)));
-                ready!(timer.as_mut().poll(context));
-                Poll::Ready(Some(Err(BodyError::Idle)))
-            }
-        }
+        let frame = Pin::new(&mut self.incoming).poll_frame(context);
+        let frame = frame.map_err(BodyError::Caller);
+        let frame = ready!(self.timer.bound(context, frame));
+        Poll::Ready(frame.map(|frame| self.count(frame?)))
     }
 
     /// Counts a frame against the limit.
--- a/crates/fescueway_proxy/src/host/backend_body.rs
+++ b/crates/fescueway_proxy/src/host/backend_body.rs
@@ -12,10 +12,12 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Sleep, sleep};
 
 use super::{RunTicket, backend_pool::BackendConnection};
-use crate::{body::BodyError, call_table::CallGuard};
+use crate::{
+    body::{BodyError, IdleTimer},
+    call_table::CallGuard,
+};
 
 /// The body of a backend server's answer.
 ///
@@ -34,10 +36,8 @@
     is_kept: bool,
     /// How the run ends when the body does.
     end: RunEnd,
-    /// The longest wait for the next byte.
-    idle: Duration,
-    /// Ends a wait, made when one begins.
-    timer: Option<Pin<Box<Sleep>>>,
+    /// Bounds the wait for the next byte.
+    timer: IdleTimer,
 }
 
 /// What an answer holds until its end.
@@ -66,8 +66,7 @@
             run: Some(run),
             is_kept,
             end,
-            idle,
-            timer: None,
+            timer: IdleTimer::new(idle),
         };
         body.finish_at_end();
         body
@@ -104,8 +103,7 @@
             run: Some(self.run.take()?),
             is_kept: false,
             end: self.end,
-            idle: self.idle,
-            timer: None,
+            timer: IdleTimer::new(self.timer.limit()),
         })
     }
 }
@@ -121,29 +119,16 @@
         let Some(incoming) = &mut self.incoming else {
             return Poll::Ready(None);
         };
-        let Poll::Ready(frame) = Pin::new(incoming).poll_frame(cx) else {
-            let idle = self.idle;
-            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(idle)));
-            ready!(timer.as_mut().poll(cx));
-            self.fail();
-            return Poll::Ready(Some(Err(BodyError::Idle)));
-        };
-        self.timer = None;
-        match frame {
-            Some(Ok(frame)) => {
-                self.finish_at_end();
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Some(Err(source)) => {
-                self.fail();
-                let address = self.address;
-                Poll::Ready(Some(Err(BodyError::Backend { address, source })))
-            }
-            None => {
-                self.finish();
-                Poll::Ready(None)
-            }
+        let frame = Pin::new(incoming).poll_frame(cx);
+        let address = self.address;
+        let frame = frame.map_err(|source| BodyError::Backend { address, source });
+        let frame = ready!(self.timer.bound(cx, frame));
+        match &frame {
+            Some(Ok(_)) => self.finish_at_end(),
+            Some(Err(_)) => self.fail(),
+            None => self.finish(),
         }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
