Pause after a connection that could not be accepted

Cause: when open files run out, accepting fails at once and again, so each listener span and logged E1000 each time: 242,011 lines in 3 s of the new test, with a limit of 40 files. Now a listener pauses for 50 ms and the event is logged once a second for each, with the count of what was left out; the node takes connections again once files are free.

The three accept loops (callers, peers, local HTTP) said the same; they are `AcceptLoop` now. It also hears of the end while it waits at its limit, and before it takes another connection; the loops heard of it only with a place free, and then took one more connection half of the time.

--- /dev/null
+++ b/crates/fescueway_proxy/src/accept_loop.rs
@@ -0,0 +1,68 @@
+//! Takes connections, and no more at once than are allowed.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use fescueway_telemetry::{EventLimit, events::path};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{mono_clock::MonoClock, task_group::TaskGroup};
+
+/// Pause after a connection could not be accepted: what is short, like open files, stays short
+/// for a while.
+const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Takes connections, and no more at once than are allowed.
+#[derive(Clone, Debug)]
+pub struct AcceptLoop {
+    /// What the listener is called in events.
+    pub name: &'static str,
+    /// Connections that are open at once. At least one.
+    pub limit: usize,
+    /// Ends the loop when cancelled. Connections go on.
+    pub closing: CancellationToken,
+}
+
+impl AcceptLoop {
+    /// Lets `serve` serve each connection of `listener`, as one of `tasks`.
+    pub async fn run<F>(
+        self,
+        tasks: &TaskGroup,
+        listener: TcpListener,
+        serve: impl Fn(TcpStream, SocketAddr) -> F,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let places = Arc::new(Semaphore::new(self.limit));
+        let failures = EventLimit::new(&path::ACCEPT_FAILED);
+        let clock = MonoClock::start();
+        loop {
+            let accepting = async {
+                let place = Arc::clone(&places).acquire_owned().await;
+                (place, listener.accept().await)
+            };
+            let (place, accepted) = tokio::select! {
+                biased;
+                () = self.closing.cancelled() => return,
+                accepted = accepting => accepted,
+            };
+            match accepted {
+                Ok((socket, peer)) => {
+                    let serving = serve(socket, peer);
+                    tasks.spawn(async move {
+                        serving.await;
+                        drop(place);
+                    });
+                }
+                Err(error) => {
+                    failures.emit(clock.now(), self.name, &[&self.name, &error]);
+                    sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+}
--- a/crates/fescueway_proxy/src/entry/entry_server.rs
+++ b/crates/fescueway_proxy/src/entry/entry_server.rs
@@ -8,14 +8,14 @@
     rt::{TokioIo, TokioTimer},
     server::conn::auto::Builder,
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::Semaphore,
-};
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use super::answer_request::answer_request;
-use crate::{proxy_state::ProxyState, socket_options::set_socket_options, task_group::TaskGroup};
+use crate::{
+    accept_loop::AcceptLoop, proxy_state::ProxyState, socket_options::set_socket_options,
+    task_group::TaskGroup,
+};
 
 /// Header fields of one request at most.
 const MAX_HEADERS: usize = 100;
@@ -25,28 +25,17 @@
 
 /// Takes connections of callers until `closing` is cancelled. What is in flight is finished.
 pub async fn serve_callers(state: ProxyState, listener: TcpListener, closing: CancellationToken) {
-    let places = Arc::new(Semaphore::new(state.limits().caller_connections));
     let builder = Arc::new(server_builder(&state));
-    loop {
-        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
-            return;
-        };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = closing.cancelled() => return,
-        };
-        match accepted {
-            Ok((socket, caller)) => {
-                let (state, closing) = (state.clone(), closing.clone());
-                let builder = Arc::clone(&builder);
-                state.tasks().clone().spawn(async move {
-                    serve_connection(state, &builder, socket, caller, closing).await;
-                    drop(place);
-                });
-            }
-            Err(error) => emit(&path::ACCEPT_FAILED, &[&"callers", &error]),
-        }
-    }
+    let accepting = AcceptLoop {
+        name: "callers",
+        limit: state.limits().caller_connections,
+        closing: closing.clone(),
+    };
+    let serve = |socket, caller| {
+        let (state, closing) = (state.clone(), closing.clone());
+        serve_connection(state, Arc::clone(&builder), socket, caller, closing)
+    };
+    accepting.run(state.tasks(), listener, serve).await;
 }
 
 /// The HTTP server with its limits.
@@ -70,7 +59,7 @@
 /// Serves one connection.
 async fn serve_connection(
     state: ProxyState,
-    builder: &Builder<TaskGroup>,
+    builder: Arc<Builder<TaskGroup>>,
     socket: TcpStream,
     caller: SocketAddr,
     closing: CancellationToken,
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! and whether the host admits it, is decided in `fescueway_routing` and `fescueway_admission`:
 //! this crate moves the bytes.
 
+mod accept_loop;
 mod backend_announcement;
 pub mod body;
 mod call_table;
@@ -30,6 +31,7 @@
 mod task_group;
 
 pub use crate::{
+    accept_loop::AcceptLoop,
     backend_announcement::BackendAnnouncement,
     entry::serve_callers,
     host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunPermit, RunStop},
--- a/crates/fescueway_proxy/src/peer/peer_server.rs
+++ b/crates/fescueway_proxy/src/peer/peer_server.rs
@@ -1,9 +1,8 @@
 //! Takes streams from other nodes.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use fescueway_telemetry::{emit, events::path};
 use fescueway_wire::{MAX_PAYLOAD_BYTES, StreamHead};
 use h2::{
     RecvStream,
@@ -12,7 +11,6 @@
 use http::{Request, StatusCode};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
@@ -24,7 +22,10 @@
     peer_link::{LINK_WINDOW_BYTES, PEER_SILENCE, STREAM_WINDOW_BYTES, STREAMS_PER_LINK},
     watched_socket::WatchedSocket,
 };
-use crate::{host::serve_offer, proxy_state::ProxyState, socket_options::set_socket_options};
+use crate::{
+    accept_loop::AcceptLoop, host::serve_offer, proxy_state::ProxyState,
+    socket_options::set_socket_options,
+};
 
 /// The largest list of HTTP/2 header fields in bytes. Ours are a handful.
 const HEADER_LIST_BYTES: u32 = 4_096;
@@ -35,23 +36,13 @@
 
 /// Takes connections of peers until `closing` is cancelled.
 pub async fn serve_peers(state: ProxyState, listener: TcpListener, closing: CancellationToken) {
-    let places = Arc::new(Semaphore::new(state.limits().peer_connections));
-    loop {
-        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
-            return;
-        };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = closing.cancelled() => return,
-        };
-        match accepted {
-            Ok((socket, peer)) => {
-                let connection = serve_connection(state.clone(), socket, peer, closing.clone());
-                state.tasks().spawn(hold(place, connection));
-            }
-            Err(error) => emit(&path::ACCEPT_FAILED, &[&"peers", &error]),
-        }
-    }
+    let accepting = AcceptLoop {
+        name: "peers",
+        limit: state.limits().peer_connections,
+        closing: closing.clone(),
+    };
+    let serve = |socket, peer| serve_connection(state.clone(), socket, peer, closing.clone());
+    accepting.run(state.tasks(), listener, serve).await;
 }
 
 /// Keeps `guard` while `work` runs.
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -4,12 +4,12 @@
 
 use crate::EventKind;
 
-/// A connection could not be accepted.
+/// A connection could not be accepted. Logged once a second for each listener.
 pub const ACCEPT_FAILED: EventKind = EventKind {
     number: 1000,
     level: Level::Warn,
     summary: "a connection could not be accepted",
-    fields: &["listener", "error"],
+    fields: &["listener", "error", "suppressed"],
     advice: "Raise the limit of open files, or lower the node's limits on connections.",
 };
 
--- a/crates/fescuewayd/src/local_http.rs
+++ b/crates/fescuewayd/src/local_http.rs
@@ -3,8 +3,7 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use fescueway_proxy::TaskGroup;
-use fescueway_telemetry::{emit, events::path};
+use fescueway_proxy::{AcceptLoop, TaskGroup};
 use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -12,9 +11,9 @@
 use serde::Serialize;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
     time::timeout,
 };
+use tokio_util::sync::CancellationToken;
 
 /// The largest request body in bytes.
 const BODY_BYTES: usize = 16 * 1_024;
@@ -47,22 +46,16 @@
     answer: impl Fn(LocalRequest) -> LocalAnswer + Send + Sync + 'static,
 ) {
     let answer = Arc::new(answer);
-    let places = Arc::new(Semaphore::new(CONNECTIONS));
-    loop {
-        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
-            return;
-        };
-        match listener.accept().await {
-            Ok((socket, _peer)) => {
-                let answer = Arc::clone(&answer);
-                tasks.spawn(async move {
-                    serve_connection(socket, &*answer).await;
-                    drop(place);
-                });
-            }
-            Err(error) => emit(&path::ACCEPT_FAILED, &[&name, &error]),
-        }
-    }
+    let accepting = AcceptLoop {
+        name,
+        limit: CONNECTIONS,
+        closing: CancellationToken::new(),
+    };
+    let serve = |socket, _peer| {
+        let answer = Arc::clone(&answer);
+        async move { serve_connection(socket, &*answer).await }
+    };
+    accepting.run(&tasks, listener, serve).await;
 }
 
 /// Serves one connection.
--- a/crates/fescuewayd/tests/path/logged_process.rs
+++ b/crates/fescuewayd/tests/path/logged_process.rs
@@ -16,19 +16,27 @@
 };
 
 use crate::{
-    common::{SOON, request, send},
+    common::{SOON, get, request, send},
     process::{free_addresses, settings_file, wait_until_open},
 };
 
 /// Connections of a hostile peer.
 const HOSTILE: usize = 60;
 
+/// Files that a daemon may have open.
+const FILES: u32 = 1_024;
+
+/// Files that a daemon may have open when they are to run out.
+const FEW_FILES: u32 = 40;
+
 /// A daemon whose log is kept. It is killed when dropped.
 struct LoggedProcess {
     /// The process.
     child: Child,
     /// Its log.
     log: PathBuf,
+    /// Where it takes requests.
+    callers: SocketAddr,
     /// Where it takes streams of other nodes.
     peers: SocketAddr,
     /// Where backend servers announce themselves.
@@ -36,8 +44,9 @@
 }
 
 impl LoggedProcess {
-    /// Starts a daemon on 127.0.0.`host` for the service `w` with this plan of probes.
-    async fn start(name: &str, host: u8, probe: &str) -> Self {
+    /// Starts a daemon on 127.0.0.`host` for the service `w` with this plan of probes, which may
+    /// have `files` open.
+    async fn start(name: &str, host: u8, probe: &str, files: u32) -> Self {
         let [callers, peers, backends, operators] = free_addresses(host);
         let base = format!(
             r#"{{ "services": {{ "w": {{ "path_prefixes": ["/"], "probe": {probe} }} }} }}"#
@@ -54,14 +63,19 @@
         );
         let log = settings_file(&format!("{name}-log"), "");
         let output = File::create(&log).expect("a folder for temporary files");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_fescuewayd"));
-        let file = settings_file(name, &settings);
-        let command = command.arg("--settings").arg(file).stderr(output);
+        let mut command = Command::new("sh");
+        let command = command.arg("-c").arg(format!(
+            "ulimit -n {files} && exec {} --settings {}",
+            env!("CARGO_BIN_EXE_fescuewayd"),
+            settings_file(name, &settings).display(),
+        ));
+        let command = command.stderr(output);
         let child = command.spawn().expect("it starts");
         wait_until_open(operators).await;
         Self {
             child,
             log,
+            callers,
             peers,
             backends,
         }
@@ -94,7 +108,7 @@
 
 #[tokio::test]
 async fn a_hostile_peer_does_not_flood_the_log() {
-    let process = LoggedProcess::start("hostile", 3, "{}").await;
+    let process = LoggedProcess::start("hostile", 3, "{}", FILES).await;
     let start = Instant::now();
     for _ in 0..HOSTILE {
         let mut socket = TcpStream::connect(process.peers).await.expect("it listens");
@@ -123,7 +137,7 @@
 #[tokio::test]
 async fn a_backend_server_without_a_load_endpoint_is_not_failing() {
     let often = r#"{ "budget_ms_per_s": 1000, "timeout_ms": 400 }"#;
-    let process = LoggedProcess::start("absent", 4, often).await;
+    let process = LoggedProcess::start("absent", 4, often, FILES).await;
     let backend = BackendPlan {
         probe_status: 404,
         ..BackendPlan::default()
@@ -142,3 +156,23 @@
     assert_eq!(process.events("E4202").len(), 1);
     assert_eq!(backend.tally().probes, 1);
 }
+
+#[tokio::test]
+async fn running_out_of_files_does_not_flood_the_log() {
+    let process = LoggedProcess::start("files", 5, "{}", FEW_FILES).await;
+    let start = Instant::now();
+    let mut open = Vec::new();
+    for _ in 0..FEW_FILES {
+        open.push(TcpStream::connect(process.callers).await);
+    }
+    process.knows("E1000", 1).await;
+    sleep(Duration::from_secs(2)).await;
+    let most = start.elapsed().as_secs() as usize + 1;
+    let lines = process.events("E1000");
+    assert!(lines.len() <= most, "{} lines, {most} seconds", lines.len());
+
+    // It takes connections again once there are files.
+    drop(open);
+    let response = send(process.callers, get("/w")).await;
+    assert_eq!(response.status(), 503);
+}
