--- a/crates/fescueway_proxy/src/body/request_body.rs
+++ b/crates/fescueway_proxy/src/body/request_body.rs
@@ -9,11 +9,11 @@
 };
 
 use bytes::Bytes;
+use http::StatusCode;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use tokio::time::{Sleep, sleep};
 
-use super::BodyError;
+use super::{BodyError, IdleTimer};
 
 /// The body of a request. Clones share a streaming body.
 #[derive(Clone, Debug)]
@@ -36,14 +36,14 @@
     incoming: Incoming,
     /// Whether a byte was asked for. From then on it can't be offered again.
     is_touched: bool,
+    /// The status for the caller, once the body broke off.
+    broken: Option<StatusCode>,
     /// Bytes that may still come.
     bytes_left: u64,
     /// The limit on the whole body in bytes.
     limit: u64,
-    /// The longest wait for the next byte.
-    idle: Duration,
-    /// Ends a wait, made when one begins.
-    timer: Option<Pin<Box<Sleep>>>,
+    /// Bounds the wait for the next byte.
+    timer: IdleTimer,
 }
 
 impl RequestBody {
@@ -70,6 +70,15 @@
             Self::Streaming(body) => !body.is_touched(),
         }
     }
+
+    /// The status for the caller, when its body broke off.
+    #[must_use]
+    pub fn broken(&self) -> Option<StatusCode> {
+        match self {
+            Self::Empty | Self::Buffered(_) => None,
+            Self::Streaming(body) => body.with(|state| state.broken),
+        }
+    }
 }
 
 impl SharedBody {
@@ -79,10 +88,10 @@
         Self(Arc::new(Mutex::new(SharedState {
             incoming,
             is_touched: false,
+            broken: None,
             bytes_left: limit,
             limit,
-            idle,
-            timer: None,
+            timer: IdleTimer::new(idle),
         })))
     }
 
@@ -99,25 +108,28 @@
 }
 
 impl SharedState {
-    /// The next frame, or an error when it doesn't come in time.
+    /// The next frame. Keeps in mind whether the body broke off.
     fn poll_frame(
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.is_touched = true;
-        match Pin::new(&mut self.incoming).poll_frame(context) {
-            Poll::Ready(frame) => {
-                self.timer = None;
-                let frame = frame.map(|frame| self.count(frame.map_err(BodyError::Caller)?));
-                Poll::Ready(frame)
-            }
-            Poll::Pending => {
-                let idle = self.idle;
-                let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(idle)));
-                ready!(timer.as_mut().poll(context));
-                Poll::Ready(Some(Err(BodyError::Idle)))
-            }
+        let frame = ready!(self.poll_in_time(context));
+        if let Some(Err(error)) = &frame {
+            self.broken = Some(error.caller_status());
         }
+        Poll::Ready(frame)
+    }
+
+    /// The next frame, or an error when it doesn't come in time.
+    fn poll_in_time(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = Pin::new(&mut self.incoming).poll_frame(context);
+        let frame = frame.map_err(BodyError::Caller);
+        let frame = ready!(self.timer.bound(context, frame));
+        Poll::Ready(frame.map(|frame| self.count(frame?)))
     }
 
     /// Counts a frame against the limit.
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -6,8 +6,9 @@
 use fescueway_core::{Idempotency, Refusal, RefusalReason};
 use http::{
     HeaderValue, Request, Response,
-    header::{CONNECTION, HOST, TE},
+    header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRANSFER_ENCODING},
 };
+use http_body::Body;
 use hyper::body::Incoming;
 
 use super::{
@@ -83,6 +84,7 @@
         body: HostBody,
     ) -> RunAnswer {
         let pool = self.ticket.target().pool().clone();
+        let service = request.terms.service.clone();
         let call = state.calls().enter(&request.terms, state.now());
         let is_kept = request.terms.idempotency == Idempotency::NonIdempotent;
         let request = to_backend(request, body, call.token());
@@ -91,6 +93,9 @@
             Ok((response, connection)) => {
                 let mut ticket = self.ticket;
                 ticket.answered(response.status().as_u16());
+                if let Some(load) = response.headers().get(headers::LOAD) {
+                    state.record_load(&service, load.as_bytes());
+                }
                 let run = RunningCall {
                     ticket,
                     connection,
@@ -100,7 +105,13 @@
                 RunAnswer::Answered(Box::new(to_answer(response, run, is_kept, idle)))
             }
             Err(error) => {
-                self.ticket.set_end(RunEnd::Lost);
+                // What the caller broke off says nothing about the backend server.
+                let is_cancelled = error.is_caller_side();
+                self.ticket.set_end(if is_cancelled {
+                    RunEnd::Cancelled
+                } else {
+                    RunEnd::Lost
+                });
                 if error.is_unsent() {
                     self.ticket.take_back();
                     RunAnswer::Refused(unreachable_backend())
@@ -123,6 +134,10 @@
         headers.insert(headers::CALL, token);
     }
     headers.insert(headers::TIME_LEFT, HeaderValue::from(time_left));
+    if !body.is_end_stream() && !headers.contains_key(CONTENT_LENGTH) {
+        // Without it the HTTP library sends no body with a method that seldom has one.
+        headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+    }
     if headers.contains_key(TE) {
         headers.insert(CONNECTION, HeaderValue::from_static("te"));
     }
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! and whether the host admits it, is decided in `fescueway_routing` and `fescueway_admission`:
 //! this crate moves the bytes.
 
+mod accept_loop;
 mod backend_announcement;
 pub mod body;
 mod call_table;
@@ -12,9 +13,12 @@
 mod entry;
 mod headers;
 mod host;
+mod local_targets;
 mod mono_clock;
+mod observer_slot;
 mod offer_answer;
 mod offer_request;
+mod open_counts;
 mod open_guard;
 mod peer;
 mod proxy_limits;
@@ -27,6 +31,7 @@
 mod task_group;
 
 pub use crate::{
+    accept_loop::AcceptLoop,
     backend_announcement::BackendAnnouncement,
     entry::serve_callers,
     host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunPermit, RunStop},
--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -1,8 +1,12 @@
 //! The path of requests through real nodes on loopback.
 
 mod backends;
+mod caller_limits;
 mod common;
 mod hostile_peers;
+mod live_gates;
+mod load_header;
+mod logged_process;
 mod mixed_answers;
 mod nested_calls;
 mod outcomes;
