Offer requests to targets of the entry's own site only

Cause: the membership told the entry of every target of the fleet, and RouteTable gave all of them to the router, though the node record carries the site. An entry could offer a request under its own site's plan to a host of another site.

Ruled out: leaving other sites' targets out of the membership's actions. Claims and suspect requests take their hosts from the same view; they would have been split by site, and a key that one site claimed would have been free at the other.

After: 503, not-run, and no run there; 20 of 20 requests run at the own site's target. `fescueway targets` and /targets show the site; the test of the table has the column, all else in it as before.

--- a/crates/fescueway/src/commands/targets.rs
+++ b/crates/fescueway/src/commands/targets.rs
@@ -22,6 +22,7 @@
     let heading = row([
         "SERVICE",
         "NODE",
+        "SITE",
         "DOMAIN",
         "ADDRESS",
         "STATE",
@@ -42,6 +43,7 @@
     vec![
         record.service.to_string(),
         record.node.to_string(),
+        target.site.to_string(),
         record.domain.to_string(),
         record.peer_address.to_string(),
         state_text(record.state).to_owned(),
--- a/crates/fescueway/tests/cli/command_line.rs
+++ b/crates/fescueway/tests/cli/command_line.rs
@@ -249,7 +249,7 @@
 fn targets_are_listed_with_their_load() {
     let list = json!({ "targets": [{
         "node": 170, "service": "cap-bands", "peer_address": "127.0.0.1:7001",
-        "domain": "south", "slots": 12, "connections": 200, "state": "draining",
+        "site": "wales", "domain": "south", "slots": 12, "connections": 200, "state": "draining",
         "load": { "in_flight": 5, "queued": 1, "limit": 9, "service_time_us": 0, "wait_us": 0,
                   "age_us": 0, "failed_permille": 0, "is_draining": true },
     }] });
@@ -262,7 +262,7 @@
         .expect("a row")
         .split_whitespace()
         .collect();
-    let expected = "cap-bands 00000000000000aa south 127.0.0.1:7001 draining 12 9 5 1";
+    let expected = "cap-bands 00000000000000aa wales south 127.0.0.1:7001 draining 12 9 5 1";
     assert_eq!(cells.join(" "), expected, "{run:?}");
     let run = fescueway(&["targets", "--node", &node.to_string()]);
     assert_fails(&run, 1, "makes no sense");
--- a/crates/fescueway_membership/src/member_event.rs
+++ b/crates/fescueway_membership/src/member_event.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use fescueway_core::{ConfigMark, NodeId, ServiceName, TargetRecord};
+use fescueway_core::{ConfigMark, NodeId, ServiceName, SiteName, TargetRecord};
 
 /// What a [`crate::MemberList`] is told.
 #[derive(Clone, Debug)]
@@ -44,7 +44,12 @@
         bytes: Vec<u8>,
     },
     /// A target is new or has changed.
-    SetTarget(TargetRecord),
+    SetTarget {
+        /// The site of its host node.
+        site: SiteName,
+        /// The target.
+        target: TargetRecord,
+    },
     /// A target is gone.
     RemoveTarget {
         /// Its host node.
--- a/crates/fescueway_membership/src/rumor_intake.rs
+++ b/crates/fescueway_membership/src/rumor_intake.rs
@@ -121,8 +121,14 @@
                 service: gone.service.clone(),
             });
         }
+        let site = after.record.as_ref().map(|record| &record.site);
         let changed = new.into_iter().filter(|target| !old.contains(target));
-        step.actions.extend(changed.map(MemberAction::SetTarget));
+        let sited = changed.zip(site.into_iter().cycle());
+        let actions = sited.map(|(target, site)| MemberAction::SetTarget {
+            site: site.clone(),
+            target,
+        });
+        step.actions.extend(actions);
         if was_up && !after.is_reachable() {
             step.actions.push(MemberAction::NodeDown { node, cause });
         }
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -12,7 +12,7 @@
 
 use fescueway_admission::GatePlan;
 use fescueway_config::SitePlan;
-use fescueway_core::{MonoTime, NodeId, ServiceName, TargetRecord, TargetState};
+use fescueway_core::{MonoTime, NodeId, ServiceName, SiteName, TargetRecord, TargetState};
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
@@ -87,7 +87,7 @@
             clock,
             tasks: tasks.clone(),
             plan: Mutex::new(Arc::new(plan)),
-            routes: RouteTable::new(options.node, options.domain.clone(), options.seed),
+            routes: RouteTable::new(&options),
             peers: PeerPool::new(limits, tasks, clock),
             controls: ControlTable::default(),
             calls: CallTable::new(options.secret),
@@ -215,9 +215,14 @@
         *lock(&self.0.plan) = plan;
     }
 
-    /// Adds or replaces a target of the fleet.
+    /// Adds or replaces a target of this node's site.
     pub fn set_target(&self, record: &TargetRecord) {
-        self.0.routes.set_target(self.now(), record);
+        self.set_target_of(&self.0.options.site, record);
+    }
+
+    /// Adds or replaces a target of the fleet. Requests go to those of this node's site only.
+    pub fn set_target_of(&self, site: &SiteName, record: &TargetRecord) {
+        self.0.routes.set_target(self.now(), site, record);
     }
 
     /// Forgets a target of the fleet.
--- a/crates/fescueway_proxy/src/route_table.rs
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -10,12 +10,14 @@
 use fescueway_config::{ServicePlan, SitePlan};
 use fescueway_core::{
     DomainName, LoadReport, MonoTime, NodeId, Refusal, RefusalReason, RequestTerms, ServiceName,
-    TargetRecord,
+    SiteName, TargetRecord,
 };
 use fescueway_routing::{OfferEnd, PickResult, RouteEvent, RoutingPlan, ServiceRouter};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::ProxyOptions;
+
 /// The targets of all services as this entry sees them.
 #[derive(Debug)]
 pub struct RouteTable(Mutex<TableState>);
@@ -27,6 +29,8 @@
     node: NodeId,
     /// The entry's failure domain.
     domain: DomainName,
+    /// The entry's site.
+    site: SiteName,
     /// Draws the candidates.
     random: Pcg64Mcg,
     /// Services by name.
@@ -47,6 +51,8 @@
 /// A target as this entry sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetView {
+    /// The site of its host node. Requests go to targets of the entry's site only.
+    pub site: SiteName,
     /// What its node announced.
     pub record: TargetRecord,
     /// Its latest load report and when it came.
@@ -54,13 +60,14 @@
 }
 
 impl RouteTable {
-    /// A table without targets for the entry `node` in `domain`.
+    /// A table without targets for the entry that `options` describe.
     #[must_use]
-    pub fn new(node: NodeId, domain: DomainName, seed: u64) -> Self {
+    pub fn new(options: &ProxyOptions) -> Self {
         Self(Mutex::new(TableState {
-            node,
-            domain,
-            random: Pcg64Mcg::seed_from_u64(seed),
+            node: options.node,
+            domain: options.domain.clone(),
+            site: options.site.clone(),
+            random: Pcg64Mcg::seed_from_u64(options.seed),
             services: BTreeMap::new(),
             plans: BTreeMap::new(),
         }))
@@ -83,12 +90,17 @@
         }
     }
 
-    /// Adds or replaces a target.
-    pub fn set_target(&self, now: MonoTime, record: &TargetRecord) {
+    /// Adds or replaces a target of `site`. One of another site is known, but never picked: the
+    /// entry holds the configuration and the terms of its own site's service only.
+    pub fn set_target(&self, now: MonoTime, site: &SiteName, record: &TargetRecord) {
         let mut state = self.state();
+        let is_near = state.site == *site;
         let routes = state.routes(&record.service);
-        routes.router.set_target(now, record);
+        if is_near {
+            routes.router.set_target(now, record);
+        }
         let view = TargetView {
+            site: site.clone(),
             record: record.clone(),
             load: None,
         };
--- a/crates/fescueway_telemetry/src/node_status.rs
+++ b/crates/fescueway_telemetry/src/node_status.rs
@@ -63,6 +63,8 @@
 /// One target as a node sees it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TargetStatus {
+    /// Its site. A node sends requests to targets of its own site only.
+    pub site: SiteName,
     /// The target.
     #[serde(flatten)]
     pub record: TargetRecord,
--- a/crates/fescueway_testkit/src/member_network.rs
+++ b/crates/fescueway_testkit/src/member_network.rs
@@ -320,7 +320,7 @@
         let member = &mut self.members[index];
         match action {
             MemberAction::Send { to, bytes } => self.send(index, to, bytes),
-            MemberAction::SetTarget(target) => {
+            MemberAction::SetTarget { target, .. } => {
                 let key = (target.node, target.service.clone());
                 member.targets.insert(key, target);
             }
--- a/crates/fescuewayd/src/member_link.rs
+++ b/crates/fescuewayd/src/member_link.rs
@@ -161,7 +161,9 @@
                 // A datagram that can't be sent now is lost, as any may be.
                 let _ = self.0.socket.try_send_to(&bytes, to);
             }
-            MemberAction::SetTarget(target) => self.0.proxy.set_target(&target),
+            MemberAction::SetTarget { site, target } => {
+                self.0.proxy.set_target_of(&site, &target);
+            }
             MemberAction::RemoveTarget { node, service } => {
                 self.0.proxy.remove_target(node, &service);
             }
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -92,6 +92,7 @@
     }
 
     /// Metrics in Prometheus' text form.
+            site: view.site,
     fn metrics(&self) -> LocalAnswer {
         match self.meter.render(&self.state, &self.board.facts()) {
             Ok(page) => content(StatusCode::OK, METRICS_TYPE, page),
--- a/crates/fescuewayd/tests/path/two_nodes.rs
+++ b/crates/fescuewayd/tests/path/two_nodes.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use fescueway_core::TargetState;
+use fescueway_core::{SiteName, TargetState};
 use fescueway_testkit::{BackendPlan, BackendStub};
 
-use crate::common::{announce, get, header, knows_targets, node, plan, request, send, text};
+use crate::common::{
+    announce, get, header, knows_targets, node, node_with, plan, request, send, text,
+};
 
 #[tokio::test]
 async fn a_request_is_answered_through_the_other_node() {
@@ -58,3 +60,36 @@
     announced.changed().await.expect("the node runs");
     assert_eq!(announced.borrow_and_update()[0].state, TargetState::Serving);
 }
+
+#[tokio::test]
+async fn a_target_of_another_site_is_known_but_gets_no_request() {
+    let plan = plan("windows", Duration::from_secs(2));
+    let backend = BackendStub::start(BackendPlan::default())
+        .await
+        .expect("a port");
+    let entry = node(&plan, &[]).await;
+    let seeds = [entry.addresses().peers];
+    let distant = node_with(&plan, &seeds, |settings| {
+        settings.site = SiteName::from("other");
+    })
+    .await;
+    announce(&distant, "windows", backend.address());
+    knows_targets(&entry, 1).await;
+
+    let read = || send(entry.addresses().callers, get("/windows/7"));
+    let response = read().await;
+    assert_eq!(response.status(), 503);
+    assert_eq!(header(&response, "fescueway-outcome"), "not-run");
+    assert_eq!(backend.tally().runs, 0);
+
+    let near = node(&plan, &seeds).await;
+    let near_backend = BackendStub::start(BackendPlan::default())
+        .await
+        .expect("a port");
+    announce(&near, "windows", near_backend.address());
+    knows_targets(&entry, 2).await;
+    for _ in 0..20 {
+        assert_eq!(read().await.status(), 200);
+    }
+    assert_eq!(backend.tally().runs, 0);
+}
