--- a/crates/fescueway_wire/src/control_message.rs
+++ b/crates/fescueway_wire/src/control_message.rs
@@ -8,8 +8,6 @@
 /// What a control message is about. Its handler knows the body's form.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum ControlKind {
-    /// Targets that a node announces to the peers in its settings.
-    Announce,
     /// Fetches configuration.
     Config,
     /// Claims an idempotency key.
--- a/crates/fescueway_wire/src/frame_codec.rs
+++ b/crates/fescueway_wire/src/frame_codec.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 
 /// The version of the messages between nodes. Nodes of different versions refuse each other.
-pub const WIRE_VERSION: u8 = 1;
+pub const WIRE_VERSION: u8 = 2;
 
 /// Bytes before the payload: the version and the length.
 pub const PREFIX_BYTES: usize = 5;
