Share one token bucket

ByteBudget and StorePacer each held the same bucket that refills with time. OfferBudget of the routing is left as it is: it earns a share of a token with each event and may owe, and knows no time. Tests of both crates unchanged.

--- a/crates/fescueway_core/src/lib.rs
+++ b/crates/fescueway_core/src/lib.rs
@@ -12,6 +12,7 @@
 mod refusal;
 mod request_terms;
 mod target_record;
+mod token_bucket;
 
 pub use crate::{
     config_mark::ConfigMark,
@@ -23,4 +24,5 @@
     refusal::{Refusal, RefusalReason},
     request_terms::{Idempotency, KeyDigest, OfferCause, Priority, RequestTerms},
     target_record::{TargetRecord, TargetState},
+    token_bucket::TokenBucket,
 };
--- a/crates/fescueway_platform/src/store_pacer.rs
+++ b/crates/fescueway_platform/src/store_pacer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fescueway_core::MonoTime;
+use fescueway_core::{MonoTime, TokenBucket};
 use rand_core::Rng;
 
 /// Pause after the first failure, before jitter.
@@ -26,13 +26,8 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct StorePacer {
-    /// Calls that may be made now. At most `burst`.
-    tokens: f64,
-    /// Calls that may be saved up.
-    burst: f64,
-    /// Calls per second.
-    refill_per_s: f64,
-    refilled_at: MonoTime,
+    /// Calls that may be made now.
+    bucket: TokenBucket,
     /// Failures in a row.
     failures: u32,
     /// No call before this.
@@ -54,10 +49,7 @@
 
     const fn new(now: MonoTime, burst: f64, refill_per_s: f64) -> Self {
         Self {
-            tokens: burst,
-            burst,
-            refill_per_s,
-            refilled_at: now,
+            bucket: TokenBucket::full(now, burst, refill_per_s),
             failures: 0,
             opens_at: now,
         }
@@ -65,8 +57,7 @@
 
     /// Changes the budget to that of `role`, keeping what is known of the store.
     pub const fn set_role(&mut self, role: &Self) {
-        self.burst = role.burst;
-        self.refill_per_s = role.refill_per_s;
+        self.bucket.set_rate(&role.bucket);
     }
 
     /// Takes one call from the budget.
@@ -77,17 +68,12 @@
         if now < self.opens_at {
             return Err(self.opens_at);
         }
-        let elapsed = now.since(self.refilled_at).as_secs_f64();
-        self.refilled_at = now;
-        // Nothing is saved up during an outage, or its end would meet all that was saved.
-        let most = if self.failures > 0 { 1.0 } else { self.burst };
-        self.tokens = (self.tokens + elapsed * self.refill_per_s).min(most);
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
-            return Ok(());
+        if self.failures > 0 {
+            // Nothing is saved up during an outage, or its end would meet all that was saved.
+            self.bucket.available(now);
+            self.bucket.cap(1.0);
         }
-        let wait = (1.0 - self.tokens) / self.refill_per_s;
-        Err(now + Duration::from_secs_f64(wait))
+        self.bucket.try_take(now)
     }
 
     /// Notes that the store answered.
