--- a/crates/fescueway_membership/src/member_event.rs
+++ b/crates/fescueway_membership/src/member_event.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use fescueway_core::{ConfigMark, NodeId, ServiceName, TargetRecord};
+use fescueway_core::{ConfigMark, NodeId, ServiceName, SiteName, TargetRecord};
 
 /// What a [`crate::MemberList`] is told.
 #[derive(Clone, Debug)]
@@ -29,6 +29,9 @@
         /// At most 800 bytes; a longer one is dropped.
         body: Vec<u8>,
     },
+    /// Tell these members of this node's own record directly, until they acknowledge it. Replaces
+    /// the members of the last such event.
+    TellRecord(Vec<NodeId>),
     /// This node is about to stop.
     Leave,
 }
@@ -44,7 +47,12 @@
         bytes: Vec<u8>,
     },
     /// A target is new or has changed.
-    SetTarget(TargetRecord),
+    SetTarget {
+        /// The site of its host node.
+        site: SiteName,
+        /// The target.
+        target: TargetRecord,
+    },
     /// A target is gone.
     RemoveTarget {
         /// Its host node.
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -10,7 +10,7 @@
 };
 
 use fescueway_config::SitePlan;
-use fescueway_core::{MonoTime, NodeId, ServiceName, TargetRecord};
+use fescueway_core::{MonoTime, NodeId, ServiceName, SiteName, TargetRecord};
 use fescueway_telemetry::{EventLimit, events::path};
 
 use crate::{
@@ -23,6 +23,7 @@
     peer::{ControlTable, PeerPool},
     proxy_limits::ProxyLimits,
     proxy_options::ProxyOptions,
+    recent_entries::RecentEntries,
     request_record::RequestRecord,
     route_table::RouteTable,
     task_group::TaskGroup,
@@ -63,6 +64,8 @@
     checks: RunChecks,
     /// Targets of this node.
     targets: LocalTargets,
+    /// Entries that sent this node requests lately.
+    entries: RecentEntries,
     /// What callers and peers hold open.
     open: OpenCounts,
     /// Keeps hostile peers from flooding the log.
@@ -88,12 +91,13 @@
             clock,
             tasks: tasks.clone(),
             plan: Mutex::new(Arc::new(plan)),
-            routes: RouteTable::new(options.node, options.domain.clone(), options.seed),
+            routes: RouteTable::new(&options),
             peers: PeerPool::new(limits, tasks, clock),
             controls: ControlTable::default(),
             calls: CallTable::new(options.secret),
             checks: RunChecks::default(),
             targets: LocalTargets::default(),
+            entries: RecentEntries::default(),
             open: OpenCounts::default(),
             refused_peers: EventLimit::new(&path::PEER_REFUSED),
             request_observer: ObserverSlot::default(),
@@ -212,9 +216,14 @@
         self.0.targets.apply_plan(&self.plan());
     }
 
-    /// Adds or replaces a target of the fleet.
+    /// Adds or replaces a target of this node's site.
     pub fn set_target(&self, record: &TargetRecord) {
-        self.0.routes.set_target(self.now(), record);
+        self.set_target_of(&self.0.options.site, record);
+    }
+
+    /// Adds or replaces a target of the fleet. Requests go to those of this node's site only.
+    pub fn set_target_of(&self, site: &SiteName, record: &TargetRecord) {
+        self.0.routes.set_target(self.now(), site, record);
     }
 
     /// Forgets a target of the fleet.
--- a/crates/fescueway_proxy/src/proxy_state/local_backends.rs
+++ b/crates/fescueway_proxy/src/proxy_state/local_backends.rs
@@ -7,7 +7,7 @@
 };
 
 use fescueway_admission::GatePlan;
-use fescueway_core::{ServiceName, TargetRecord, TargetState};
+use fescueway_core::{NodeId, ServiceName, TargetRecord, TargetState};
 use tokio::{sync::watch, time::sleep};
 
 use super::ProxyState;
@@ -23,6 +23,17 @@
         self.0.targets.announced()
     }
 
+    /// Notes an offer of `entry` to a target of this node.
+    pub(crate) fn note_entry(&self, entry: NodeId) {
+        self.0.entries.note(self.now(), entry);
+    }
+
+    /// The entries that sent this node requests in the last 30 to 60 s, sorted.
+    #[must_use]
+    pub fn recent_entries(&self) -> Vec<NodeId> {
+        self.0.entries.get(self.now())
+    }
+
     /// A backend server takes work. Announced again unchanged it goes on as it was.
     pub fn announce(&self, announcement: &BackendAnnouncement) {
         let record = self.local_record(announcement);
--- a/crates/fescuewayd/src/member_link.rs
+++ b/crates/fescuewayd/src/member_link.rs
@@ -126,6 +126,11 @@
         self.core().list.is_joined()
     }
 
+    /// Whether the entries that are told directly have acknowledged it, or were told in vain.
+    pub fn is_record_told(&self) -> bool {
+        self.core().list.is_record_told()
+    }
+
     /// Nodes that live, this one included.
     pub fn live_count(&self) -> usize {
         self.core().list.live_count()
@@ -161,7 +166,9 @@
                 // A datagram that can't be sent now is lost, as any may be.
                 let _ = self.0.socket.try_send_to(&bytes, to);
             }
-            MemberAction::SetTarget(target) => self.0.proxy.set_target(&target),
+            MemberAction::SetTarget { site, target } => {
+                self.0.proxy.set_target_of(&site, &target);
+            }
             MemberAction::RemoveTarget { node, service } => {
                 self.0.proxy.remove_target(node, &service);
             }
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     claim_task::ClaimTask,
+    drain_orders::DrainOrders,
     local_http::{LocalAnswer, LocalRequest, content, json, text},
     node_meter::NodeMeter,
     status_board::StatusBoard,
@@ -31,6 +32,8 @@
     board: StatusBoard,
     /// The idempotency keys that the node keeps.
     claims: Option<ClaimTask>,
+    /// Who wants the targets drained.
+    orders: DrainOrders,
 }
 
 impl OperatorApi {
@@ -41,12 +44,14 @@
         meter: NodeMeter,
         board: StatusBoard,
         claims: Option<ClaimTask>,
+        orders: DrainOrders,
     ) -> Self {
         Self {
             state,
             meter,
             board,
             claims,
+            orders,
         }
     }
 
@@ -93,6 +98,7 @@
     fn targets(&self) -> TargetList {
         let views = self.state.routes().targets().into_iter();
         let targets = views.map(|view| TargetStatus {
+            site: view.site,
             load: view.load.map(|(load, _time)| load),
             record: view.record,
         });
@@ -111,10 +117,7 @@
 
     /// The targets beside this node take nothing new.
     fn drain(&self) -> LocalAnswer {
-        for service in self.state.local_services() {
-            self.state.drain(&service);
-        }
-        self.board.change(|facts| facts.is_draining = true);
+        self.orders.drain_node();
         emit(&operator::DRAIN_BEGAN, &[&"operator"]);
         self.state.tasks().spawn(self.clone().tell_drained());
         json(&self.status())
@@ -132,12 +135,9 @@
         }
     }
 
-    /// The targets beside this node take work again.
+    /// The targets beside this node take work again, but for those that drained themselves.
     fn undrain(&self) -> LocalAnswer {
-        for service in self.state.local_services() {
-            self.state.undrain(&service);
-        }
-        self.board.change(|facts| facts.is_draining = false);
+        self.orders.undrain_node();
         json(&self.status())
     }
 
