Make no channel for an offer that runs at once, and write a call's token once

Cause: the host made a channel for each offer, though most run at once, and formatted the token of a call into a text that grew four times and was copied into a header value.

The token's number now has 16 digits, so that its size is known before.

--- a/crates/fescueway_proxy/src/call_table.rs
+++ b/crates/fescueway_proxy/src/call_table.rs
@@ -2,11 +2,16 @@
 
 use std::{
     collections::BTreeMap,
+    fmt::Write as _,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use fescueway_core::{MonoTime, RequestTerms};
+use http::HeaderValue;
+
+/// Bytes of a token: 32 hex digits, a dash, 16 hex digits.
+const TOKEN_BYTES: usize = 49;
 
 /// What a call inherits from the one above it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -56,8 +61,8 @@
     table: CallTable,
     /// The call's number.
     number: u64,
-    /// What the backend server is told.
-    token: String,
+    /// Known to this node's backend servers only.
+    secret: u128,
 }
 
 impl CallTable {
@@ -83,12 +88,12 @@
             depth: terms.depth,
         };
         state.calls.insert(number, running);
-        let token = format!("{:032x}-{number:x}", state.secret);
+        let secret = state.secret;
         drop(state);
         CallGuard {
             table: self.clone(),
             number,
-            token,
+            secret,
         }
     }
 
@@ -117,10 +122,13 @@
 }
 
 impl CallGuard {
-    /// What the backend server is told.
+    /// What the backend server is told, `None` when it is no header value, which hex digits are.
     #[must_use]
-    pub fn token(&self) -> &str {
-        &self.token
+    pub fn token(&self) -> Option<HeaderValue> {
+        // Written into a text of the right size, which becomes the value without a copy.
+        let mut token = String::with_capacity(TOKEN_BYTES);
+        write!(token, "{:032x}-{:016x}", self.secret, self.number).ok()?;
+        HeaderValue::try_from(token).ok()
     }
 }
 
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -113,13 +113,17 @@
 }
 
 /// The request as the backend server gets it.
-fn to_backend(request: HostRequest, body: HostBody, token: &str) -> Request<HostBody> {
+fn to_backend(
+    request: HostRequest,
+    body: HostBody,
+    token: Option<HeaderValue>,
+) -> Request<HostBody> {
     let time_left = request.terms.time_left.as_millis() as u64;
     let mut headers = request.headers;
     if let Ok(host) = HeaderValue::from_str(&request.authority) {
         headers.insert(HOST, host);
     }
-    if let Ok(token) = HeaderValue::from_str(token) {
+    if let Some(token) = token {
         headers.insert(headers::CALL, token);
     }
     headers.insert(headers::TIME_LEFT, HeaderValue::from(time_left));
--- a/crates/fescueway_proxy/src/host/host_target.rs
+++ b/crates/fescueway_proxy/src/host/host_target.rs
@@ -44,6 +44,9 @@
     is_timing: bool,
 }
 
+/// Hears `Ok` when the offer may run.
+type GateDecision = oneshot::Receiver<Result<(), Refusal>>;
+
 /// An offer that waits. Dropping it withdraws the offer.
 struct WaitingOffer {
     /// The target.
@@ -51,7 +54,7 @@
     /// Its number there.
     ticket: TicketId,
     /// Hears the gate's decision. `None` once it did.
-    decision: Option<oneshot::Receiver<Result<(), Refusal>>>,
+    decision: Option<GateDecision>,
 }
 
 impl HostTarget {
@@ -132,34 +135,35 @@
         terms: &RequestTerms,
     ) -> Result<RunTicket, Refusal> {
         let (ticket, decision) = self.offer(terms)?;
-        let mut waiting = WaitingOffer {
-            target: Arc::clone(self),
-            ticket,
-            decision: Some(decision),
-        };
-        waiting.wait().await?;
+        if decision.is_some() {
+            let mut waiting = WaitingOffer {
+                target: Arc::clone(self),
+                ticket,
+                decision,
+            };
+            waiting.wait().await?;
+        }
         Ok(RunTicket::new(Arc::clone(self), ticket))
     }
 
-    /// Puts an offer to the gate; its decision may already be there.
+    /// Puts an offer to the gate. It may run at once, or when the gate decides so.
     fn offer(
         self: &Arc<Self>,
         terms: &RequestTerms,
-    ) -> Result<(TicketId, oneshot::Receiver<Result<(), Refusal>>), Refusal> {
+    ) -> Result<(TicketId, Option<GateDecision>), Refusal> {
         let mut state = self.state();
         state.last_ticket += 1;
         let ticket = TicketId(state.last_ticket);
-        let (sender, receiver) = oneshot::channel();
         match state.gate.offer(self.clock.now(), ticket, terms) {
-            GateResult::Refuse(refusal) => return Err(refusal),
-            // The receiver is held above, so this can't fail.
-            GateResult::Run => drop(sender.send(Ok(()))),
+            GateResult::Refuse(refusal) => Err(refusal),
+            GateResult::Run => Ok((ticket, None)),
             GateResult::Wait => {
+                let (sender, receiver) = oneshot::channel();
                 state.waiters.insert(ticket, sender);
                 self.time_later(&mut state);
+                Ok((ticket, Some(receiver)))
             }
         }
-        Ok((ticket, receiver))
     }
 
     /// Ends a run.
