Tell an answer's outcome beside it, and size the map of header fields

Cause: what became of a request travelled in the answer's extensions, which took a box, a map and a box of its own for each answer. The map of header fields from another node had room for 32 fields, 5 KB, whatever came.

Ruled out: a map of just the fields that come.

--- a/crates/fescueway_proxy/src/entry/hedge.rs
+++ b/crates/fescueway_proxy/src/entry/hedge.rs
@@ -5,7 +5,7 @@
 /// Whether the offer brought an answer that is no failure.
 pub fn is_success(end: &AttemptEnd) -> bool {
     match end {
-        AttemptEnd::Answered(response, _) => !response.status().is_server_error(),
+        AttemptEnd::Answered(answer, _) => !answer.response.status().is_server_error(),
         AttemptEnd::Refused(..) | AttemptEnd::Lost(_) => false,
     }
 }
--- a/crates/fescueway_proxy/src/entry/offer_attempt.rs
+++ b/crates/fescueway_proxy/src/entry/offer_attempt.rs
@@ -3,12 +3,10 @@
 use fescueway_core::{LoadReport, MonoTime, NodeId, Refusal, RequestTerms, ServiceName};
 use fescueway_routing::{HandedOver, OfferEnd, OfferPermit};
 use fescueway_telemetry::{emit, events::path};
-use http::Response;
 
 use crate::{
-    body::AnswerBody,
     host::offer_locally,
-    offer_answer::OfferAnswer,
+    offer_answer::{KnownAnswer, OfferAnswer},
     offer_request::OfferRequest,
     peer::{offer_to_peer, unreachable_host},
     proxy_state::ProxyState,
@@ -18,7 +16,7 @@
 #[derive(Debug)]
 pub enum AttemptEnd {
     /// The backend server answers. The request may be offered again only if it is idempotent.
-    Answered(Response<AnswerBody>, HandedOver),
+    Answered(KnownAnswer, HandedOver),
     /// The request did not run and may be offered elsewhere.
     Refused(Refusal, RequestTerms),
     /// The answer was lost.
@@ -58,9 +56,7 @@
             let terms = permit.refused(&refusal);
             AttemptEnd::Refused(refusal, terms)
         }
-        OfferAnswer::Answered { response, .. } => {
-            AttemptEnd::Answered(response, permit.hand_over())
-        }
+        OfferAnswer::Answered { answer, .. } => AttemptEnd::Answered(answer, permit.hand_over()),
         OfferAnswer::Lost { error, .. } => {
             if let Some(error) = error {
                 emit(&path::ANSWER_LOST, &[&request.terms.service, &error]);
@@ -110,9 +106,9 @@
         match answer {
             OfferAnswer::Refused { refusal, .. } => OfferEnd::Refused(*refusal),
             OfferAnswer::Lost { .. } => OfferEnd::Lost,
-            OfferAnswer::Answered { response, .. } => OfferEnd::Answered {
+            OfferAnswer::Answered { answer, .. } => OfferEnd::Answered {
                 latency: self.state.now().since(self.start),
-                is_failure: response.status().is_server_error(),
+                is_failure: answer.response.status().is_server_error(),
             },
         }
     }
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -13,8 +13,8 @@
     offer_attempt::{AttemptEnd, attempt},
 };
 use crate::{
-    body::AnswerBody, headers, offer_request::OfferRequest, proxy_state::ProxyState,
-    request_record::RequestRecord,
+    body::AnswerBody, headers, offer_answer::KnownAnswer, offer_request::OfferRequest,
+    proxy_state::ProxyState, request_record::RequestRecord,
 };
 
 /// Offers one request until it is answered or given up.
@@ -37,7 +37,7 @@
     /// Whether the answer to an offer was lost, so that the request may have run.
     is_lost: bool,
     /// The latest answer that tells of a failure.
-    failure: Option<Response<AnswerBody>>,
+    failure: Option<KnownAnswer>,
 }
 
 impl<'a> OfferLoop<'a> {
@@ -64,14 +64,14 @@
         record.offers = self.tried.len() as u32;
         record.hedges = self.hedges;
         match ended {
-            Ok(Ok(response)) => answered(response, record),
+            Ok(Ok(answer)) => answered(answer, record),
             Ok(Err(refusal)) => self.give_up(refusal, record),
             Err(_elapsed) => self.give_up_late(record),
         }
     }
 
     /// Offers the request until it is answered, or refused for good.
-    async fn offer_on(&mut self) -> Result<Response<AnswerBody>, Refusal> {
+    async fn offer_on(&mut self) -> Result<KnownAnswer, Refusal> {
         let mut terms = self.request.terms.clone();
         loop {
             let permit = self.pick(terms)?;
@@ -87,11 +87,11 @@
                     terms.lost_runs = terms.lost_runs.saturating_add(1);
                     terms
                 }
-                AttemptEnd::Answered(response, handed_over) => {
-                    if !is_retryable(response.status()) {
-                        return Ok(response);
+                AttemptEnd::Answered(answer, handed_over) => {
+                    if !is_retryable(answer.response.status()) {
+                        return Ok(answer);
                     }
-                    self.failure = Some(response);
+                    self.failure = Some(answer);
                     retry_terms(handed_over)?
                 }
             };
@@ -206,12 +206,11 @@
 }
 
 /// The backend server's answer as the caller gets it.
-fn answered(
-    mut response: Response<AnswerBody>,
-    record: &mut RequestRecord,
-) -> Response<AnswerBody> {
-    // A request whose key was used before is answered with what became of the first one.
-    let outcome = response.extensions().get().copied().unwrap_or(Outcome::Ran);
+fn answered(answer: KnownAnswer, record: &mut RequestRecord) -> Response<AnswerBody> {
+    let KnownAnswer {
+        mut response,
+        outcome,
+    } = answer;
     record.outcome = Some(outcome);
     let fields = response.headers_mut();
     fields.insert(headers::OUTCOME, outcome_value(outcome));
--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -13,7 +13,7 @@
 use crate::{
     body::{AnswerBody, HostBody, pump_body},
     duplicate_answer::duplicate_answer,
-    offer_answer::OfferAnswer,
+    offer_answer::{KnownAnswer, OfferAnswer},
     offer_request::{HostRequest, OfferRequest},
     peer::{FrameReader, PeerReply},
     proxy_state::ProxyState,
@@ -36,7 +36,10 @@
     let load = target.report();
     match answer {
         RunAnswer::Answered(response) => OfferAnswer::Answered {
-            response: response.map(|body| AnswerBody::Backend(Box::new(body))),
+            answer: KnownAnswer {
+                response: response.map(|body| AnswerBody::Backend(Box::new(body))),
+                outcome: Outcome::Ran,
+            },
             load,
         },
         RunAnswer::Refused(refusal) => OfferAnswer::refused(refusal, Some(load)),
@@ -166,7 +169,10 @@
     match stop {
         RunStop::Refused(refusal) => OfferAnswer::refused(refusal, Some(load)),
         RunStop::Duplicate { outcome, status } => OfferAnswer::Answered {
-            response: duplicate_answer(outcome, status).map(AnswerBody::Own),
+            answer: KnownAnswer {
+                response: duplicate_answer(status).map(AnswerBody::Own),
+                outcome,
+            },
             load,
         },
     }
@@ -177,7 +183,7 @@
     match stop {
         RunStop::Refused(refusal) => refuse(reply, refusal, load),
         RunStop::Duplicate { outcome, status } => {
-            let (parts, _body) = duplicate_answer(outcome, status).into_parts();
+            let (parts, _body) = duplicate_answer(status).into_parts();
             let head = AnswerHead::Answered {
                 status: parts.status.as_u16(),
                 headers: HeaderList::new(parts.headers),
--- a/crates/fescueway_proxy/src/offer_answer.rs
+++ b/crates/fescueway_proxy/src/offer_answer.rs
@@ -1,10 +1,20 @@
 //! What became of an offer.
 
-use fescueway_core::{LoadReport, Refusal};
+use fescueway_core::{LoadReport, Outcome, Refusal};
 use http::Response;
 
 use crate::{body::AnswerBody, peer::PeerError};
 
+/// An answer with what became of its request.
+#[derive(Debug)]
+pub struct KnownAnswer {
+    /// The answer.
+    pub response: Response<AnswerBody>,
+    /// What became of the request. A request whose key was used before is answered with what
+    /// became of the first one.
+    pub outcome: Outcome,
+}
+
 /// What became of an offer.
 #[derive(Debug)]
 pub enum OfferAnswer {
@@ -18,7 +28,7 @@
     /// The backend server answers.
     Answered {
         /// Its answer.
-        response: Response<AnswerBody>,
+        answer: KnownAnswer,
         /// The host's load.
         load: LoadReport,
     },
--- a/crates/fescueway_proxy/src/peer/peer_offer.rs
+++ b/crates/fescueway_proxy/src/peer/peer_offer.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     body::{AnswerBody, RequestBody, pump_body},
-    offer_answer::OfferAnswer,
+    offer_answer::{KnownAnswer, OfferAnswer},
     offer_request::OfferRequest,
 };
 
@@ -140,8 +140,8 @@
             *response.status_mut() =
                 StatusCode::from_u16(status).map_err(|_invalid| PeerCause::Malformed)?;
             *response.headers_mut() = headers.into_map();
-            response.extensions_mut().insert(outcome);
-            Ok(OfferAnswer::Answered { response, load })
+            let answer = KnownAnswer { response, outcome };
+            Ok(OfferAnswer::Answered { answer, load })
         }
     }
 }
--- a/crates/fescueway_wire/src/header_list.rs
+++ b/crates/fescueway_wire/src/header_list.rs
@@ -12,9 +12,12 @@
     ser::SerializeSeq,
 };
 
-/// Fields for which there is room before the first is read, whatever the sender claims.
+/// Fields for which there is room before the first is read, at most, whatever the sender claims.
 const FIRST_FIELDS: usize = 32;
 
+/// Fields that a receiver adds, for which a map without room would move all others.
+const ADDED_FIELDS: usize = 4;
+
 /// HTTP header fields, without those of one connection.
 ///
 /// They are written from and read into the map of the HTTP library directly: a copy of each name
@@ -66,7 +69,8 @@
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
-        let mut fields = HeaderMap::with_capacity(FIRST_FIELDS);
+        let count = seq.size_hint().unwrap_or_default().min(FIRST_FIELDS);
+        let mut fields = HeaderMap::with_capacity(count + ADDED_FIELDS);
         while let Some((name, value)) = seq.next_element::<(&str, &[u8])>()? {
             let name = HeaderName::from_bytes(name.as_bytes()).map_err(A::Error::custom)?;
             let value = HeaderValue::from_bytes(value).map_err(A::Error::custom)?;
