--- a/crates/fescueway_bench/src/fleet/mod.rs
+++ b/crates/fescueway_bench/src/fleet/mod.rs
@@ -19,6 +19,7 @@
     capacity_row::CapacityRow,
     claim_load::ClaimLoad,
     config_cost::ConfigCost,
+    fleet_figures::filled_share,
     fleet_target::FleetTarget,
     gossip_cost::{GossipCost, slope},
     news_time::NewsTime,
--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -1,6 +1,6 @@
 //! Offers at the host, from other nodes and from the entry on the same node.
 
-use std::{fmt::Display, sync::Arc, time::Duration};
+use std::{fmt::Display, pin::pin, sync::Arc, time::Duration};
 
 use fescueway_core::{Idempotency, LoadReport, Outcome, Refusal, RefusalReason};
 use fescueway_telemetry::{emit, events::path};
@@ -13,7 +13,7 @@
 use crate::{
     body::{AnswerBody, HostBody, pump_body},
     duplicate_answer::duplicate_answer,
-    offer_answer::OfferAnswer,
+    offer_answer::{KnownAnswer, OfferAnswer},
     offer_request::{HostRequest, OfferRequest},
     peer::{FrameReader, PeerReply},
     proxy_state::ProxyState,
@@ -36,7 +36,10 @@
     let load = target.report();
     match answer {
         RunAnswer::Answered(response) => OfferAnswer::Answered {
-            response: response.map(|body| AnswerBody::Backend(Box::new(body))),
+            answer: KnownAnswer {
+                response: response.map(|body| AnswerBody::Backend(Box::new(body))),
+                outcome: Outcome::Ran,
+            },
             load,
         },
         RunAnswer::Refused(refusal) => OfferAnswer::refused(refusal, Some(load)),
@@ -101,13 +104,15 @@
     let running = run.run(state.clone(), request, body);
     let answer = if is_kept {
         let (sender, receiver) = oneshot::channel();
+        // Boxed before it is captured, as the capture would hold room for it twice.
+        let running = Box::pin(running);
         state.tasks().spawn(async move {
             // An answer that nobody waits for is read to its end as it is dropped.
             drop(sender.send(running.await));
         });
         timeout(time_left, receiver).await.map(Result::ok)
     } else {
-        timeout(time_left, running).await.map(Some)
+        timeout(time_left, pin!(running)).await.map(Some)
     };
     match answer {
         Ok(Some(answer)) => answer,
@@ -172,7 +177,10 @@
     match stop {
         RunStop::Refused(refusal) => OfferAnswer::refused(refusal, Some(load)),
         RunStop::Duplicate { outcome, status } => OfferAnswer::Answered {
-            response: duplicate_answer(outcome, status).map(AnswerBody::Own),
+            answer: KnownAnswer {
+                response: duplicate_answer(status).map(AnswerBody::Own),
+                outcome,
+            },
             load,
         },
     }
@@ -183,7 +191,7 @@
     match stop {
         RunStop::Refused(refusal) => refuse(reply, refusal, load),
         RunStop::Duplicate { outcome, status } => {
-            let (parts, _body) = duplicate_answer(outcome, status).into_parts();
+            let (parts, _body) = duplicate_answer(status).into_parts();
             let head = AnswerHead::Answered {
                 status: parts.status.as_u16(),
                 headers: HeaderList::new(parts.headers),
