Don't wait for frozen callers at a stop either

Cause: as with peers, an HTTP/2 connection of a caller ends only when the caller answers the goodbye's ping, and a stop waits until no caller is connected. A frozen caller without a request held it up for the whole of `stop_timeout_ms`. `ConnectionActivity` and `WatchedSocket` serve both listeners now: a connection is let go once for 1 s no request was open on it and the socket took every byte.

--- a/crates/fescueway_proxy/src/body/answer_body.rs
+++ b/crates/fescueway_proxy/src/body/answer_body.rs
@@ -38,8 +38,8 @@
 pub struct CountedBody {
     /// The body.
     pub body: AnswerBody,
-    /// Counts it.
-    pub open: OpenGuard,
+    /// Count it, at the node and on its connection.
+    pub open: [OpenGuard; 2],
 }
 
 impl Body for CountedBody {
--- a/crates/fescueway_proxy/src/peer/link_activity.rs
+++ b/crates/fescueway_proxy/src/connection_activity.rs
@@ -1,4 +1,4 @@
-//! Whether anything is in flight on a connection that a peer opened.
+//! Whether anything is in flight on a connection that a caller or a peer opened.
 
 use std::{
     sync::{
@@ -12,32 +12,36 @@
 
 use crate::{open_counts::OpenCount, open_guard::OpenGuard};
 
+/// Time in which a caller or a peer that runs answers a goodbye. Until then it may have sent a
+/// request that crossed it.
+pub const GOODBYE_ANSWER: Duration = Duration::from_secs(1);
+
 /// How often a closing connection is looked at.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
-/// Whether anything is in flight on a connection that a peer opened.
+/// Whether anything is in flight on a connection that a caller or a peer opened.
 #[derive(Debug)]
-pub struct LinkActivity {
-    /// Streams that are served.
-    streams: OpenCount,
-    /// Whether bytes wait until the peer takes some.
+pub struct ConnectionActivity {
+    /// Requests that are not answered whole.
+    requests: OpenCount,
+    /// Whether bytes wait until the other side takes some.
     is_blocked: Arc<AtomicBool>,
 }
 
-impl LinkActivity {
+impl ConnectionActivity {
     /// The activity of a connection whose socket sets `is_blocked`.
     #[must_use]
     pub fn new(is_blocked: Arc<AtomicBool>) -> Self {
         Self {
-            streams: OpenCount::default(),
+            requests: OpenCount::default(),
             is_blocked,
         }
     }
 
-    /// Counts a stream until the guard is dropped.
+    /// Counts a request until the guard is dropped.
     #[must_use]
-    pub fn open_stream(&self) -> OpenGuard {
-        self.streams.open()
+    pub fn open_request(&self) -> OpenGuard {
+        self.requests.open()
     }
 
     /// Waits until nothing was in flight for `time`.
@@ -53,6 +57,6 @@
 
     /// Whether anything is in flight.
     fn is_busy(&self) -> bool {
-        self.streams.get() > 0 || self.is_blocked.load(Ordering::Relaxed)
+        self.requests.get() > 0 || self.is_blocked.load(Ordering::Relaxed)
     }
 }
--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -13,18 +13,20 @@
 };
 use crate::{
     body::{AnswerBody, CountedBody},
+    connection_activity::ConnectionActivity,
     proxy_state::ProxyState,
     request_record::RequestRecord,
 };
 
-/// Answers a caller's request.
+/// Answers a caller's request, which counts as open on its connection until its answer's end.
 pub async fn answer_request(
     state: &ProxyState,
     request: Request<Incoming>,
     caller: SocketAddr,
+    activity: &ConnectionActivity,
 ) -> Response<CountedBody> {
     let start = state.now();
-    let open = state.open().requests.open();
+    let open = [state.open().requests.open(), activity.open_request()];
     let mut record = RequestRecord::default();
     let answering = route_request(state, request, caller, start, &mut record);
     let response = answering.await;
--- a/crates/fescueway_proxy/src/entry/entry_server.rs
+++ b/crates/fescueway_proxy/src/entry/entry_server.rs
@@ -13,8 +13,12 @@
 
 use super::answer_request::answer_request;
 use crate::{
-    accept_loop::AcceptLoop, proxy_state::ProxyState, socket_options::set_socket_options,
+    accept_loop::AcceptLoop,
+    connection_activity::{ConnectionActivity, GOODBYE_ANSWER},
+    proxy_state::ProxyState,
+    socket_options::set_socket_options,
     task_group::TaskGroup,
+    watched_socket::WatchedSocket,
 };
 
 /// Header fields of one request at most.
@@ -68,9 +72,15 @@
     if let Err(error) = set_socket_options(&socket, state.limits().body_idle) {
         return emit(&path::CALLER_FAILED, &[&caller, &error]);
     }
+    let socket = WatchedSocket::new(socket);
+    let activity = Arc::new(ConnectionActivity::new(socket.blocked()));
+    let counted = Arc::clone(&activity);
     let service = service_fn(move |request| {
-        let state = state.clone();
-        async move { Ok::<_, Infallible>(answer_request(&state, request, caller).await) }
+        let (state, activity) = (state.clone(), Arc::clone(&counted));
+        async move {
+            let answering = answer_request(&state, request, caller, &activity);
+            Ok::<_, Infallible>(answering.await)
+        }
     });
     let connection = builder.serve_connection(TokioIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
@@ -78,7 +88,11 @@
         ended = connection.as_mut() => ended,
         () = closing.cancelled() => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection => ended,
+                // A caller that is frozen never answers the goodbye.
+                () = activity.quiet_for(GOODBYE_ANSWER) => Ok(()),
+            }
         }
     };
     if let Err(error) = ended {
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -9,6 +9,7 @@
 mod backend_announcement;
 pub mod body;
 mod call_table;
+mod connection_activity;
 mod duplicate_answer;
 mod entry;
 mod headers;
@@ -29,6 +30,7 @@
 mod route_table;
 mod socket_options;
 mod task_group;
+mod watched_socket;
 
 pub use crate::{
     accept_loop::AcceptLoop,
--- a/crates/fescueway_proxy/src/peer/mod.rs
+++ b/crates/fescueway_proxy/src/peer/mod.rs
@@ -2,7 +2,6 @@
 
 mod control_table;
 mod frame_reader;
-mod link_activity;
 mod peer_error;
 mod peer_link;
 mod peer_offer;
@@ -10,7 +9,6 @@
 mod peer_reply;
 mod peer_server;
 mod pump_guard;
-mod watched_socket;
 
 pub use self::{
     control_table::ControlTable,
--- a/crates/fescueway_proxy/src/peer/peer_server.rs
+++ b/crates/fescueway_proxy/src/peer/peer_server.rs
@@ -17,23 +17,21 @@
 
 use super::{
     FrameReader, PeerReply,
-    link_activity::LinkActivity,
     peer_error::PeerCause,
     peer_link::{LINK_WINDOW_BYTES, PEER_SILENCE, STREAM_WINDOW_BYTES, STREAMS_PER_LINK},
-    watched_socket::WatchedSocket,
 };
 use crate::{
-    accept_loop::AcceptLoop, host::serve_offer, proxy_state::ProxyState,
+    accept_loop::AcceptLoop,
+    connection_activity::{ConnectionActivity, GOODBYE_ANSWER},
+    host::serve_offer,
+    proxy_state::ProxyState,
     socket_options::set_socket_options,
+    watched_socket::WatchedSocket,
 };
 
 /// The largest list of HTTP/2 header fields in bytes. Ours are a handful.
 const HEADER_LIST_BYTES: u32 = 4_096;
 
-/// Time in which a peer that runs answers a goodbye. Until then it may have sent an offer that
-/// crossed it.
-const GOODBYE_ANSWER: Duration = Duration::from_secs(1);
-
 /// Takes connections of peers until `closing` is cancelled.
 pub async fn serve_peers(state: ProxyState, listener: TcpListener, closing: CancellationToken) {
     let accepting = AcceptLoop {
@@ -69,7 +67,7 @@
         return state.refuse_peer(peer, &error);
     }
     let socket = WatchedSocket::new(socket);
-    let activity = LinkActivity::new(socket.blocked());
+    let activity = ConnectionActivity::new(socket.blocked());
     let handshake = Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(LINK_WINDOW_BYTES)
@@ -101,7 +99,7 @@
         };
         match accepted {
             Some(Ok((request, opener))) => {
-                let open = activity.open_stream();
+                let open = activity.open_request();
                 let stream = serve_stream(state.clone(), peer, request, opener);
                 state.tasks().spawn(hold(open, stream));
             }
--- a/crates/fescuewayd/tests/path/stopping.rs
+++ b/crates/fescuewayd/tests/path/stopping.rs
@@ -144,22 +144,30 @@
 }
 
 #[tokio::test]
-async fn a_stop_does_not_wait_for_frozen_peers_without_a_request() {
+async fn a_stop_does_not_wait_for_frozen_callers_and_peers_without_a_request() {
     let node = node_with(&plan("windows", DEADLINE), &[], |settings| {
         settings.stop_timeout = 6 * SOON;
     })
     .await;
-    let address = node.addresses().peers;
-    // One that said nothing yet, and one that never answers the goodbye.
-    let silent = TcpStream::connect(address).await.expect("the node listens");
-    let mut frozen = TcpStream::connect(address).await.expect("the node listens");
-    frozen.write_all(OPENING).await.expect("an open socket");
-    eventually("both are connected", || {
-        node.state().peer_connections() == 2
+    let callers = node.addresses().callers;
+    let peers = node.addresses().peers;
+    // Two that said nothing yet, and two that never answer the goodbye.
+    let mut frozen = Vec::new();
+    for (address, opening) in [
+        (callers, OPENING),
+        (callers, b""),
+        (peers, OPENING),
+        (peers, b""),
+    ] {
+        let mut socket = TcpStream::connect(address).await.expect("the node listens");
+        socket.write_all(opening).await.expect("an open socket");
+        frozen.push(socket);
+    }
+    eventually("all are connected", || {
+        node.state().peer_connections() == 2 && node.state().caller_connections() == 2
     })
     .await;
     timeout(SOON, node.stop())
         .await
         .expect("nothing is in flight");
-    drop((silent, frozen));
 }
