Run the policy bench with the shipped queue length

Cause: the rig let two offers wait for each slot, the shipped configurations and their default 0.5. Conclusion: what is measured is now what is shipped.

--- a/crates/fescueway_bench/src/rig/rig_run/mod.rs
+++ b/crates/fescueway_bench/src/rig/rig_run/mod.rs
@@ -23,6 +23,9 @@
     scenario::{CALLER_TRIP_US, MEMBERSHIP_US, NEAR_TRIP_US, RigScenario, RigShape, SECOND_US},
 };
 
+/// Requests that may wait for each slot, as the shipped configurations and their default have it.
+const QUEUE_PER_SLOT: f64 = 0.5;
+
 /// One run of one policy.
 #[derive(Debug)]
 pub struct RigRun<'rig> {
@@ -160,8 +163,8 @@
     fn gate(shape: &RigShape, now_us: u64, ramp_time: Duration) -> TargetGate {
         let plan = GatePlan {
             slots: shape.slots as u32,
+            queue_per_slot: QUEUE_PER_SLOT,
             ramp_time,
-            ..GatePlan::default()
         };
         TargetGate::new(plan, MonoTime::from_micros(now_us))
     }
