Know the own load exactly, hedge only slow targets, give far offers precedence

Cause, by a trace of the slowest 1% at 70%: most of them waited at the target of their last offer, half of them in another failure domain. Three new tests fail without the change.

--- a/crates/fescueway_core/src/request_terms.rs
+++ b/crates/fescueway_core/src/request_terms.rs
@@ -36,8 +36,10 @@
     First,
     /// A host refused the offer before, which proves that the request did not run.
     Refused,
-    /// A retry or a hedge of an idempotent request that was handed over.
+    /// A retry of an idempotent request that was handed over.
     Retried,
+    /// A second offer of an idempotent request whose first is still open.
+    Hedged,
 }
 
 /// A digest of the caller's idempotency key, its service included.
--- a/crates/fescueway_routing/src/offer_permit.rs
+++ b/crates/fescueway_routing/src/offer_permit.rs
@@ -55,7 +55,7 @@
     /// not repeat.
     #[must_use]
     pub fn hedge(&self) -> Option<RequestTerms> {
-        retried(&self.terms)
+        repeated(&self.terms, OfferCause::Hedged)
     }
 
     /// The request is handed over: from here on it may have run.
@@ -78,15 +78,15 @@
     /// The terms for another offer, `None` for a request that may not repeat.
     #[must_use]
     pub fn retry(self) -> Option<RequestTerms> {
-        retried(&self.terms)
+        repeated(&self.terms, OfferCause::Retried)
     }
 }
 
 /// The terms of a repeated offer, which only an idempotent request may have.
-fn retried(terms: &RequestTerms) -> Option<RequestTerms> {
+fn repeated(terms: &RequestTerms, cause: OfferCause) -> Option<RequestTerms> {
     match terms.idempotency {
         Idempotency::Idempotent => Some(RequestTerms {
-            cause: OfferCause::Retried,
+            cause,
             ..terms.clone()
         }),
         Idempotency::NonIdempotent => None,
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -35,12 +35,13 @@
 /// Retries and hedges that can be saved up.
 const RETRY_RESERVE: f64 = 10.0;
 
-/// Shortest wait at which a host refuses because another place is likely better.
-const LEAST_WAIT_LIMIT: Duration = Duration::from_millis(1);
+/// Shortest wait at which a host refuses because another place is likely better, in mean service
+/// times: a second offer costs a trip, and its host may refuse as well.
+const LEAST_WAIT_SHARE: f64 = 0.2;
 
 /// Wait at which a host refuses however bad the other places look, in mean service times: views
 /// of them are stale, while the host knows its own queue.
-const MOST_WAIT_SHARE: f64 = 0.5;
+const MOST_WAIT_SHARE: f64 = 0.4;
 
 /// How much longer a wait is accepted as the budget of offers after refusals runs out, so that
 /// what is left of it goes to the longest waits.
@@ -141,7 +142,9 @@
 
     /// Picks the target for the next offer, never one of `tried`.
     ///
-    /// `time_left` in the terms is as of `now`.
+    /// `time_left` in the terms is as of `now`. The permit's is what the host may use of it: less by
+    /// the trips to another failure domain, so that its queue serves what has a long way back first.
+    /// A hedge is refused unless the target that has the request, the last of `tried`, is slow.
     pub fn pick(
         &mut self,
         now: MonoTime,
@@ -149,6 +152,9 @@
         tried: &[NodeId],
         random: &mut impl Rng,
     ) -> PickResult {
+        if terms.cause == OfferCause::Hedged && !self.is_slow(now, tried.last()) {
+            return PickResult::Refuse(self.refusal(RefusalReason::BudgetSpent));
+        }
         if terms.offers_left == 0 || !self.charge(terms.cause) {
             return PickResult::Refuse(self.refusal(RefusalReason::BudgetSpent));
         }
@@ -164,7 +170,10 @@
         terms.offers_left -= 1;
         terms.wait_limit = self.wait_limit(&terms, choice.next_score_us);
         let view = &mut self.views[choice.best];
-        view.offer(now, &self.pool);
+        if !view.is_near {
+            terms.time_left = terms.time_left.saturating_sub(self.plan.domain_trip * 2);
+        }
+        view.offer(now);
         PickResult::Offer(OfferPermit::new(view.node, terms))
     }
 
@@ -231,7 +240,7 @@
                 true
             }
             OfferCause::Refused => self.refusals.spend(),
-            OfferCause::Retried => self.retries.spend(),
+            OfferCause::Retried | OfferCause::Hedged => self.retries.spend(),
         }
     }
 
@@ -243,13 +252,20 @@
                 let scarcity = self.refusals.spent_share();
                 let price = 1.0 + SCARCITY_PRICE * scarcity * scarcity;
                 let most_us = MOST_WAIT_SHARE * self.pool.service_us();
-                let limit_us = (score_us * price).min(most_us);
-                Duration::from_micros(limit_us as u64).max(LEAST_WAIT_LIMIT)
+                let least_us = LEAST_WAIT_SHARE * self.pool.service_us();
+                let limit_us = (score_us * price).min(most_us).max(least_us);
+                Duration::from_micros(limit_us as u64)
             }
             _ => terms.time_left,
         }
     }
 
+    /// Whether a target of the subset is slow or silent.
+    fn is_slow(&self, now: MonoTime, node: Option<&NodeId>) -> bool {
+        let view = self.views.iter().find(|view| Some(&view.node) == node);
+        view.is_some_and(|view| view.is_slow(now, &self.pool))
+    }
+
     /// The view of a target of the subset.
     fn view_mut(&mut self, node: NodeId) -> Option<&mut TargetView> {
         self.views.iter_mut().find(|view| view.node == node)
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -25,8 +25,8 @@
 const SILENCE_FACTOR: f64 = 4.0;
 
 /// Share of the load's standard deviation that is drawn at random, so that entries with the same
-/// view don't all choose the same target.
-const DRAWN_SHARE: f64 = 0.6;
+/// view don't all choose the same target, and a target that none has used lately is tried again.
+const DRAWN_SHARE: f64 = 0.5;
 
 /// Weight of the load's variance in the expected wait: what isn't drawn.
 const VARIANCE_WEIGHT: f64 = 1.0 - DRAWN_SHARE * DRAWN_SHARE;
@@ -71,11 +71,13 @@
     pub(crate) open: u32,
     /// Since when open offers have brought nothing back.
     silent_since: MonoTime,
-    /// Requests running and waiting at the target at `load_at`, this entry's later offers included.
-    load: f64,
-    /// When `load` was true.
-    load_at: MonoTime,
-    /// Mean load over the recent reports.
+    /// Requests of other entries running and waiting at the target at `reported_at`.
+    others: f64,
+    /// When the last report was true.
+    reported_at: MonoTime,
+    /// Mean of `others` over the recent reports.
+    mean_others: f64,
+    /// Mean load over the recent reports, this entry's offers included.
     mean_load: f64,
     /// Requests that the host lets run at once.
     limit: f64,
@@ -109,8 +111,9 @@
             is_draining: record.state == TargetState::Draining,
             open: 0,
             silent_since: now,
-            load,
-            load_at: now,
+            others: load,
+            reported_at: now,
+            mean_others: load,
             mean_load: load,
             limit: slots * share,
             service_us: 0.0,
@@ -127,13 +130,11 @@
     }
 
     /// Counts an offer that is sent now.
-    pub(crate) fn offer(&mut self, now: MonoTime, pool: &PoolView) {
+    pub(crate) fn offer(&mut self, now: MonoTime) {
         if self.open == 0 {
             self.silent_since = now;
         }
         self.open += 1;
-        self.load = self.load_now(now, pool) + 1.0;
-        self.load_at = now;
     }
 
     /// Counts an offer that ended.
@@ -186,15 +187,17 @@
 
     /// The last time that is known of this target.
     pub(crate) fn known_since(&self) -> MonoTime {
-        self.load_at
+        self.reported_at
     }
 
-    /// Takes in a load report.
+    /// Takes in a load report. The offer that brought it is still counted as open.
     pub(crate) fn learn_report(&mut self, now: MonoTime, report: &LoadReport) {
         let load = f64::from(report.in_flight + report.queued);
-        self.load = load.max(f64::from(self.open));
+        let own = f64::from(self.open.saturating_sub(1));
+        self.others = (load - own).max(0.0);
         let sent_us = now.as_micros().saturating_sub(u64::from(report.age_us));
-        self.load_at = MonoTime::from_micros(sent_us);
+        self.reported_at = MonoTime::from_micros(sent_us);
+        self.mean_others += (self.others - self.mean_others) * MEAN_WEIGHT;
         self.mean_load += (load - self.mean_load) * MEAN_WEIGHT;
         self.limit = f64::from(report.limit.max(1));
         self.service_us = f64::from(report.service_time_us);
@@ -224,36 +227,44 @@
     /// Expected wait for a slot of an offer that arrives now, with the price of a likely refusal,
     /// in microseconds.
     ///
-    /// The load varies as a Poisson variable does, the more the older the report. A part of that
-    /// is drawn, the mean of max(0, load - limit) is taken over the rest in a smooth form.
+    /// This entry's own share of the load is known. That of the others varies as a Poisson variable
+    /// does, the more the older the report. A part of that is drawn, the mean of
+    /// max(0, load - limit) is taken over the rest in a smooth form.
     fn wait_us(&self, scene: &PickScene<'_>, service_us: f64, noise: f64) -> f64 {
+        let others = self.others_now(scene.now, scene.pool);
         let staleness = 1.0 - self.freshness(scene.now, service_us);
-        let load = self.load_now(scene.now, scene.pool);
-        let variance = load * staleness;
+        let variance = others * staleness;
         let drawn = noise * DRAWN_SHARE * variance.sqrt();
-        let over = load + 1.0 - self.limit + drawn;
+        let over = f64::from(self.open) + others + 1.0 - self.limit + drawn;
         let spread = (over * over + VARIANCE_WEIGHT * variance).sqrt();
         let waiting = f64::midpoint(over, spread);
         let full_share = f64::midpoint(1.0, over / spread.max(LEAST_SPREAD));
         waiting * service_us / self.limit + full_share * REFUSAL_PRICE * scene.pool.service_us()
     }
 
-    /// The load expected now: the last report's, drifting to the mean as it ages.
-    fn load_now(&self, now: MonoTime, pool: &PoolView) -> f64 {
-        let mean = f64::midpoint(self.mean_load, pool.load_share() * self.limit);
+    /// The load of other entries expected now: the last report's, drifting to the mean as it ages.
+    /// The mean is half the target's own and half the pool's.
+    fn others_now(&self, now: MonoTime, pool: &PoolView) -> f64 {
+        let others_share = self.mean_others / self.mean_load.max(1.0);
+        let pool_others = pool.load_share() * self.limit * others_share.min(1.0);
+        let mean = f64::midpoint(self.mean_others, pool_others);
         let freshness = self.freshness(now, self.service_us.max(pool.service_us()));
-        let load = mean + (self.load - mean) * freshness;
-        load.max(f64::from(self.open))
+        mean + (self.others - mean) * freshness
     }
 
     /// How much of the last report still holds, from 1 to 0.
     fn freshness(&self, now: MonoTime, service_us: f64) -> f64 {
         decay(
-            now.since(self.load_at),
+            now.since(self.reported_at),
             Duration::from_micros(service_us as u64),
         )
     }
 
+    /// Whether its requests are known to take longer than the pool's, or nothing comes back.
+    pub(crate) fn is_slow(&self, now: MonoTime, pool: &PoolView) -> bool {
+        self.service_now_us(now, pool) > TOLERATED_SLOWNESS * pool.service_us()
+    }
+
     /// Time that a request holds a slot now, in microseconds: what the host reported, the less
     /// told from the pool's the older the report, or longer when the target has been silent.
     fn service_now_us(&self, now: MonoTime, pool: &PoolView) -> f64 {
@@ -261,7 +272,7 @@
         if self.service_us <= 0.0 {
             return usual_us;
         }
-        let memory = decay(now.since(self.load_at), SLOWNESS_MEMORY);
+        let memory = decay(now.since(self.reported_at), SLOWNESS_MEMORY);
         let known_us = usual_us + (self.service_us - usual_us) * memory;
         if self.open == 0 {
             return known_us;
--- a/crates/fescueway_routing/tests/router.rs
+++ b/crates/fescueway_routing/tests/router.rs
@@ -265,7 +265,7 @@
                 match cause {
                     OfferCause::First => firsts += 1,
                     OfferCause::Refused => refused += 1,
-                    OfferCause::Retried => retried += 1,
+                    OfferCause::Retried | OfferCause::Hedged => retried += 1,
                 }
                 let node = permit.node();
                 tried.push(node);
@@ -351,6 +351,59 @@
     );
 }
 
+#[test]
+fn a_hedge_goes_out_only_while_the_first_target_is_slow() {
+    let mut router = router(3, RoutingPlan::default());
+    let mut random = Pcg64::seed_from_u64(2);
+    serve(&mut router, 0, 50, NodeId(0), |_| {
+        (report(2, 20_000), answered(false))
+    });
+    let first = offer(&mut router, millis(60), terms(), &[], &mut random).expect("open");
+    let tried = [first.node()];
+    let mut hedge_at = |time_ms| {
+        let terms = first.hedge().expect("a read may repeat");
+        offer(&mut router, millis(time_ms), terms, &tried, &mut random)
+    };
+    // A request may take long of its own accord: the service time is 20 ms.
+    assert!(hedge_at(120).is_none());
+    assert!(hedge_at(180).is_some(), "nothing came back for 120 ms");
+}
+
+#[test]
+fn an_entry_that_is_alone_at_a_target_knows_its_load() {
+    let mut router = router(1, RoutingPlan::default());
+    router.set_target(MonoTime::ZERO, &record(1, "b", TargetState::Serving));
+    let mut random = Pcg64::seed_from_u64(8);
+    serve(&mut router, 0, 100, NodeId(0), |_| {
+        (report(0, 20_000), answered(false))
+    });
+    for _ in 0..8 {
+        offer(&mut router, millis(100), terms(), &[], &mut random).expect("open");
+    }
+    // The last report is two service times old, and two of the ten slots are free.
+    let mut far = 0;
+    for _ in 0..200 {
+        let now = millis(140);
+        let permit = offer(&mut router, now, terms(), &[], &mut random).expect("open");
+        let node = permit.node();
+        far += u32::from(node == NodeId(1));
+        let end = OfferEnd::Cancelled;
+        router.handle(now, RouteEvent::OfferEnded { node, end });
+    }
+    assert_eq!(far, 0, "offers left the failure domain without need");
+}
+
+#[test]
+fn a_host_of_another_domain_has_less_time_by_the_trips() {
+    let plan = RoutingPlan::default();
+    let trips = plan.domain_trip * 2;
+    let mut router = ServiceRouter::new(plan, "a".into());
+    router.set_target(MonoTime::ZERO, &record(0, "b", TargetState::Serving));
+    let mut random = Pcg64::seed_from_u64(1);
+    let far = offer(&mut router, millis(1), terms(), &[], &mut random).expect("open");
+    assert_eq!(far.terms().time_left + trips, terms().time_left);
+}
+
 /// Offers to targets whose backend server is gone, among 200 in 200 ms.
 /// `known` of them were found to be gone before.
 fn offers_to_gone(targets: u64, gone: u64, known: u64) -> u32 {
