--- a/crates/fescueway_proxy/src/host/backend_pool.rs
+++ b/crates/fescueway_proxy/src/host/backend_pool.rs
@@ -4,10 +4,7 @@
     collections::VecDeque,
     error::Error,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -21,12 +18,13 @@
 use tokio::{
     net::TcpStream,
     sync::{OwnedSemaphorePermit, Semaphore},
-    time::{Instant, sleep, timeout},
+    time::{Instant, timeout},
 };
 
 use super::{BackendError, BackendStep};
 use crate::{
     body::{BodyError, HostBody},
+    idle_sweep::IdleSweep,
     proxy_limits::ProxyLimits,
     socket_options::set_socket_options,
     task_group::TaskGroup,
@@ -57,8 +55,8 @@
     limits: Arc<ProxyLimits>,
     /// Runs the connections.
     tasks: TaskGroup,
-    /// Whether the task that closes idle connections runs.
-    is_sweeping: AtomicBool,
+    /// Closes idle connections.
+    sweep: IdleSweep,
 }
 
 /// A connection without a request.
@@ -106,7 +104,7 @@
             idle_limit: idle_limit as usize,
             limits,
             tasks,
-            is_sweeping: AtomicBool::new(false),
+            sweep: IdleSweep::default(),
         }))
     }
 
@@ -271,20 +269,10 @@
 
     /// Runs the task that closes idle connections, while there are any.
     fn sweep_later(&self) {
-        if self.0.is_sweeping.swap(true, Ordering::Relaxed) {
-            return;
-        }
+        let limit = self.0.limits.connection_idle;
         let pool = self.clone();
-        self.0.tasks.spawn(async move {
-            let limit = pool.0.limits.connection_idle;
-            loop {
-                sleep(limit).await;
-                if pool.close_idle(limit) {
-                    break;
-                }
-            }
-            pool.0.is_sweeping.store(false, Ordering::Relaxed);
-        });
+        let close_idle = move || pool.close_idle(limit);
+        self.0.sweep.start(&self.0.tasks, limit, close_idle);
     }
 
     /// Closes what was not used for `limit`; tells whether nothing is left.
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -14,6 +14,7 @@
 mod entry;
 mod headers;
 mod host;
+mod idle_sweep;
 mod local_targets;
 mod mono_clock;
 mod observer_slot;
--- a/crates/fescueway_proxy/src/peer/peer_pool.rs
+++ b/crates/fescueway_proxy/src/peer/peer_pool.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -17,15 +17,14 @@
 };
 use h2::{RecvStream, SendStream, client::ResponseFuture};
 use http::{Method, Request};
-use tokio::{
-    sync::Mutex as AsyncMutex,
-    time::{sleep, timeout},
-};
+use tokio::{sync::Mutex as AsyncMutex, time::timeout};
 
 use super::{
     FrameReader, LinkLease, PeerError, PeerStep, peer_error::PeerCause, peer_link::PeerLink,
 };
-use crate::{mono_clock::MonoClock, proxy_limits::ProxyLimits, task_group::TaskGroup};
+use crate::{
+    idle_sweep::IdleSweep, mono_clock::MonoClock, proxy_limits::ProxyLimits, task_group::TaskGroup,
+};
 
 /// Every stream is opened with this URI; what it is for stands in its first frame.
 const STREAM_URI: &str = "http://fescueway/";
@@ -48,8 +47,8 @@
     tasks: TaskGroup,
     /// Tells the time.
     clock: MonoClock,
-    /// Whether the task that closes idle connections runs.
-    is_sweeping: AtomicBool,
+    /// Closes idle connections.
+    sweep: IdleSweep,
 }
 
 /// The connections to one peer.
@@ -85,7 +84,7 @@
             limits,
             tasks,
             clock,
-            is_sweeping: AtomicBool::new(false),
+            sweep: IdleSweep::default(),
         }))
     }
 
@@ -199,20 +198,10 @@
 
     /// Runs the task that closes idle connections, while there are connections.
     fn sweep_later(&self) {
-        if self.0.is_sweeping.swap(true, Ordering::Relaxed) {
-            return;
-        }
+        let idle = self.0.limits.connection_idle;
         let pool = self.clone();
-        self.0.tasks.spawn(async move {
-            let idle = pool.0.limits.connection_idle;
-            loop {
-                sleep(idle).await;
-                if pool.close_idle(idle) {
-                    break;
-                }
-            }
-            pool.0.is_sweeping.store(false, Ordering::Relaxed);
-        });
+        let close_idle = move || pool.close_idle(idle);
+        self.0.sweep.start(&self.0.tasks, idle, close_idle);
     }
 
     /// Closes what was not used for `idle`; tells whether nothing is left.
--- a/crates/fescuewayd/tests/path/two_nodes.rs
+++ b/crates/fescuewayd/tests/path/two_nodes.rs
@@ -5,7 +5,9 @@
 use fescueway_core::TargetState;
 use fescueway_testkit::{BackendPlan, BackendStub};
 
-use crate::common::{announce, get, header, knows_targets, node, plan, request, send, text};
+use crate::common::{
+    TwoNodes, announce, eventually, get, header, knows_targets, node, plan, request, send, text,
+};
 
 #[tokio::test]
 async fn a_request_is_answered_through_the_other_node() {
@@ -58,3 +60,19 @@
     announced.changed().await.expect("the node runs");
     assert_eq!(announced.borrow_and_update()[0].state, TargetState::Serving);
 }
+
+#[tokio::test]
+async fn connections_between_nodes_close_without_use_each_time() {
+    let deadline = Duration::from_secs(2);
+    let nodes = TwoNodes::start_with(deadline, BackendPlan::default(), |settings| {
+        settings.limits.connection_idle = Duration::from_millis(100);
+    })
+    .await;
+    for _ in 0..3 {
+        assert_eq!(nodes.send(get("/windows")).await.status(), 200);
+        eventually("nothing is connected", || {
+            nodes.entry.state().peers().connected().is_empty()
+        })
+        .await;
+    }
+}
