--- a/crates/fescuewayd/tests/path/two_nodes.rs
+++ b/crates/fescuewayd/tests/path/two_nodes.rs
@@ -6,7 +6,8 @@
 use fescueway_testkit::{BackendPlan, BackendStub};
 
 use crate::common::{
-    announce, get, header, knows_targets, node, node_with, plan, request, send, text,
+    TwoNodes, announce, eventually, get, header, knows_targets, node, node_with, plan, request,
+    send, text,
 };
 
 #[tokio::test]
@@ -93,3 +94,19 @@
     }
     assert_eq!(backend.tally().runs, 0);
 }
+
+#[tokio::test]
+async fn connections_between_nodes_close_without_use_each_time() {
+    let deadline = Duration::from_secs(2);
+    let nodes = TwoNodes::start_with(deadline, BackendPlan::default(), |settings| {
+        settings.limits.connection_idle = Duration::from_millis(100);
+    })
+    .await;
+    for _ in 0..3 {
+        assert_eq!(nodes.send(get("/windows")).await.status(), 200);
+        eventually("nothing is connected", || {
+            nodes.entry.state().peers().connected().is_empty()
+        })
+        .await;
+    }
+}
