Go above what nodes have in force when the store lost its head

Cause: an attempt numbered its revision after the store's head alone. An attempt that named its base was accepted there too; only the command line looked.

Change: the failure domains' reports are read with the head, in one transaction, and the next revision is above both. A base that the store has not is BaseLost. Settling reads the head too: two attempts may now aim at different revisions, and the loser found no history entry and sent its swap for ever.

What attempts wrote ahead and lost stays named under /fescueway/config/pending; later swaps delete it, within a transaction's 128 steps. Ruled out: a list of all keys read by each apply, since a read of a prefix brings the values, and a lease on the values, which the swap would have to write again.

--- a/crates/fescueway/src/commands/apply.rs
+++ b/crates/fescueway/src/commands/apply.rs
@@ -15,7 +15,7 @@
     commands::json_text,
     config_files::read_sites,
     fleet_report::FleetReport,
-    fleet_store::{READ_TIMEOUT, connect, time_text, unix_time_s},
+    fleet_store::{connect, time_text, unix_time_s},
     progress::ProgressLine,
 };
 
@@ -38,7 +38,6 @@
     let end = Instant::now() + options.timeout;
     let config = read_sites(&options.files)?;
     let store = connect(options)?;
-    check_store_has_revision(options, &store).await?;
     let plan = apply_plan(options, &config)?;
     let operation = Arc::clone(&plan.operation);
     let progress = ProgressLine::new();
@@ -61,24 +60,6 @@
     )
 }
 
-/// Refuses a change that was made against a revision when the store holds none at all, as one
-/// that was set up anew. Any other difference is found by the compare-and-swap.
-async fn check_store_has_revision(
-    options: &CliOptions,
-    store: &StoreClient,
-) -> Result<(), CommandError> {
-    let Some(revision) = options.revision.filter(|revision| *revision > 0) else {
-        return Ok(());
-    };
-    let head = driver::read_head(store, READ_TIMEOUT).await;
-    if head.map_err(CommandError::refused)?.is_some() {
-        return Ok(());
-    }
-    let report =
-        eyre!("the store holds no configuration, not revision {revision}; nothing was written");
-    Err(CommandError::refused(report))
-}
-
 /// What is to be accepted, and by whom.
 fn apply_plan(options: &CliOptions, config: &ConfigSet) -> Result<ApplyPlan, CommandError> {
     let user = || env::var("USER").unwrap_or_else(|_unset| String::from("unknown"));
@@ -107,6 +88,11 @@
             head.revision,
             time_text(head.unix_time_s)
         ),
+        ApplyOutcome::BaseLost(expected) => eyre!(
+            "the store holds no configuration, not revision {expected}; nothing was \
+             written. If the store lost its data, apply without --revision: it goes above what \
+             nodes report to have in force"
+        ),
         ApplyOutcome::NotApplied => {
             eyre!("the store did not answer in time; nothing of this is or will be in force")
         }
--- a/crates/fescueway/src/fleet_report.rs
+++ b/crates/fescueway/src/fleet_report.rs
@@ -31,7 +31,12 @@
     /// Reads the reports and compares them with `revision`.
     pub(crate) async fn read(store: &StoreClient, revision: u64) -> Result<Self, StoreError> {
         let domains = driver::read_in_force(store, READ_TIMEOUT).await?;
-        let lags = lags(revision, &domains, unix_time_s());
+        let mut lags = lags(revision, &domains, unix_time_s());
+        if domains.values().any(|report| report.highest > revision) {
+            // Another revision may have been accepted meanwhile.
+            let head = driver::read_head(store, READ_TIMEOUT).await?;
+            lags.extend(losses(head.map_or(0, |head| head.revision), &domains));
+        }
         Ok(Self {
             revision,
             domains,
@@ -98,6 +103,20 @@
         .collect()
 }
 
+/// Where a revision is in force that the store has no longer, a line each. Nodes keep it, and ignore
+/// what the store holds instead.
+fn losses(stored: u64, domains: &BTreeMap<DomainName, DomainReport>) -> Vec<String> {
+    let above = domains.iter().filter(|(_, report)| report.highest > stored);
+    let lines = above.map(|(domain, report)| {
+        format!(
+            "{domain}: has revision {}, but the store lost it and is at {stored}; `fescueway apply` \
+             goes above it",
+            report.highest
+        )
+    });
+    lines.collect()
+}
+
 /// Where `revision` is not known to be in force in one failure domain.
 fn domain_lags(revision: u64, domain: &DomainName, report: &DomainReport, now: u64) -> Vec<String> {
     let age = now.saturating_sub(report.unix_time_s);
--- a/crates/fescueway/tests/cli/fleet.rs
+++ b/crates/fescueway/tests/cli/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{Arc, mpsc::channel},
-    thread,
+    thread::{self, JoinHandle},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -229,12 +229,40 @@
     assert_eq!(fescueway(&["history"]).status, 2);
 }
 
+/// Applies on a thread of its own, and waits there for this many seconds.
+fn apply_and_wait(
+    store: &Arc<StoreStub>,
+    files: [&'static str; 2],
+    timeout: &'static str,
+) -> JoinHandle<CliRun> {
+    let store = Arc::clone(store);
+    thread::spawn(move || apply(&store, files, &["--wait", "--timeout", timeout]))
+}
+
+/// Waits until a revision is accepted, as only after it nodes report it.
+fn until_accepted(store: &StoreStub, revision: u64) {
+    while history(store).first().is_none_or(|head| head.0 < revision) {}
+}
+
+#[test]
+fn a_store_that_lost_its_head_is_told_from_one_in_force() {
+    let store = store_stub();
+    assert_eq!(apply(&store, CAPROCK, &[]).status, 0);
+    report(&store, "north", &in_force(41, Duration::ZERO));
+    let run = with_store(&store, &["status"]);
+    assert!(run.status == 1 && run.out.contains("above it"), "{run:?}");
+    let run = apply(&store, CAPROCK, &[]);
+    assert!(run.out.contains("accepted as revision 42"), "{run:?}");
+}
+
 #[test]
 fn wait_ends_when_all_domains_report_it_and_names_who_lags() {
     let store = store_stub();
+    let waiting = apply_and_wait(&store, CAPROCK, "10");
+    until_accepted(&store, 1);
     report(&store, "north", &in_force(1, Duration::ZERO));
     report(&store, "south", &in_force(1, Duration::ZERO));
-    let run = apply(&store, CAPROCK, &["--wait", "--timeout", "10"]);
+    let run = waiting.join().expect("no panic");
     assert!(
         run.status == 0 && run.out.contains("in force at all 10 nodes"),
         "{run:?}"
@@ -250,9 +278,11 @@
         laggards: vec![laggard],
         ..in_force(1, Duration::ZERO)
     };
+    let waiting = apply_and_wait(&store, PWLL, "3");
+    until_accepted(&store, 2);
     report(&store, "north", &lagging);
     report(&store, "south", &in_force(2, Duration::from_hours(1)));
-    let run = apply(&store, PWLL, &["--wait", "--timeout", "1"]);
+    let run = waiting.join().expect("no panic");
     assert_eq!(run.status, 1, "{run:?}");
     for line in [
         "accepted as revision 2",
--- a/crates/fescueway_rollout/src/apply_attempt.rs
+++ b/crates/fescueway_rollout/src/apply_attempt.rs
@@ -4,7 +4,7 @@
 
 use fescueway_config::ServiceValue;
 use fescueway_core::{ServiceName, SiteName};
-use fescueway_platform::{StoreTxn, StoreValue, TxnReply};
+use fescueway_platform::{StoreTxn, TxnReply};
 use statig::prelude::*;
 
 use crate::{
@@ -39,6 +39,9 @@
     Unchanged(u64),
     /// Another one was accepted meanwhile; nothing of this one is in force or will be.
     Conflict(ConfigHead),
+    /// The plan names a revision that it was made from, and the store holds none: it was set up
+    /// anew. Nothing of the plan is in force or will be.
+    BaseLost(u64),
     /// The attempt ended before the swap was sent; nothing of it is in force or will be.
     NotApplied,
     /// The swap was sent, and what came of it could not be found out in time. It may be in force.
@@ -104,7 +107,7 @@
             State::Swapping {} => ApplyAction::Commit(cycle.writes.swap.clone()),
             State::Settling {} => {
                 let revision = cycle.base.next_revision();
-                ApplyAction::Commit(apply_txn::read_head_and_history(revision))
+                ApplyAction::Commit(apply_txn::read_history_and_head(revision))
             }
             State::Done { outcome } => ApplyAction::Done(outcome.clone()),
         }
@@ -140,7 +143,7 @@
         let ApplyEvent::Reply(reply) = event else {
             return Super;
         };
-        match read_base(reply) {
+        match ReadBase::from_reply(reply) {
             Ok(base) => self.base = base,
             Err(fault) => return corrupt(fault),
         }
@@ -150,7 +153,14 @@
             Some(head) if expected.is_some_and(|expected| expected != found) => {
                 done(ApplyOutcome::Conflict(head.clone()))
             }
-            Some(head) if apply_txn::site_digests(&self.plan) == head.sites => {
+            None if found != expected.unwrap_or(found) => {
+                done(ApplyOutcome::BaseLost(expected.unwrap_or(found)))
+            }
+            // Nodes ignore a head that is below what they have in force, so it is written anew.
+            Some(head)
+                if !self.base.is_behind_nodes()
+                    && apply_txn::site_digests(&self.plan) == head.sites =>
+            {
                 done(ApplyOutcome::Unchanged(found))
             }
             _ => Transition(State::reading_indexes()),
@@ -204,23 +214,27 @@
         }
     }
 
-    /// The history tells whose swap made the next revision. While there is none, the swap is sent
-    /// again: it takes effect at most once, since it names the head that it replaces.
+    /// The history tells whose swap made the next revision, the head whether another one was put
+    /// in its place. While neither did, the swap is sent again: it takes effect at most once, since
+    /// it names the head that it replaces.
     #[state(superstate = "under_way")]
     fn settling(&mut self, event: &ApplyEvent) -> Outcome<State> {
         let ApplyEvent::Reply(reply) = event else {
             return Super;
         };
-        let entry = match read_entry(reply) {
-            Ok(entry) => entry,
+        let (entry, head) = match read_settled(reply) {
+            Ok(settled) => settled,
             Err(fault) => return corrupt(fault),
         };
-        match entry {
-            Some(entry) if entry.head.operation == self.plan.operation => {
+        match (entry, head) {
+            (Some(entry), _) if entry.head.operation == self.plan.operation => {
                 done(ApplyOutcome::Accepted(entry.head.revision))
             }
-            Some(entry) => done(ApplyOutcome::Conflict(entry.head)),
-            None => Transition(State::swapping()),
+            (Some(entry), _) => done(ApplyOutcome::Conflict(entry.head)),
+            (None, Some(head)) if Some(&head) != self.base.head.as_ref() => {
+                done(ApplyOutcome::Conflict(head))
+            }
+            (None, _) => Transition(State::swapping()),
         }
     }
 
@@ -249,25 +263,10 @@
     done(ApplyOutcome::Corrupt(fault))
 }
 
-fn read_base(reply: &TxnReply) -> Result<ReadBase, String> {
-    let Some(value) = first_value(reply, 0) else {
-        return Ok(ReadBase::default());
-    };
-    Ok(ReadBase {
-        head: Some(parse(value)?),
-        mod_revision: value.mod_revision,
-        ..ReadBase::default()
-    })
-}
-
-fn read_entry(reply: &TxnReply) -> Result<Option<HistoryEntry>, String> {
-    first_value(reply, 0).map(parse).transpose()
-}
-
-fn first_value(reply: &TxnReply, read: usize) -> Option<&StoreValue> {
-    reply.reads.get(read)?.first()
-}
-
-fn parse<T: serde::de::DeserializeOwned>(value: &StoreValue) -> Result<T, String> {
-    serde_json::from_slice(&value.value).map_err(|error| format!("{}: {error}", value.key))
+/// What stands in the answer to [`apply_txn::read_history_and_head`].
+fn read_settled(reply: &TxnReply) -> Result<(Option<HistoryEntry>, Option<ConfigHead>), String> {
+    let entry = apply_txn::values(reply, 0).next();
+    let head = apply_txn::values(reply, 1).next();
+    let entry = entry.map(apply_txn::parse).transpose()?;
+    Ok((entry, head.map(apply_txn::parse).transpose()?))
 }
--- a/crates/fescueway_rollout/src/apply_txn.rs
+++ b/crates/fescueway_rollout/src/apply_txn.rs
@@ -6,13 +6,17 @@
 };
 
 use fescueway_core::{ServiceName, SiteName};
-use fescueway_platform::{Compare, KeyRange, StoreOp, StoreTxn, TxnReply};
+use fescueway_platform::{Compare, KeyRange, StoreOp, StoreTxn, StoreValue, TxnReply};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{ApplyPlan, ConfigHead, HistoryEntry, SiteDigest, SiteIndex, store_keys};
 
-/// Steps of one transaction. The store allows 128.
+/// Values that one transaction writes, with room for the other steps of a swap.
 const MAX_OPS: usize = 100;
 
+/// Steps of one transaction that the store allows.
+const MOST_OPS: usize = 128;
+
 /// Bytes of the values of one transaction. The store allows a megabyte.
 const MAX_TXN_BYTES: usize = 700_000;
 
@@ -33,6 +37,27 @@
     pub keys: BTreeSet<String>,
     /// Keys that were replaced so long ago that nobody reads them.
     pub outdated: Vec<String>,
+    /// The highest revision that any failure domain reports to have in force. Above the head's
+    /// only when the store lost a head.
+    pub reported: u64,
+    /// Attempts that wrote values ahead and did not end with a swap.
+    pub ended: Vec<EndedAttempt>,
+}
+
+/// What an attempt wrote ahead that did not end with a swap.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndedAttempt {
+    /// The key under which the attempt named what it wrote.
+    pub key: String,
+    /// Keys that it wrote.
+    pub written: Vec<String>,
+}
+
+/// The part of a failure domain's report that an attempt needs.
+#[derive(Debug, Deserialize)]
+struct ReportedRevision {
+    /// The highest revision in force.
+    highest: u64,
 }
 
 /// The transactions that write a configuration.
@@ -49,8 +74,34 @@
         self.head.as_ref().map_or(0, |head| head.revision)
     }
 
+    /// Nodes ignore what is not above the revision that they have in force, so the next one is
+    /// above that too when the store lost its head.
     pub fn next_revision(&self) -> u64 {
-        self.revision() + 1
+        self.revision().max(self.reported) + 1
+    }
+
+    /// Whether nodes have a revision in force that is above the head's.
+    pub fn is_behind_nodes(&self) -> bool {
+        self.reported > self.revision()
+    }
+
+    /// Takes in the answer to [`read_head`].
+    pub fn from_reply(reply: &TxnReply) -> Result<Self, String> {
+        let mut base = Self::default();
+        if let Some(value) = values(reply, 0).next() {
+            base.head = Some(parse(value)?);
+            base.mod_revision = value.mod_revision;
+        }
+        for value in values(reply, 1) {
+            let report: ReportedRevision = parse(value)?;
+            base.reported = base.reported.max(report.highest);
+        }
+        for value in values(reply, 2) {
+            let written = parse(value)?;
+            let key = value.key.clone();
+            base.ended.push(EndedAttempt { key, written });
+        }
+        Ok(base)
     }
 
     /// Takes in the answer to [`read_indexes`].
@@ -59,8 +110,7 @@
         if self.next_revision() > KEPT_VALUES {
             let outdated = reply.reads.first().and_then(|read| read.first());
             if let Some(value) = outdated {
-                let entry: HistoryEntry = serde_json::from_slice(&value.value)
-                    .map_err(|error| format!("{}: {error}", value.key))?;
+                let entry: HistoryEntry = parse(value)?;
                 self.outdated = entry.replaced;
                 values.next();
             }
@@ -75,14 +125,19 @@
     }
 }
 
-/// Reads the head.
+/// Reads the head, what nodes have in force, and what attempts wrote ahead.
 pub fn read_head() -> StoreTxn {
-    reads([store_keys::HEAD.to_owned()])
+    let ranges = [
+        KeyRange::Key(store_keys::HEAD.to_owned()),
+        KeyRange::Prefix(store_keys::IN_FORCE.to_owned()),
+        KeyRange::Prefix(store_keys::PENDING.to_owned()),
+    ];
+    put_txn(ranges.map(StoreOp::Range).into())
 }
 
-/// Reads who made a revision.
-pub fn read_head_and_history(revision: u64) -> StoreTxn {
-    reads([store_keys::history(revision)])
+/// Reads who made a revision, and the head.
+pub fn read_history_and_head(revision: u64) -> StoreTxn {
+    reads([store_keys::history(revision), store_keys::HEAD.to_owned()])
 }
 
 /// Reads what is needed to write only what changed, and to delete what is outdated.
@@ -104,31 +159,73 @@
 /// The transactions that write `plan` over `base`.
 pub fn plan_writes(plan: &ApplyPlan, base: &ReadBase) -> WriteTxns {
     let wanted = wanted_values(plan);
-    let is_new = |key: &String| !base.keys.contains(key);
-    let puts = wanted.iter().filter(|(key, _)| is_new(key));
-    let mut batches = split_puts(puts.map(|(key, value)| put(key, value)));
-    let head = next_head(plan, base);
-    let keys: BTreeSet<_> = wanted.keys().cloned().collect();
-    let replaced = base.keys.difference(&keys).cloned().collect();
+    let is_new = |key: &&String| !base.keys.contains(*key);
+    let new: Vec<_> = wanted.keys().filter(is_new).cloned().collect();
+    let puts = new.iter().map(|key| put(key, &wanted[key]));
+    let mut batches = split_puts(puts);
     let last = batches.pop().unwrap_or_default();
-    let mut swap = StoreTxn {
-        compares: vec![head_compare(base)],
-        then: last,
-        otherwise: Vec::new(),
-    };
+    let pending = store_keys::pending(&plan.operation);
+    let is_ahead = !batches.is_empty();
+    // In each of them, since another attempt's swap may delete it in between.
+    for batch in &mut batches {
+        batch.push(put(&pending, &to_json(&new)));
+    }
+    let keys: BTreeSet<_> = wanted.into_keys().collect();
+    let mut then = last;
+    then.extend(put_head(plan, base, &keys));
+    then.extend(is_ahead.then(|| delete(&pending)));
+    then.extend(deletes(base, &keys));
+    let room = MOST_OPS - then.len();
+    then.extend(collect_ended(base, &keys, &pending, room));
+    WriteTxns {
+        batches: batches.into_iter().map(put_txn).collect(),
+        swap: StoreTxn {
+            compares: vec![head_compare(base)],
+            then,
+            otherwise: Vec::new(),
+        },
+    }
+}
+
+/// Writes the history's entry and the head.
+fn put_head(plan: &ApplyPlan, base: &ReadBase, keys: &BTreeSet<String>) -> [StoreOp; 2] {
+    let head = next_head(plan, base);
     let entry = HistoryEntry {
         head: head.clone(),
-        replaced,
+        replaced: base.keys.difference(keys).cloned().collect(),
     };
-    let entry = serde_json::to_vec(&entry).unwrap_or_default();
-    swap.then
-        .push(put(&store_keys::history(head.revision), &entry));
-    swap.then.push(put(store_keys::HEAD, &head.to_bytes()));
-    swap.then.extend(deletes(base, &keys));
-    WriteTxns {
-        batches: batches.into_iter().map(put_txn).collect(),
-        swap,
+    [
+        put(&store_keys::history(head.revision), &to_json(&entry)),
+        put(store_keys::HEAD, &head.to_bytes()),
+    ]
+}
+
+/// Deletes what attempts wrote ahead that did not end with a swap, at most `room` steps of it.
+///
+/// An attempt that is still under way loses: this is part of a swap, after which its own fails.
+fn collect_ended(
+    base: &ReadBase,
+    keys: &BTreeSet<String>,
+    own: &str,
+    mut room: usize,
+) -> Vec<StoreOp> {
+    let is_unused = |key: &&String| !keys.contains(*key) && !base.keys.contains(*key);
+    let mut ops = Vec::new();
+    for attempt in base.ended.iter().filter(|attempt| attempt.key != own) {
+        if room < 2 {
+            return ops;
+        }
+        let unused: Vec<_> = attempt.written.iter().filter(is_unused).cloned().collect();
+        let (now, later) = unused.split_at(unused.len().min(room - 1));
+        ops.extend(now.iter().map(|key| delete(key)));
+        ops.push(if later.is_empty() {
+            delete(&attempt.key)
+        } else {
+            put(&attempt.key, &to_json(&later))
+        });
+        room -= now.len() + 1;
     }
+    ops
 }
 
 fn site_indexes(plan: &ApplyPlan) -> BTreeMap<SiteName, SiteIndex> {
@@ -176,7 +273,7 @@
     let next = base.next_revision();
     let history = (next > KEPT_HISTORY).then(|| store_keys::history(next - KEPT_HISTORY));
     let all = outdated.cloned().chain(history);
-    all.map(|key| StoreOp::Delete(KeyRange::Key(key))).collect()
+    all.map(|key| delete(&key)).collect()
 }
 
 fn split_puts(puts: impl Iterator<Item = StoreOp>) -> Vec<Vec<StoreOp>> {
@@ -215,6 +312,25 @@
     }
 }
 
+fn delete(key: &str) -> StoreOp {
+    StoreOp::Delete(KeyRange::Key(key.to_owned()))
+}
+
+/// The JSON form of what holds only strings and numbers, which always have one.
+fn to_json(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_default()
+}
+
+/// What one read of a transaction found.
+pub fn values(reply: &TxnReply, read: usize) -> impl Iterator<Item = &StoreValue> {
+    reply.reads.get(read).into_iter().flatten()
+}
+
+/// Reads a value in JSON.
+pub fn parse<T: DeserializeOwned>(value: &StoreValue) -> Result<T, String> {
+    serde_json::from_slice(&value.value).map_err(|error| format!("{}: {error}", value.key))
+}
+
 fn reads(keys: impl IntoIterator<Item = String>) -> StoreTxn {
     let ranges = keys
         .into_iter()
--- a/crates/fescueway_rollout/src/store_keys.rs
+++ b/crates/fescueway_rollout/src/store_keys.rs
@@ -11,6 +11,9 @@
 /// Prefix of the history's entries.
 pub const HISTORY: &str = "/fescueway/config/history/";
 
+/// Prefix of what attempts write ahead of their swap.
+pub const PENDING: &str = "/fescueway/config/pending/";
+
 /// Prefix of the reports on what is in force.
 pub const IN_FORCE: &str = "/fescueway/in-force/";
 
@@ -35,6 +38,12 @@
     format!("{HISTORY}{revision:020}")
 }
 
+/// The names of what an attempt wrote ahead of its swap.
+#[must_use]
+pub fn pending(operation: &str) -> String {
+    format!("{PENDING}{operation}")
+}
+
 /// The report of a failure domain.
 #[must_use]
 pub fn in_force(domain: &DomainName) -> String {
--- a/crates/fescueway_rollout/tests/apply.rs
+++ b/crates/fescueway_rollout/tests/apply.rs
@@ -6,8 +6,10 @@
 
 use common::{SITE, TIME, accept, client, config, plan};
 use fescueway_core::SiteName;
-use fescueway_platform::{KeyRange, StoreTxn};
-use fescueway_rollout::{ApplyAction, ApplyAttempt, ApplyEvent, ApplyOutcome, driver, store_keys};
+use fescueway_platform::{KeyRange, StoreClient, StoreOp, StoreTxn};
+use fescueway_rollout::{
+    ApplyAction, ApplyAttempt, ApplyEvent, ApplyOutcome, DomainReport, driver, store_keys,
+};
 use fescueway_testkit::{StoreFaults, StoreStub};
 use quickcheck::quickcheck;
 
@@ -161,6 +163,119 @@
     assert!(found.unwrap().is_some());
 }
 
+/// Writes that a failure domain has `highest` in force.
+async fn report(store: &StoreStub, highest: u64) {
+    let report = DomainReport {
+        highest,
+        ..DomainReport::default()
+    };
+    let put = StoreOp::Put {
+        key: store_keys::in_force(&"texas-a".into()),
+        value: serde_json::to_vec(&report).unwrap(),
+        lease: None,
+    };
+    let txn = StoreTxn {
+        then: vec![put],
+        ..StoreTxn::default()
+    };
+    client(store).commit(&txn, TIME).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_store_that_lost_its_head_goes_on_above_what_nodes_have_in_force() {
+    let store = StoreStub::start().await.unwrap();
+    report(&store, 41).await;
+    let late = fescueway_rollout::ApplyPlan {
+        base: Some(41),
+        ..plan("bryn", &config(3_000, 0))
+    };
+    let outcome = driver::apply(&client(&store), late, TIME).await;
+    assert_eq!(outcome, ApplyOutcome::BaseLost(41));
+    assert_eq!(revision_in(&store).await, 0);
+    assert_eq!(accept(&store, &config(1_000, 0)).await, 42);
+
+    // Applied before the nodes had reported, it is applied again above what they have.
+    let store = StoreStub::start().await.unwrap();
+    assert_eq!(accept(&store, &config(1_000, 0)).await, 1);
+    report(&store, 41).await;
+    assert_eq!(accept(&store, &config(1_000, 0)).await, 42);
+    let again = driver::apply(&client(&store), plan("anna", &config(1_000, 0)), TIME).await;
+    assert_eq!(again, ApplyOutcome::Unchanged(42));
+}
+
+#[tokio::test]
+async fn of_two_attempts_on_a_lost_store_one_wins_though_they_know_different_revisions() {
+    let store = StoreStub::start().await.unwrap();
+    let client = client(&store);
+    let mut late = ApplyAttempt::new(plan("bryn", &config(2_000, 0)));
+    let ApplyAction::Commit(read) = late.action() else {
+        panic!("an attempt reads first");
+    };
+    late.handle(&ApplyEvent::Reply(
+        client.commit(&read, TIME).await.unwrap(),
+    ));
+    report(&store, 41).await;
+    assert_eq!(accept(&store, &config(1_000, 0)).await, 42);
+    let outcome = finish(&client, &mut late).await;
+    assert!(matches!(outcome, ApplyOutcome::Conflict(head) if head.revision == 42));
+}
+
+/// Runs an attempt to its end, in at most 20 steps.
+async fn finish(client: &StoreClient, attempt: &mut ApplyAttempt) -> ApplyOutcome {
+    for _ in 0..20 {
+        let txn = match attempt.action() {
+            ApplyAction::Commit(txn) => txn,
+            ApplyAction::Done(outcome) => return outcome,
+        };
+        let reply = client.commit(&txn, TIME).await.unwrap();
+        attempt.handle(&ApplyEvent::Reply(reply));
+    }
+    panic!("the attempt does not end");
+}
+
+/// Values and indexes in the store.
+async fn written(store: &StoreStub) -> usize {
+    let mut count = 0;
+    for kind in ["value", "index", "pending"] {
+        let range = KeyRange::Prefix(format!("/fescueway/config/{kind}/"));
+        count += client(store)
+            .range(&range, TIME)
+            .await
+            .unwrap()
+            .values
+            .len();
+    }
+    count
+}
+
+#[tokio::test]
+async fn what_a_lost_attempt_wrote_ahead_is_deleted_by_later_ones() {
+    let store = StoreStub::start().await.unwrap();
+    accept(&store, &config(1_000, 1)).await;
+    let expected = written(&store).await;
+    let client = client(&store);
+    // 250 values are written in three transactions; the attempt ends before its swap.
+    let mut lost = ApplyAttempt::new(plan("bryn", &config(2_000, 250)));
+    let mut rival = None;
+    while let ApplyAction::Commit(txn) = lost.action() {
+        if !txn.compares.is_empty() && rival.is_none() {
+            assert!(written(&store).await > 200);
+            rival = Some(accept(&store, &config(1_500, 1)).await);
+        }
+        let reply = client.commit(&txn, TIME).await.unwrap();
+        lost.handle(&ApplyEvent::Reply(reply));
+    }
+    assert!(matches!(
+        lost.action(),
+        ApplyAction::Done(ApplyOutcome::Conflict(_))
+    ));
+    for change in 0..3 {
+        accept(&store, &config(3_000 + change, 1)).await;
+    }
+    // A value and an index more for each of the changes, which stay for 32 revisions.
+    assert_eq!(written(&store).await, expected + 2 * 4);
+}
+
 /// A store of one writer's view, on which each transaction may fail before or after its effect.
 #[derive(Default)]
 struct FaultyStore {
@@ -171,7 +286,7 @@
 
 impl FaultyStore {
     fn commit(&mut self, txn: &StoreTxn) -> fescueway_platform::TxnReply {
-        use fescueway_platform::{Compare, StoreOp, StoreValue, TxnReply};
+        use fescueway_platform::{Compare, StoreValue, TxnReply};
         let holds = |compare: &Compare| match compare {
             Compare::Absent(key) => !self.values.contains_key(key),
             Compare::ModRevision(key, at) => self
@@ -207,7 +322,12 @@
                 StoreOp::Range(KeyRange::Key(key)) => {
                     reads.push(self.values.get(key).cloned().into_iter().collect());
                 }
-                StoreOp::Delete(_) | StoreOp::Range(_) => {}
+                StoreOp::Range(KeyRange::Prefix(prefix)) => {
+                    let found = self.values.values();
+                    let found = found.filter(|value| value.key.starts_with(prefix));
+                    reads.push(found.cloned().collect());
+                }
+                StoreOp::Delete(KeyRange::Prefix(_)) => {}
             }
         }
         TxnReply {
@@ -259,7 +379,7 @@
             ApplyOutcome::Accepted(_) => written == 1,
             ApplyOutcome::NotApplied | ApplyOutcome::Conflict(_) => written == 0,
             ApplyOutcome::Unknown => written <= 1,
-            ApplyOutcome::Unchanged(_) | ApplyOutcome::Corrupt(_) => false,
+            ApplyOutcome::BaseLost(_) | ApplyOutcome::Corrupt(_) | ApplyOutcome::Unchanged(_) => false,
         }
     }
 }
