End the report of a failure domain that is gone

Cause: reports were bound to no lease, so that of a lost failure domain kept status at exit 1 until its key was deleted by hand.

Change: a reporter binds its reports to a lease of 15 min, renewed every 5 min with the reports. The watcher's own lease of 15 s was ruled out: a domain that was just lost has to show as one that doesn't report.

The control test asks for the lease of each report, and failed before. The store stand-in bound a key to every lease that it ever had; as in the real one the last counts.

--- a/crates/fescueway_testkit/src/store_core.rs
+++ b/crates/fescueway_testkit/src/store_core.rs
@@ -312,6 +312,12 @@
             held.keys.insert(key.clone());
         }
         let before = self.keys.get(&key);
+        let bound = before.map_or(0, |old| old.lease);
+        if bound != lease
+            && let Some(former) = self.leases.get_mut(&bound)
+        {
+            former.keys.remove(&key);
+        }
         let stored = StoredValue {
             value,
             create_revision: before.map_or(revision, |old| old.create_revision),
--- a/crates/fescuewayd/src/watch_task.rs
+++ b/crates/fescuewayd/src/watch_task.rs
@@ -7,7 +7,9 @@
 
 use fescueway_core::MonoTime;
 use fescueway_membership::MemberEvent;
-use fescueway_platform::{KeyRange, StoreError, StoreFault, StoreOp, StoreTxn, WatchEvent};
+use fescueway_platform::{
+    KeyRange, LeaseId, StoreError, StoreFault, StoreOp, StoreTxn, WatchEvent,
+};
 use fescueway_proxy::ProxyState;
 use fescueway_rollout::{
     ConfigHead, DomainReport, LeaseAction, LeaseEvent, LeaseHolder, store_keys,
@@ -35,6 +37,12 @@
 /// Time after which a silent watch is opened anew.
 const WATCH_IDLE: Duration = Duration::from_mins(1);
 
+/// How long a failure domain's last report stays after its writer is gone.
+const REPORT_LIFE: Duration = Duration::from_mins(15);
+
+/// Time after which the lease of the reports is kept alive again.
+const REPORT_RENEWAL: Duration = Duration::from_mins(5);
+
 /// Time that a node looks for peers before it asks the store for some.
 const SEED_WAIT: Duration = Duration::from_secs(2);
 
@@ -48,6 +56,8 @@
     leases: Arc<Mutex<Vec<LeaseHolder>>>,
     /// Tells that a lease was got or lost.
     lease_changed: Arc<Notify>,
+    /// The lease that this node's reports are bound to, and when it was last renewed.
+    report_lease: Arc<Mutex<Option<(LeaseId, MonoTime)>>>,
 }
 
 impl WatchDuty {
@@ -61,6 +71,7 @@
         Self {
             leases: Arc::new(Mutex::new(holders.collect())),
             lease_changed: Arc::default(),
+            report_lease: Arc::default(),
             proxy,
             members,
             store,
@@ -80,13 +91,19 @@
 
     /// Writes the domain's report, if this node still is its first watcher when that lands.
     pub async fn write_report(&self, mut report: DomainReport) -> bool {
+        if !self.is_held(0) {
+            return false;
+        }
+        let Some(lease) = self.renewed_lease().await else {
+            return false;
+        };
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         report.unix_time_s = since.unwrap_or_default().as_secs();
         let txn = StoreTxn {
             then: vec![StoreOp::Put {
                 key: store_keys::in_force(&self.proxy.options().domain),
                 value: serde_json::to_vec(&report).unwrap_or_default(),
-                lease: None,
+                lease: Some(lease),
             }],
             ..StoreTxn::default()
         };
@@ -95,7 +112,40 @@
         };
         let write = self.store.client.commit(&fenced, CALL_TIMEOUT);
         let reply = self.store.call(write).await;
-        reply.is_ok_and(|reply| reply.is_success)
+        let is_written = reply.is_ok_and(|reply| reply.is_success);
+        if !is_written {
+            // The lease may have lapsed during an outage.
+            *self.report_lease() = None;
+        }
+        is_written
+    }
+
+    /// A lease with which the report of a domain ends that is gone for good. It is kept alive while
+    /// reports are written, and outlives their writer by minutes: a domain that was just lost is to
+    /// be seen as one that doesn't report.
+    async fn renewed_lease(&self) -> Option<LeaseId> {
+        let held = *self.report_lease();
+        let now = self.proxy.now();
+        if let Some((lease, renewed_at)) = held
+            && now.since(renewed_at) < REPORT_RENEWAL
+        {
+            return Some(lease);
+        }
+        let client = &self.store.client;
+        let renewed = if let Some((lease, _)) = held {
+            self.store.turn().await;
+            let kept = client.keep_lease(lease, CALL_TIMEOUT).await;
+            if !kept.as_ref().is_err_and(is_lapsed) {
+                self.store.note(kept.as_ref().err());
+            }
+            kept
+        } else {
+            let grant = client.grant_lease(REPORT_LIFE, CALL_TIMEOUT);
+            self.store.call(grant).await
+        };
+        let lease = renewed.ok().map(|grant| grant.lease);
+        *self.report_lease() = lease.map(|lease| (lease, now));
+        lease
     }
 
     /// Holds the slot's lease while this node has that place in its failure domain.
@@ -232,6 +282,12 @@
         self.leases()[slot].is_held(now)
     }
 
+    fn report_lease(&self) -> MutexGuard<'_, Option<(LeaseId, MonoTime)>> {
+        self.report_lease
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn leases(&self) -> MutexGuard<'_, Vec<LeaseHolder>> {
         self.leases.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/fescuewayd/tests/control/main.rs
+++ b/crates/fescuewayd/tests/control/main.rs
@@ -4,9 +4,9 @@
 
 use fescueway_config::{ConfigSet, Document};
 use fescueway_core::{DomainName, ServiceName, SiteName, TargetState};
-use fescueway_platform::{StoreClient, StoreSettings};
+use fescueway_platform::{KeyRange, StoreClient, StoreSettings};
 use fescueway_proxy::BackendAnnouncement;
-use fescueway_rollout::{ApplyOutcome, ApplyPlan, driver};
+use fescueway_rollout::{ApplyOutcome, ApplyPlan, driver, store_keys};
 use fescueway_testkit::{StoreFaults, StoreStub};
 use fescuewayd::{Daemon, DaemonSettings};
 use tokio::time::{Instant, sleep};
@@ -124,6 +124,10 @@
         assert!(start.elapsed() < LONG, "{reports:?}");
         sleep(Duration::from_millis(100)).await;
     }
+    // Else the report of a domain that is gone for good would stand there for ever.
+    let range = KeyRange::Prefix(store_keys::IN_FORCE.to_owned());
+    let reports = client(&store).range(&range, TIME).await.unwrap().values;
+    assert!(reports.iter().all(|report| report.lease.is_some()));
 }
 
 #[tokio::test]
