Keep the operators' drain and the backend server's apart

Cause: both orders set the same state of the target, so a backend server's /v1/undrain ended the operators' drain, and the operators' undrain that of a backend server. During a stop a backend server could undrain or announce itself, and get work.

Change: DrainOrders holds both; a target takes work while neither wants it drained. A stop counts as the operators' order. An undrain that has no effect yet says so. A new announcement forgets its predecessor's wish.

daemon::neither_operators_nor_the_backend_server_end_the_drain_of_the_other passes; the code before changed the state with each order, whoever gave it.

--- a/crates/fescueway/tests/cli/daemon.rs
+++ b/crates/fescueway/tests/cli/daemon.rs
@@ -109,3 +109,74 @@
     let answer = look_up();
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
+
+#[test]
+fn neither_operators_nor_the_backend_server_end_the_drain_of_the_other() {
+    let node = node();
+    let operators = node.operators.to_string();
+    let order = |command| {
+        let run = fescueway(&[command, "--node", &operators]);
+        assert_eq!(run.status, 0, "{run:?}");
+    };
+    let ask = |path| {
+        let answer = post(node.backends, path, r#"{ "service": "cap-bands" }"#);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    };
+    let is_served = || {
+        let answer = get(node.callers, "bands.pwll.example", "/bands/7");
+        answer.starts_with("HTTP/1.1 200")
+    };
+    assert!(is_served());
+    order("drain");
+    ask("/v1/undrain");
+    assert!(
+        !is_served(),
+        "the backend server ended the operators' drain"
+    );
+    ask("/v1/drain");
+    order("undrain");
+    assert!(!is_served(), "operators ended the backend server's drain");
+    ask("/v1/undrain");
+    assert!(is_served());
+}
+
+/// Answers requests with `body`, but only once `at_once` of them wait. Returns its address, and
+/// whether more than that ever waited.
+fn crowd_node(body: String, at_once: usize) -> (SocketAddr, Arc<AtomicBool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let is_crowded = Arc::new(AtomicBool::new(false));
+    let crowded = Arc::clone(&is_crowded);
+    thread::spawn(move || {
+        loop {
+            let calls = (0..at_once).map(|_call| listener.accept().expect("a call").0);
+            let calls: Vec<_> = calls.collect();
+            thread::sleep(Duration::from_millis(200));
+            listener.set_nonblocking(true).expect("a socket");
+            if listener.accept().is_ok() {
+                crowded.store(true, Ordering::Relaxed);
+            }
+            listener.set_nonblocking(false).expect("a socket");
+            for mut call in calls {
+                let mut head = [0; 1_024];
+                let _read = call.read(&mut head).expect("a request");
+                let length = body.len();
+                let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+                call.write_all(answer.as_bytes()).expect("an open socket");
+            }
+        }
+    });
+    (address, is_crowded)
+}
+
+#[test]
+fn burn_asks_many_nodes_at_once_but_not_all() {
+    const AT_ONCE: usize = 32;
+    let body = serde_json::to_string(&BurnReport::default()).expect("JSON");
+    let (node, is_crowded) = crowd_node(body, AT_ONCE);
+    let node = node.to_string();
+    let nodes = vec![["--node", &node]; 2 * AT_ONCE].concat();
+    let run = fescueway(&[&["burn"], &*nodes].concat());
+    assert_eq!(run.status, 0, "{run:?}");
+    assert!(!is_crowded.load(Ordering::Relaxed), "more than {AT_ONCE}");
+}
--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -8,17 +8,20 @@
 };
 
 use fescueway_core::{MonoTime, ServiceName};
-use fescueway_proxy::{BackendAnnouncement, ProxyState};
+use fescueway_proxy::{BackendAnnouncement, HostTarget, ProxyState};
 use fescueway_telemetry::{emit, events::path};
 use http::{Method, StatusCode};
 use serde::{Deserialize, de::DeserializeOwned};
 use tokio::time::sleep;
 
 use crate::{
-    StatusBoard,
+    drain_orders::DrainOrders,
     local_http::{LocalAnswer, LocalRequest, text},
 };
 
+/// The body of most answers.
+const DONE: &str = "done";
+
 /// The body of `POST /v1/announce`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -49,8 +52,8 @@
 pub struct BackendApi {
     /// The path of requests.
     state: ProxyState,
-    /// What operators ordered.
-    board: StatusBoard,
+    /// Who wants the targets drained.
+    orders: DrainOrders,
     /// How long an announcement holds.
     timeout: Duration,
     /// When the announcement of each service ends.
@@ -60,10 +63,10 @@
 impl BackendApi {
     /// An interface without announcements.
     #[must_use]
-    pub fn new(state: ProxyState, board: StatusBoard, timeout: Duration) -> Self {
+    pub fn new(state: ProxyState, orders: DrainOrders, timeout: Duration) -> Self {
         Self {
             state,
-            board,
+            orders,
             timeout,
             ends: Arc::default(),
         }
@@ -77,60 +80,78 @@
         }
         let answered = match request.path.as_str() {
             "/v1/announce" => self.announce(&request.body),
-            "/v1/drain" => self.on_service(&request.body, |service| self.state.drain(service)),
-            "/v1/undrain" => self.on_service(&request.body, |service| self.state.undrain(service)),
+            "/v1/drain" => self.on_service(&request.body, |service| self.drain(service)),
+            "/v1/undrain" => self.on_service(&request.body, |service| self.undrain(service)),
             "/v1/leave" => self.on_service(&request.body, |service| self.leave(service)),
             _ => return text(StatusCode::NOT_FOUND, "no such path"),
         };
         match answered {
-            Ok(()) => text(StatusCode::OK, "done"),
+            Ok(line) => text(StatusCode::OK, line),
             Err(answer) => *answer,
         }
     }
 
     /// A backend server takes work, or still does.
-    fn announce(&self, body: &[u8]) -> Result<(), Box<LocalAnswer>> {
+    fn announce(&self, body: &[u8]) -> Result<&'static str, Box<LocalAnswer>> {
         let raw: RawAnnouncement = parse(body)?;
         let announcement = BackendAnnouncement::try_from(raw).map_err(bad_request)?;
         let service = announcement.service.clone();
-        if self.state.host_target(&service).is_none() {
+        let before = self.state.host_target(&service);
+        if before.is_none() {
             emit(&path::BACKEND_ANNOUNCED, &[&service, &announcement.address]);
         }
         self.state.announce(&announcement);
-        if self.board.facts().is_draining {
-            // Operators drain the whole node, whoever announces itself meanwhile.
-            self.state.drain(&service);
+        let after = self.state.host_target(&service);
+        if !is_same_target(before.as_ref(), after.as_ref()) {
+            self.orders.forget_backend(&service);
         }
+        self.orders.on_announced(&service);
         let end = self.state.now() + self.timeout;
         let is_first = self.ends().insert(service.clone(), end).is_none();
         if is_first {
             let watching = self.clone().watch(service);
             self.state.tasks().spawn(watching);
         }
-        Ok(())
+        Ok(DONE)
     }
 
     /// Does something to an announced service.
     fn on_service(
         &self,
         body: &[u8],
-        action: impl FnOnce(&ServiceName),
-    ) -> Result<(), Box<LocalAnswer>> {
+        action: impl FnOnce(&ServiceName) -> &'static str,
+    ) -> Result<&'static str, Box<LocalAnswer>> {
         let raw: RawService = parse(body)?;
         let service = ServiceName::new(raw.service);
         if self.state.host_target(&service).is_none() {
             let line = format!("no backend server of {service} is announced");
             return Err(Box::new(text(StatusCode::NOT_FOUND, &line)));
         }
-        action(&service);
-        Ok(())
+        Ok(action(&service))
+    }
+
+    /// A backend server takes nothing new.
+    fn drain(&self, service: &ServiceName) -> &'static str {
+        self.orders.drain_backend(service);
+        DONE
+    }
+
+    /// A backend server takes work again, unless operators drain the node.
+    fn undrain(&self, service: &ServiceName) -> &'static str {
+        if self.orders.undrain_backend(service) {
+            DONE
+        } else {
+            "noted; it takes work again once operators end their drain of this node"
+        }
     }
 
     /// A backend server left.
-    fn leave(&self, service: &ServiceName) {
+    fn leave(&self, service: &ServiceName) -> &'static str {
         self.ends().remove(service);
         self.state.withdraw(service);
+        self.orders.forget_backend(service);
         emit(&path::BACKEND_LEFT, &[service]);
+        DONE
     }
 
     /// Ends the announcement of `service` when no other follows in time.
@@ -146,6 +167,7 @@
         }
         self.ends().remove(&service);
         self.state.withdraw(&service);
+        self.orders.forget_backend(&service);
         emit(&path::BACKEND_SILENT, &[&service]);
     }
 
@@ -177,6 +199,14 @@
     }
 }
 
+/// Whether an announcement left the target as it was.
+fn is_same_target(before: Option<&Arc<HostTarget>>, after: Option<&Arc<HostTarget>>) -> bool {
+    match (before, after) {
+        (Some(before), Some(after)) => Arc::ptr_eq(before, after),
+        _ => false,
+    }
+}
+
 /// A body in JSON.
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Box<LocalAnswer>> {
     serde_json::from_slice(body).map_err(|error| bad_request(&error.to_string()))
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -21,6 +21,7 @@
     backend_api::BackendApi,
     claim_task::ClaimTask,
     daemon_sockets::{DaemonAddresses, DaemonSockets},
+    drain_orders::DrainOrders,
     local_http::serve_local,
     member_link::MemberLink,
     membership_task::run_membership,
@@ -43,10 +44,10 @@
 /// Time in which the goodbye leaves for the peers.
 const GOODBYE_TIME: Duration = Duration::from_millis(100);
 
-/// One running node. Dropping it leaves it running; [`Daemon::stop`] ends it in order.
 /// Time in which entries that sent requests lately may acknowledge the goodbye.
 const MOST_GOODBYE_TIME: Duration = Duration::from_millis(1_500);
 
+/// One running node. Dropping it leaves it running; [`Daemon::stop`] ends it in order.
 #[derive(Debug)]
 pub struct Daemon {
     /// The path of requests.
@@ -59,6 +60,8 @@
     meter: NodeMeter,
     /// What its tasks tell operators.
     board: StatusBoard,
+    /// Who wants the targets beside it drained.
+    orders: DrainOrders,
     /// The idempotency keys that it keeps, once the tasks run.
     claims: OnceLock<ClaimTask>,
     /// Who is there, once the tasks run.
@@ -84,9 +87,11 @@
         if let Some(plan) = &settings.plan {
             state.apply_plan(Arc::clone(plan));
         }
+        let board = StatusBoard::default();
         let daemon = Self {
             meter: NodeMeter::start(&state)?,
-            board: StatusBoard::default(),
+            orders: DrainOrders::new(state.clone(), board.clone()),
+            board,
             claims: OnceLock::new(),
             members: OnceLock::new(),
             state,
@@ -133,9 +138,7 @@
             &operator::STOP_BEGAN,
             &[&self.state.open_requests(), &limit.as_millis()],
         );
-        for service in self.state.local_services() {
-            self.state.drain(&service);
-        }
+        self.orders.drain_node();
         self.closing_callers.cancel();
         while !self.is_idle() && start.elapsed() < limit {
             sleep(STOP_POLL).await;
@@ -163,13 +166,10 @@
         }
         if let Some(members) = self.members.get() {
             members.handle(MemberEvent::Leave);
+            members.handle(MemberEvent::TellRecord(self.state.recent_entries()));
         }
         self.closing_peers.cancel();
         sleep(GOODBYE_TIME).await;
-            members.handle(MemberEvent::TellRecord(self.state.recent_entries()));
-    }
-
-    /// Ends at once, as a crash would.
         let start = Instant::now();
         while !self.is_goodbye_told() && start.elapsed() < MOST_GOODBYE_TIME {
             sleep(STOP_POLL).await;
@@ -179,6 +179,9 @@
     /// Whether the entries that sent requests lately have acknowledged the goodbye.
     fn is_goodbye_told(&self) -> bool {
         self.members.get().is_none_or(MemberLink::is_record_told)
+    }
+
+    /// Ends at once, as a crash would.
     pub fn kill(self) {
         self.state.tasks().cancel();
     }
@@ -194,7 +197,7 @@
         self.run_control(sockets.gossip);
         let backends = BackendApi::new(
             state.clone(),
-            self.board.clone(),
+            self.orders.clone(),
             self.settings.announce_timeout,
         );
         let answer = move |request| backends.answer(&request);
@@ -204,7 +207,12 @@
             "backends",
             answer,
         ));
-        let operators = OperatorApi::new(state.clone(), self.meter.clone(), self.board.clone());
+        let operators = OperatorApi::new(
+            state.clone(),
+            self.meter.clone(),
+            self.board.clone(),
+            self.orders.clone(),
+        );
         let answer = move |request| operators.answer(&request);
         tasks.spawn(serve_local(
             tasks.clone(),
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -10,6 +10,7 @@
 mod daemon_error;
 mod daemon_settings;
 mod daemon_sockets;
+mod drain_orders;
 mod local_http;
 mod member_link;
 mod membership_task;
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
+    drain_orders::DrainOrders,
     local_http::{LocalAnswer, LocalRequest, content, json, text},
     node_meter::NodeMeter,
     status_board::StatusBoard,
@@ -28,16 +29,24 @@
     meter: NodeMeter,
     /// What the node's tasks tell.
     board: StatusBoard,
+    /// Who wants the targets drained.
+    orders: DrainOrders,
 }
 
 impl OperatorApi {
     /// The interface of one node.
     #[must_use]
-    pub fn new(state: ProxyState, meter: NodeMeter, board: StatusBoard) -> Self {
+    pub fn new(
+        state: ProxyState,
+        meter: NodeMeter,
+        board: StatusBoard,
+        orders: DrainOrders,
+    ) -> Self {
         Self {
             state,
             meter,
             board,
+            orders,
         }
     }
 
@@ -83,6 +92,7 @@
     fn targets(&self) -> TargetList {
         let views = self.state.routes().targets().into_iter();
         let targets = views.map(|view| TargetStatus {
+            site: view.site,
             load: view.load.map(|(load, _time)| load),
             record: view.record,
         });
@@ -92,7 +102,6 @@
     }
 
     /// Metrics in Prometheus' text form.
-            site: view.site,
     fn metrics(&self) -> LocalAnswer {
         match self.meter.render(&self.state, &self.board.facts()) {
             Ok(page) => content(StatusCode::OK, METRICS_TYPE, page),
@@ -102,10 +111,7 @@
 
     /// The targets beside this node take nothing new.
     fn drain(&self) -> LocalAnswer {
-        for service in self.state.local_services() {
-            self.state.drain(&service);
-        }
-        self.board.change(|facts| facts.is_draining = true);
+        self.orders.drain_node();
         emit(&operator::DRAIN_BEGAN, &[&"operator"]);
         self.state.tasks().spawn(self.clone().tell_drained());
         json(&self.status())
@@ -123,12 +129,9 @@
         }
     }
 
-    /// The targets beside this node take work again.
+    /// The targets beside this node take work again, but for those that drained themselves.
     fn undrain(&self) -> LocalAnswer {
-        for service in self.state.local_services() {
-            self.state.undrain(&service);
-        }
-        self.board.change(|facts| facts.is_draining = false);
+        self.orders.undrain_node();
         json(&self.status())
     }
 
