Ask up to 32 nodes at once in burn and status

Cause: each node was asked after the one before; with thousands of nodes and 5 s for one that does not answer, burn took minutes to hours.

Change: 32 at once, with the count of answers on a terminal. Reports are added up as they come, so that few are in memory.

--- a/crates/fescueway/src/commands/burn.rs
+++ b/crates/fescueway/src/commands/burn.rs
@@ -1,6 +1,6 @@
 //! `fescueway burn`: shows how fast services use up their error budgets.
 
-use std::fs;
+use std::{collections::BTreeMap, fs, net::SocketAddr};
 
 use eyre::WrapErr;
 use fescueway_telemetry::{BurnReport, burn_svg};
@@ -9,17 +9,13 @@
     cli_error::{CommandError, CommandReply, CommandResult},
     command_line::CliOptions,
     commands::{json_text, nodes},
-    node_client::get_json,
+    node_client::get_json_from_all,
     text_table::text_table,
 };
 
 /// Runs the command.
 pub(crate) async fn run(options: &CliOptions) -> CommandResult {
-    let mut report = BurnReport::default();
-    for node in nodes(options)? {
-        let part = get_json(*node, "/burn").await;
-        report.merge(&part.map_err(CommandError::refused)?);
-    }
+    let report = read_burn(nodes(options)?).await?;
     if let Some(file) = &options.svg {
         let svg = burn_svg(&report).map_err(CommandError::refused)?;
         fs::write(file, svg)
@@ -31,3 +27,18 @@
     }
     Ok(CommandReply::done(text_table(&report.table())))
 }
+
+/// The sum over the nodes, all of which have to answer.
+async fn read_burn(nodes: &[SocketAddr]) -> Result<BurnReport, CommandError> {
+    let mut report = BurnReport::default();
+    let mut faults = BTreeMap::new();
+    get_json_from_all(nodes, "/burn", |place, part| match part {
+        Ok(part) => report.merge(&part),
+        Err(fault) => drop(faults.insert(place, fault)),
+    })
+    .await;
+    match faults.pop_first() {
+        Some((_, fault)) => Err(CommandError::refused(fault)),
+        None => Ok(report),
+    }
+}
--- a/crates/fescueway/src/commands/status.rs
+++ b/crates/fescueway/src/commands/status.rs
@@ -1,6 +1,6 @@
 //! `fescueway status`: shows what is in force, and where it is not.
 
-use std::{fmt::Write, net::SocketAddr};
+use std::{collections::BTreeMap, fmt::Write, net::SocketAddr};
 
 use fescueway_rollout::{ConfigHead, driver};
 use fescueway_telemetry::NodeStatus;
@@ -12,7 +12,7 @@
     commands::json_text,
     fleet_report::FleetReport,
     fleet_store::{READ_TIMEOUT, connect, time_text},
-    node_client::get_json,
+    node_client::get_json_from_all,
     text_table::{row, text_table},
 };
 
@@ -50,10 +50,7 @@
     } else {
         read_fleet(options).await?
     };
-    let mut nodes = Vec::new();
-    for address in &options.nodes {
-        nodes.push(ask(*address).await);
-    }
+    let nodes = ask_all(&options.nodes).await;
     let report = StatusReport { head, fleet, nodes };
     let text = if options.is_json {
         json_text(&report)?
@@ -109,23 +106,30 @@
     }
 }
 
-/// Asks one node.
-async fn ask(address: SocketAddr) -> NodeAnswer {
-    match get_json(address, "/status").await {
-        Ok(status) => NodeAnswer {
-            address,
-            status: Some(status),
-            error: None,
-        },
-        Err(report) => NodeAnswer {
-            address,
-            status: None,
-            error: Some(format!("{report:#}")),
-        },
-    }
+/// Asks the nodes. The answers stand in their order.
+async fn ask_all(nodes: &[SocketAddr]) -> Vec<NodeAnswer> {
+    let mut answers = BTreeMap::new();
+    get_json_from_all(nodes, "/status", |place, answer| {
+        answers.insert(place, NodeAnswer::new(nodes[place], answer));
+    })
+    .await;
+    answers.into_values().collect()
 }
 
 impl NodeAnswer {
+    /// What the node at `address` said.
+    fn new(address: SocketAddr, answer: Result<NodeStatus, eyre::Report>) -> Self {
+        let (status, fault) = match answer {
+            Ok(status) => (Some(status), None),
+            Err(fault) => (None, Some(fault)),
+        };
+        Self {
+            address,
+            status,
+            error: fault.map(|fault| format!("{fault:#}")),
+        }
+    }
+
     /// Whether the node runs the highest revision that it has heard of.
     fn is_in_force(&self) -> bool {
         let status = self.status.as_ref();
--- a/crates/fescueway/src/node_client.rs
+++ b/crates/fescueway/src/node_client.rs
@@ -8,11 +8,16 @@
 use hyper::{body::Bytes, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{net::TcpStream, task::JoinSet, time::timeout};
+
+use crate::progress::ProgressLine;
 
 /// How long a node may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Nodes that are asked at once.
+const ASKED_AT_ONCE: usize = 32;
+
 /// Longest answer, in bytes: a report for a few hundred services fits many times.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -31,6 +36,35 @@
         .wrap_err_with(|| format!("node {node}, GET {path}: the answer makes no sense"))
 }
 
+/// Reads JSON from several nodes, a bounded number at once, and tells each answer with the place
+/// of its node as it comes. Progress is shown on a terminal.
+pub(crate) async fn get_json_from_all<T: DeserializeOwned + Send + 'static>(
+    nodes: &[SocketAddr],
+    path: &'static str,
+    mut tell: impl FnMut(usize, Result<T, Report>),
+) {
+    let progress = ProgressLine::new();
+    let mut waiting = nodes.iter().copied().enumerate();
+    let mut asked = JoinSet::new();
+    let mut answered = 0;
+    loop {
+        let room = ASKED_AT_ONCE - asked.len();
+        for (place, node) in waiting.by_ref().take(room) {
+            asked.spawn(async move { (place, get_json(node, path).await) });
+        }
+        let Some(joined) = asked.join_next().await else {
+            return;
+        };
+        // A task ends early only with the whole runtime.
+        let Ok((place, answer)) = joined else {
+            return;
+        };
+        answered += 1;
+        progress.show(&format!("{answered} of {} nodes answered", nodes.len()));
+        tell(place, answer);
+    }
+}
+
 /// Tells a node to do something.
 ///
 /// # Errors
--- a/crates/fescueway/tests/cli/daemon.rs
+++ b/crates/fescueway/tests/cli/daemon.rs
@@ -2,13 +2,21 @@
 
 use std::{
     future::pending,
-    sync::{Arc, mpsc::channel},
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc::channel,
+    },
     thread,
+    time::Duration,
 };
 
 use fescueway_config::{ConfigSet, Document, SitePlan};
 use fescueway_core::ServiceName;
 use fescueway_proxy::BackendAnnouncement;
+use fescueway_telemetry::BurnReport;
 use fescueway_testkit::{BackendPlan, BackendStub};
 use fescuewayd::{Daemon, DaemonAddresses, DaemonSettings};
 use tokio::runtime::Builder;
