Split member_list, rollout_state and the store stand-in by job

MemberSettings and what a node makes of its own pauses leave member_list.rs; the configuration that a node holds, with what changed when, leaves rollout_state.rs as HeldConfig; the stand-in's leases and the reading of JSON bodies leave store_core.rs.

--- a/crates/fescueway_membership/src/lib.rs
+++ b/crates/fescueway_membership/src/lib.rs
@@ -33,9 +33,11 @@
 mod live_ring;
 mod member_event;
 mod member_list;
+mod member_settings;
 mod member_state;
 mod member_table;
 mod node_record;
+mod pause_recovery;
 mod peer_probe;
 mod record_notice;
 mod rumor;
@@ -47,7 +49,8 @@
     datagram::{Datagram, MessageBody},
     datagram_codec::{DatagramCodec, DatagramError, FleetSecret, MAX_DATAGRAM},
     member_event::{DownCause, MemberAction, MemberEvent},
-    member_list::{MemberList, MemberSettings, PING_PERIOD},
+    member_list::{MemberList, PING_PERIOD},
+    member_settings::MemberSettings,
     member_state::MemberState,
     node_record::{NodeRecord, ServedService},
     rumor::{MemberStatus, Rumor},
--- a/crates/fescueway_membership/src/member_list.rs
+++ b/crates/fescueway_membership/src/member_list.rs
@@ -2,52 +2,23 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use fescueway_core::{ConfigMark, DomainName, MonoTime, NodeId, SiteName, TargetRecord};
+use fescueway_core::{ConfigMark, MonoTime, NodeId, TargetRecord};
 use rand_core::Rng;
 
 use crate::{
-    DatagramCodec, DownCause, FleetSecret, MemberAction, MemberEvent, MemberState, MemberStatus,
+    DatagramCodec, DownCause, MemberAction, MemberEvent, MemberSettings, MemberState, MemberStatus,
     MessageBody, Rumor, ServedService, TrafficCounts, byte_budget::ByteBudget,
     fleet_join::FleetJoin, fleet_sync::FleetSync, gossip_push::GossipPush, live_ring::LiveRing,
     member_table::MemberTable, peer_probe::PeerProbe, record_notice::RecordNotice,
-    rumor_intake::targets_of, rumor_queue::RumorQueue,
+    rumor_queue::RumorQueue,
 };
 
 /// Time between two pings of one node.
 pub const PING_PERIOD: Duration = Duration::from_millis(500);
 
-/// A gap between two wake-ups beyond which this node must have been paused. Below the time of a
-/// suspicion, or one could run out during a pause.
-const PAUSE_GAP: Duration = Duration::from_secs(1);
-
-/// A pause after which this node's view is too old to be of use to others.
-const STALE_GAP: Duration = Duration::from_mins(10);
-
-/// Time in which a socket's buffer is surely emptied after a pause.
-const DEAF_TIME: Duration = Duration::from_millis(200);
-
 /// Longest body of a note in bytes.
 const MAX_NOTE: usize = 800;
 
-/// What a membership instance is told of its own node.
-#[derive(Clone, Debug)]
-pub struct MemberSettings {
-    /// The identity of this run of the process.
-    pub node: NodeId,
-    /// Where this node takes membership datagrams, and from where it sends them.
-    pub gossip_address: SocketAddr,
-    /// Where this node takes streams from other nodes.
-    pub peer_address: SocketAddr,
-    /// The failure domain of this node's VM.
-    pub domain: DomainName,
-    /// The site whose configuration this node has.
-    pub site: SiteName,
-    /// Gossip addresses through which the fleet can be joined.
-    pub seeds: Vec<SocketAddr>,
-    /// What all nodes of the fleet share.
-    pub secret: FleetSecret,
-}
-
 /// One node's view of the fleet, and its part in keeping the others' views.
 #[derive(Clone, Debug)]
 pub struct MemberList {
@@ -73,7 +44,7 @@
     /// Most live members that any other node told of.
     pub(crate) fleet_size: usize,
     next_period: MonoTime,
-    last_event: MonoTime,
+    pub(crate) last_event: MonoTime,
     /// Until then datagrams are dropped: they waited in the socket during a long pause.
     pub(crate) deaf_until: MonoTime,
     pub(crate) is_leaving: bool,
@@ -263,7 +234,7 @@
         }
     }
 
-    fn add_seeds(&mut self, seeds: Vec<SocketAddr>) {
+    pub(crate) fn add_seeds(&mut self, seeds: Vec<SocketAddr>) {
         const MAX_SEEDS: usize = 256;
         for seed in seeds {
             let is_room = self.settings.seeds.len() < MAX_SEEDS;
@@ -314,52 +285,6 @@
             self.declare(step, node, MemberStatus::Down, DownCause::Silent);
         }
     }
-
-    /// A view from before a long pause would bring back what left meanwhile. It is dropped, and
-    /// the fleet joined again through addresses that were in it.
-    fn forget_view(&mut self, step: &mut Step<'_, impl Rng>) {
-        let own = self.settings.node;
-        let others: Vec<_> = self.table.iter().filter(|(node, _)| *node != own).collect();
-        let reachable = others.iter().filter(|(_, state)| state.is_reachable());
-        let mut seeds = Vec::new();
-        for (node, state) in reachable {
-            for target in targets_of(*node, state) {
-                let service = target.service;
-                let node = *node;
-                step.actions
-                    .push(MemberAction::RemoveTarget { node, service });
-            }
-            let cause = DownCause::Silent;
-            step.actions
-                .push(MemberAction::NodeDown { node: *node, cause });
-            seeds.extend(state.record.as_ref().map(|record| record.gossip_address));
-        }
-        let own_rumor = self.table.get(own).map(|state| state.rumor(own, true));
-        self.table = MemberTable::new();
-        if let Some(rumor) = own_rumor {
-            self.table.apply(step.now, &rumor);
-        }
-        self.ring = LiveRing::default();
-        self.queue = RumorQueue::default();
-        self.queue.push(step.now, own, true);
-        self.add_seeds(seeds);
-        self.deaf_until = step.now + DEAF_TIME;
-        self.join.restart(self.deaf_until);
-    }
-
-    /// After a pause this node's own timers say nothing of the others.
-    fn note_pause(&mut self, step: &mut Step<'_, impl Rng>) {
-        let gap = step.now.since(self.last_event);
-        self.last_event = step.now;
-        if gap < PAUSE_GAP {
-            return;
-        }
-        self.probe.forget();
-        self.table.postpone_lapses(gap);
-        if gap >= STALE_GAP {
-            self.forget_view(step);
-        }
-    }
 }
 
 /// A duration drawn from half of `duration` to all of it.
--- a/crates/fescueway_rollout/src/lib.rs
+++ b/crates/fescueway_rollout/src/lib.rs
@@ -15,6 +15,7 @@
 mod config_message;
 mod domain_report;
 pub mod driver;
+mod held_config;
 mod lease_holder;
 mod report_tree;
 mod rollout_state;
--- a/crates/fescueway_rollout/src/rollout_state.rs
+++ b/crates/fescueway_rollout/src/rollout_state.rs
@@ -1,16 +1,15 @@
 //! One node's way to the newest configuration.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use fescueway_config::{ConfigSet, ServiceDigest, SitePlan};
-use fescueway_core::{ConfigMark, MonoTime, ServiceName, SiteName};
+use fescueway_core::{ConfigMark, MonoTime, SiteName};
 use rand_core::Rng;
 
-use crate::{ConfigHead, ConfigReply, ConfigRequest, SiteIndex};
+use crate::{
+    ConfigHead, ConfigReply, ConfigRequest, SiteIndex,
+    held_config::{HeldConfig, SiteValues},
+};
 
 /// Time that a source has to answer.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -112,19 +111,6 @@
     is_full_due: bool,
 }
 
-#[derive(Clone, Debug)]
-struct HeldConfig {
-    head: ConfigHead,
-    mark: ConfigMark,
-    values: BTreeMap<ServiceName, Arc<[u8]>>,
-    /// The revision at which this node saw each service change.
-    changed_at: BTreeMap<ServiceName, u64>,
-    /// The revision at which this node saw each service go.
-    removed_at: BTreeMap<ServiceName, u64>,
-    /// The first revision that this node held: it can't tell what changed up to then.
-    since: u64,
-}
-
 impl RolloutState {
     /// A node of `site` without a configuration.
     #[must_use]
@@ -200,27 +186,8 @@
     #[must_use]
     pub fn answer(&self, request: &ConfigRequest) -> Option<ConfigReply> {
         let held = self.held.as_ref()?;
-        if request.site != self.site || request.have >= held.mark.revision {
-            return None;
-        }
-        let is_full = request.have < held.since;
-        let is_after = |at: Option<&u64>| at.is_some_and(|at| *at > request.have);
-        let changed = held
-            .values
-            .iter()
-            .filter(|(name, _)| is_full || is_after(held.changed_at.get(*name)));
-        let removed = held
-            .removed_at
-            .iter()
-            .filter(|(_, at)| !is_full && is_after(Some(at)));
-        Some(ConfigReply {
-            head: held.head.clone(),
-            is_full,
-            values: changed
-                .map(|(name, bytes)| (name.clone(), bytes.to_vec()))
-                .collect(),
-            removed: removed.map(|(name, _)| name.clone()).collect(),
-        })
+        let is_newer = request.site == self.site && request.have < held.mark.revision;
+        is_newer.then(|| held.reply(request.have))
     }
 
     fn in_force(&self) -> ConfigMark {
@@ -306,7 +273,11 @@
         match self.plan_of(&values) {
             Ok(plan) => {
                 self.rejected = None;
-                self.hold(reply.head, mark, values);
+                let held = match self.held.take() {
+                    Some(held) => held.replaced(reply.head, mark, values),
+                    None => HeldConfig::new(reply.head, mark, values),
+                };
+                self.held = Some(held);
                 let plan = Arc::new(plan);
                 actions.push(RolloutAction::PutInForce { plan, mark });
             }
@@ -319,17 +290,15 @@
     }
 
     /// All of the site's values after `reply`, `None` when they aren't those that the head names.
-    fn complete(&self, reply: &ConfigReply) -> Option<BTreeMap<ServiceName, Arc<[u8]>>> {
-        let mut values = BTreeMap::new();
-        if !reply.is_full {
-            values.clone_from(&self.held.as_ref()?.values);
-        }
-        for name in &reply.removed {
-            values.remove(name);
-        }
-        for (name, bytes) in &reply.values {
-            values.insert(name.clone(), Arc::from(bytes.as_slice()));
-        }
+    fn complete(&self, reply: &ConfigReply) -> Option<SiteValues> {
+        let mut values = if reply.is_full {
+            SiteValues::new()
+        } else {
+            self.held.as_ref()?.values.clone()
+        };
+        values.retain(|name, _| !reply.removed.contains(name));
+        let sent = reply.values.iter();
+        values.extend(sent.map(|(name, bytes)| (name.clone(), Arc::from(bytes.as_slice()))));
         let digests = values.iter();
         let digests = digests.map(|(name, bytes)| (name.clone(), ServiceDigest::of(bytes)));
         let index = SiteIndex(digests.collect());
@@ -340,7 +309,7 @@
         is_right.then_some(values)
     }
 
-    fn plan_of(&self, values: &BTreeMap<ServiceName, Arc<[u8]>>) -> Result<SitePlan, String> {
+    fn plan_of(&self, values: &SiteValues) -> Result<SitePlan, String> {
         let sited = values.values().map(|bytes| (self.site.clone(), &**bytes));
         let config = ConfigSet::from_values(sited).map_err(|fault| fault.to_string())?;
         let plan = config.sites().get(&self.site);
@@ -348,41 +317,4 @@
             .cloned()
             .unwrap_or_else(|| SitePlan::empty(self.site.clone())))
     }
-
-    fn hold(
-        &mut self,
-        head: ConfigHead,
-        mark: ConfigMark,
-        values: BTreeMap<ServiceName, Arc<[u8]>>,
-    ) {
-        let revision = mark.revision;
-        let Some(config) = &mut self.held else {
-            self.held = Some(HeldConfig {
-                head,
-                mark,
-                values,
-                changed_at: BTreeMap::new(),
-                removed_at: BTreeMap::new(),
-                since: revision,
-            });
-            return;
-        };
-        let names: BTreeSet<_> = config.values.keys().chain(values.keys()).cloned().collect();
-        for name in names {
-            match (config.values.get(&name), values.get(&name)) {
-                (Some(old), Some(new)) if old == new => {}
-                (_, Some(_)) => {
-                    config.removed_at.remove(&name);
-                    config.changed_at.insert(name, revision);
-                }
-                (_, None) => {
-                    config.changed_at.remove(&name);
-                    config.removed_at.insert(name, revision);
-                }
-            }
-        }
-        config.head = head;
-        config.mark = mark;
-        config.values = values;
-    }
 }
--- a/crates/fescueway_testkit/src/lib.rs
+++ b/crates/fescueway_testkit/src/lib.rs
@@ -7,9 +7,11 @@
 mod backend_server;
 mod backend_tally;
 mod backend_work;
+mod json_body;
 pub mod member_network;
 mod store_core;
 mod store_faults;
+mod store_leases;
 mod store_server;
 mod store_watch;
 
--- a/crates/fescueway_testkit/src/store_core.rs
+++ b/crates/fescueway_testkit/src/store_core.rs
@@ -1,13 +1,15 @@
 //! The keys, revisions and leases of the store stand-in.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    time::{Duration, Instant},
-};
+use std::collections::{BTreeMap, VecDeque};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
 
+use crate::{
+    json_body::{ByteRange, bytes, integer, list},
+    store_leases::StoredLease,
+};
+
 /// Changes that are kept for watches that resume.
 const HISTORY_LIMIT: usize = 10_000;
 
@@ -21,14 +23,6 @@
     lease: i64,
 }
 
-/// One lease.
-#[derive(Debug)]
-struct StoredLease {
-    time_to_live: Duration,
-    lapses_at: Instant,
-    keys: BTreeSet<Vec<u8>>,
-}
-
 /// One change, for watches.
 #[derive(Clone, Debug)]
 pub(crate) struct StoredChange {
@@ -45,15 +39,15 @@
     /// Keys with their values.
     keys: BTreeMap<Vec<u8>, StoredValue>,
     /// Leases by id.
-    leases: BTreeMap<i64, StoredLease>,
+    pub(crate) leases: BTreeMap<i64, StoredLease>,
     /// The last revision given out.
-    revision: i64,
+    pub(crate) revision: i64,
     /// Recent changes, oldest first.
     history: VecDeque<StoredChange>,
     /// Changes of this revision and before are gone.
     compacted: i64,
     /// Number of the next lease.
-    next_lease: i64,
+    pub(crate) next_lease: i64,
 }
 
 /// A call that the store refuses.
@@ -65,7 +59,7 @@
 
 impl CallError {
     /// The call makes no sense.
-    fn invalid(message: impl Into<String>) -> Self {
+    pub(crate) fn invalid(message: impl Into<String>) -> Self {
         Self {
             status: 400,
             message: message.into(),
@@ -73,7 +67,7 @@
     }
 
     /// The lease isn't known.
-    fn lease_not_found() -> Self {
+    pub(crate) fn lease_not_found() -> Self {
         Self {
             status: 404,
             message: "etcdserver: requested lease not found".into(),
@@ -164,88 +158,6 @@
         }))
     }
 
-    /// Grants a lease.
-    pub(crate) fn grant(&mut self, body: &Value, now: Instant) -> Result<Value, CallError> {
-        let seconds = integer(&body["TTL"]).filter(|&seconds| seconds > 0);
-        let seconds = seconds.ok_or_else(|| CallError::invalid("TTL is missing"))?;
-        let time_to_live = Duration::from_secs(seconds.unsigned_abs());
-        let id = self.next_lease;
-        self.next_lease += 1;
-        let lapses_at = now + time_to_live;
-        self.leases.insert(
-            id,
-            StoredLease {
-                time_to_live,
-                lapses_at,
-                keys: BTreeSet::new(),
-            },
-        );
-        Ok(json!({
-            "header": self.header(),
-            "ID": id.to_string(),
-            "TTL": seconds.to_string(),
-        }))
-    }
-
-    /// Keeps a lease alive. One that lapsed is answered without a time to live.
-    pub(crate) fn keep_alive(&mut self, body: &Value, now: Instant) -> Value {
-        let id = integer(&body["ID"]).unwrap_or(0);
-        let header = self.header();
-        let kept = self.leases.get_mut(&id).map(|lease| {
-            lease.lapses_at = now + lease.time_to_live;
-            lease.time_to_live.as_secs().to_string()
-        });
-        match kept {
-            Some(seconds) => {
-                json!({ "result": { "header": header, "ID": id.to_string(), "TTL": seconds } })
-            }
-            None => json!({ "result": { "header": header, "ID": id.to_string() } }),
-        }
-    }
-
-    /// Ends a lease.
-    pub(crate) fn revoke(&mut self, body: &Value) -> Result<Value, CallError> {
-        let id = integer(&body["ID"]).unwrap_or(0);
-        if !self.end_lease(id) {
-            return Err(CallError::lease_not_found());
-        }
-        Ok(json!({ "header": self.header() }))
-    }
-
-    /// Ends the leases that are due at `now`.
-    pub(crate) fn expire(&mut self, now: Instant) {
-        let is_due = |lease: &StoredLease| lease.lapses_at <= now;
-        let due: Vec<_> = self
-            .leases
-            .iter()
-            .filter(|(_, lease)| is_due(lease))
-            .map(|(&id, _)| id)
-            .collect();
-        for id in due {
-            self.end_lease(id);
-        }
-    }
-
-    /// Ends all leases at once.
-    pub(crate) fn expire_all(&mut self) {
-        let ids: Vec<_> = self.leases.keys().copied().collect();
-        for id in ids {
-            self.end_lease(id);
-        }
-    }
-
-    /// Deletes a lease with its keys; false when there is none.
-    fn end_lease(&mut self, id: i64) -> bool {
-        let Some(lease) = self.leases.remove(&id) else {
-            return false;
-        };
-        let revision = self.revision + 1;
-        for key in lease.keys {
-            self.delete_key(&key, revision);
-        }
-        true
-    }
-
     /// Whether a compare holds.
     fn holds(&self, compare: &Value) -> Result<bool, CallError> {
         let key = bytes(&compare["key"])?;
@@ -336,7 +248,7 @@
     }
 
     /// Deletes a key.
-    fn delete_key(&mut self, key: &[u8], revision: i64) {
+    pub(crate) fn delete_key(&mut self, key: &[u8], revision: i64) {
         if self.keys.remove(key).is_none() {
             return;
         }
@@ -368,37 +280,6 @@
     }
 }
 
-/// A range of keys.
-#[derive(Clone, Debug)]
-pub(crate) struct ByteRange {
-    start: Vec<u8>,
-    /// The first key after the range; empty for one key, a zero byte for all keys.
-    end: Vec<u8>,
-}
-
-impl TryFrom<&Value> for ByteRange {
-    type Error = CallError;
-
-    fn try_from(body: &Value) -> Result<Self, CallError> {
-        let end = body.get("range_end").map_or(Ok(Vec::new()), bytes)?;
-        Ok(Self {
-            start: bytes(&body["key"])?,
-            end,
-        })
-    }
-}
-
-impl ByteRange {
-    /// Whether `key` lies in the range.
-    pub(crate) fn contains(&self, key: &[u8]) -> bool {
-        match self.end.as_slice() {
-            [] => key == self.start,
-            [0] => key >= self.start.as_slice(),
-            end => key >= self.start.as_slice() && key < end,
-        }
-    }
-}
-
 /// The JSON form of a key with its value.
 fn value_json(key: &[u8], stored: &StoredValue) -> Value {
     let mut value = json!({
@@ -413,23 +294,3 @@
     }
     value
 }
-
-/// The entries of a list field.
-fn list<'a>(body: &'a Value, field: &str) -> &'a [Value] {
-    body[field].as_array().map_or(&[], Vec::as_slice)
-}
-
-/// Bytes from a base64 field; a missing one is empty.
-fn bytes(field: &Value) -> Result<Vec<u8>, CallError> {
-    let text = field.as_str().unwrap_or("");
-    STANDARD
-        .decode(text)
-        .map_err(|error| CallError::invalid(error.to_string()))
-}
-
-/// A 64-bit integer, sent as text or as a number.
-pub(crate) fn integer(field: &Value) -> Option<i64> {
-    field
-        .as_str()
-        .map_or_else(|| field.as_i64(), |text| text.parse().ok())
-}
--- a/crates/fescueway_testkit/src/store_watch.rs
+++ b/crates/fescueway_testkit/src/store_watch.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    store_core::{ByteRange, integer},
+    json_body::{ByteRange, integer},
     store_server::{StoreBody, StoreState, StreamError, refuse},
 };
 
