Go far above what nodes have when the store lost its head

Cause: a revision that every node heard of and none could apply stands in no report. After the loss the next revision took its number, and a node that had rejected it, or waits for it, ignored the new one.

Change: after a loss the next revision is 1,000 above the reported one. a_node_that_could_not_apply_a_lost_revision_takes_the_next_one fails with one above and passes with 1,000. The tests of the loss expect 1,041 in place of 42.

Ruled out: an event on a node that sees a lower head. A watch tells of older heads too, when a newer one came by the membership first.

--- a/crates/fescueway/tests/cli/fleet.rs
+++ b/crates/fescueway/tests/cli/fleet.rs
@@ -252,7 +252,7 @@
     let run = with_store(&store, &["status"]);
     assert!(run.status == 1 && run.out.contains("above it"), "{run:?}");
     let run = apply(&store, CAPROCK, &[]);
-    assert!(run.out.contains("accepted as revision 42"), "{run:?}");
+    assert!(run.out.contains("accepted as revision 1041"), "{run:?}");
 }
 
 #[test]
--- a/crates/fescueway_rollout/src/apply_txn.rs
+++ b/crates/fescueway_rollout/src/apply_txn.rs
@@ -26,6 +26,10 @@
 /// Revisions that the history keeps.
 const KEPT_HISTORY: u64 = 1_000;
 
+/// Revisions above the reported one that a lost store may have accepted: nodes heard of them and
+/// put none in force.
+const LOST_REVISIONS: u64 = 1_000;
+
 /// What the store held when an attempt began.
 #[derive(Clone, Debug, Default)]
 pub struct ReadBase {
@@ -74,10 +78,14 @@
         self.head.as_ref().map_or(0, |head| head.revision)
     }
 
-    /// Nodes ignore what is not above the revision that they have in force, so the next one is
-    /// above that too when the store lost its head.
+    /// Nodes ignore what is not above the revision that they have in force, or could not apply. So
+    /// the next one is far above that when the store lost its head.
     pub fn next_revision(&self) -> u64 {
-        self.revision().max(self.reported) + 1
+        if self.is_behind_nodes() {
+            self.reported + LOST_REVISIONS
+        } else {
+            self.revision() + 1
+        }
     }
 
     /// Whether nodes have a revision in force that is above the head's.
--- a/crates/fescueway_rollout/src/config_head.rs
+++ b/crates/fescueway_rollout/src/config_head.rs
@@ -10,7 +10,8 @@
 /// The head value: names one accepted configuration of all sites.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfigHead {
-    /// Grows by one with each accepted configuration. Never zero.
+    /// Grows by one with each accepted configuration, by more after the store lost its head. Never
+    /// zero.
     pub revision: u64,
     /// The digest of each site's index.
     pub sites: BTreeMap<SiteName, SiteDigest>,
--- a/crates/fescueway_rollout/tests/apply.rs
+++ b/crates/fescueway_rollout/tests/apply.rs
@@ -4,14 +4,17 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use common::{SITE, TIME, accept, client, config, plan};
-use fescueway_core::SiteName;
+use common::{SITE, TIME, accept, client, config, plan, reply};
+use fescueway_config::ServiceDigest;
+use fescueway_core::{MonoTime, SiteName};
 use fescueway_platform::{KeyRange, StoreClient, StoreOp, StoreTxn};
 use fescueway_rollout::{
-    ApplyAction, ApplyAttempt, ApplyEvent, ApplyOutcome, DomainReport, driver, store_keys,
+    ApplyAction, ApplyAttempt, ApplyEvent, ApplyOutcome, DomainReport, RolloutAction, RolloutEvent,
+    RolloutState, SiteIndex, driver, store_keys,
 };
 use fescueway_testkit::{StoreFaults, StoreStub};
 use quickcheck::quickcheck;
+use rand_pcg::Pcg64Mcg;
 
 async fn revision_in(store: &StoreStub) -> u64 {
     let head = driver::read_head(&client(store), TIME).await.unwrap();
@@ -192,15 +195,38 @@
     let outcome = driver::apply(&client(&store), late, TIME).await;
     assert_eq!(outcome, ApplyOutcome::BaseLost(41));
     assert_eq!(revision_in(&store).await, 0);
-    assert_eq!(accept(&store, &config(1_000, 0)).await, 42);
+    assert_eq!(accept(&store, &config(1_000, 0)).await, 1_041);
 
     // Applied before the nodes had reported, it is applied again above what they have.
     let store = StoreStub::start().await.unwrap();
     assert_eq!(accept(&store, &config(1_000, 0)).await, 1);
     report(&store, 41).await;
-    assert_eq!(accept(&store, &config(1_000, 0)).await, 42);
+    assert_eq!(accept(&store, &config(1_000, 0)).await, 1_041);
     let again = driver::apply(&client(&store), plan("anna", &config(1_000, 0)), TIME).await;
-    assert_eq!(again, ApplyOutcome::Unchanged(42));
+    assert_eq!(again, ApplyOutcome::Unchanged(1_041));
+}
+
+#[tokio::test]
+async fn a_node_that_could_not_apply_a_lost_revision_takes_the_next_one() {
+    let mut node = RolloutState::new(SiteName::from(SITE));
+    let mut random = Pcg64Mcg::new(1);
+    let mut handle = |event| node.handle(MonoTime::ZERO, event, &mut random);
+    handle(RolloutEvent::Fetched(reply(41, &config(1_000, 0))));
+    // Revision 42 makes no sense to the node, and the store loses it.
+    let mut bad = reply(42, &config(1_000, 0));
+    let bytes = br#"{"name":"bands","plan":{"from_the_future":1}}"#.to_vec();
+    let digest = ServiceDigest::of(&bytes);
+    bad.values[0].1 = bytes;
+    let index = SiteIndex([("bands".into(), digest)].into());
+    bad.head.sites.insert(SiteName::from(SITE), index.digest());
+    handle(RolloutEvent::Fetched(bad));
+
+    let store = StoreStub::start().await.unwrap();
+    report(&store, 41).await;
+    accept(&store, &config(3_000, 0)).await;
+    let head = driver::read_head(&client(&store), TIME).await.unwrap();
+    let actions = handle(RolloutEvent::HeadSeen(head.unwrap()));
+    assert!(matches!(actions[..], [RolloutAction::Fetch { .. }]));
 }
 
 #[tokio::test]
@@ -215,9 +241,9 @@
         client.commit(&read, TIME).await.unwrap(),
     ));
     report(&store, 41).await;
-    assert_eq!(accept(&store, &config(1_000, 0)).await, 42);
+    assert_eq!(accept(&store, &config(1_000, 0)).await, 1_041);
     let outcome = finish(&client, &mut late).await;
-    assert!(matches!(outcome, ApplyOutcome::Conflict(head) if head.revision == 42));
+    assert!(matches!(outcome, ApplyOutcome::Conflict(head) if head.revision == 1_041));
 }
 
 /// Runs an attempt to its end, in at most 20 steps.
