--- a/crates/fescuewayd/tests/path/two_nodes.rs
+++ b/crates/fescuewayd/tests/path/two_nodes.rs
@@ -32,6 +32,8 @@
     assert_eq!(response.status(), 200);
     assert!(text(response).await.contains("\"body_bytes\":9"));
     assert_eq!(backend.tally().runs, 2);
+    // Whom the host tells directly when it drains.
+    assert_eq!(host.state().recent_entries(), [entry.state().node()]);
 }
 
 #[tokio::test]
