Read method, path and authority into their own types

Cause: an offer's head carried method, target and authority as shared texts. The entry made a text of each, the host read each into a text, copied it into a shared one and parsed or copied that again: nine allocations a request.

They now are the types of the HTTP library at both nodes. What travels is the same.

--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 
 use super::{
-    entry_request::{MAX_DEPTH, RequestHead, host_name, offer_request, request_body},
+    entry_request::{MAX_DEPTH, RequestHead, offer_request, request_body},
     final_answer::own_answer,
     offer_loop::OfferLoop,
 };
@@ -46,7 +46,7 @@
     let head = RequestHead::take(state, &mut parts, caller);
     let plan = state.plan();
     let path = parts.uri.path();
-    let Some(service) = plan.service_for(host_name(&head.authority), path) else {
+    let Some(service) = plan.service_for(head.host_name(), path) else {
         return reject(
             StatusCode::NOT_FOUND,
             "no service for this host and path",
--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -5,10 +5,10 @@
 use fescueway_config::{RoutePlan, ServicePlan};
 use fescueway_core::{Idempotency, NodeId, RequestTerms};
 use http::{
-    HeaderMap, StatusCode, Uri,
+    HeaderMap, HeaderValue, StatusCode, Uri,
     header::{EXPECT, HOST},
     request::Parts,
-    uri::Authority,
+    uri::{Authority, PathAndQuery},
 };
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub struct RequestHead {
     /// HTTP authority.
-    pub authority: Arc<str>,
+    pub authority: HeaderValue,
     /// The call that made this one.
     pub parent: Option<ParentCall>,
     /// How long the caller waits, when it says so.
@@ -47,16 +47,24 @@
     /// Reads the head of a request of `caller`, and removes what must not be passed on.
     pub fn take(state: &ProxyState, parts: &mut Parts, caller: SocketAddr) -> Self {
         let head = Self {
-            authority: authority(&parts.uri, &parts.headers),
+            authority: take_authority(&parts.uri, &mut parts.headers),
             parent: parent_call(state, &parts.headers, caller),
             caller_time: caller_time(&parts.headers),
             is_expecting: parts.headers.contains_key(EXPECT),
         };
         headers::strip_request(&mut parts.headers);
-        parts.headers.remove(HOST);
         head
     }
 
+    /// The host of the authority, without its port.
+    pub fn host_name(&self) -> &str {
+        let authority = self.authority.to_str().unwrap_or_default();
+        match authority.rsplit_once(':') {
+            Some((host, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => host,
+            _ => authority,
+        }
+    }
+
     /// What the request needs, by the plan and the call above it.
     pub fn terms(&self, plan: &ServicePlan, route: &RoutePlan) -> RequestTerms {
         let parent_time = self.parent.map(|parent| parent.time_left);
@@ -81,18 +89,19 @@
     mut terms: RequestTerms,
     body: RequestBody,
 ) -> OfferRequest {
-    let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let target = parts.uri.path_and_query().cloned();
+    let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
     if terms.idempotency == Idempotency::NonIdempotent {
         terms.key = key_digest(&terms.service, &parts.headers);
     }
-    terms.fingerprint = fingerprint(&parts.method, target, body.start());
+    terms.fingerprint = fingerprint(&parts.method, target.as_str(), body.start());
     OfferRequest {
         entry: node,
         host: node,
         terms,
         method: parts.method,
-        target: Arc::from(target),
-        authority: Arc::clone(&head.authority),
+        target,
+        authority: head.authority.clone(),
         headers: Arc::new(parts.headers),
         body,
     }
@@ -136,19 +145,16 @@
     }
 }
 
-/// The authority that the request names.
-fn authority(uri: &Uri, headers: &HeaderMap) -> Arc<str> {
+/// The authority that the request names, empty when it names none that is text. Its field is
+/// removed.
+fn take_authority(uri: &Uri, headers: &mut HeaderMap) -> HeaderValue {
+    let host = headers.remove(HOST);
     let named = uri.authority().map(Authority::as_str);
-    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
-    Arc::from(named.or(host).unwrap_or_default())
-}
-
-/// The host of an authority, without its port.
-pub fn host_name(authority: &str) -> &str {
-    match authority.rsplit_once(':') {
-        Some((host, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => host,
-        _ => authority,
-    }
+    let named = named.and_then(|named| HeaderValue::from_str(named).ok());
+    named
+        .or(host)
+        .filter(|authority| authority.to_str().is_ok())
+        .unwrap_or(HeaderValue::from_static(""))
 }
 
 /// The call that made this one: only a backend server of this node may name it.
--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -5,7 +5,7 @@
 use fescueway_core::{Idempotency, LoadReport, Outcome, Refusal, RefusalReason};
 use fescueway_telemetry::{emit, events::path};
 use fescueway_wire::{AnswerHead, HeaderList, OfferHead};
-use http::{Response, StatusCode};
+use http::Response;
 use http_body::Body;
 use tokio::{sync::oneshot, time::timeout};
 
@@ -24,9 +24,7 @@
     let Some(target) = state.host_target(&offer.terms.service) else {
         return OfferAnswer::refused(unknown_service(), None);
     };
-    let Some(request) = HostRequest::from_offer(offer) else {
-        return OfferAnswer::refused(unknown_service(), None);
-    };
+    let request = HostRequest::from_offer(offer);
     let run = match HostRun::prepare(state.checks(), &target, &request).await {
         Ok(run) => run,
         Err(stop) => return stopped(stop, target.report()),
@@ -61,9 +59,7 @@
     mut reply: PeerReply,
 ) {
     let (host, is_body_held) = (head.host, head.is_body_held);
-    let Some(request) = HostRequest::from_head(head) else {
-        return reply.reject(StatusCode::BAD_REQUEST);
-    };
+    let request = HostRequest::from_head(head);
     let target = state.host_target(&request.terms.service);
     let target = target.filter(|_| host == state.node());
     let Some(target) = target else {
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -5,7 +5,7 @@
 use fescueway_admission::RunEnd;
 use fescueway_core::{Idempotency, Refusal, RefusalReason};
 use http::{
-    HeaderValue, Request, Response,
+    HeaderValue, Request, Response, Uri,
     header::{CONNECTION, HOST, TE},
 };
 use hyper::body::Incoming;
@@ -120,9 +120,7 @@
 ) -> Request<HostBody> {
     let time_left = request.terms.time_left.as_millis() as u64;
     let mut headers = request.headers;
-    if let Ok(host) = HeaderValue::from_str(&request.authority) {
-        headers.insert(HOST, host);
-    }
+    headers.insert(HOST, request.authority);
     if let Some(token) = token {
         headers.insert(headers::CALL, token);
     }
@@ -132,7 +130,7 @@
     }
     let mut to_send = Request::new(body);
     *to_send.method_mut() = request.method;
-    *to_send.uri_mut() = request.target;
+    *to_send.uri_mut() = Uri::from(request.target);
     *to_send.headers_mut() = headers;
     to_send
 }
--- a/crates/fescueway_proxy/src/offer_request.rs
+++ b/crates/fescueway_proxy/src/offer_request.rs
@@ -4,7 +4,7 @@
 
 use fescueway_core::{NodeId, RequestTerms};
 use fescueway_wire::{HeaderList, OfferHead};
-use http::{HeaderMap, HeaderValue, Method, Uri};
+use http::{HeaderMap, HeaderValue, Method, uri::PathAndQuery};
 
 use crate::body::RequestBody;
 
@@ -20,9 +20,9 @@
     /// HTTP method.
     pub method: Method,
     /// Path and query.
-    pub target: Arc<str>,
+    pub target: PathAndQuery,
     /// HTTP authority.
-    pub authority: Arc<str>,
+    pub authority: HeaderValue,
     /// Header fields.
     pub headers: Arc<HeaderMap<HeaderValue>>,
     /// The body.
@@ -37,9 +37,9 @@
             entry: self.entry,
             host: self.host,
             terms: self.terms.clone(),
-            method: Arc::from(self.method.as_str()),
-            target: Arc::clone(&self.target),
-            authority: Arc::clone(&self.authority),
+            method: self.method.clone(),
+            target: self.target.clone(),
+            authority: self.authority.clone(),
             headers: HeaderList::new(Arc::clone(&self.headers)),
             is_body_held: matches!(self.body, RequestBody::Streaming(_)),
         }
@@ -54,37 +54,35 @@
     /// HTTP method.
     pub method: Method,
     /// Path and query.
-    pub target: Uri,
+    pub target: PathAndQuery,
     /// HTTP authority.
-    pub authority: Arc<str>,
+    pub authority: HeaderValue,
     /// Header fields.
     pub headers: HeaderMap<HeaderValue>,
 }
 
 impl HostRequest {
-    /// The request of an offer from another node, `None` when it is no HTTP request.
+    /// The request of an offer from another node.
     #[must_use]
-    pub fn from_head(head: OfferHead) -> Option<Self> {
-        let target: Uri = head.target.parse().ok()?;
-        target.path_and_query()?;
-        Some(Self {
+    pub fn from_head(head: OfferHead) -> Self {
+        Self {
             terms: head.terms,
-            method: Method::from_bytes(head.method.as_bytes()).ok()?,
-            target,
+            method: head.method,
+            target: head.target,
             authority: head.authority,
             headers: head.headers.into_map(),
-        })
+        }
     }
 
-    /// The request of an offer from this node, `None` when it is no HTTP request.
+    /// The request of an offer from this node.
     #[must_use]
-    pub fn from_offer(request: &OfferRequest) -> Option<Self> {
-        Some(Self {
+    pub fn from_offer(request: &OfferRequest) -> Self {
+        Self {
             terms: request.terms.clone(),
             method: request.method.clone(),
-            target: request.target.parse().ok()?,
-            authority: Arc::clone(&request.authority),
+            target: request.target.clone(),
+            authority: request.authority.clone(),
             headers: HeaderMap::clone(&request.headers),
-        })
+        }
     }
 }
--- a/crates/fescueway_wire/src/lib.rs
+++ b/crates/fescueway_wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod control_message;
 mod frame_codec;
 mod header_list;
+mod http_parts;
 mod offer_head;
 
 pub use crate::{
--- a/crates/fescueway_wire/src/offer_head.rs
+++ b/crates/fescueway_wire/src/offer_head.rs
@@ -1,11 +1,10 @@
 //! Heads of the streams on which an entry offers a request to a host.
 
-use std::sync::Arc;
-
 use fescueway_core::{LoadReport, NodeId, Outcome, Refusal, RequestTerms};
+use http::{HeaderValue, Method, uri::PathAndQuery};
 use serde::{Deserialize, Serialize};
 
-use crate::HeaderList;
+use crate::{HeaderList, http_parts};
 
 /// Opens an offer: all of the request but its body, which follows as the stream's data.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -17,11 +16,14 @@
     /// What the request needs.
     pub terms: RequestTerms,
     /// HTTP method.
-    pub method: Arc<str>,
+    #[serde(with = "http_parts::method")]
+    pub method: Method,
     /// Path and query.
-    pub target: Arc<str>,
+    #[serde(with = "http_parts::target")]
+    pub target: PathAndQuery,
     /// HTTP authority.
-    pub authority: Arc<str>,
+    #[serde(with = "http_parts::value")]
+    pub authority: HeaderValue,
     /// Header fields without hop-by-hop ones.
     pub headers: HeaderList,
     /// Whether the body is held back until [`AnswerHead::Accepted`]; otherwise it comes at once.
--- a/crates/fescueway_wire/tests/frames.rs
+++ b/crates/fescueway_wire/tests/frames.rs
@@ -1,10 +1,13 @@
 //! Frames survive the trip, and bytes of strangers are refused without harm.
 
+use std::time::Duration;
+
+use fescueway_core::{NodeId, RequestTerms};
 use fescueway_wire::{
     ControlKind, ControlRequest, FrameError, HeaderList, MAX_HEAD_BYTES, OfferHead, PREFIX_BYTES,
     StreamHead, WIRE_VERSION, decode_payload, decode_prefix, encode_frame,
 };
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, Method, uri::PathAndQuery};
 use quickcheck::QuickCheck;
 
 fn control_head(body: Vec<u8>) -> StreamHead {
@@ -14,6 +17,45 @@
     })
 }
 
+fn offer_head() -> StreamHead {
+    let mut fields = HeaderMap::new();
+    fields.insert("accept", HeaderValue::from_static("text/plain"));
+    StreamHead::Offer(OfferHead {
+        entry: NodeId(1),
+        host: NodeId(2),
+        terms: RequestTerms::new("windows".into(), Duration::from_secs(1)),
+        method: Method::GET,
+        target: PathAndQuery::from_static("/windows/7?day=2"),
+        authority: HeaderValue::from_static("windows.example"),
+        headers: HeaderList::new(fields),
+        is_body_held: false,
+    })
+}
+
+#[test]
+fn an_offer_comes_back_whole_and_no_other_request_is_read() {
+    let head = offer_head();
+    let frame = encode_frame(&head).expect("a small head");
+    assert_eq!(decode_payload(&frame[PREFIX_BYTES..]), Ok(head));
+    let faults = [
+        ("GET", "G T"),
+        ("/windows/7", "/wind\nws/7"),
+        ("windows.example", "windows\rexample"),
+    ];
+    for (part, fault) in faults {
+        let mut payload = frame[PREFIX_BYTES..].to_vec();
+        let mut places = payload.windows(part.len());
+        let place = places.position(|bytes| bytes == part.as_bytes());
+        let place = place.expect("the part travels as text");
+        payload[place..place + part.len()].copy_from_slice(fault.as_bytes());
+        let decoded = decode_payload::<StreamHead>(&payload);
+        assert!(
+            matches!(decoded, Err(FrameError::Garbage { .. })),
+            "{fault:?}: {decoded:?}"
+        );
+    }
+}
+
 #[test]
 fn frames_come_back_whole() {
     fn property(body: Vec<u8>) -> bool {
--- a/crates/fescuewayd/tests/path/stopping.rs
+++ b/crates/fescuewayd/tests/path/stopping.rs
@@ -6,7 +6,7 @@
 use fescueway_core::{NodeId, RequestTerms};
 use fescueway_testkit::BackendPlan;
 use fescueway_wire::{HeaderList, OfferHead, StreamHead, encode_frame};
-use http::Request;
+use http::{HeaderValue, Method, Request, uri::PathAndQuery};
 use http_body_util::BodyExt;
 use tokio::{net::TcpStream, time::sleep};
 
@@ -105,9 +105,9 @@
         entry: NodeId(1),
         host: nodes.host.state().node(),
         terms: RequestTerms::new("windows".into(), DEADLINE),
-        method: "GET".into(),
-        target: "/windows/download/3000".into(),
-        authority: "a".into(),
+        method: Method::GET,
+        target: PathAndQuery::from_static("/windows/download/3000"),
+        authority: HeaderValue::from_static("a"),
         headers: HeaderList::default(),
         is_body_held: false,
     });
