--- a/crates/fescueway_bench/src/bin/node_cost.rs
+++ b/crates/fescueway_bench/src/bin/node_cost.rs
@@ -46,6 +46,10 @@
         cost.resident_bytes / 1e6
     );
     println!("  changes in force at all after {:.2?} s", cost.in_force_s);
+    println!(
+        "  fetching a change: {} B, and {} B around it on a new connection, {} B on an open one",
+        cost.fetch.message, cost.fetch.around_first, cost.fetch.around_later
+    );
     cost
 }
 
--- a/crates/fescueway_bench/src/whole_node/node_cost.rs
+++ b/crates/fescueway_bench/src/whole_node/node_cost.rs
@@ -10,7 +10,7 @@
 use fescueway_rollout::{ApplyOutcome, ApplyPlan, driver};
 use tokio::runtime::Builder;
 
-use super::{FleetSample, FleetThread, StoreThread};
+use super::{CallBytes, FleetSample, FleetThread, StoreThread};
 use crate::{
     fleet::{CountingAllocator, FleetTarget},
     thread_use::resident_bytes,
@@ -51,6 +51,8 @@
     pub settled_s: f64,
     /// Times until all had a change in force, sorted, in seconds.
     pub in_force_s: Vec<f64>,
+    /// What fetching the latest change from a node takes.
+    pub fetch: CallBytes,
 }
 
 /// Figures of one node for each second, on average.
@@ -116,6 +118,7 @@
             resident_bytes: per_node(resident_bytes().saturating_sub(resident)),
             settled_s,
             in_force_s,
+            fetch: CallBytes::measure(fleet.peers()[0], CHANGES),
         }
     }
 }
