--- a/crates/fescueway_bench/benches/decision_cost.rs
+++ b/crates/fescueway_bench/benches/decision_cost.rs
@@ -1,15 +1,17 @@
 //! What one pick and one admission cost: allocations, and how the time grows with the targets.
 //!
-//! Times are printed; only allocations and ratios of times are bounded.
+//! Times are shown; only allocations and ratios of times are bounded.
+
+#[path = "added_latency/alloc_count.rs"]
+mod alloc_count;
 
 use std::{
-    alloc::{GlobalAlloc, Layout, System},
     hint::black_box,
     process::ExitCode,
-    sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
 };
 
+use criterion::Criterion;
 use fescueway_admission::{GatePlan, RunEnd, TargetGate, TicketId};
 use fescueway_core::{
     DomainName, LoadReport, MonoTime, NodeId, RequestTerms, TargetRecord, TargetState,
@@ -21,68 +23,62 @@
 /// Failure domains of the target size.
 const DOMAINS: u64 = 17;
 
-/// Decisions of one batch.
-const BATCH: u64 = 20_000;
-
-/// Batches; the fastest one counts, since what else runs on the machine only adds time.
-const BATCHES: usize = 15;
+/// Targets of the small, the middle and the large service.
+const SIZES: [u64; 3] = [5, 32, 6_000];
 
 /// The subset of a large service.
 const SUBSET: usize = 32;
 
+/// Decisions over which allocations are counted, after as many that warm up.
+const COUNTED_DECISIONS: u64 = 20_000;
+
+/// Allocations that a decision may make.
+const MAX_ALLOCATIONS: u64 = 0;
+
 /// A pick may cost this many times as much at 6,000 targets as at 32: the subset is the same, and
 /// the rest is allowed to the noise of a shared machine.
 const MAX_GROWTH_BEYOND_SUBSET: f64 = 1.5;
 
-/// Counts allocations.
-struct CountingAllocator;
-
-/// Allocations so far.
-static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
-
-#[global_allocator]
-static ALLOCATOR: CountingAllocator = CountingAllocator;
-
-#[expect(
-    unsafe_code,
-    reason = "counting allocations needs a global allocator, whose trait is unsafe"
-)]
-// SAFETY: every call is passed on unchanged to the system's allocator.
-unsafe impl GlobalAlloc for CountingAllocator {
-    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
-        // SAFETY: the caller keeps the contract of `alloc`.
-        unsafe { System.alloc(layout) }
-    }
+/// Rounds in which the decisions are timed by turns, so that what else runs on the machine slows
+/// all of them; the fastest round of each counts.
+const ROUNDS: u64 = 100;
 
-    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
-        // SAFETY: the caller keeps the contract of `dealloc`.
-        unsafe { System.dealloc(ptr, layout) }
-    }
-}
+/// Decisions of one kind in a round.
+const ROUND_DECISIONS: u64 = 2_000;
 
-/// What one kind of decision costs.
-struct DecisionCost {
-    /// Nanoseconds of one.
-    nanos: f64,
-    /// Allocations of all batches together.
-    allocations: u64,
+/// Allocations of `decide`, which is given a number that counts up.
+fn count_allocations(decide: &mut impl FnMut(u64)) -> u64 {
+    (0..COUNTED_DECISIONS).for_each(&mut *decide);
+    let before = alloc_count::allocations();
+    (COUNTED_DECISIONS..2 * COUNTED_DECISIONS).for_each(decide);
+    alloc_count::allocations() - before
 }
 
-/// Times `decide` in batches.
-fn measure(mut decide: impl FnMut(u64)) -> DecisionCost {
-    (0..BATCH).for_each(&mut decide);
-    let allocations = ALLOCATIONS.load(Ordering::Relaxed);
-    let mut fastest = Duration::MAX;
-    for batch in 1..=BATCHES as u64 {
-        let start = Instant::now();
-        (batch * BATCH..(batch + 1) * BATCH).for_each(&mut decide);
-        fastest = fastest.min(start.elapsed());
-    }
-    DecisionCost {
-        nanos: fastest.as_nanos() as f64 / BATCH as f64,
-        allocations: ALLOCATIONS.load(Ordering::Relaxed) - allocations,
+/// Nanoseconds of one decision of each kind in its fastest round.
+fn fastest_nanos<const KINDS: usize>(decides: &mut [impl FnMut(u64); KINDS]) -> [f64; KINDS] {
+    let mut fastest = [f64::INFINITY; KINDS];
+    let mut next = 2 * COUNTED_DECISIONS;
+    for _ in 0..ROUNDS {
+        let round = next..next + ROUND_DECISIONS;
+        next = round.end;
+        for (nanos, decide) in fastest.iter_mut().zip(decides.iter_mut()) {
+            let start = Instant::now();
+            round.clone().for_each(decide);
+            let spent = start.elapsed().as_nanos() as f64;
+            *nanos = nanos.min(spent / ROUND_DECISIONS as f64);
+        }
     }
+    fastest
+}
+
+/// Shows the time of `decide`, whose number goes on from `next`.
+fn show_time(criterion: &mut Criterion, name: &str, mut next: u64, mut decide: impl FnMut(u64)) {
+    criterion.bench_function(name, |bencher| {
+        bencher.iter(|| {
+            decide(next);
+            next += 1;
+        });
+    });
 }
 
 /// A router that knows `count` targets.
@@ -112,12 +108,12 @@
     DomainName::new(format!("domain-{index}"))
 }
 
-/// The cost of one pick with the report and the end of its offer.
-fn measure_pick(count: u64) -> DecisionCost {
+/// One pick with the report and the end of its offer.
+fn pick_of(count: u64) -> impl FnMut(u64) {
     let mut router = router(count);
     let mut random = Pcg64::seed_from_u64(1);
     let terms = RequestTerms::new("windows".into(), Duration::from_millis(300));
-    measure(|index| {
+    move |index| {
         let now = MonoTime::from_micros(index * 10);
         let picked = router.pick(now, terms.clone(), &[], &mut random);
         if let PickResult::Offer(permit) = black_box(picked) {
@@ -135,11 +131,11 @@
             };
             router.handle(now, RouteEvent::OfferEnded { node, end });
         }
-    })
+    }
 }
 
-/// The cost of one admission and its end.
-fn measure_admission() -> DecisionCost {
+/// One admission and its end. A gate knows one target, whatever the service's size.
+fn admission() -> impl FnMut(u64) {
     let plan = GatePlan {
         ramp_time: Duration::ZERO,
         ..GatePlan::default()
@@ -147,39 +143,62 @@
     let slots = u64::from(plan.slots);
     let mut gate = TargetGate::new(plan, MonoTime::ZERO);
     let terms = RequestTerms::new("windows".into(), Duration::from_millis(300));
-    measure(|index| {
+    move |index| {
         let now = MonoTime::from_micros(index * 100);
         black_box(gate.offer(now, TicketId(index), &terms));
         let ended = TicketId(index.saturating_sub(slots - 1));
         black_box(gate.finish(now, ended, RunEnd::Answered));
-    })
+    }
+}
+
+/// Prints one check. Whether it holds.
+fn check(name: &str, value: f64, bound: f64) -> bool {
+    let is_held = value <= bound;
+    let verdict = if is_held { "holds" } else { "BROKEN" };
+    println!("{verdict}: {name}: {value:.2}, bound {bound:.2}");
+    is_held
 }
 
 fn main() -> ExitCode {
-    let picks = [5, 32, 6_000].map(|count| (count, measure_pick(count)));
-    let admission = measure_admission();
-    println!("decision                    ns  allocations");
-    for (count, cost) in &picks {
+    let mut criterion = Criterion::default()
+        .configure_from_args()
+        .sample_size(30)
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_secs(1));
+    let mut picks = SIZES.map(pick_of);
+    let mut admission = admission();
+    let allocations = picks.iter_mut().map(count_allocations).sum::<u64>();
+    let allocations = allocations + count_allocations(&mut admission);
+    let [small, subset, large] = fastest_nanos(&mut picks);
+    for (count, pick) in SIZES.iter().zip(picks) {
+        let next = 2 * COUNTED_DECISIONS + ROUNDS * ROUND_DECISIONS;
         let name = format!("pick of {count} targets");
-        println!("{name:<22} {:7.0} {:12}", cost.nanos, cost.allocations);
+        show_time(&mut criterion, &name, next, pick);
     }
-    let name = "admission";
-    println!(
-        "{name:<22} {:7.0} {:12}",
-        admission.nanos, admission.allocations
+    show_time(
+        &mut criterion,
+        "admission",
+        2 * COUNTED_DECISIONS,
+        admission,
     );
-
-    let [small, subset, large] = picks.map(|pick| pick.1);
-    let in_subset = subset.nanos / small.nanos;
-    let beyond = large.nanos / subset.nanos;
-    let subset_growth = SUBSET as f64 / 5.0;
-    println!("pick at 32 targets / at 5: {in_subset:.2} (bound {subset_growth:.2})");
-    println!("pick at 6000 targets / at 32: {beyond:.2} (bound {MAX_GROWTH_BEYOND_SUBSET:.2})");
-    let costs = [&small, &subset, &large, &admission];
-    let is_free = costs.iter().all(|cost| cost.allocations == 0);
-    if is_free && in_subset <= subset_growth && beyond <= MAX_GROWTH_BEYOND_SUBSET {
+    criterion.final_summary();
+
+    println!("fastest rounds of picks: {small:.0}, {subset:.0} and {large:.0} ns");
+    let checks = [
+        check("allocations", allocations as f64, MAX_ALLOCATIONS as f64),
+        check(
+            "pick at 32 targets / at 5",
+            subset / small,
+            SUBSET as f64 / SIZES[0] as f64,
+        ),
+        check(
+            "pick at 6000 targets / at 32",
+            large / subset,
+            MAX_GROWTH_BEYOND_SUBSET,
+        ),
+    ];
+    if checks.iter().all(|held| *held) {
         return ExitCode::SUCCESS;
     }
-    println!("BROKEN: a decision allocates or grows faster than the subset");
     ExitCode::FAILURE
 }
--- a/crates/fescueway_routing/src/place_choice.rs
+++ b/crates/fescueway_routing/src/place_choice.rs
@@ -50,13 +50,12 @@
         let is_open = view.is_trusted() || (is_panic && view.is_reachable()) || reachable == 0;
         !view.is_draining && !tried.contains(&view.node) && is_open
     };
-    let open = views.iter().filter(|view| may_use(view)).count();
     let start = random.next_u32() as usize % views.len().max(1);
     // Going round from a random start breaks ties at random and samples large subsets.
     let order = (start..views.len()).chain(0..start);
     let candidates = order
         .filter(|&index| may_use(&views[index]))
-        .take(open.min(MAX_COMPARED));
+        .take(MAX_COMPARED);
     let scores = candidates.map(|index| {
         let noise = standard_normal(random);
         (index, views[index].score_us(scene, noise))
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -1,7 +1,5 @@
 //! What one entry knows of one target.
 
-use std::time::Duration;
-
 use fescueway_core::{LoadReport, MonoTime, NodeId, RefusalReason, TargetRecord, TargetState};
 
 use crate::{
@@ -44,8 +42,9 @@
 /// How steeply slowness counts once it is out of tolerance, up to its full amount.
 const SLOWNESS_SLOPE: f64 = 3.0;
 
-/// How long it takes to forget most of a target's slowness. Its host refuses, should it last.
-const SLOWNESS_MEMORY: Duration = Duration::from_secs(2);
+/// How long it takes to forget most of a target's slowness, in microseconds. Its host refuses,
+/// should it last.
+const SLOWNESS_MEMORY_US: f64 = 2_000_000.0;
 
 /// What a pick sees besides the targets.
 #[derive(Clone, Copy, Debug)]
@@ -254,10 +253,7 @@
 
     /// How much of the last report still holds, from 1 to 0.
     fn freshness(&self, now: MonoTime, service_us: f64) -> f64 {
-        decay(
-            now.since(self.reported_at),
-            Duration::from_micros(service_us as u64),
-        )
+        decay(elapsed_us(self.reported_at, now), service_us.trunc())
     }
 
     /// Whether its requests are known to take longer than the pool's, or nothing comes back.
@@ -272,19 +268,24 @@
         if self.service_us <= 0.0 {
             return usual_us;
         }
-        let memory = decay(now.since(self.reported_at), SLOWNESS_MEMORY);
+        let memory = decay(elapsed_us(self.reported_at, now), SLOWNESS_MEMORY_US);
         let known_us = usual_us + (self.service_us - usual_us) * memory;
         if self.open == 0 {
             return known_us;
         }
-        let silence_us = now.since(self.silent_since).as_micros() as f64;
+        let silence_us = elapsed_us(self.silent_since, now);
         known_us + (silence_us - SILENCE_FACTOR * known_us).max(0.0)
     }
 }
 
-/// What is left of a quantity after `age` when it falls by e in each `memory`.
-fn decay(age: Duration, memory: Duration) -> f64 {
-    (-age.as_secs_f64() / memory.as_secs_f64().max(1e-6)).exp()
+/// Time from `start` to `end` in microseconds, zero when it is negative.
+fn elapsed_us(start: MonoTime, end: MonoTime) -> f64 {
+    end.as_micros().saturating_sub(start.as_micros()) as f64
+}
+
+/// What is left of a quantity after `age_us` when it falls by e in each `memory_us`.
+fn decay(age_us: f64, memory_us: f64) -> f64 {
+    (-age_us / memory_us.max(1.0)).exp()
 }
 
 /// How much a service time counts against a target whose pool usually has `usual_us`, in
