Tell that a target is silent before hedging, also one that never answered

Cause: the daemon's test a_read_that_takes_long_is_hedged failed since hedges need a slow target. By a print of the views at the hedge: the target had never reported, and the silence of such a target was not looked at; a hedge could also come before the silence was long enough, and a refusal by the host ended it although the backend server had said nothing.

--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -15,7 +15,7 @@
     place_choice::choose_place,
     pool_view::PoolView,
     target_subset::subset_rank,
-    target_view::{PickScene, TargetView},
+    target_view::{PickScene, SILENCE_LIMIT, TargetView},
 };
 
 /// Further offers after refusals, as a share of the first offers.
@@ -178,7 +178,7 @@
     }
 
     /// When an idempotent request that was offered to `node` should be hedged by a second offer,
-    /// counted from the first; `None` for never.
+    /// counted from the first; `None` for never. By then the target can be told to be silent.
     #[must_use]
     pub fn hedge_after(
         &self,
@@ -194,7 +194,9 @@
         if !may_hedge {
             return None;
         }
-        self.latency.get()
+        let silence_us = SILENCE_LIMIT * self.pool.service_us();
+        let silence = Duration::from_micros(silence_us as u64);
+        self.latency.get().map(|late| late.max(silence))
     }
 
     /// Takes in what happened.
@@ -223,7 +225,7 @@
         let Some(view) = self.view_mut(node) else {
             return;
         };
-        view.end_offer(now);
+        view.end_offer();
         match end {
             OfferEnd::Answered { is_failure, .. } => view.learn_answer(now, is_failure),
             OfferEnd::Lost => view.learn_answer(now, true),
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -42,6 +42,9 @@
 /// How steeply slowness counts once it is out of tolerance, up to its full amount.
 const SLOWNESS_SLOPE: f64 = 3.0;
 
+/// Silence after which a target counts as slow at the latest, in mean service times of the pool.
+pub(crate) const SILENCE_LIMIT: f64 = SILENCE_FACTOR * TOLERATED_SLOWNESS;
+
 /// How long it takes to forget most of a target's slowness, in microseconds. Its host refuses,
 /// should it last.
 const SLOWNESS_MEMORY_US: f64 = 2_000_000.0;
@@ -68,7 +71,8 @@
     pub(crate) is_draining: bool,
     /// Offers of this entry that are open.
     pub(crate) open: u32,
-    /// Since when open offers have brought nothing back.
+    /// Since when open offers have brought no answer. A refusal comes from the host and says nothing of
+    /// the backend server.
     silent_since: MonoTime,
     /// Requests of other entries running and waiting at the target at `reported_at`.
     others: f64,
@@ -137,14 +141,14 @@
     }
 
     /// Counts an offer that ended.
-    pub(crate) fn end_offer(&mut self, now: MonoTime) {
+    pub(crate) fn end_offer(&mut self) {
         self.open = self.open.saturating_sub(1);
-        self.silent_since = now;
     }
 
     /// Takes in whether an offer was answered well.
     pub(crate) fn learn_answer(&mut self, now: MonoTime, is_failure: bool) {
         self.is_unreachable = false;
+        self.silent_since = now;
         let failure = if is_failure { 1.0 } else { 0.0 };
         self.failed_share += (failure - self.failed_share) * FAILURE_WEIGHT;
         self.phase.handle(&PhaseEvent::Answered {
@@ -265,11 +269,12 @@
     /// told from the pool's the older the report, or longer when the target has been silent.
     fn service_now_us(&self, now: MonoTime, pool: &PoolView) -> f64 {
         let usual_us = pool.service_us();
-        if self.service_us <= 0.0 {
-            return usual_us;
-        }
-        let memory = decay(elapsed_us(self.reported_at, now), SLOWNESS_MEMORY_US);
-        let known_us = usual_us + (self.service_us - usual_us) * memory;
+        let known_us = if self.service_us > 0.0 {
+            let memory = decay(elapsed_us(self.reported_at, now), SLOWNESS_MEMORY_US);
+            usual_us + (self.service_us - usual_us) * memory
+        } else {
+            usual_us
+        };
         if self.open == 0 {
             return known_us;
         }
