--- a/crates/fescueway_admission/src/gate_plan.rs
+++ b/crates/fescueway_admission/src/gate_plan.rs
@@ -17,7 +17,7 @@
     fn default() -> Self {
         Self {
             slots: 10,
-            queue_per_slot: 2.0,
+            queue_per_slot: 0.5,
             ramp_time: Duration::from_secs(2),
         }
     }
