Wait for the target before the added latency is measured

Cause: the bench sent its first request when both nodes had started, without waiting until the entry knew the target at the host. Change: it asks until the first 200, for a minute at most, and tells the head of an answer that is not 200.

--- a/crates/fescueway_bench/benches/added_latency/main.rs
+++ b/crates/fescueway_bench/benches/added_latency/main.rs
@@ -15,9 +15,12 @@
 use fescueway_core::SiteName;
 use fescueway_testkit::{BackendPlan, BackendStub};
 use hdrhistogram::Histogram;
-use http::{Method, Request};
+use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Empty};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
@@ -39,6 +42,9 @@
 /// Time over which figures count.
 const MEASURED: Duration = Duration::from_secs(8);
 
+/// Longest wait until the entry knows the target.
+const START_LIMIT: Duration = Duration::from_mins(1);
+
 /// Allocations of both nodes together for those of a direct call at its two ends, at most.
 ///
 /// Each node is the server of one call and the client of another, which is what a direct call
@@ -59,6 +65,7 @@
     let (backend, backend_meter) = start_backend();
     let entry = NodeThread::start(Arc::clone(&plan), None, None);
     let host = NodeThread::start(plan, Some(entry.peers()), Some(backend));
+    wait_until_served(entry.callers());
     let mut is_kept = true;
     for method in [Method::GET, Method::POST] {
         let figures = measure(&method, backend, &backend_meter, &entry, &host);
@@ -71,6 +78,25 @@
     }
 }
 
+/// Waits until the entry knows the target at the host.
+fn wait_until_served(entry: SocketAddr) {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let mut sender = connect(entry).await;
+        let start = Instant::now();
+        loop {
+            let response = answer(&mut sender, &Method::GET).await;
+            if response.status() == 200 {
+                break;
+            }
+            assert!(start.elapsed() < START_LIMIT, "the entry knows no target");
+            let body = response.into_body().collect().await;
+            body.expect("a whole answer");
+            sleep(PAUSE).await;
+        }
+    });
+}
+
 /// What one run measured.
 struct RunFigures {
     /// Latencies straight to the stand-in, in microseconds.
@@ -185,6 +211,17 @@
 
 /// Sends one request; its latency in microseconds.
 async fn send(sender: &mut SendRequest<Empty<Bytes>>, method: &Method) -> u64 {
+    sender.ready().await.expect("an open connection");
+    let start = Instant::now();
+    let response = answer(sender, method).await;
+    assert_eq!(response.status(), 200, "{:?}", response.headers());
+    let body = response.into_body().collect().await;
+    body.expect("a whole answer");
+    start.elapsed().as_micros() as u64
+}
+
+/// Sends one request; its answer's head, with the body to come.
+async fn answer(sender: &mut SendRequest<Empty<Bytes>>, method: &Method) -> Response<Incoming> {
     sender.ready().await.expect("an open connection");
     let request = Request::builder()
         .method(method)
@@ -193,15 +230,7 @@
         .header("accept", "application/json")
         .header("user-agent", "bench");
     let request = request.body(Empty::new()).expect("a valid request");
-    let start = Instant::now();
-    let response = sender.send_request(request).await.expect("an answer");
-    assert_eq!(response.status(), 200);
-    response
-        .into_body()
-        .collect()
-        .await
-        .expect("a whole answer");
-    start.elapsed().as_micros() as u64
+    sender.send_request(request).await.expect("an answer")
 }
 
 /// An empty histogram of microseconds.
