--- a/crates/fescueway_idempotency/tests/at_most_once/takeover.rs
+++ b/crates/fescueway_idempotency/tests/at_most_once/takeover.rs
@@ -56,40 +56,34 @@
     (refused.len(), ends.len(), longest.unwrap_or(0))
 }
 
+/// Crashes the nodes that `choose` picks, and checks for how long keys are refused.
+fn check_closure(seed: u64, choose: impl FnOnce(&mut Fleet) -> Vec<NodeId>) {
+    let mut fleet = settled(seed, 9);
+    let calls = fleet.store_calls;
+    for lost in choose(&mut fleet) {
+        fleet.crash(lost);
+    }
+    let (refused, sent, longest_us) = closure(&mut fleet);
+    let calls = fleet.store_calls - calls;
+    println!("seed {seed}: {refused} of {sent} refused, {longest_us} us; {calls} store calls");
+    assert!(
+        longest_us <= LONGEST_CLOSURE_US,
+        "seed {seed}: {longest_us} us"
+    );
+    fleet.check().unwrap();
+}
+
 #[test]
 fn a_lost_failure_domain_closes_keys_for_seconds() {
     for seed in 1..=5 {
-        let mut fleet = settled(seed, 9);
-        let calls = fleet.store_calls;
-        for lost in first_domain(&fleet) {
-            fleet.crash(lost);
-        }
-        let (refused, sent, longest_us) = closure(&mut fleet);
-        let calls = fleet.store_calls - calls;
-        println!("seed {seed}: {refused} of {sent} refused, {longest_us} us; {calls} store calls");
-        assert!(
-            longest_us <= LONGEST_CLOSURE_US,
-            "seed {seed}: {longest_us} us"
-        );
-        fleet.check().unwrap();
+        check_closure(seed, |fleet| first_domain(fleet));
     }
 }
 
 #[test]
 fn a_lost_node_closes_keys_for_seconds() {
     for seed in 1..=5 {
-        let mut fleet = settled(seed, 9);
-        let calls = fleet.store_calls;
-        let lost = fleet.any_node();
-        fleet.crash(lost);
-        let (refused, sent, longest_us) = closure(&mut fleet);
-        let calls = fleet.store_calls - calls;
-        println!("seed {seed}: {refused} of {sent} refused, {longest_us} us; {calls} store calls");
-        assert!(
-            longest_us <= LONGEST_CLOSURE_US,
-            "seed {seed}: {longest_us} us"
-        );
-        fleet.check().unwrap();
+        check_closure(seed, |fleet| vec![fleet.any_node()]);
     }
 }
 
