Read the list of known red bounds in one place

The membership bench had got its own copy of what the policy bench does. Both now call is_known_red.

--- a/crates/fescueway_bench/benches/membership.rs
+++ b/crates/fescueway_bench/benches/membership.rs
@@ -3,7 +3,10 @@
 
 use std::{fs, process::ExitCode};
 
-use fescueway_bench::fleet::{CapacityPage, CountingAllocator};
+use fescueway_bench::{
+    fleet::{CapacityPage, CountingAllocator},
+    is_known_red,
+};
 
 #[global_allocator]
 static ALLOCATOR: CountingAllocator = CountingAllocator;
@@ -11,13 +14,10 @@
 /// The page that holds the table.
 const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/CAPACITY.md");
 
-/// The broken bounds that are known, one in a line that starts with its name.
-const KNOWN_RED: &str = include_str!("../../../KNOWN-RED.txt");
-
 /// Whether a broken bound is known. The name ends at the last colon.
 fn is_known(fault: &str) -> bool {
     let name = fault.rsplit_once(':').map_or(fault, |(name, _figure)| name);
-    KNOWN_RED.lines().any(|line| line.starts_with(name))
+    is_known_red(name)
 }
 
 fn main() -> ExitCode {
--- a/crates/fescueway_bench/benches/policy.rs
+++ b/crates/fescueway_bench/benches/policy.rs
@@ -5,9 +5,12 @@
 
 use std::{fmt::Write as _, process::ExitCode, thread};
 
-use fescueway_bench::rig::{
-    CAPROCK_FEW, CAPROCK_MANY, PWLL_FEW, PWLL_MANY, RigFigures, RigPolicy, RigRun, RigScenario,
-    RigShape, generate_trace, simple_policies,
+use fescueway_bench::{
+    is_known_red,
+    rig::{
+        CAPROCK_FEW, CAPROCK_MANY, PWLL_FEW, PWLL_MANY, RigFigures, RigPolicy, RigRun, RigScenario,
+        RigShape, generate_trace, simple_policies,
+    },
 };
 
 /// Seeds that the constants of routing and admission were tuned with.
@@ -16,9 +19,6 @@
 /// Seeds that were held out from tuning.
 const HELD_OUT_SEEDS: [u64; 2] = [206, 207];
 
-/// The broken bounds that are known, one in a line that starts with its name.
-const KNOWN_RED: &str = include_str!("../../../KNOWN-RED.txt");
-
 /// p99 of latency against the oracle's.
 const MAX_LATENCY_RATIO: f64 = 1.05;
 
@@ -231,7 +231,7 @@
 fn print_broken(bounds: &[PolicyBound]) -> bool {
     let mut is_new = false;
     for bound in bounds {
-        let is_known = KNOWN_RED.lines().any(|line| line.starts_with(&bound.name));
+        let is_known = is_known_red(&bound.name);
         let is_broken = bound.value > bound.limit;
         let verdict = match (is_broken, is_known) {
             (true, true) => "known red",
--- /dev/null
+++ b/crates/fescueway_bench/src/known_red.rs
@@ -0,0 +1,10 @@
+//! The broken bounds that are known.
+
+/// The broken bounds that are known, one in a line that starts with its name.
+const KNOWN_RED: &str = include_str!("../../../KNOWN-RED.txt");
+
+/// Whether `KNOWN-RED.txt` lists the bound `name`.
+#[must_use]
+pub fn is_known_red(name: &str) -> bool {
+    KNOWN_RED.lines().any(|line| line.starts_with(name))
+}
--- a/crates/fescueway_bench/src/lib.rs
+++ b/crates/fescueway_bench/src/lib.rs
@@ -2,8 +2,12 @@
 //! whole nodes on loopback.
 
 pub mod fleet;
+mod known_red;
 pub mod rig;
 mod thread_use;
 pub mod whole_node;
 
-pub use self::thread_use::{ThreadUse, resident_bytes};
+pub use self::{
+    known_red::is_known_red,
+    thread_use::{ThreadUse, resident_bytes},
+};
