Route by the pace of work that backend servers report, and by kind of request

Cause: on both sites a quarter of the VMs works four times slower for some 300 ms at a time, and targets slow down from 0.8 of their slots (1.7 times). Neither was known: a host estimated one mean for requests of 40 and of 640 ms, and filled all slots.

- `ReportedLoad` carries the pace of work; a gate refuses while its VM is disturbed and another place is likely better; reports carry the pace to entries, whose memory of it is 300 ms.
- Service times are learned for each kind of request, at the usual pace.
- `limit.slot_share` and `retry.refusal_share` are settings of a service.

--- a/crates/fescueway_admission/src/concurrency_limit.rs
+++ b/crates/fescueway_admission/src/concurrency_limit.rs
@@ -25,7 +25,7 @@
 }
 
 impl ConcurrencyLimit {
-    /// A limit that starts at `slots`.
+    /// A limit that starts at `slots`, which is never exceeded.
     pub(crate) fn new(slots: u32) -> Self {
         let slots = f64::from(slots.max(1));
         Self {
@@ -34,6 +34,13 @@
         }
     }
 
+    /// Changes the most that runs at once.
+    pub(crate) fn set_slots(&mut self, slots: u32) {
+        let share = self.limit / self.slots;
+        self.slots = f64::from(slots.max(1));
+        self.limit = share * self.slots;
+    }
+
     /// Takes in how much slower requests became.
     pub(crate) fn learn(&mut self, slowdown: f64) {
         let room = (TOLERATED_SLOWDOWN - slowdown).clamp(-1.0, 1.0);
--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -1,6 +1,6 @@
 //! How long a request holds a slot, learned from those that did.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use fescueway_core::MonoTime;
 
@@ -41,9 +41,41 @@
 /// How many times the baseline the service time of a straggler is.
 const STRAGGLER_FACTOR: f64 = 3.0;
 
+/// Kinds of requests whose service times are told apart at most.
+const MAX_KINDS: usize = 32;
+
+/// Weight of one finished request in the mean of its kind.
+const KIND_WEIGHT: f64 = 1.0 / 16.0;
+
+/// How long a report of the pace of work holds. Neighbours come and go within some hundred
+/// milliseconds.
+const PACE_LIFE: Duration = Duration::from_millis(300);
+
+/// How long requests of one kind hold a slot.
+#[derive(Clone, Copy, Debug, Default)]
+struct KindMean {
+    /// Recent mean at the usual pace of work, in microseconds.
+    mean_us: f64,
+    /// Requests that ended well.
+    count: u32,
+}
+
+/// A request that gave its slot back.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndedRun {
+    /// Its kind.
+    kind: u64,
+    /// How long it held the slot, at the usual pace of work, in microseconds.
+    held_us: f64,
+}
+
 /// One request that holds a slot.
 #[derive(Clone, Copy, Debug)]
 struct OpenRun {
+    /// Its kind.
+    kind: u64,
+    /// The pace of work when it began.
+    pace: f64,
     /// The offer.
     ticket: TicketId,
     /// When it got its slot.
@@ -72,6 +104,10 @@
     count: u32,
     /// Recent share of failures, from 0 to 1.
     failed_share: f64,
+    /// How long each kind of request takes.
+    kinds: BTreeMap<u64, KindMean>,
+    /// How long work takes as a multiple of the usual time, and when that was so.
+    pace: Option<(f64, MonoTime)>,
 }
 
 impl ServiceEstimate {
@@ -87,6 +123,38 @@
             fast_us: 0.0,
             count: 0,
             failed_share: 0.0,
+            kinds: BTreeMap::new(),
+            pace: None,
+        }
+    }
+
+    /// The backend server says how long work takes now, as a multiple of the usual time.
+    pub(crate) fn set_pace(&mut self, now: MonoTime, pace: f64) {
+        self.pace = Some((pace, now));
+    }
+
+    /// How long work takes now as a multiple of the usual time, `None` when that isn't known.
+    pub(crate) fn pace(&self, now: MonoTime) -> Option<f64> {
+        let (pace, since) = self.pace?;
+        (now.since(since) < PACE_LIFE).then_some(pace)
+    }
+
+    /// Expected time of a request of this kind that begins now, in microseconds.
+    pub(crate) fn expected_us(&self, now: MonoTime, kind: u64) -> f64 {
+        self.usual_us(now, kind) * self.pace(now).unwrap_or(1.0)
+    }
+
+    /// Expected time beyond the usual of a request of this kind that begins now, in microseconds,
+    /// because of the VM's neighbours.
+    pub(crate) fn disturbance_us(&self, now: MonoTime, kind: u64) -> f64 {
+        self.usual_us(now, kind) * (self.pace(now).unwrap_or(1.0) - 1.0).max(0.0)
+    }
+
+    /// Expected time of a request of this kind at the usual pace of work, in microseconds.
+    fn usual_us(&self, now: MonoTime, kind: u64) -> f64 {
+        match self.kinds.get(&kind) {
+            Some(known) if known.count > 0 => known.mean_us,
+            _ => self.mean_us(now),
         }
     }
 
@@ -96,31 +164,38 @@
     }
 
     /// A request got a slot.
-    pub(crate) fn start(&mut self, now: MonoTime, ticket: TicketId) {
+    pub(crate) fn start(&mut self, now: MonoTime, ticket: TicketId, kind: u64) {
         if self.open.is_empty() {
             self.ended = now;
         }
         self.open.push(OpenRun {
+            kind,
+            pace: self.pace(now).unwrap_or(1.0),
             ticket,
             started: now,
         });
     }
 
-    /// A request gave its slot back. Returns how long it held it, `None` for an unknown ticket.
-    pub(crate) fn stop(&mut self, now: MonoTime, ticket: TicketId) -> Option<f64> {
+    /// A request gave its slot back. `None` for an unknown ticket.
+    pub(crate) fn stop(&mut self, now: MonoTime, ticket: TicketId) -> Option<EndedRun> {
         let index = self.open.iter().position(|run| run.ticket == ticket)?;
         let run = self.open.swap_remove(index);
         self.ended = now;
-        Some(now.since(run.started).as_micros() as f64)
+        Some(EndedRun {
+            kind: run.kind,
+            held_us: now.since(run.started).as_micros() as f64 / run.pace,
+        })
     }
 
     /// Learns from a request that ran to its end.
-    pub(crate) fn learn(&mut self, held_us: f64, is_failure: bool) {
+    pub(crate) fn learn(&mut self, ended: EndedRun, is_failure: bool) {
         let failure = if is_failure { 1.0 } else { 0.0 };
         self.failed_share += (failure - self.failed_share) * FAILURE_WEIGHT;
         if is_failure {
             return;
         }
+        let held_us = ended.held_us;
+        self.learn_kind(ended);
         self.count = (self.count + 1).min(BASELINE_COUNT);
         let weight = RECENT_WEIGHT.max(1.0 / f64::from(self.count));
         self.recent_us += (held_us - self.recent_us) * weight;
@@ -130,6 +205,17 @@
         self.learn_baseline();
     }
 
+    /// Learns how long a kind takes.
+    fn learn_kind(&mut self, ended: EndedRun) {
+        if self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(&ended.kind) {
+            return;
+        }
+        let known = self.kinds.entry(ended.kind).or_default();
+        known.count = known.count.saturating_add(1);
+        let weight = KIND_WEIGHT.max(1.0 / f64::from(known.count));
+        known.mean_us += (ended.held_us - known.mean_us) * weight;
+    }
+
     /// Follows a falling mean and forgets slowly.
     fn learn_baseline(&mut self) {
         if self.count < BASELINE_COUNT {
@@ -144,7 +230,7 @@
         self.baseline_us += (self.long_us - self.baseline_us) * rate;
     }
 
-    /// Mean time that a request holds a slot now, in microseconds.
+    /// Mean time that a request holds a slot, at the usual pace of work, in microseconds.
     ///
     /// Requests that are still running count too: when none ends for far longer than usual, the
     /// mean of those that ended is out of date.
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fescueway_core::{LoadReport, MonoTime, Refusal, RefusalReason, RequestTerms};
+use fescueway_core::{LoadReport, MonoTime, Refusal, RefusalReason, ReportedLoad, RequestTerms};
 
 use crate::{
     GatePlan,
@@ -115,7 +115,7 @@
         let capacity = Self::queue_capacity(&plan);
         Self {
             service: ServiceEstimate::new(plan.slots),
-            limit: ConcurrencyLimit::new(plan.slots),
+            limit: ConcurrencyLimit::new(plan.most_running()),
             ramp: SlowStart::new(now, plan.ramp_time),
             queue: WaitQueue::new(capacity),
             ticked: MonoTime::ZERO,
@@ -140,7 +140,7 @@
         }
         let wait_us = self.wait_us(now, self.queue.count_ahead(&offer));
         let wait = Duration::from_micros(wait_us as u64);
-        let margin_us = QUEUE_MARGIN * self.service.mean_us(now);
+        let margin_us = QUEUE_MARGIN * self.service.expected_us(now, terms.work_kind);
         if wait_us + margin_us > terms.time_left.as_micros() as f64 {
             return GateResult::Refuse(Self::refusal(RefusalReason::DeadlineTooShort, wait));
         }
@@ -154,12 +154,12 @@
 
     /// A run ended. Exactly one for each run.
     pub fn finish(&mut self, now: MonoTime, ticket: TicketId, end: RunEnd) -> Vec<GateAction> {
-        let Some(held_us) = self.service.stop(now, ticket) else {
+        let Some(ended) = self.service.stop(now, ticket) else {
             return Vec::new();
         };
         match end {
-            RunEnd::Answered => self.service.learn(held_us, false),
-            RunEnd::Failed | RunEnd::Lost => self.service.learn(held_us, true),
+            RunEnd::Answered => self.service.learn(ended, false),
+            RunEnd::Failed | RunEnd::Lost => self.service.learn(ended, true),
             RunEnd::Cancelled | RunEnd::Released => {}
         }
         self.limit.learn(self.service.slowdown());
@@ -205,6 +205,19 @@
         self.is_draining = false;
     }
 
+    /// The backend server reports its load.
+    pub fn learn_load(&mut self, now: MonoTime, load: &ReportedLoad) {
+        if let Some(permille) = load.work_permille {
+            self.service.set_pace(now, f64::from(permille) / 1_000.0);
+        }
+    }
+
+    /// From now on uses at most this share of the slots.
+    pub fn set_slot_share(&mut self, slot_share: f64) {
+        self.plan.slot_share = slot_share;
+        self.limit.set_slots(self.plan.most_running());
+    }
+
     /// From now on lets this many requests wait for each slot. What waits already stays, also when
     /// fewer may wait now.
     pub fn set_queue_per_slot(&mut self, queue_per_slot: f64) {
@@ -228,17 +241,22 @@
             wait_us: self.wait_us(now, self.queue.len()) as u32,
             age_us: 0,
             failed_permille: self.service.failed_permille(),
+            work_permille: self
+                .service
+                .pace(now)
+                .map_or(0, |pace| (pace * 1_000.0) as u32),
             is_draining: self.is_draining,
         }
     }
 
     /// Gives a free slot to an offer, unless its time is nearly over.
     fn start(&mut self, now: MonoTime, ticket: TicketId, terms: &RequestTerms) -> GateResult {
-        if terms.time_left <= self.start_margin() {
+        let margin_us = START_MARGIN * self.service.expected_us(now, terms.work_kind);
+        if (terms.time_left.as_micros() as f64) <= margin_us {
             let refusal = Self::refusal(RefusalReason::DeadlineTooShort, Duration::ZERO);
             return GateResult::Refuse(refusal);
         }
-        self.service.start(now, ticket);
+        self.service.start(now, ticket, terms.work_kind);
         GateResult::Run
     }
 
@@ -256,7 +274,7 @@
         while self.has_slot(now)
             && let Some(offer) = self.queue.pop()
         {
-            self.service.start(now, offer.ticket);
+            self.service.start(now, offer.ticket, offer.work_kind);
             actions.push(GateAction::Run(offer.ticket));
         }
         actions
@@ -268,8 +286,11 @@
         if terms.wait_limit >= terms.time_left {
             return false;
         }
-        let straggler_us = self.service.straggler_us(now);
-        self.service.is_failing() || straggler_us > terms.wait_limit.as_micros() as f64
+        let slower_us = self
+            .service
+            .straggler_us(now)
+            .max(self.service.disturbance_us(now, terms.work_kind));
+        self.service.is_failing() || slower_us > terms.wait_limit.as_micros() as f64
     }
 
     /// Whether such a target should run a request all the same, so that the end of the trouble is
@@ -298,7 +319,8 @@
             return 0.0;
         }
         let limit = f64::from(self.current_limit(now));
-        (ahead as f64 + 1.0) * self.service.mean_us(now) / limit
+        let pace = self.service.pace(now).unwrap_or(1.0);
+        (ahead as f64 + 1.0) * self.service.mean_us(now) * pace / limit
     }
 
     /// Time before a deadline at which a request that hasn't begun is too late.
--- a/crates/fescueway_admission/src/wait_queue.rs
+++ b/crates/fescueway_admission/src/wait_queue.rs
@@ -26,6 +26,8 @@
     pub(crate) deadline: MonoTime,
     /// The longest wait that its entry accepts.
     wait_limit: Duration,
+    /// Its kind of work.
+    pub(crate) work_kind: u64,
 }
 
 /// Offers that wait for a slot, ordered by deadline with a handicap for each priority.
@@ -51,6 +53,7 @@
             rank: now + terms.time_left.min(DEADLINE_CAP) + handicap,
             deadline: now + terms.time_left,
             wait_limit: terms.wait_limit,
+            work_kind: terms.work_kind,
         }
     }
 }
--- a/crates/fescueway_admission/tests/gate.rs
+++ b/crates/fescueway_admission/tests/gate.rs
@@ -22,6 +22,7 @@
         slots,
         queue_per_slot: 10.0,
         ramp_time: Duration::ZERO,
+        ..GatePlan::default()
     };
     TargetGate::new(plan, MonoTime::ZERO)
 }
--- a/crates/fescueway_bench/src/rig/rig_run/mod.rs
+++ b/crates/fescueway_bench/src/rig/rig_run/mod.rs
@@ -165,6 +165,7 @@
             slots: shape.slots as u32,
             queue_per_slot: QUEUE_PER_SLOT,
             ramp_time,
+            ..GatePlan::default()
         };
         TargetGate::new(plan, MonoTime::from_micros(now_us))
     }
--- a/crates/fescueway_config/src/raw_service.rs
+++ b/crates/fescueway_config/src/raw_service.rs
@@ -82,6 +82,8 @@
 pub struct RawRetry {
     /// Retries and hedges as a share of the successes.
     pub budget_share: Option<Number>,
+    /// Further offers after refusals as a share of the first offers.
+    pub refusal_share: Option<Number>,
     /// Offers for one request in all.
     pub max_offers: Option<Number>,
     /// Whether idempotent requests are hedged.
@@ -116,6 +118,8 @@
 pub struct RawLimit {
     /// Longest request body.
     pub max_body_bytes: Option<Number>,
+    /// Share of the slots that are used at most.
+    pub slot_share: Option<Number>,
     /// Requests that may wait for each slot.
     pub queue_per_slot: Option<Number>,
 }
--- a/crates/fescueway_config/src/service_check.rs
+++ b/crates/fescueway_config/src/service_check.rs
@@ -62,6 +62,7 @@
             },
             retry: RawRetry {
                 budget_share: rules::RETRY_SHARE.raw(plan.retry.budget_share),
+                refusal_share: rules::REFUSAL_SHARE.raw(plan.retry.refusal_share),
                 max_offers: rules::MAX_OFFERS.raw(plan.retry.max_offers.into()),
                 is_hedging: Some(plan.retry.is_hedging),
             },
@@ -76,6 +77,7 @@
             },
             limit: RawLimit {
                 max_body_bytes: Some(Number::from(plan.limit.max_body_bytes)),
+                slot_share: rules::SLOT_SHARE.raw(plan.limit.slot_share),
                 queue_per_slot: rules::QUEUE_PER_SLOT.raw(plan.limit.queue_per_slot),
             },
             locality: RawLocality {
@@ -266,6 +268,7 @@
 fn retry(scope: &str, raw: &RawRetry) -> Result<RetryPlan, FieldFault> {
     Ok(RetryPlan {
         budget_share: rules::RETRY_SHARE.check(scope, raw.budget_share.as_ref())?,
+        refusal_share: rules::REFUSAL_SHARE.check(scope, raw.refusal_share.as_ref())?,
         max_offers: rules::MAX_OFFERS.check(scope, raw.max_offers.as_ref())? as u8,
         is_hedging: raw.is_hedging.unwrap_or(true),
     })
@@ -295,6 +298,7 @@
 fn limit(scope: &str, raw: &RawLimit) -> Result<LimitPlan, FieldFault> {
     Ok(LimitPlan {
         max_body_bytes: rules::MAX_BODY.check(scope, raw.max_body_bytes.as_ref())? as u64,
+        slot_share: rules::SLOT_SHARE.check(scope, raw.slot_share.as_ref())?,
         queue_per_slot: rules::QUEUE_PER_SLOT.check(scope, raw.queue_per_slot.as_ref())?,
     })
 }
--- a/crates/fescueway_config/src/service_plan.rs
+++ b/crates/fescueway_config/src/service_plan.rs
@@ -83,6 +83,8 @@
 pub struct RetryPlan {
     /// Retries and hedges as a share of the successes, from 0 to 1.
     pub budget_share: f64,
+    /// Further offers after refusals as a share of the first offers.
+    pub refusal_share: f64,
     /// Offers for one request in all. At least one.
     pub max_offers: u8,
     /// Whether idempotent requests are hedged.
@@ -114,6 +116,8 @@
 pub struct LimitPlan {
     /// Longest request body in bytes.
     pub max_body_bytes: u64,
+    /// Share of the slots of a target that are used at most, above 0 and at most 1.
+    pub slot_share: f64,
     /// Requests that may wait at a host node for each slot of its target.
     pub queue_per_slot: f64,
 }
--- a/crates/fescueway_config/src/service_rules.rs
+++ b/crates/fescueway_config/src/service_rules.rs
@@ -114,6 +114,16 @@
     meaning: "Retries and hedges that one entry may make.",
 };
 
+pub(crate) const REFUSAL_SHARE: NumberRule = NumberRule {
+    field: "retry.refusal_share",
+    unit: "share of the first offers",
+    default: 0.13,
+    min: 0.0,
+    max: 8.0,
+    is_whole: false,
+    meaning: "Further offers after hosts refused that one entry may make.",
+};
+
 pub(crate) const MAX_OFFERS: NumberRule = NumberRule {
     field: "retry.max_offers",
     unit: "offers",
@@ -191,6 +201,16 @@
     meaning: "The longest request body.",
 };
 
+pub(crate) const SLOT_SHARE: NumberRule = NumberRule {
+    field: "limit.slot_share",
+    unit: "share of the slots",
+    default: 1.0,
+    min: 0.1,
+    max: 1.0,
+    is_whole: false,
+    meaning: "Slots of a backend server that are used at most. Below 1 for those that are slower when they are nearly full.",
+};
+
 pub(crate) const QUEUE_PER_SLOT: NumberRule = NumberRule {
     field: "limit.queue_per_slot",
     unit: "requests per slot",
@@ -237,6 +257,7 @@
     FieldRule::Text(&PROBE_PATH),
     FieldRule::Number(&PROBE_TIMEOUT),
     FieldRule::Number(&RETRY_SHARE),
+    FieldRule::Number(&REFUSAL_SHARE),
     FieldRule::Number(&MAX_OFFERS),
     FieldRule::Text(&IS_HEDGING),
     FieldRule::Number(&AVAILABILITY),
@@ -245,6 +266,7 @@
     FieldRule::Number(&CLAIM_PARTITIONS),
     FieldRule::Number(&CLAIM_RETENTION),
     FieldRule::Number(&MAX_BODY),
+    FieldRule::Number(&SLOT_SHARE),
     FieldRule::Number(&QUEUE_PER_SLOT),
     FieldRule::Number(&SUBSET_SIZE),
     FieldRule::Number(&DOMAIN_TRIP),
--- a/crates/fescueway_core/src/lib.rs
+++ b/crates/fescueway_core/src/lib.rs
@@ -10,6 +10,7 @@
 mod node_id;
 mod outcome;
 mod refusal;
+mod reported_load;
 mod request_terms;
 mod target_record;
 mod token_bucket;
@@ -22,6 +23,7 @@
     node_id::NodeId,
     outcome::Outcome,
     refusal::{Refusal, RefusalReason},
+    reported_load::ReportedLoad,
     request_terms::{Idempotency, KeyDigest, OfferCause, Priority, RequestTerms},
     target_record::{TargetRecord, TargetState},
     token_bucket::TokenBucket,
--- a/crates/fescueway_core/src/load_report.rs
+++ b/crates/fescueway_core/src/load_report.rs
@@ -14,7 +14,7 @@
     pub queued: u32,
     /// Requests that the host node lets run at once now. Never above the announced slots.
     pub limit: u32,
-    /// Recent mean time that a request holds a slot, in microseconds.
+    /// Recent mean time that a request holds a slot, in microseconds, at the usual pace of work.
     pub service_time_us: u32,
     /// Expected wait of a request that arrives now, in microseconds.
     pub wait_us: u32,
@@ -22,6 +22,9 @@
     pub age_us: u32,
     /// Recent share of requests that failed at the backend server, in 1/1000.
     pub failed_permille: u16,
+    /// How long work takes at the backend server now, as a share of the usual time in 1/1000; zero when
+    /// it doesn't tell.
+    pub work_permille: u32,
     /// Whether the target is leaving and takes no new work.
     pub is_draining: bool,
 }
--- a/crates/fescueway_core/src/request_terms.rs
+++ b/crates/fescueway_core/src/request_terms.rs
@@ -73,6 +73,8 @@
     pub depth: u8,
     /// Digest of the caller's idempotency key, when it sent one.
     pub key: Option<KeyDigest>,
+    /// Names requests that take about as long: those of one route. Zero when it isn't known.
+    pub work_kind: u64,
     /// Digest of method, path and body start, by which a request that crashes its backend
     /// server is known again.
     pub fingerprint: u64,
@@ -107,6 +109,7 @@
             lost_runs: 0,
             depth: 0,
             key: None,
+            work_kind: 0,
             fingerprint: 0,
         }
     }
--- a/crates/fescueway_proxy/src/edge_profile.rs
+++ b/crates/fescueway_proxy/src/edge_profile.rs
@@ -1,9 +1,13 @@
 //! What callers and backend servers are told, and tell, in header fields.
 
+use fescueway_core::ReportedLoad;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header::CONTENT_ENCODING};
 
 use crate::headers;
 
+/// Reads the load that a backend server reports with an answer; `None` when it makes no sense.
+pub type LoadReader = fn(&[u8]) -> Option<ReportedLoad>;
+
 /// The names of the header fields at both edges. A field without a name is not used.
 ///
 /// The default is the product's own interface. An installation whose callers and backend servers
@@ -15,6 +19,9 @@
     pub time_left: HeaderName,
     /// The load of a backend server, which it tells its host node with an answer.
     pub load: HeaderName,
+    /// Reads `load` in the installation's own form; `None` for the form of ORCA, which tells no pace of
+    /// work.
+    pub read_load: Option<LoadReader>,
     /// Tells the caller what became of the request.
     pub outcome: Option<HeaderName>,
     /// Tells the caller why the request was refused.
@@ -57,6 +64,7 @@
         Self {
             time_left: HeaderName::from_static("fescueway-time-left-ms"),
             load: HeaderName::from_static("endpoint-load-metrics"),
+            read_load: None,
             outcome: Some(headers::OUTCOME),
             reason: Some(headers::REASON),
             call: Some(headers::CALL),
--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -22,7 +22,7 @@
     offer_request::OfferRequest,
     proxy_limits::ProxyLimits,
     proxy_state::ProxyState,
-    request_digest::{fingerprint, key_digest},
+    request_digest::{fingerprint, key_digest, text_digest},
 };
 
 /// A body up to this many bytes is read whole, so that it can be offered again.
@@ -78,6 +78,7 @@
             priority: route.priority,
             offers_left: offers.map_or(plan.retry.max_offers, |own| own.min(plan.retry.max_offers)),
             runs_left: max_runs,
+            work_kind: text_digest(&route.name),
             depth: self.parent.map_or(0, |parent| parent.depth + 1),
             ..RequestTerms::new(plan.name.clone(), time_left)
         }
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -108,7 +108,12 @@
             Ok((response, connection)) => {
                 let mut ticket = self.ticket;
                 if let Some(load) = response.headers().get(&profile.load) {
-                    state.record_load(&service, load.as_bytes());
+                    match profile.read_load.map(|read| read(load.as_bytes())) {
+                        Some(Some(load)) => ticket.target().learn_load(&load),
+                        // What makes no sense tells nothing.
+                        Some(None) => {}
+                        None => state.record_load(&service, load.as_bytes()),
+                    }
                 }
                 match profile.judge(response.status(), response.headers(), id.as_ref()) {
                     AnswerVerdict::Ran => {}
--- a/crates/fescueway_proxy/src/host/host_target.rs
+++ b/crates/fescueway_proxy/src/host/host_target.rs
@@ -6,7 +6,7 @@
 };
 
 use fescueway_admission::{GateAction, GatePlan, GateResult, RunEnd, TargetGate, TicketId};
-use fescueway_core::{LoadReport, MonoTime, Refusal, RequestTerms};
+use fescueway_core::{LoadReport, MonoTime, Refusal, ReportedLoad, RequestTerms};
 use http::HeaderValue;
 use tokio::{
     sync::{Notify, oneshot},
@@ -128,6 +128,16 @@
         self.state().gate.set_queue_per_slot(queue_per_slot);
     }
 
+    /// From now on uses at most this share of the slots.
+    pub fn set_slot_share(&self, slot_share: f64) {
+        self.state().gate.set_slot_share(slot_share);
+    }
+
+    /// The backend server reports its load.
+    pub fn learn_load(&self, load: &ReportedLoad) {
+        self.state().gate.learn_load(self.clock.now(), load);
+    }
+
     /// Whether nothing runs and nothing waits.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/crates/fescueway_proxy/src/local_targets.rs
+++ b/crates/fescueway_proxy/src/local_targets.rs
@@ -90,6 +90,7 @@
     pub fn apply_plan(&self, plan: &SitePlan) {
         for (service, target) in &*self.hosts() {
             target.set_queue_per_slot(queue_per_slot(plan, service));
+            target.set_slot_share(slot_share(plan, service));
         }
     }
 
@@ -105,3 +106,10 @@
     let configured = service.map(|plan| plan.limit.queue_per_slot);
     configured.unwrap_or(GatePlan::default().queue_per_slot)
 }
+
+/// Share of the slots of a service's target that are used at most.
+pub fn slot_share(plan: &SitePlan, service: &ServiceName) -> f64 {
+    let service = plan.services.get(service);
+    let configured = service.map(|plan| plan.limit.slot_share);
+    configured.unwrap_or(GatePlan::default().slot_share)
+}
--- a/crates/fescueway_proxy/src/proxy_state/local_backends.rs
+++ b/crates/fescueway_proxy/src/proxy_state/local_backends.rs
@@ -8,7 +8,9 @@
 
 use super::ProxyState;
 use crate::{
-    backend_announcement::BackendAnnouncement, host::HostTarget, local_targets::queue_per_slot,
+    backend_announcement::BackendAnnouncement,
+    host::HostTarget,
+    local_targets::{queue_per_slot, slot_share},
 };
 
 /// The backend servers beside this node.
@@ -122,6 +124,7 @@
     fn new_target(&self, announcement: &BackendAnnouncement) -> HostTarget {
         let plan = GatePlan {
             slots: announcement.slots,
+            slot_share: slot_share(&self.plan(), &announcement.service),
             queue_per_slot: queue_per_slot(&self.plan(), &announcement.service),
             ramp_time: ramp_time(announcement),
         };
--- a/crates/fescueway_proxy/src/request_digest.rs
+++ b/crates/fescueway_proxy/src/request_digest.rs
@@ -29,11 +29,19 @@
 }
 
 /// The fingerprint of a request: of its method, its path and query, and the start of its body.
-/// FNV-1a (Fowler, Noll and Vo).
 pub fn fingerprint(method: &Method, target: &str, body: &[u8]) -> u64 {
     let start = &body[..body.len().min(FINGERPRINT_BYTES)];
     let parts = [method.as_str().as_bytes(), target.as_bytes(), start];
-    let bytes = parts.into_iter().flat_map(|part| part.iter().chain(&[0]));
+    fnv(parts.into_iter().flat_map(|part| part.iter().chain(&[0])))
+}
+
+/// The digest of a name.
+pub fn text_digest(text: &str) -> u64 {
+    fnv(text.as_bytes().iter())
+}
+
+/// FNV-1a (Fowler, Noll and Vo).
+fn fnv<'a>(bytes: impl Iterator<Item = &'a u8>) -> u64 {
     bytes.fold(0xCBF2_9CE4_8422_2325, |hash, byte| {
         (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01B3)
     })
--- a/crates/fescueway_proxy/src/route_table.rs
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -233,6 +233,7 @@
         retry_reserve,
         max_offers: plan.retry.max_offers,
         budget_share: plan.retry.budget_share,
+        refusal_share: plan.retry.refusal_share,
         domain_trip: plan.locality.domain_trip,
         subset_size: plan.locality.subset_size,
         is_hedging: plan.retry.is_hedging,
--- a/crates/fescueway_routing/src/pool_view.rs
+++ b/crates/fescueway_routing/src/pool_view.rs
@@ -23,6 +23,8 @@
     load_share: f64,
     /// Usual time that a request holds a slot, in microseconds.
     service_us: f64,
+    /// Recent pace of work: how long it takes as a multiple of the usual time.
+    pace: f64,
     /// Recent expected wait, in microseconds.
     wait_us: f64,
     /// Whether a report came in.
@@ -34,6 +36,7 @@
         Self {
             load_share: FIRST_LOAD_SHARE,
             service_us: FIRST_SERVICE_US,
+            pace: 1.0,
             wait_us: 0.0,
             is_known: false,
         }
@@ -51,6 +54,11 @@
         self.service_us
     }
 
+    /// Recent pace of work: how long it takes as a multiple of the usual time.
+    pub(crate) fn pace(&self) -> f64 {
+        self.pace
+    }
+
     /// Recent expected wait for a slot.
     pub(crate) fn wait(&self) -> Duration {
         Duration::from_micros(self.wait_us as u64)
@@ -62,6 +70,7 @@
         let share = load / f64::from(report.limit.max(1));
         self.load_share += (share - self.load_share) * LOAD_WEIGHT;
         self.wait_us += (f64::from(report.wait_us) - self.wait_us) * REPORT_WEIGHT;
+        self.pace += (report_pace(report) - self.pace) * REPORT_WEIGHT;
         self.learn_service(f64::from(report.service_time_us));
     }
 
@@ -80,3 +89,11 @@
         self.service_us += (service_us - self.service_us).clamp(-step, step);
     }
 }
+
+/// The pace of work that a report tells: how long it takes as a multiple of the usual time.
+pub(crate) fn report_pace(report: &LoadReport) -> f64 {
+    match report.work_permille {
+        0 => 1.0,
+        permille => f64::from(permille) / 1_000.0,
+    }
+}
--- a/crates/fescueway_routing/src/routing_plan.rs
+++ b/crates/fescueway_routing/src/routing_plan.rs
@@ -9,6 +9,8 @@
     pub max_offers: u8,
     /// Retries and hedges as a share of the successes, from 0 to 1.
     pub budget_share: f64,
+    /// Further offers after refusals, as a share of the first offers.
+    pub refusal_share: f64,
     /// Retries and hedges that this entry can save up.
     pub retry_reserve: f64,
     /// One-way trip to a target of another failure domain beyond that to one of the own.
@@ -24,6 +26,7 @@
         Self {
             max_offers: 3,
             budget_share: 0.1,
+            refusal_share: 0.13,
             retry_reserve: 10.0,
             domain_trip: Duration::from_micros(1_500),
             subset_size: 32,
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -18,9 +18,6 @@
     target_view::{PickScene, SILENCE_LIMIT, TargetView},
 };
 
-/// Further offers after refusals, as a share of the first offers.
-const REFUSAL_SHARE: f64 = 0.13;
-
 /// Further offers after refusals that can be saved up.
 const REFUSAL_RESERVE: f64 = 10.0;
 
@@ -236,7 +233,7 @@
     fn charge(&mut self, cause: OfferCause) -> bool {
         match cause {
             OfferCause::First => {
-                self.refusals.earn(REFUSAL_SHARE);
+                self.refusals.earn(self.plan.refusal_share);
                 true
             }
             OfferCause::Refused => self.refusals.spend(),
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -3,7 +3,7 @@
 use fescueway_core::{LoadReport, MonoTime, NodeId, RefusalReason, TargetRecord, TargetState};
 
 use crate::{
-    pool_view::PoolView,
+    pool_view::{PoolView, report_pace},
     target_phase::{PhaseEvent, TargetPhase},
 };
 
@@ -49,6 +49,10 @@
 /// should it last.
 const SLOWNESS_MEMORY_US: f64 = 2_000_000.0;
 
+/// How long it takes to forget most of a reported pace of work, in microseconds: as long as
+/// neighbours on a VM keep the processor.
+const PACE_MEMORY_US: f64 = 300_000.0;
+
 /// What a pick sees besides the targets.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PickScene<'router> {
@@ -84,8 +88,11 @@
     mean_load: f64,
     /// Requests that the host lets run at once.
     limit: f64,
-    /// Mean time that a request holds a slot, in microseconds; zero when unknown.
+    /// Mean time that a request holds a slot at the usual pace of work, in microseconds; zero when
+    /// unknown.
     service_us: f64,
+    /// The last reported pace of work: how long it takes as a multiple of the usual time.
+    pace: f64,
     /// Recent share of failures among this entry's answers and in the host's report, from 0 to 1.
     failed_share: f64,
     /// Whether its answers are trusted.
@@ -120,6 +127,7 @@
             mean_load: load,
             limit: slots * share,
             service_us: 0.0,
+            pace: pool.pace(),
             failed_share: 0.0,
             phase: TargetPhase::default(),
             is_unreachable: false,
@@ -204,6 +212,7 @@
         self.mean_load += (load - self.mean_load) * MEAN_WEIGHT;
         self.limit = f64::from(report.limit.max(1));
         self.service_us = f64::from(report.service_time_us);
+        self.pace = report_pace(report);
         let failed_share = f64::from(report.failed_permille) / 1_000.0;
         self.failed_share += (failed_share - self.failed_share) * FAILURE_WEIGHT;
         self.is_draining = report.is_draining;
@@ -223,7 +232,8 @@
             2.0 * scene.far_trip_us
         };
         let service_us = self.service_now_us(scene.now, scene.pool);
-        let slower_us = slower_us(scene.pool.service_us(), service_us);
+        let usual_us = scene.pool.service_us() * scene.pool.pace();
+        let slower_us = slower_us(usual_us, service_us);
         trip_us + slower_us + self.wait_us(scene, service_us, noise)
     }
 
@@ -262,7 +272,13 @@
 
     /// Whether its requests are known to take longer than the pool's, or nothing comes back.
     pub(crate) fn is_slow(&self, now: MonoTime, pool: &PoolView) -> bool {
-        self.service_now_us(now, pool) > TOLERATED_SLOWNESS * pool.service_us()
+        self.service_now_us(now, pool) > TOLERATED_SLOWNESS * pool.service_us() * pool.pace()
+    }
+
+    /// The pace of work now: what was reported, drifting to the pool's as the report ages.
+    fn pace_now(&self, now: MonoTime, pool: &PoolView) -> f64 {
+        let memory = decay(elapsed_us(self.reported_at, now), PACE_MEMORY_US);
+        pool.pace() + (self.pace - pool.pace()) * memory
     }
 
     /// Time that a request holds a slot now, in microseconds: what the host reported, the less
@@ -275,6 +291,7 @@
         } else {
             usual_us
         };
+        let known_us = known_us * self.pace_now(now, pool);
         if self.open == 0 {
             return known_us;
         }
