Serve entries while a stopping node lingers; ask for the backend server at start

After a restart a target waited up to 1.5 s for its own next report.

A stopping node is not ready at once, and drains its target only after callers had time to see that. A starting node asks the backend server at its address, which answers with its identity and its load.

--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     DaemonSettings,
-    backend_inquiry::inquire,
+    backend_inquiry::{InquiryAnswer, inquire},
     drain_orders::DrainOrders,
     local_http::{LocalAnswer, LocalRequest, json, text},
     node_adapter::{BackendCall, CallError, CallReader},
@@ -30,6 +30,16 @@
 /// any more, and few are held up.
 const REPORTS_IN_DOUBT: u32 = 3;
 
+/// How often a starting node asks for a backend server that ran on meanwhile. From then on it reports.
+const GREETINGS: u32 = 10;
+
+/// Pause between two such questions.
+const GREETING_PAUSE: Duration = Duration::from_millis(100);
+
+/// Connections for each slot of a backend server that doesn't tell how many it takes. A request needs
+/// one, and one that went bad is replaced while it closes.
+pub const CONNECTIONS_PER_SLOT: u32 = 4;
+
 /// Time within which a backend server has to say whether it takes work.
 const INQUIRY_TIME: Duration = Duration::from_millis(500);
 
@@ -72,6 +82,8 @@
     timeout: Duration,
     /// The only address at which a backend server may be; `None` for any.
     allowed_address: Option<SocketAddr>,
+    /// The service of the backend server here, when the settings tell it.
+    service: Option<ServiceName>,
     /// Reads the calls of the installation's backend servers.
     read_call: Option<CallReader>,
     /// Keeps unreadable calls from flooding the log.
@@ -98,6 +110,7 @@
             orders,
             timeout: settings.announce_timeout,
             allowed_address: settings.backend_address,
+            service: settings.caller_service.clone(),
             read_call,
             unreadable: Arc::new(EventLimit::new(&path::BACKEND_CALL_UNREADABLE)),
             unproved: Arc::default(),
@@ -230,17 +243,83 @@
 
     /// Whether the backend server says that it is the announced one and takes work.
     async fn is_serving(&self, announcement: &BackendAnnouncement) -> bool {
-        let plan = self.state.plan();
-        let Some(service) = plan.services.get(&announcement.service) else {
+        let answer = self.ask(&announcement.service, announcement.address).await;
+        let Some(answer) = answer else {
             return false;
         };
-        let asking = inquire(announcement.address, &service.probe.path);
-        let Ok(Ok(answer)) = timeout(INQUIRY_TIME, asking).await else {
+        answer.status.is_success() && self.identity_in(&answer) == announcement.identity.as_ref()
+    }
+
+    /// What a backend server says of its health, `None` when it says nothing.
+    async fn ask(&self, service: &ServiceName, address: SocketAddr) -> Option<InquiryAnswer> {
+        let plan = self.state.plan();
+        let path = Arc::clone(&plan.services.get(service)?.probe.path);
+        let asking = inquire(address, &path);
+        timeout(INQUIRY_TIME, asking).await.ok()?.ok()
+    }
+
+    /// Which backend server an answer says that it is from.
+    fn identity_in<'a>(&self, answer: &'a InquiryAnswer) -> Option<&'a HeaderValue> {
+        let name = self.state.profile().identity.as_ref();
+        name.and_then(|name| answer.headers.get(name))
+    }
+
+    /// Finds the backend server that ran on while this process was away, sooner than it reports.
+    pub async fn greet(self) {
+        let (Some(address), Some(service)) = (self.allowed_address, self.service.clone()) else {
+            return;
+        };
+        if self.state.profile().identity.is_none() {
+            return;
+        }
+        for _try in 0..GREETINGS {
+            if self.state.host_target(&service).is_some() {
+                return;
+            }
+            if let Some(answer) = self.ask(&service, address).await
+                && self.take_greeting(&service, address, &answer)
+            {
+                return;
+            }
+            sleep(GREETING_PAUSE).await;
+        }
+    }
+
+    /// Takes in how a backend server answered before it reported. Whether that was enough.
+    fn take_greeting(
+        &self,
+        service: &ServiceName,
+        address: SocketAddr,
+        answer: &InquiryAnswer,
+    ) -> bool {
+        let profile = self.state.profile();
+        let load = answer.headers.get(&profile.load);
+        let load = load.zip(profile.read_load);
+        let load = load.and_then(|(field, read)| read(field.as_bytes()));
+        let (Some(identity), Some(load)) = (self.identity_in(answer), load) else {
             return false;
         };
-        let name = self.state.profile().identity.as_ref();
-        let identity = name.and_then(|name| answer.headers.get(name));
-        answer.status.is_success() && identity == announcement.identity.as_ref()
+        let name = identity.to_str().unwrap_or_default();
+        let report = BackendReport {
+            identity: name.to_owned(),
+            born_ms: 0,
+            sequence: 0,
+            is_draining: !answer.status.is_success(),
+        };
+        if load.slots == 0 || self.register().report(&report) != ReportVerdict::Serves {
+            return false;
+        }
+        self.take(&BackendAnnouncement {
+            identity: Some(identity.clone()),
+            warmup_left: Some(Duration::ZERO),
+            ..BackendAnnouncement::new(
+                service.clone(),
+                address,
+                load.slots,
+                load.slots.saturating_mul(CONNECTIONS_PER_SLOT),
+            )
+        });
+        true
     }
 
     /// The identity that is in doubt and its reports so far, locked.
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -175,8 +175,11 @@
             &operator::STOP_BEGAN,
             &[&self.state.open_requests(), &limit.as_millis()],
         );
-        self.orders.drain_node();
+        // Callers that have not seen yet that the node isn't ready are served, and so are entries: the
+        // backend server is out of reach only from the drain on.
+        self.board.change(|facts| facts.is_stopping = true);
         sleep(self.settings.stop_linger.min(limit)).await;
+        self.orders.drain_node();
         self.closing_callers.cancel();
         while !self.is_idle() && start.elapsed() < limit {
             sleep(STOP_POLL).await;
@@ -239,6 +242,7 @@
             &self.settings,
             self.adapter.read_call,
         );
+        tasks.spawn(backends.clone().greet());
         let answer = move |request| backends.answer(&request);
         tasks.spawn(serve_local(
             tasks.clone(),
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -34,6 +34,7 @@
 mod watch_task;
 
 pub use crate::{
+    backend_api::CONNECTIONS_PER_SLOT,
     backend_load::{BackendLoad, LoadError},
     daemon::Daemon,
     daemon_error::{DaemonError, DaemonStep},
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -80,7 +80,8 @@
     /// The node in short.
     /// Whether the node takes new work and can serve it.
     fn ready(&self) -> LocalAnswer {
-        if self.board.facts().is_draining {
+        let facts = self.board.facts();
+        if facts.is_draining || facts.is_stopping {
             return text(StatusCode::SERVICE_UNAVAILABLE, "draining");
         }
         if !self.state.is_configured() {
--- a/crates/fescuewayd/src/status_board.rs
+++ b/crates/fescuewayd/src/status_board.rs
@@ -30,6 +30,8 @@
     pub traffic: TrafficCounts,
     /// Whether operators drain the targets beside this node.
     pub is_draining: bool,
+    /// Whether the node was told to stop.
+    pub is_stopping: bool,
 }
 
 impl StatusBoard {
