Join as soon as seeds are known; refuse low priority that would miss its objective

Under load, hosts let requests of low priority wait until their deadline, so that all of them missed their objective.

- Seeds are tried at once, and every 100 ms for the first ten times.
- A request of low priority is refused if it would miss its objective by waiting; a kind whose service time is known needs less margin.
- `refusal_share` and `slot_share` stay out of the canonical form while they have their defaults, so that digests are those of older versions.

--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -150,6 +150,11 @@
         self.usual_us(now, kind) * (self.pace(now).unwrap_or(1.0) - 1.0).max(0.0)
     }
 
+    /// Whether requests of this kind ended before.
+    pub(crate) fn knows(&self, kind: u64) -> bool {
+        kind != 0 && self.kinds.contains_key(&kind)
+    }
+
     /// Expected time of a request of this kind at the usual pace of work, in microseconds.
     fn usual_us(&self, now: MonoTime, kind: u64) -> f64 {
         match self.kinds.get(&kind) {
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use fescueway_core::{LoadReport, MonoTime, Refusal, RefusalReason, ReportedLoad, RequestTerms};
+use fescueway_core::{
+    LoadReport, MonoTime, Priority, Refusal, RefusalReason, ReportedLoad, RequestTerms,
+};
 
 use crate::{
     GatePlan,
@@ -16,6 +18,10 @@
 /// refused at once: it would too often end after it.
 const QUEUE_MARGIN: f64 = 2.0;
 
+/// The same for a kind of request whose own service times are known: they vary less than those of all
+/// requests together.
+const KNOWN_QUEUE_MARGIN: f64 = 1.25;
+
 /// An offer that could begin at once is refused when its deadline is nearer than this share of
 /// the mean service time.
 const START_MARGIN: f64 = 0.5;
@@ -140,8 +146,7 @@
         }
         let wait_us = self.wait_us(now, self.queue.count_ahead(&offer));
         let wait = Duration::from_micros(wait_us as u64);
-        let margin_us = QUEUE_MARGIN * self.service.expected_us(now, terms.work_kind);
-        if wait_us + margin_us > terms.time_left.as_micros() as f64 {
+        if wait_us + self.queue_margin_us(now, terms) > latest_end_us(terms) {
             return GateResult::Refuse(Self::refusal(RefusalReason::DeadlineTooShort, wait));
         }
         let is_full = self.queue.len() >= Self::queue_capacity(&self.plan);
@@ -249,6 +254,17 @@
         }
     }
 
+    /// Time that an offer which waits needs between the expected end of its wait and its deadline, in
+    /// microseconds.
+    fn queue_margin_us(&self, now: MonoTime, terms: &RequestTerms) -> f64 {
+        let margin = if self.service.knows(terms.work_kind) {
+            KNOWN_QUEUE_MARGIN
+        } else {
+            QUEUE_MARGIN
+        };
+        margin * self.service.expected_us(now, terms.work_kind)
+    }
+
     /// Gives a free slot to an offer, unless its time is nearly over.
     fn start(&mut self, now: MonoTime, ticket: TicketId, terms: &RequestTerms) -> GateResult {
         let margin_us = START_MARGIN * self.service.expected_us(now, terms.work_kind);
@@ -349,3 +365,13 @@
         }
     }
 }
+
+/// Until when an offer that waits has to end, in microseconds from now.
+///
+/// A request of low priority that would miss its objective by waiting is refused at once: served late
+/// it would make those behind it late as well. Others wait up to their deadline.
+fn latest_end_us(terms: &RequestTerms) -> f64 {
+    let objective = terms.objective.filter(|_| terms.priority == Priority::Low);
+    let latest = objective.unwrap_or(terms.time_left).min(terms.time_left);
+    latest.as_micros() as f64
+}
--- a/crates/fescueway_config/src/raw_service.rs
+++ b/crates/fescueway_config/src/raw_service.rs
@@ -83,6 +83,7 @@
     /// Retries and hedges as a share of the successes.
     pub budget_share: Option<Number>,
     /// Further offers after refusals as a share of the first offers.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub refusal_share: Option<Number>,
     /// Offers for one request in all.
     pub max_offers: Option<Number>,
@@ -119,6 +120,7 @@
     /// Longest request body.
     pub max_body_bytes: Option<Number>,
     /// Share of the slots that are used at most.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub slot_share: Option<Number>,
     /// Requests that may wait for each slot.
     pub queue_per_slot: Option<Number>,
--- a/crates/fescueway_config/src/service_check.rs
+++ b/crates/fescueway_config/src/service_check.rs
@@ -62,7 +62,7 @@
             },
             retry: RawRetry {
                 budget_share: rules::RETRY_SHARE.raw(plan.retry.budget_share),
-                refusal_share: rules::REFUSAL_SHARE.raw(plan.retry.refusal_share),
+                refusal_share: unless_default(&rules::REFUSAL_SHARE, plan.retry.refusal_share),
                 max_offers: rules::MAX_OFFERS.raw(plan.retry.max_offers.into()),
                 is_hedging: Some(plan.retry.is_hedging),
             },
@@ -77,7 +77,7 @@
             },
             limit: RawLimit {
                 max_body_bytes: Some(Number::from(plan.limit.max_body_bytes)),
-                slot_share: rules::SLOT_SHARE.raw(plan.limit.slot_share),
+                slot_share: unless_default(&rules::SLOT_SHARE, plan.limit.slot_share),
                 queue_per_slot: rules::QUEUE_PER_SLOT.raw(plan.limit.queue_per_slot),
             },
             locality: RawLocality {
@@ -88,6 +88,13 @@
     }
 }
 
+/// A number that the canonical form leaves out when it is the default, so that the digests of
+/// services that don't use it are those of older versions.
+fn unless_default(rule: &NumberRule, value: f64) -> Option<Number> {
+    let is_default = (value - rule.default).abs() < f64::EPSILON;
+    (!is_default).then(|| rule.raw(value)).flatten()
+}
+
 /// A route with its name, in raw form.
 fn raw_route(route: &RoutePlan) -> (String, RawRoute) {
     let raw = RawRoute {
--- a/crates/fescueway_core/src/load_report.rs
+++ b/crates/fescueway_core/src/load_report.rs
@@ -24,6 +24,7 @@
     pub failed_permille: u16,
     /// How long work takes at the backend server now, as a share of the usual time in 1/1000; zero when
     /// it doesn't tell.
+    #[serde(default)]
     pub work_permille: u32,
     /// Whether the target is leaving and takes no new work.
     pub is_draining: bool,
--- a/crates/fescueway_core/src/request_terms.rs
+++ b/crates/fescueway_core/src/request_terms.rs
@@ -73,6 +73,9 @@
     pub depth: u8,
     /// Digest of the caller's idempotency key, when it sent one.
     pub key: Option<KeyDigest>,
+    /// An answer within this long is in time; later it is worth little to its caller. `None` when no
+    /// objective is set.
+    pub objective: Option<Duration>,
     /// Names requests that take about as long: those of one route. Zero when it isn't known.
     pub work_kind: u64,
     /// Digest of method, path and body start, by which a request that crashes its backend
@@ -109,6 +112,7 @@
             lost_runs: 0,
             depth: 0,
             key: None,
+            objective: None,
             work_kind: 0,
             fingerprint: 0,
         }
--- a/crates/fescueway_membership/src/fleet_join.rs
+++ b/crates/fescueway_membership/src/fleet_join.rs
@@ -12,6 +12,12 @@
 /// Time between two tries to reach a seed.
 const SEED_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time between the first tries: seeds that start together with this node are up within moments.
+const FIRST_SEED_PAUSE: Duration = Duration::from_millis(100);
+
+/// Tries with the short pause.
+const FIRST_TRIES: u8 = 10;
+
 /// Seeds that are tried at once.
 const SEEDS_AT_ONCE: usize = 3;
 
@@ -29,6 +35,8 @@
 pub struct FleetJoin {
     /// `NEVER` when joined.
     next_at: MonoTime,
+    /// Tries to reach a seed so far.
+    tries: u8,
     /// Parts to ask for, by first bucket, with the number of buckets. `None` before the first answer.
     parts: Option<BTreeMap<u8, PartState>>,
 }
@@ -46,10 +54,18 @@
     pub const fn new(now: MonoTime) -> Self {
         Self {
             next_at: now,
+            tries: 0,
             parts: None,
         }
     }
 
+    /// Seeds became known: they are tried at once.
+    pub fn hasten(&mut self, now: MonoTime) {
+        if !self.is_done() {
+            self.next_at = self.next_at.min(now);
+        }
+    }
+
     pub fn restart(&mut self, now: MonoTime) {
         *self = Self::new(now);
     }
@@ -69,7 +85,14 @@
             return;
         }
         if self.pick_live(step).is_none() {
-            self.join.next_at = step.now + SEED_PAUSE;
+            self.join.tries = self.join.tries.saturating_add(1);
+            let is_first = self.join.tries <= FIRST_TRIES;
+            let pause = if is_first {
+                FIRST_SEED_PAUSE
+            } else {
+                SEED_PAUSE
+            };
+            self.join.next_at = step.now + pause;
             for _seed in 0..SEEDS_AT_ONCE {
                 self.ping_seed(step);
             }
--- a/crates/fescueway_membership/src/member_list.rs
+++ b/crates/fescueway_membership/src/member_list.rs
@@ -104,7 +104,7 @@
             MemberEvent::Datagram { from, bytes } => self.on_bytes(&mut step, from, &bytes),
             MemberEvent::Tick => self.on_tick(&mut step),
             MemberEvent::LocalTargets(targets) => self.on_local_targets(now, &targets),
-            MemberEvent::Seeds(seeds) => self.add_seeds(seeds),
+            MemberEvent::Seeds(seeds) => self.add_seeds(now, seeds),
             MemberEvent::Mark(mark) => self.on_own_mark(now, mark),
             MemberEvent::Note { to, body } => self.send_note(&mut step, to, body),
             MemberEvent::TellRecord(nodes) => self.start_notice(&mut step, &nodes),
@@ -234,12 +234,13 @@
         }
     }
 
-    pub(crate) fn add_seeds(&mut self, seeds: Vec<SocketAddr>) {
+    pub(crate) fn add_seeds(&mut self, now: MonoTime, seeds: Vec<SocketAddr>) {
         const MAX_SEEDS: usize = 256;
         for seed in seeds {
             let is_room = self.settings.seeds.len() < MAX_SEEDS;
             if is_room && !self.settings.seeds.contains(&seed) {
                 self.settings.seeds.push(seed);
+                self.join.hasten(now);
             }
         }
     }
--- a/crates/fescueway_membership/src/pause_recovery.rs
+++ b/crates/fescueway_membership/src/pause_recovery.rs
@@ -61,7 +61,7 @@
         self.ring = LiveRing::default();
         self.queue = RumorQueue::default();
         self.queue.push(step.now, own, true);
-        self.add_seeds(seeds);
+        self.add_seeds(step.now, seeds);
         self.deaf_until = step.now + DEAF_TIME;
         self.join.restart(self.deaf_until);
     }
--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -78,6 +78,7 @@
             priority: route.priority,
             offers_left: offers.map_or(plan.retry.max_offers, |own| own.min(plan.retry.max_offers)),
             runs_left: max_runs,
+            objective: route.objective,
             work_kind: text_digest(&route.name),
             depth: self.parent.map_or(0, |parent| parent.depth + 1),
             ..RequestTerms::new(plan.name.clone(), time_left)
