Shorten the goodbye of a stop and the question to a trial's coordinator

Entries also learn of a goodbye by gossip and by the refusal of their next offer, so that the wait is 0.5 s at most; the coordinator has 0.2 s.

--- a/crates/fescueway_proxy/src/entry/entry_server.rs
+++ b/crates/fescueway_proxy/src/entry/entry_server.rs
@@ -82,11 +82,11 @@
     let (serving, counted, taking) = (state.clone(), Arc::clone(&activity), ahead.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let (parts, incoming) = request.into_parts();
-        let begun = taking.take(&parts);
+        let ahead_answer = taking.take(&parts);
         let (state, activity) = (serving.clone(), Arc::clone(&counted));
         async move {
             // An answer that broke down ahead is made again: the request may repeat.
-            if let Some(answer) = begun
+            if let Some(answer) = ahead_answer
                 && let Ok(answer) = answer.await
             {
                 return Ok(answer);
@@ -141,5 +141,5 @@
             return;
         }
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
--- a/crates/fescueway_proxy/src/peer/peer_offer.rs
+++ b/crates/fescueway_proxy/src/peer/peer_offer.rs
@@ -60,7 +60,7 @@
     request: &OfferRequest,
     idle: Duration,
 ) -> Result<OfferAnswer, PeerError> {
-    let frame = encode_frame(&StreamHead::Offer(request.to_head()))
+    let frame = encode_frame(&StreamHead::Offer(Box::new(request.to_head())))
         .map_err(|error| PeerError::new(PeerStep::Open, peer, error))?;
     let mut stream = pool.open(peer).await?;
     send_offer(&mut stream, frame, &request.body)?;
--- a/crates/fescueway_proxy/src/peer/peer_server.rs
+++ b/crates/fescueway_proxy/src/peer/peer_server.rs
@@ -121,7 +121,7 @@
     let reply = PeerReply::new(opener);
     let reading = reader.read(MAX_PAYLOAD_BYTES);
     match timeout(state.limits().header_timeout, reading).await {
-        Ok(Ok(StreamHead::Offer(head))) => serve_offer(&state, head, reader, reply).await,
+        Ok(Ok(StreamHead::Offer(head))) => serve_offer(&state, *head, reader, reply).await,
         Ok(Ok(StreamHead::Control(request))) => {
             let mut reply = reply;
             let answer = state.controls().answer(peer, request).await;
--- a/crates/fescueway_wire/src/control_message.rs
+++ b/crates/fescueway_wire/src/control_message.rs
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StreamHead {
     /// A request is offered; its body follows.
-    Offer(crate::OfferHead),
+    Offer(Box<crate::OfferHead>),
     /// A control message, whole.
     Control(ControlRequest),
 }
--- a/crates/fescueway_wire/tests/frames.rs
+++ b/crates/fescueway_wire/tests/frames.rs
@@ -20,7 +20,7 @@
 fn offer_head() -> StreamHead {
     let mut fields = HeaderMap::new();
     fields.insert("accept", HeaderValue::from_static("text/plain"));
-    StreamHead::Offer(OfferHead {
+    StreamHead::Offer(Box::new(OfferHead {
         entry: NodeId(1),
         host: NodeId(2),
         terms: RequestTerms::new("windows".into(), Duration::from_secs(1)),
@@ -29,7 +29,7 @@
         authority: HeaderValue::from_static("windows.example"),
         headers: HeaderList::new(fields),
         is_body_held: false,
-    })
+    }))
 }
 
 #[test]
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -48,7 +48,7 @@
 const GOODBYE_TIME: Duration = Duration::from_millis(100);
 
 /// Time in which entries that sent requests lately may acknowledge the goodbye.
-const MOST_GOODBYE_TIME: Duration = Duration::from_millis(1_500);
+const MOST_GOODBYE_TIME: Duration = Duration::from_millis(500);
 
 /// One running node. Dropping it leaves it running; [`Daemon::stop`] ends it in order.
 #[derive(Debug)]
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -56,6 +56,18 @@
     bytes: Arc<[u8]>,
 }
 
+impl HeldDocument {
+    /// Takes a version unless it is older. Whether it did.
+    fn replace(&mut self, version: u64, bytes: &[u8]) -> bool {
+        let is_newer = version > self.version;
+        if is_newer {
+            self.version = version;
+            self.bytes = bytes.into();
+        }
+        is_newer
+    }
+}
+
 impl DocumentTask {
     /// Starts to keep the document in force.
     pub fn start(
@@ -188,13 +200,9 @@
                 return false;
             }
         };
-        {
-            let mut held = self.held();
-            if version <= held.version {
-                return true;
-            }
-            held.version = version;
-            held.bytes = bytes.into();
+        let is_newer = self.held().replace(version, bytes);
+        if !is_newer {
+            return true;
         }
         let services = plan.services.len();
         self.proxy.apply_plan(Arc::new(plan));
--- a/crates/fescuewayd/src/suspect_task.rs
+++ b/crates/fescuewayd/src/suspect_task.rs
@@ -23,7 +23,7 @@
 };
 
 /// How long another host may take to answer.
-const CALL_TIME: Duration = Duration::from_millis(500);
+const CALL_TIME: Duration = Duration::from_millis(200);
 
 /// A backend server that takes no connection within this long after a loss has crashed.
 const RECONNECT_TIME: Duration = Duration::from_millis(250);
--- a/crates/fescuewayd/tests/path/stopping.rs
+++ b/crates/fescuewayd/tests/path/stopping.rs
@@ -108,7 +108,7 @@
     let mut sender = sender.ready().await.expect("a stream");
     let opening = Request::post("http://fescueway/").body(()).expect("valid");
     let (response, mut stream) = sender.send_request(opening, false).expect("a stream");
-    let head = StreamHead::Offer(OfferHead {
+    let head = StreamHead::Offer(Box::new(OfferHead {
         entry: NodeId(1),
         host: nodes.host.state().node(),
         terms: RequestTerms::new("windows".into(), DEADLINE),
@@ -117,7 +117,7 @@
         authority: HeaderValue::from_static("a"),
         headers: HeaderList::default(),
         is_body_held: false,
-    });
+    }));
     let frame = encode_frame(&head).expect("a small head");
     stream
         .send_data(frame.into(), true)
