Ask a target for the pace of work while no answer tells it

Cause: a disturbed target is refused work, so that no answer tells when it is over; after 300 ms all that came was let in until the first of it answered. Targets with little work told their pace too late.

A disturbed target needs no trial any more. Entries in the store are renewed every 2 s, so that one that was taken away is back by then.

--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -49,7 +49,7 @@
 
 /// How long a report of the pace of work holds. Neighbours come and go within some hundred
 /// milliseconds.
-const PACE_LIFE: Duration = Duration::from_millis(300);
+pub(crate) const PACE_LIFE: Duration = Duration::from_millis(300);
 
 /// How long requests of one kind hold a slot.
 #[derive(Clone, Copy, Debug, Default)]
@@ -139,6 +139,11 @@
         (now.since(since) < PACE_LIFE).then_some(pace)
     }
 
+    /// The pace that was last told, and when.
+    pub(crate) fn told_pace(&self) -> Option<(f64, MonoTime)> {
+        self.pace
+    }
+
     /// Expected time of a request of this kind that begins now, in microseconds.
     pub(crate) fn expected_us(&self, now: MonoTime, kind: u64) -> f64 {
         self.usual_us(now, kind) * self.pace(now).unwrap_or(1.0)
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -9,7 +9,7 @@
 use crate::{
     GatePlan,
     concurrency_limit::ConcurrencyLimit,
-    service_estimate::ServiceEstimate,
+    service_estimate::{PACE_LIFE, ServiceEstimate},
     slow_start::SlowStart,
     wait_queue::{QueuedOffer, WaitQueue},
 };
@@ -136,6 +136,9 @@
         if self.is_draining {
             return GateResult::Refuse(Self::draining());
         }
+        if self.is_disturbed(now, terms) {
+            return GateResult::Refuse(Self::refusal(RefusalReason::QueueFull, PACE_LIFE));
+        }
         if self.is_better_elsewhere(now, terms) && !self.take_trial(now) {
             let wait = Duration::from_micros(self.service.straggler_us(now) as u64);
             return GateResult::Refuse(Self::refusal(RefusalReason::QueueFull, wait));
@@ -296,17 +299,27 @@
         actions
     }
 
+    /// Whether neighbours on the VM make a request take so much longer now that the entry should look
+    /// elsewhere. The backend server tells when that is over, so that no trial is needed.
+    fn is_disturbed(&self, now: MonoTime, terms: &RequestTerms) -> bool {
+        let slower_us = self.service.disturbance_us(now, terms.work_kind);
+        terms.wait_limit < terms.time_left && slower_us > terms.wait_limit.as_micros() as f64
+    }
+
+    /// The pace of work that the backend server last told, as a multiple of the usual time, and when.
+    #[must_use]
+    pub fn told_pace(&self) -> Option<(f64, MonoTime)> {
+        self.service.told_pace()
+    }
+
     /// Whether the entry knows a better target than this one, which is a straggler or fails most
     /// of what it runs.
     fn is_better_elsewhere(&self, now: MonoTime, terms: &RequestTerms) -> bool {
         if terms.wait_limit >= terms.time_left {
             return false;
         }
-        let slower_us = self
-            .service
-            .straggler_us(now)
-            .max(self.service.disturbance_us(now, terms.work_kind));
-        self.service.is_failing() || slower_us > terms.wait_limit.as_micros() as f64
+        let straggler_us = self.service.straggler_us(now);
+        self.service.is_failing() || straggler_us > terms.wait_limit.as_micros() as f64
     }
 
     /// Whether such a target should run a request all the same, so that the end of the trouble is
--- a/crates/fescueway_admission/tests/gate.rs
+++ b/crates/fescueway_admission/tests/gate.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use fescueway_admission::{GateAction, GatePlan, GateResult, RunEnd, TargetGate, TicketId};
-use fescueway_core::{MonoTime, Priority, RefusalReason, RequestTerms};
+use fescueway_core::{MonoTime, Priority, RefusalReason, ReportedLoad, RequestTerms};
 use quickcheck::{QuickCheck, TestResult};
 
 fn millis(value: u64) -> MonoTime {
@@ -278,3 +278,95 @@
         .tests(300)
         .quickcheck(check as fn(Vec<GateStep>, u8) -> TestResult);
 }
+
+/// Runs `count` requests of a kind, each for `held_ms`.
+fn learn_kind(gate: &mut TargetGate, kind: u64, held_ms: u64, count: u64) {
+    for index in 0..count {
+        let ticket = TicketId(50_000 + kind * 1_000 + index);
+        let start = millis(index * held_ms);
+        let long = RequestTerms {
+            work_kind: kind,
+            ..terms(Priority::Normal, 60_000)
+        };
+        assert_eq!(gate.offer(start, ticket, &long), GateResult::Run);
+        gate.finish(millis((index + 1) * held_ms), ticket, RunEnd::Answered);
+    }
+}
+
+#[test]
+fn a_short_kind_is_not_refused_for_the_time_that_a_long_one_takes() {
+    let mut gate = warm_gate(1);
+    learn_kind(&mut gate, 1, 640, 20);
+    learn_kind(&mut gate, 2, 40, 20);
+    let call = |kind| RequestTerms {
+        work_kind: kind,
+        ..terms(Priority::Normal, 150)
+    };
+    let now = millis(20_000);
+    assert_eq!(gate.offer(now, TicketId(1), &call(2)), GateResult::Run);
+    gate.finish(millis(20_040), TicketId(1), RunEnd::Answered);
+    let long = gate.offer(millis(20_050), TicketId(2), &call(1));
+    assert!(matches!(long, GateResult::Refuse(_)), "{long:?}");
+}
+
+#[test]
+fn a_disturbed_target_refuses_what_is_better_placed_elsewhere_until_it_is_over() {
+    let mut gate = warm_gate(4);
+    learn_kind(&mut gate, 1, 100, 20);
+    let slow = ReportedLoad {
+        running: 0,
+        waiting: 0,
+        slots: 4,
+        work_permille: Some(4_000),
+    };
+    let now = millis(10_000);
+    gate.learn_load(now, &slow);
+    let choosy = RequestTerms {
+        work_kind: 1,
+        wait_limit: Duration::from_millis(40),
+        ..terms(Priority::Normal, 2_000)
+    };
+    assert_eq!(gate.report(millis(10_010)).work_permille, 4_000);
+    let refused = gate.offer(millis(10_020), TicketId(2), &choosy);
+    assert!(matches!(refused, GateResult::Refuse(_)), "{refused:?}");
+    let last_resort = terms(Priority::Normal, 2_000);
+    assert_eq!(
+        gate.offer(millis(10_020), TicketId(3), &last_resort),
+        GateResult::Run
+    );
+    assert_eq!(
+        gate.offer(millis(10_400), TicketId(4), &choosy),
+        GateResult::Run
+    );
+}
+
+#[test]
+fn low_priority_is_refused_when_waiting_would_miss_its_objective() {
+    let mut gate = warm_gate(1);
+    learn_kind(&mut gate, 1, 100, 20);
+    let request = |priority| RequestTerms {
+        work_kind: 1,
+        objective: Some(Duration::from_millis(150)),
+        ..terms(priority, 2_000)
+    };
+    let now = millis(10_000);
+    assert_eq!(
+        gate.offer(now, TicketId(1), &request(Priority::Low)),
+        GateResult::Run
+    );
+    let low = gate.offer(now, TicketId(2), &request(Priority::Low));
+    assert!(matches!(low, GateResult::Refuse(_)), "{low:?}");
+    let normal = gate.offer(now, TicketId(3), &request(Priority::Normal));
+    assert_eq!(normal, GateResult::Wait);
+}
+
+#[test]
+fn part_of_the_slots_stays_free_where_the_plan_says_so() {
+    let mut gate = warm_gate(9);
+    gate.set_slot_share(0.8);
+    let now = millis(10);
+    let long = terms(Priority::Normal, 60_000);
+    let results = (0..9).map(|ticket| gate.offer(now, TicketId(ticket), &long));
+    let running = results.filter(|result| *result == GateResult::Run).count();
+    assert_eq!(running, 7);
+}
--- a/crates/fescueway_proxy/src/host/host_target.rs
+++ b/crates/fescueway_proxy/src/host/host_target.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use fescueway_admission::{GateAction, GatePlan, GateResult, RunEnd, TargetGate, TicketId};
@@ -138,6 +139,14 @@
         self.state().gate.learn_load(self.clock.now(), load);
     }
 
+    /// The pace of work that the backend server last told, as a multiple of the usual time, and how long
+    /// ago; `None` when it never did.
+    #[must_use]
+    pub fn told_pace(&self) -> Option<(f64, Duration)> {
+        let (pace, since) = self.state().gate.told_pace()?;
+        Some((pace, self.clock.now().since(since)))
+    }
+
     /// Whether nothing runs and nothing waits.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -39,7 +39,7 @@
 pub use crate::{
     accept_loop::AcceptLoop,
     backend_announcement::BackendAnnouncement,
-    edge_profile::{AnswerVerdict, EdgeProfile},
+    edge_profile::{AnswerVerdict, EdgeProfile, LoadReader},
     entry::serve_callers,
     host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunPermit, RunStop},
     mono_clock::MonoClock,
--- a/crates/fescueway_routing/src/split_counter.rs
+++ b/crates/fescueway_routing/src/split_counter.rs
@@ -1,7 +1,7 @@
 //! Which of several services gets a route's next request.
 
-/// Deals requests out by weight: after any number of them each part is within one request of its
-/// share.
+/// Deals requests out by weight: after any number of them each part is off its share by no more
+/// requests than there are parts.
 ///
 /// ```
 /// # use fescueway_routing::SplitCounter;
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -29,6 +29,7 @@
     node_adapter::NodeAdapter,
     node_meter::NodeMeter,
     operator_api::OperatorApi,
+    pace_task::PaceTask,
     probe_task::ProbeTask,
     rollout_task::run_rollout,
     run_rules::RunRules,
@@ -297,6 +298,7 @@
             probes: ProbeTask::start(&self.state, self.meter.metrics()),
         };
         rules.install(&self.state);
+        PaceTask::start(&self.state);
         if let Some(claims) = claims {
             // Nobody else starts the claims, so that they are set once.
             let _ = self.claims.set(claims);
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -21,6 +21,7 @@
 mod node_meter;
 mod node_process;
 mod operator_api;
+mod pace_task;
 mod probe_task;
 mod raw_settings;
 mod rollout_task;
--- a/crates/fescuewayd/src/seed_task.rs
+++ b/crates/fescuewayd/src/seed_task.rs
@@ -21,8 +21,9 @@
 /// a whole fleet that restarts finds its old entries at the same addresses.
 const SEED_LIFE: Duration = Duration::from_secs(30);
 
-/// Time between two renewals: a third of the entry's life, so that two may fail.
-const RENEWAL_PERIOD: Duration = Duration::from_secs(10);
+/// Time between two renewals, after which an entry that the store took away is written again. The store
+/// counts a renewal as a tenth of a read.
+const RENEWAL_PERIOD: Duration = Duration::from_secs(2);
 
 /// How often a node that knows no other looks again.
 const LONELY_PERIOD: Duration = Duration::from_secs(2);
