--- a/crates/fescueway_proxy/src/entry/entry_server.rs
+++ b/crates/fescueway_proxy/src/entry/entry_server.rs
@@ -22,6 +22,7 @@
     proxy_state::ProxyState,
     socket_options::set_socket_options,
     task_group::TaskGroup,
+    watched_socket::WatchedSocket,
 };
 
 /// Header fields of one request at most.
@@ -76,6 +77,7 @@
         return emit(&path::CALLER_FAILED, &[&caller, &error]);
     }
     let (ahead, reader, socket) = ReadAhead::split(socket, state.limits().header_bytes);
+    let socket = WatchedSocket::new(socket);
     let activity = Arc::new(ConnectionActivity::new(socket.blocked()));
     let begin = |parts: &Parts| begin_ahead(&state, parts, caller, &activity);
     let reading = ahead.run(reader, || activity.has_requests(), begin);
--- a/crates/fescueway_proxy/src/entry/read_ahead.rs
+++ b/crates/fescueway_proxy/src/entry/read_ahead.rs
@@ -6,19 +6,16 @@
 
 use std::{
     collections::BTreeMap,
-    io::{IoSlice, Result as IoResult},
+    io::Result as IoResult,
     pin::Pin,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, Waker},
 };
 
 use bytes::{Buf, BytesMut};
 use http::{Response, request::Parts};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, Join, ReadBuf, join},
     net::{
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -77,16 +74,12 @@
     is_stopped: bool,
 }
 
-/// The socket as the HTTP library sees it.
+/// Reads what was read ahead.
 #[derive(Debug)]
-pub struct AheadSocket {
-    /// Where bytes come from.
-    ahead: ReadAhead,
-    /// Where bytes go.
-    writer: OwnedWriteHalf,
-    /// Whether bytes wait to be written.
-    is_blocked: Arc<AtomicBool>,
-}
+pub struct AheadReader(ReadAhead);
+
+/// The socket as the HTTP library sees it.
+pub type AheadSocket = Join<AheadReader, OwnedWriteHalf>;
 
 impl ReadAhead {
     /// Splits a new connection whose heads have at most `head_bytes`.
@@ -106,11 +99,7 @@
             room: Notify::new(),
             drained: Notify::new(),
         }));
-        let socket = AheadSocket {
-            ahead: ahead.clone(),
-            writer,
-            is_blocked: Arc::default(),
-        };
+        let socket = join(AheadReader(ahead.clone()), writer);
         (ahead, reader, socket)
     }
 
@@ -212,27 +201,13 @@
     }
 }
 
-impl AheadSocket {
-    /// Tells whether bytes wait to be written.
-    pub fn blocked(&self) -> Arc<AtomicBool> {
-        Arc::clone(&self.is_blocked)
-    }
-
-    /// Notes whether a write was taken.
-    fn note<T>(&self, written: Poll<T>) -> Poll<T> {
-        let is_blocked = written.is_pending();
-        self.is_blocked.store(is_blocked, Ordering::Relaxed);
-        written
-    }
-}
-
-impl AsyncRead for AheadSocket {
+impl AsyncRead for AheadReader {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<IoResult<()>> {
-        let mut state = self.ahead.state();
+        let mut state = self.0.state();
         if state.pending.is_empty() {
             if state.is_ended {
                 return Poll::Ready(Ok(()));
@@ -248,39 +223,7 @@
             state.pending = BytesMut::new();
         }
         drop(state);
-        self.ahead.0.room.notify_one();
+        self.0.0.room.notify_one();
         Poll::Ready(Ok(()))
     }
 }
-
-impl AsyncWrite for AheadSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<IoResult<usize>> {
-        let written = Pin::new(&mut self.writer).poll_write(cx, buf);
-        self.note(written)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[IoSlice<'_>],
-    ) -> Poll<IoResult<usize>> {
-        let written = Pin::new(&mut self.writer).poll_write_vectored(cx, bufs);
-        self.note(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.writer.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<IoResult<()>> {
-        Pin::new(&mut self.writer).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<IoResult<()>> {
-        Pin::new(&mut self.writer).poll_shutdown(cx)
-    }
-}
--- a/crates/fescueway_proxy/src/watched_socket.rs
+++ b/crates/fescueway_proxy/src/watched_socket.rs
@@ -10,24 +10,21 @@
     task::{Context, Poll},
 };
 
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// A socket that tells whether bytes wait to be written since the other side takes none.
 #[derive(Debug)]
-pub struct WatchedSocket {
+pub struct WatchedSocket<S> {
     /// The socket.
-    socket: TcpStream,
+    socket: S,
     /// Whether the last write had to wait.
     is_blocked: Arc<AtomicBool>,
 }
 
-impl WatchedSocket {
+impl<S> WatchedSocket<S> {
     /// Watches `socket`.
     #[must_use]
-    pub fn new(socket: TcpStream) -> Self {
+    pub fn new(socket: S) -> Self {
         Self {
             socket,
             is_blocked: Arc::default(),
@@ -48,7 +45,7 @@
     }
 }
 
-impl AsyncRead for WatchedSocket {
+impl<S: AsyncRead + Unpin> AsyncRead for WatchedSocket<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -58,7 +55,7 @@
     }
 }
 
-impl AsyncWrite for WatchedSocket {
+impl<S: AsyncWrite + Unpin> AsyncWrite for WatchedSocket<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
