Let watchers try a store that is away every two seconds

Cause, found by reading: the pauses of all nodes grew to 30 s, so that after an outage of 9 s a watcher could be away for 6 s more. Ordinary nodes keep the long pause. The new test fails without the change: the pause reaches 4 s at the fourth failure.

--- a/crates/fescueway_platform/src/store_pacer.rs
+++ b/crates/fescueway_platform/src/store_pacer.rs
@@ -8,9 +8,13 @@
 /// Pause after the first failure, before jitter.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 
-/// Longest pause between two tries while the store doesn't answer, before jitter.
+/// Longest pause between two tries of an ordinary node while the store doesn't answer, before jitter.
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 
+/// The same for a watcher: a change that was made meanwhile has to be in force within seconds of the
+/// store's return, and watchers are few.
+const LONGEST_WATCHER_PAUSE: Duration = Duration::from_secs(2);
+
 /// How often one node may call the store: a budget while it answers, jittered and growing pauses
 /// while it doesn't.
 ///
@@ -30,6 +34,8 @@
     bucket: TokenBucket,
     /// Failures in a row.
     failures: u32,
+    /// Longest pause between two tries while the store doesn't answer, before jitter.
+    longest_pause: Duration,
     /// No call before this.
     opens_at: MonoTime,
 }
@@ -38,19 +44,20 @@
     /// For a node without a part in watching the store.
     #[must_use]
     pub const fn for_node(now: MonoTime) -> Self {
-        Self::new(now, 5.0, 0.2)
+        Self::new(now, 5.0, 0.2, LONGEST_PAUSE)
     }
 
     /// For a node that watches the store for its failure domain.
     #[must_use]
     pub const fn for_watcher(now: MonoTime) -> Self {
-        Self::new(now, 20.0, 4.0)
+        Self::new(now, 20.0, 4.0, LONGEST_WATCHER_PAUSE)
     }
 
-    const fn new(now: MonoTime, burst: f64, refill_per_s: f64) -> Self {
+    const fn new(now: MonoTime, burst: f64, refill_per_s: f64, longest_pause: Duration) -> Self {
         Self {
             bucket: TokenBucket::full(now, burst, refill_per_s),
             failures: 0,
+            longest_pause,
             opens_at: now,
         }
     }
@@ -58,6 +65,7 @@
     /// Changes the budget to that of `role`, keeping what is known of the store.
     pub const fn set_role(&mut self, role: &Self) {
         self.bucket.set_rate(&role.bucket);
+        self.longest_pause = role.longest_pause;
     }
 
     /// Takes one call from the budget.
@@ -86,7 +94,7 @@
         const MOST_DOUBLINGS: u32 = 6;
         let doublings = self.failures.min(MOST_DOUBLINGS);
         self.failures = self.failures.saturating_add(1);
-        let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
+        let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(self.longest_pause);
         let share = f64::from(random.next_u32()) / f64::from(u32::MAX);
         self.opens_at = now + pause.mul_f64(0.5 + share / 2.0);
     }
--- a/crates/fescueway_platform/tests/pacing.rs
+++ b/crates/fescueway_platform/tests/pacing.rs
@@ -75,3 +75,24 @@
     let opens_at = refused.unwrap();
     assert!(opens_at.since(later) <= Duration::from_secs(5));
 }
+
+#[test]
+fn a_watcher_is_back_within_two_seconds_of_the_stores_return() {
+    let mut random = Pcg64Mcg::new(9);
+    let mut pacer = StorePacer::for_node(MonoTime::ZERO);
+    pacer.set_role(&StorePacer::for_watcher(MonoTime::ZERO));
+    let mut now = MonoTime::ZERO;
+    for _failure in 0..40 {
+        match pacer.try_call(now) {
+            Ok(()) => pacer.on_failure(now, &mut random),
+            Err(opens_at) => {
+                assert!(opens_at.since(now) <= Duration::from_secs(2));
+                now = opens_at;
+            }
+        }
+    }
+    assert!(
+        now > MonoTime::from_micros(15_000_000),
+        "an outage of {now:?} only"
+    );
+}
