Take requests of no known kind for what all requests take, as before

Requests without a kind were learned as a kind of their own, with a shorter memory, and their margin at the start followed the stalled mean. Requests of the platform all have a kind and are not touched.

--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -157,15 +157,13 @@
 
     /// Whether requests of this kind ended before.
     pub(crate) fn knows(&self, kind: u64) -> bool {
-        kind != 0 && self.kinds.contains_key(&kind)
+        self.kinds.contains_key(&kind)
     }
 
     /// Expected time of a request of this kind at the usual pace of work, in microseconds.
     fn usual_us(&self, now: MonoTime, kind: u64) -> f64 {
-        match self.kinds.get(&kind) {
-            Some(known) if known.count > 0 => known.mean_us,
-            _ => self.mean_us(now),
-        }
+        let known = self.kinds.get(&kind);
+        known.map_or_else(|| self.mean_us(now), |known| known.mean_us)
     }
 
     /// Requests that hold a slot.
@@ -217,7 +215,8 @@
 
     /// Learns how long a kind takes.
     fn learn_kind(&mut self, ended: EndedRun) {
-        if self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(&ended.kind) {
+        let is_new = !self.kinds.contains_key(&ended.kind);
+        if ended.kind == 0 || (is_new && self.kinds.len() >= MAX_KINDS) {
             return;
         }
         let known = self.kinds.entry(ended.kind).or_default();
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -270,7 +270,11 @@
 
     /// Gives a free slot to an offer, unless its time is nearly over.
     fn start(&mut self, now: MonoTime, ticket: TicketId, terms: &RequestTerms) -> GateResult {
-        let margin_us = START_MARGIN * self.service.expected_us(now, terms.work_kind);
+        let margin_us = if self.service.knows(terms.work_kind) {
+            START_MARGIN * self.service.expected_us(now, terms.work_kind)
+        } else {
+            self.start_margin().as_micros() as f64
+        };
         if (terms.time_left.as_micros() as f64) <= margin_us {
             let refusal = Self::refusal(RefusalReason::DeadlineTooShort, Duration::ZERO);
             return GateResult::Refuse(refusal);
