Give the product's own files words for shared routes, objectives and runs

Cause: routes with weights, an objective or a number of runs came from an installation's document only; base files and overlays could not say them, and the digest of a route's name was computed for each request. Now a route has objective_ms, max_runs and weights, and a service that only weights lead to needs no path prefixes. The site's check finds a weight that names no service and a service that nothing leads to. Fields at their default stay out of the canonical form: the pinned digest is unchanged. The work kind is part of the route's plan. Ruled out: routes of hosts apart from services in these files; `hosts` of a service with `routes` below it says the same. Before: the words did not exist (unknown field).

--- a/crates/fescueway_config/src/raw_service.rs
+++ b/crates/fescueway_config/src/raw_service.rs
@@ -62,6 +62,15 @@
     /// How long a caller waits.
     #[serde(default)]
     pub deadline_ms: Option<Number>,
+    /// What in time means.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub objective_ms: Option<Number>,
+    /// Targets that may run one request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_runs: Option<Number>,
+    /// Services that share the requests, each with its weight.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub weights: BTreeMap<String, Number>,
 }
 
 /// How the backend servers are probed.
--- a/crates/fescueway_config/src/service_check.rs
+++ b/crates/fescueway_config/src/service_check.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     ClaimPlan, FieldFault, LimitPlan, LocalityPlan, NumberRule, ObjectivePlan, ProbePlan,
-    RetryPlan, RoutePlan, ServicePlan, StoredService, TextRule,
+    RetryPlan, RoutePlan, ServicePlan, StoredService, TextRule, WeightedService,
     raw_service::{
         RawClaim, RawDefaultRoute, RawLimit, RawLocality, RawObjective, RawProbe, RawRetry,
         RawRoute, RawService,
@@ -103,10 +103,20 @@
         idempotency: route.idempotency,
         priority: Some(route.priority),
         deadline_ms: millis(&rules::DEFAULT_DEADLINE, route.deadline),
+        objective_ms: route
+            .objective
+            .and_then(|objective| millis(&rules::OBJECTIVE_LATENCY, objective)),
+        max_runs: route.max_runs.map(Number::from),
+        weights: route.split.iter().map(raw_weight).collect(),
     };
     (route.name.to_string(), raw)
 }
 
+/// One service's part of a route's requests, in raw form.
+fn raw_weight(part: &WeightedService) -> (String, Number) {
+    (part.service.as_str().to_owned(), Number::from(part.weight))
+}
+
 /// Shared texts as owned ones.
 fn texts(shared: &[Arc<str>]) -> Vec<String> {
     shared.iter().map(ToString::to_string).collect()
@@ -158,12 +168,9 @@
     hosts.collect()
 }
 
-/// The path prefixes, of which there has to be one.
+/// The path prefixes, each checked.
 fn path_prefixes(scope: &str, raw: &[String]) -> Result<Vec<Arc<str>>, FieldFault> {
     let field = format!("{scope}.{}", rules::PATH_PREFIXES.field);
-    if raw.is_empty() {
-        return Err(FieldFault::new(field, "none", rules::PATH_PREFIXES.allowed));
-    }
     let prefixes = raw.iter().enumerate().map(|(index, prefix)| {
         let path = format!("{field}[{index}]");
         checked_text(path, prefix, &rules::PATH_PREFIXES, is_path)
@@ -176,6 +183,7 @@
     let deadline = rules::DEFAULT_DEADLINE.check(scope, raw.deadline_ms.as_ref())?;
     Ok(RoutePlan {
         name: "".into(),
+        work_kind: RoutePlan::kind_of(scope, ""),
         method: None,
         path_prefix: "/".into(),
         idempotency: raw.idempotency.unwrap_or(Idempotency::NonIdempotent),
@@ -195,7 +203,11 @@
 ) -> Result<Vec<RoutePlan>, FieldFault> {
     let routes = raw.iter().map(|(name, raw)| {
         let path = format!("{scope}.routes.{name}");
-        route(&path, name, raw, fallback)
+        let route = checked_route(&path, name, raw, fallback)?;
+        Ok(RoutePlan {
+            work_kind: RoutePlan::kind_of(scope, name),
+            ..route
+        })
     });
     let mut routes = routes.collect::<Result<Vec<_>, _>>()?;
     routes.sort_by_key(|route| (Reverse(route.path_prefix.len()), route.method.is_none()));
@@ -222,7 +234,7 @@
 }
 
 /// One route; what it does not give is as in `fallback`.
-fn route(
+fn checked_route(
     path: &str,
     name: &str,
     raw: &RawRoute,
@@ -246,19 +258,40 @@
         }
         None => fallback.deadline,
     };
+    let objective = raw.objective_ms.as_ref().map(|number| {
+        rules::OBJECTIVE_LATENCY.check_at(format!("{path}.objective_ms"), Some(number))
+    });
+    let runs = raw
+        .max_runs
+        .as_ref()
+        .map(|number| rules::MAX_OFFERS.check_at(format!("{path}.max_runs"), Some(number)));
     Ok(RoutePlan {
         name: name.as_str().into(),
+        work_kind: fallback.work_kind,
         method: method.transpose()?,
         path_prefix: checked_text(prefix_path, &raw.path_prefix, &rules::ROUTE_PREFIX, is_path)?,
         idempotency: raw.idempotency,
         priority: raw.priority.unwrap_or(fallback.priority),
         deadline,
-        objective: None,
-        max_runs: None,
-        split: Vec::new(),
+        objective: objective
+            .transpose()?
+            .map(|objective| Duration::from_millis(objective as u64)),
+        max_runs: runs.transpose()?.map(|runs| runs as u8),
+        split: split(path, &raw.weights)?,
     })
 }
 
+/// The services that share a route's requests. Whether they exist is checked with the whole site.
+fn split(path: &str, raw: &BTreeMap<String, Number>) -> Result<Vec<WeightedService>, FieldFault> {
+    let parts = raw.iter().map(|(name, weight)| {
+        let path = format!("{path}.weights.{name}");
+        let service = checked_name(path.clone(), name)?;
+        let weight = rules::WEIGHT.check_at(path, Some(weight))? as u32;
+        Ok(WeightedService { service, weight })
+    });
+    parts.collect()
+}
+
 /// How the backend servers are probed.
 fn probe(scope: &str, raw: &RawProbe) -> Result<ProbePlan, FieldFault> {
     let path = raw.path.as_deref().unwrap_or("/load");
--- a/crates/fescueway_config/src/service_plan.rs
+++ b/crates/fescueway_config/src/service_plan.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fescueway_core::{Idempotency, Priority, ServiceName};
+use fescueway_core::{Idempotency, Priority, ServiceName, byte_digest};
 
 /// The checked configuration of one service at one site.
 #[derive(Clone, Debug, PartialEq)]
@@ -11,7 +11,8 @@
     pub name: ServiceName,
     /// Values of the `Host` header that belong to the service; empty means all.
     pub hosts: Vec<Arc<str>>,
-    /// Path prefixes that belong to the service, each starting with `/`. Never empty.
+    /// Path prefixes that belong to the service, each starting with `/`. Empty when only routes of
+    /// other services send requests here.
     pub path_prefixes: Vec<Arc<str>>,
     /// Rules for single routes; the first that matches applies. The longest prefix comes first, and
     /// of equal prefixes those with a method.
@@ -37,6 +38,9 @@
 pub struct RoutePlan {
     /// The name that operators gave it, empty for the default route.
     pub name: Arc<str>,
+    /// Digest of the name and of the service it belongs to, equal at every node: requests of one
+    /// route take about as long.
+    pub work_kind: u64,
     /// The method, `None` for all.
     pub method: Option<Arc<str>>,
     /// Requests whose path starts with this belong to the route.
@@ -158,6 +162,14 @@
 }
 
 impl RoutePlan {
+    /// The [`RoutePlan::work_kind`] of a route; `scope` is the service that it belongs to, empty for
+    /// a route of a host.
+    #[must_use]
+    pub fn kind_of(scope: &str, name: &str) -> u64 {
+        let parts = [scope.as_bytes(), name.as_bytes()];
+        byte_digest(parts.into_iter().flat_map(|part| part.iter().chain(&[0])))
+    }
+
     /// Whether a request of this method and path belongs to the route.
     #[must_use]
     pub fn is_match(&self, method: &str, path: &str) -> bool {
--- a/crates/fescueway_config/src/service_rules.rs
+++ b/crates/fescueway_config/src/service_rules.rs
@@ -11,7 +11,7 @@
 
 pub(crate) const PATH_PREFIXES: TextRule = TextRule {
     field: "path_prefixes",
-    default: "none, required",
+    default: "none, required unless `weights` of a route name the service",
     allowed: "one or more paths that start with `/`, without `?`, `#` or spaces",
     meaning: "Paths that belong to the service, by whole segments. The longest prefix of all \
               services wins.",
@@ -77,6 +77,38 @@
     meaning: "How long a caller waits for the first byte of the answer.",
 };
 
+pub(crate) const ROUTE_OBJECTIVE: TextRule = TextRule {
+    field: "routes.NAME.objective_ms",
+    default: "as `objective.latency_ms`",
+    allowed: "as `objective.latency_ms`",
+    meaning: "An answer is in time when its first byte leaves within this long.",
+};
+
+pub(crate) const ROUTE_RUNS: TextRule = TextRule {
+    field: "routes.NAME.max_runs",
+    default: "as `retry.max_offers`",
+    allowed: "as `retry.max_offers`",
+    meaning: "Targets that may run one request of the route. Refused offers don't count.",
+};
+
+pub(crate) const ROUTE_WEIGHTS: TextRule = TextRule {
+    field: "routes.NAME.weights.SERVICE",
+    default: "none (all to the route's own service)",
+    allowed: "whole, 1 to 1000; SERVICE is one of the site's",
+    meaning: "A service that gets this part of the route's requests, out of the sum of all weights.",
+};
+
+/// The range of [`ROUTE_WEIGHTS`], which has no default of its own.
+pub(crate) const WEIGHT: NumberRule = NumberRule {
+    field: ROUTE_WEIGHTS.field,
+    unit: "parts of the sum of all weights",
+    default: 1.0,
+    min: 1.0,
+    max: 1_000.0,
+    is_whole: true,
+    meaning: "A service's part of a route's requests.",
+};
+
 pub(crate) const PROBE_BUDGET: NumberRule = NumberRule {
     field: "probe.budget_ms_per_s",
     unit: "ms of backend time per second and target",
@@ -253,6 +285,9 @@
     FieldRule::Text(&ROUTE_IDEMPOTENCY),
     FieldRule::Text(&ROUTE_PRIORITY),
     FieldRule::Text(&ROUTE_DEADLINE),
+    FieldRule::Text(&ROUTE_OBJECTIVE),
+    FieldRule::Text(&ROUTE_RUNS),
+    FieldRule::Text(&ROUTE_WEIGHTS),
     FieldRule::Number(&PROBE_BUDGET),
     FieldRule::Text(&PROBE_PATH),
     FieldRule::Number(&PROBE_TIMEOUT),
--- a/crates/fescueway_config/src/site_document.rs
+++ b/crates/fescueway_config/src/site_document.rs
@@ -1,6 +1,9 @@
 //! One site's documents: the base, the overlay, and what they say together.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use fescueway_core::{ServiceName, SiteName};
 use serde::Deserialize;
@@ -8,7 +11,7 @@
 
 use crate::{
     ConfigError, ConfigStep, Document, FieldFault, RawService, ServicePlan, SitePlan,
-    StoredService, document, stored_service::checked_name,
+    StoredService, document, service_rules as rules, stored_service::checked_name,
 };
 
 /// A base or an overlay, merged or not.
@@ -111,13 +114,19 @@
         raw: BTreeMap<String, Value>,
         errors: &mut Vec<ConfigError>,
     ) -> BTreeMap<ServiceName, Arc<ServicePlan>> {
+        let names: BTreeSet<_> = raw.keys().cloned().collect();
         let mut services = BTreeMap::new();
         for (name, value) in raw {
             if let Some(plan) = keep_error(self.service(name, &value), errors) {
                 services.insert(plan.name.clone(), Arc::new(plan));
             }
         }
-        if let Err(fault) = check_distinct_paths(&services) {
+        let checks = [
+            check_distinct_paths(&services),
+            check_split_names(&services, &names),
+            check_reachable(&services),
+        ];
+        for fault in checks.into_iter().filter_map(Result::err) {
             errors.push(self.locate(ConfigStep::Value, fault));
         }
         services
@@ -175,6 +184,44 @@
     Ok(())
 }
 
+/// Refuses a route that sends requests to a service that the site doesn't have.
+fn check_split_names(
+    services: &BTreeMap<ServiceName, Arc<ServicePlan>>,
+    names: &BTreeSet<String>,
+) -> Result<(), FieldFault> {
+    for plan in services.values() {
+        for route in &plan.routes {
+            for part in &route.split {
+                if !names.contains(part.service.as_str()) {
+                    let path = format!("services.{}.routes.{}.weights", plan.name, route.name);
+                    let found = format!("the service {:?}", part.service.as_str());
+                    return Err(FieldFault::new(path, found, rules::ROUTE_WEIGHTS.allowed));
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Refuses a service without path prefixes that no route names either.
+fn check_reachable(services: &BTreeMap<ServiceName, Arc<ServicePlan>>) -> Result<(), FieldFault> {
+    let routes = services.values().flat_map(|plan| &plan.routes);
+    let named: BTreeSet<_> = routes
+        .flat_map(|route| &route.split)
+        .map(|part| &part.service)
+        .collect();
+    let hidden = services
+        .values()
+        .find(|plan| plan.path_prefixes.is_empty() && !named.contains(&plan.name));
+    match hidden {
+        None => Ok(()),
+        Some(plan) => {
+            let path = format!("services.{}.{}", plan.name, rules::PATH_PREFIXES.field);
+            Err(FieldFault::new(path, "none", rules::PATH_PREFIXES.allowed))
+        }
+    }
+}
+
 /// Each host and path prefix of a service; the empty host stands for all.
 fn claimed_paths(plan: &ServicePlan) -> impl Iterator<Item = (&str, &str)> {
     let hosts = plan.hosts.iter().map(|host| &**host);
--- a/crates/fescueway_config/tests/documents.rs
+++ b/crates/fescueway_config/tests/documents.rs
@@ -57,6 +57,57 @@
     assert!(config.sites()["bala"].services.is_empty());
 }
 
+#[test]
+fn a_route_has_its_objective_its_runs_and_its_weights() {
+    let overlay = r#"{ "site": "bala", "services": {
+        "canary": {},
+        "bookings": { "hosts": ["book.example"], "routes": { "look": {
+            "objective_ms": 40, "max_runs": 2, "weights": { "bookings": 9, "canary": 1 } } } } } }"#;
+    let config = check(BASE, overlay).expect("accepted");
+    let site = &config.sites()["bala"];
+    let found = site.route_for("book.example", "GET", "/bookings/7");
+    let found = found.expect("a route");
+    assert_eq!(found.owner.expect("its service").name.as_str(), "bookings");
+    let route = found.route;
+    assert_eq!(route.objective.map(|own| own.as_millis()), Some(40));
+    assert_eq!(route.max_runs, Some(2));
+    let parts = route.split.iter();
+    let parts: Vec<_> = parts
+        .map(|part| (part.service.as_str(), part.weight))
+        .collect();
+    assert_eq!(parts, [("bookings", 9), ("canary", 1)]);
+    let other = site.route_for("book.example", "POST", "/bookings/7");
+    let other = other.expect("a route").route;
+    assert_ne!(route.work_kind, other.work_kind);
+    assert!(
+        site.route_for("other.example", "GET", "/bookings/7")
+            .is_none()
+    );
+    let values = config.service_values();
+    let stored = values
+        .iter()
+        .map(|((site, _), value)| (site.clone(), &*value.bytes));
+    assert_eq!(ConfigSet::from_values(stored).expect("read back"), config);
+}
+
+#[test]
+fn a_weight_names_a_service_of_the_site_and_is_in_range() {
+    let with = |weights: &str| {
+        let overlay = format!(
+            r#"{{ "site": "bala", "services": {{ "bookings": {{ "routes": {{ "look": {{
+                "weights": {weights} }} }} }} }} }}"#
+        );
+        first_error(BASE, &overlay).to_string()
+    };
+    let unknown = with(r#"{ "bookinsg": 1 }"#);
+    assert!(unknown.contains("the service \"bookinsg\""), "{unknown}");
+    let zero = with(r#"{ "bookings": 0 }"#);
+    assert!(zero.contains("weights.bookings: found 0"), "{zero}");
+    let hidden = r#"{ "site": "bala", "services": { "canary": {} } }"#;
+    let error = first_error(BASE, hidden);
+    assert_eq!(error.fault.field, "services.canary.path_prefixes");
+}
+
 #[test]
 fn unknown_field_names_file_line_and_nearest_name() {
     let overlay = "{ \"site\": \"bala\",\n \"services\": { \"bookings\": {\n \"prob\": {} } } }";
--- a/crates/fescueway_core/src/lib.rs
+++ b/crates/fescueway_core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock. The decision crates take a [`MonoTime`] as an
 //! argument, so that tests and benches run them under virtual time.
 
+mod byte_digest;
 mod config_mark;
 mod load_report;
 mod mono_time;
@@ -16,6 +17,7 @@
 mod token_bucket;
 
 pub use crate::{
+    byte_digest::byte_digest,
     config_mark::ConfigMark,
     load_report::LoadReport,
     mono_time::MonoTime,
--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -22,7 +22,7 @@
     offer_request::OfferRequest,
     proxy_limits::ProxyLimits,
     proxy_state::ProxyState,
-    request_digest::{fingerprint, key_digest, text_digest},
+    request_digest::{fingerprint, key_digest},
 };
 
 /// A body up to this many bytes is read whole, so that it can be offered again.
@@ -79,7 +79,7 @@
             offers_left: offers.map_or(plan.retry.max_offers, |own| own.min(plan.retry.max_offers)),
             runs_left: max_runs,
             objective: route.objective,
-            work_kind: text_digest(&route.name),
+            work_kind: route.work_kind,
             depth: self.parent.map_or(0, |parent| parent.depth + 1),
             ..RequestTerms::new(plan.name.clone(), time_left)
         }
--- a/crates/fescueway_proxy/src/request_digest.rs
+++ b/crates/fescueway_proxy/src/request_digest.rs
@@ -1,6 +1,6 @@
 //! Digests by which a request is known again: of its idempotency key, and of itself.
 
-use fescueway_core::{KeyDigest, ServiceName};
+use fescueway_core::{KeyDigest, ServiceName, byte_digest};
 use http::{HeaderMap, HeaderName, Method};
 use sha2::{Digest, Sha256};
 
@@ -32,17 +32,5 @@
 pub fn fingerprint(method: &Method, target: &str, body: &[u8]) -> u64 {
     let start = &body[..body.len().min(FINGERPRINT_BYTES)];
     let parts = [method.as_str().as_bytes(), target.as_bytes(), start];
-    fnv(parts.into_iter().flat_map(|part| part.iter().chain(&[0])))
-}
-
-/// The digest of a name.
-pub fn text_digest(text: &str) -> u64 {
-    fnv(text.as_bytes().iter())
-}
-
-/// FNV-1a (Fowler, Noll and Vo).
-fn fnv<'a>(bytes: impl Iterator<Item = &'a u8>) -> u64 {
-    bytes.fold(0xCBF2_9CE4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01B3)
-    })
+    byte_digest(parts.into_iter().flat_map(|part| part.iter().chain(&[0])))
 }
--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -11,6 +11,7 @@
 mod nested_calls;
 mod outcomes;
 mod process;
+mod shared_routes;
 mod stopping;
 mod streaming;
 mod two_nodes;
