Tell a lapsed lease from a failing store once, and bound the log of a bad document

Cause: the seed entry, the reports' lease and the watcher's lease each told a lapsed lease from a store that fails; the document's watch took its turn and noted the store by hand; a document that a peer packed wrongly was fetched and logged ten times a second; the gate asked twice whether a kind is known. Now StoreLink::note knows that a lapsed lease is an answer, all calls that can go through StoreLink::call do, and an unreadable document pauses 1 s. Ruled out: a turn inside WatchDuty::act, which would date a lease before its wait for the turn. Behaviour of the rest is unchanged: tests of control, adapter, admission and rollout pass.

--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -260,21 +260,23 @@
     /// Time that an offer which waits needs between the expected end of its wait and its deadline, in
     /// microseconds.
     fn queue_margin_us(&self, now: MonoTime, terms: &RequestTerms) -> f64 {
-        let margin = if self.service.knows(terms.work_kind) {
-            KNOWN_QUEUE_MARGIN
-        } else {
-            QUEUE_MARGIN
-        };
-        margin * self.service.expected_us(now, terms.work_kind)
+        match self.known_us(now, terms) {
+            Some(own_us) => KNOWN_QUEUE_MARGIN * own_us,
+            None => QUEUE_MARGIN * self.service.expected_us(now, terms.work_kind),
+        }
+    }
+
+    /// Expected time of a request in microseconds, when requests of its kind ended here before.
+    fn known_us(&self, now: MonoTime, terms: &RequestTerms) -> Option<f64> {
+        let is_known = self.service.knows(terms.work_kind);
+        is_known.then(|| self.service.expected_us(now, terms.work_kind))
     }
 
     /// Gives a free slot to an offer, unless its time is nearly over.
     fn start(&mut self, now: MonoTime, ticket: TicketId, terms: &RequestTerms) -> GateResult {
-        let margin_us = if self.service.knows(terms.work_kind) {
-            START_MARGIN * self.service.expected_us(now, terms.work_kind)
-        } else {
-            self.start_margin().as_micros() as f64
-        };
+        let usual_us = self.start_margin().as_micros() as f64;
+        let known_us = self.known_us(now, terms);
+        let margin_us = known_us.map_or(usual_us, |own_us| START_MARGIN * own_us);
         if (terms.time_left.as_micros() as f64) <= margin_us {
             let refusal = Self::refusal(RefusalReason::DeadlineTooShort, Duration::ZERO);
             return GateResult::Refuse(refusal);
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -34,6 +34,10 @@
 /// Pause before another peer is asked for the document.
 const PEER_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause after a document that could not be read, which the next peer's hardly is either; it also
+/// bounds the log.
+const UNREADABLE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Keeps the document in force. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct DocumentTask {
@@ -94,8 +98,8 @@
         loop {
             let newest = marks.borrow_and_update().revision;
             while newest > self.held().version() {
-                if !self.fetch(newest).await {
-                    sleep(PEER_PAUSE).await;
+                if let Err(pause) = self.fetch(newest).await {
+                    sleep(pause).await;
                 }
             }
             if marks.changed().await.is_err() {
@@ -104,21 +108,22 @@
         }
     }
 
-    /// Fetches the document from a peer that has `version`. Whether it came.
-    async fn fetch(&self, version: u64) -> bool {
-        let Some(holder) = self.members.holder_of(version) else {
-            return false;
-        };
+    /// Fetches the document from a peer that has `version`, or tells the pause before the next try.
+    async fn fetch(&self, version: u64) -> Result<(), Duration> {
+        let holder = self.members.holder_of(version).ok_or(PEER_PAUSE)?;
         let body = self.held().version().to_le_bytes().to_vec();
         let peers = self.proxy.peers();
         match peers
             .call(holder, ControlKind::Config, body, PEER_CALL_TIME)
             .await
         {
-            Ok(packed) => self.take_packed(&packed),
+            Ok(packed) => {
+                let is_taken = self.take_packed(&packed);
+                is_taken.then_some(()).ok_or(UNREADABLE_PAUSE)
+            }
             Err(error) => {
                 emit(&control::CONFIG_FETCH_FAILED, &[&version, &"peer", &error]);
-                false
+                Err(PEER_PAUSE)
             }
         }
     }
@@ -128,10 +133,11 @@
         loop {
             let is_watching = self.members.is_watcher();
             store.set_watcher(is_watching);
-            if !is_watching {
+            if is_watching {
+                // The link has logged the failure, and its pace bounds the next try.
+                let _ = self.watch(&store).await;
+            } else {
                 sleep(DUTY_PERIOD).await;
-            } else if let Err(error) = self.watch(&store).await {
-                store.note(Some(&error));
             }
         }
     }
@@ -140,18 +146,18 @@
     async fn watch(&self, store: &StoreLink) -> Result<(), StoreError> {
         let range = KeyRange::Key(self.source.key.to_string());
         let client = &store.client;
-        store.turn().await;
-        let reply = client.range(&range, CALL_TIMEOUT).await?;
-        store.note(None);
+        let reply = store.call(client.range(&range, CALL_TIMEOUT)).await?;
         for value in &reply.values {
             self.take(&value.value);
         }
-        store.turn().await;
-        let mut watch = client
-            .watch(&range, reply.revision + 1, CALL_TIMEOUT)
-            .await?;
+        let opening = client.watch(&range, reply.revision + 1, CALL_TIMEOUT);
+        let mut watch = store.call(opening).await?;
         while self.members.is_watcher() {
-            self.take_changes(&mut watch).await?;
+            let taken = self.take_changes(&mut watch).await;
+            if let Err(error) = taken {
+                store.note(Some(&error));
+                return Err(error);
+            }
         }
         Ok(())
     }
--- a/crates/fescuewayd/src/seed_task.rs
+++ b/crates/fescuewayd/src/seed_task.rs
@@ -62,6 +62,7 @@
             }
             let mut is_lonely = self.members.live_count() < 2;
             if is_lonely {
+                // The same bounds this one, and the link has logged the failure.
                 let _ = self.find_others().await;
                 is_lonely = self.members.live_count() < 2;
             }
@@ -78,17 +79,11 @@
     async fn keep_entry(&mut self) -> Result<(), StoreError> {
         if let Some(lease) = self.lease {
             let client = self.store.client.clone();
-            self.store.turn().await;
-            match client.keep_lease(lease, CALL_TIMEOUT).await {
-                Ok(_grant) => {
-                    self.store.note(None);
-                    return Ok(());
-                }
+            let renewing = client.keep_lease(lease, CALL_TIMEOUT);
+            match self.store.call(renewing).await {
+                Ok(_grant) => return Ok(()),
                 Err(error) if error.is_lease_lapsed() => self.lease = None,
-                Err(error) => {
-                    self.store.note(Some(&error));
-                    return Err(error);
-                }
+                Err(error) => return Err(error),
             }
         }
         self.write_entry().await
--- a/crates/fescuewayd/src/store_link.rs
+++ b/crates/fescuewayd/src/store_link.rs
@@ -88,8 +88,9 @@
         answer
     }
 
-    /// Notes that the store answered, or did not.
+    /// Notes that the store answered, or did not. That a lease has lapsed is an answer.
     pub fn note(&self, error: Option<&StoreError>) {
+        let error = error.filter(|error| !error.is_lease_lapsed());
         let state = match error {
             None => StoreState::Reachable,
             Some(_) => StoreState::Unreachable,
--- a/crates/fescuewayd/src/watch_task.rs
+++ b/crates/fescuewayd/src/watch_task.rs
@@ -131,12 +131,8 @@
         }
         let client = &self.store.client;
         let renewed = if let Some((lease, _)) = held {
-            self.store.turn().await;
-            let kept = client.keep_lease(lease, CALL_TIMEOUT).await;
-            if !kept.as_ref().is_err_and(StoreError::is_lease_lapsed) {
-                self.store.note(kept.as_ref().err());
-            }
-            kept
+            let renewing = client.keep_lease(lease, CALL_TIMEOUT);
+            self.store.call(renewing).await
         } else {
             let grant = client.grant_lease(REPORT_LIFE, CALL_TIMEOUT);
             self.store.call(grant).await
@@ -217,14 +213,8 @@
                 revoked.map(|()| LeaseEvent::Failed { is_lapsed: true })
             }
         };
-        let lapsed = answer
-            .as_ref()
-            .err()
-            .filter(|error| error.is_lease_lapsed());
-        if lapsed.is_none() {
-            self.store.note(answer.as_ref().err());
-        }
-        let is_lapsed = lapsed.is_some();
+        self.store.note(answer.as_ref().err());
+        let is_lapsed = answer.as_ref().is_err_and(StoreError::is_lease_lapsed);
         answer.unwrap_or(LeaseEvent::Failed { is_lapsed })
     }
 
