--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -17,6 +17,7 @@
     body::{AnswerBody, CountedBody, RequestBody},
     connection_activity::ConnectionActivity,
     proxy_state::ProxyState,
+    request_log::LogId,
     request_record::RequestRecord,
 };
 
@@ -34,15 +35,62 @@
 ) -> Response<CountedBody> {
     let start = state.now();
     let open = [state.open().requests.open(), activity.open_request()];
-    let mut record = RequestRecord::default();
-    let answering = route_request(state, parts, incoming, caller, start, &mut record);
+    let id = state.log().id_of(&parts.headers);
+    let mut open_record = OpenRecord::new(state, start, id);
+    let record = &mut open_record.record;
+    let answering = route_request(state, parts, incoming, caller, start, record);
     let response = answering.await;
-    record.status = response.status().as_u16();
-    record.latency = state.now().since(start);
-    state.record(&record);
+    open_record.end(response.status().as_u16());
     response.map(|body| CountedBody { body, open })
 }
 
+/// What is known of a request that is open. Dropped before its end, it tells that the caller left.
+struct OpenRecord<'a> {
+    /// The node.
+    state: &'a ProxyState,
+    /// When the request came.
+    start: MonoTime,
+    /// What is known of it.
+    record: RequestRecord,
+    /// Whether it got the head of its answer.
+    is_ended: bool,
+}
+
+impl<'a> OpenRecord<'a> {
+    /// The record of a request that came at `start`.
+    fn new(state: &'a ProxyState, start: MonoTime, id: LogId) -> Self {
+        Self {
+            state,
+            start,
+            record: RequestRecord {
+                id,
+                ..RequestRecord::default()
+            },
+            is_ended: false,
+        }
+    }
+
+    /// The request got the head of its answer.
+    fn end(mut self, status: u16) {
+        self.is_ended = true;
+        let now = self.state.now();
+        self.record.status = status;
+        self.record.latency = now.since(self.start);
+        self.state.record(&self.record);
+        self.state.log().request_ended(now, &self.record);
+    }
+}
+
+impl Drop for OpenRecord<'_> {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            let now = self.state.now();
+            self.record.latency = now.since(self.start);
+            self.state.log().caller_left(now, &self.record);
+        }
+    }
+}
+
 /// Begins to answer a request that waits behind another on its connection, `None` when it may not
 /// repeat or has no route. Dropping the answer cancels the work.
 pub fn begin_ahead(
@@ -105,6 +153,8 @@
         return refuse(state, RefusalReason::NoTarget, record);
     };
     record.service = Some(service.name.clone());
+    record.route = Some(Arc::clone(&found.route.name));
+    record.objective = found.route.objective.unwrap_or(service.objective.latency);
     let terms = head.terms(service, found.route);
     if terms.depth > MAX_DEPTH {
         return reject(
@@ -127,7 +177,9 @@
         }
     };
     let request = offer_request(state, &head, parts, terms, body);
-    OfferLoop::new(state, request, start).run(record).await
+    OfferLoop::new(state, request, start, record.id.clone())
+        .run(record)
+        .await
 }
 
 /// Answers a request that is offered to nobody.
--- a/crates/fescueway_proxy/src/entry/offer_attempt.rs
+++ b/crates/fescueway_proxy/src/entry/offer_attempt.rs
@@ -2,7 +2,6 @@
 
 use fescueway_core::{LoadReport, MonoTime, NodeId, Refusal, RequestTerms, ServiceName};
 use fescueway_routing::{HandedOver, OfferEnd, OfferPermit};
-use fescueway_telemetry::{emit, events::path};
 
 use crate::{
     host::offer_locally,
@@ -10,6 +9,8 @@
     offer_request::OfferRequest,
     peer::{offer_to_peer, unreachable_host},
     proxy_state::ProxyState,
+    request_log::LogId,
+    route_table::TrustChange,
 };
 
 /// How an offer ended, with what may be done next.
@@ -42,6 +43,7 @@
     state: &ProxyState,
     permit: OfferPermit,
     request: &OfferRequest,
+    id: &LogId,
     deadline: MonoTime,
 ) -> AttemptEnd {
     let mut open = OpenOffer::begin(state, &permit);
@@ -52,6 +54,8 @@
     let answer = send(state, &request).await;
     let is_broken = request.body.broken().is_some();
     open.report(&answer, is_broken);
+    let (log, now, host) = (state.log(), state.now(), request.host);
+    let took = now.since(open.start);
     match answer {
         OfferAnswer::Refused { refusal, .. } => {
             let terms = permit.refused(&refusal);
@@ -59,10 +63,10 @@
         }
         OfferAnswer::Answered { answer, .. } => AttemptEnd::Answered(answer, permit.hand_over()),
         OfferAnswer::Lost { error, .. } => {
-            if let Some(error) = error
-                && !is_broken
-            {
-                emit(&path::ANSWER_LOST, &[&request.terms.service, &error]);
+            if !is_broken {
+                let error = error.map(|error| error.to_string());
+                let error = error.as_deref().unwrap_or("its host lost it");
+                log.offer_lost(now, id, host, error, took);
             }
             AttemptEnd::Lost(permit.hand_over())
         }
@@ -101,7 +105,16 @@
         if let Some(load) = load_of(answer) {
             let now = self.state.now();
             let routes = self.state.routes();
-            routes.report_load(now, &self.service, self.node, load);
+            let change = routes.report_load(now, &self.service, self.node, load);
+            self.tell(now, change, "its host reports failures");
+        }
+    }
+
+    /// Logs that the target is ejected or trusted again.
+    fn tell(&self, now: MonoTime, change: Option<TrustChange>, cause: &str) {
+        if let Some(change) = change {
+            let log = self.state.log();
+            log.trust_changed(now, self.node, &self.service, change, cause);
         }
     }
 
@@ -123,7 +136,13 @@
     fn drop(&mut self) {
         let now = self.state.now();
         let routes = self.state.routes();
-        routes.end_offer(now, &self.service, self.node, self.end);
+        let change = routes.end_offer(now, &self.service, self.node, self.end);
+        let cause = match self.end {
+            OfferEnd::Refused(refusal) => refusal.reason.as_str(),
+            OfferEnd::Lost => "answer lost",
+            OfferEnd::Answered { .. } | OfferEnd::Cancelled => "failed answers",
+        };
+        self.tell(now, change, cause);
     }
 }
 
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -13,8 +13,13 @@
     offer_attempt::{AttemptEnd, attempt},
 };
 use crate::{
-    body::AnswerBody, edge_profile::EdgeProfile, offer_answer::KnownAnswer,
-    offer_request::OfferRequest, proxy_state::ProxyState, request_record::RequestRecord,
+    body::AnswerBody,
+    edge_profile::EdgeProfile,
+    offer_answer::KnownAnswer,
+    offer_request::OfferRequest,
+    proxy_state::ProxyState,
+    request_log::{LastOffer, LogId},
+    request_record::RequestRecord,
 };
 
 /// Offers one request until it is answered or given up.
@@ -24,10 +29,14 @@
     state: &'a ProxyState,
     /// The request.
     request: OfferRequest,
+    /// Its id in the log.
+    id: LogId,
     /// When the caller stops waiting.
     deadline: MonoTime,
     /// Hosts that had an offer.
     tried: Vec<NodeId>,
+    /// How the latest offer came to nothing; `None` while none did.
+    last: Option<LastOffer>,
     /// Offers that are left, hedges counted.
     offers_left: u8,
     /// Backend servers that the request may still be handed to.
@@ -45,14 +54,16 @@
 impl<'a> OfferLoop<'a> {
     /// A loop for a request that came at `start`.
     #[must_use]
-    pub fn new(state: &'a ProxyState, request: OfferRequest, start: MonoTime) -> Self {
+    pub fn new(state: &'a ProxyState, request: OfferRequest, start: MonoTime, id: LogId) -> Self {
         Self {
             state,
             deadline: start + request.terms.time_left,
             offers_left: request.terms.offers_left,
             runs_left: request.terms.runs_left,
             request,
+            id,
             tried: Vec::new(),
+            last: None,
             hedges: 0,
             refusal: None,
             is_lost: false,
@@ -64,6 +75,7 @@
     pub async fn run(mut self, record: &mut RequestRecord) -> Response<AnswerBody> {
         let deadline = self.state.clock().instant(self.deadline);
         let ended = timeout_at(deadline, self.offer_on()).await;
+        record.target = self.tried.last().copied();
         record.offers = self.tried.len() as u32;
         record.hedges = self.hedges;
         match ended {
@@ -78,7 +90,13 @@
         let mut terms = self.request.terms.clone();
         loop {
             let permit = self.pick(terms)?;
+            let (target, begin) = (permit.node(), self.state.now());
             let end = self.attempt_hedged(permit).await;
+            self.last = Some(LastOffer {
+                target,
+                cause: cause_of(&end),
+                took: self.state.now().since(begin),
+            });
             terms = match end {
                 AttemptEnd::Refused(refusal, terms) => {
                     self.refusal = Some(refusal);
@@ -114,6 +132,10 @@
         match self.state.routes().pick(now, terms, &self.tried) {
             PickResult::Refuse(refusal) => Err(refusal),
             PickResult::Offer(permit) => {
+                if let Some(last) = &self.last {
+                    let (log, terms) = (self.state.log(), permit.terms());
+                    log.offered_again(now, &self.id, permit.node(), last, terms, self.runs_left);
+                }
                 self.tried.push(permit.node());
                 self.offers_left = permit.terms().offers_left;
                 Ok(permit)
@@ -126,7 +148,8 @@
         let (state, deadline) = (self.state, self.deadline);
         let request = self.request.clone();
         let hedge = self.hedge_plan(&permit);
-        let mut first = pin!(attempt(state, permit, &request, deadline));
+        let (id, late_target) = (self.id.clone(), permit.node());
+        let mut first = pin!(attempt(state, permit, &request, &id, deadline));
         let Some((delay, terms)) = hedge else {
             return first.await;
         };
@@ -137,10 +160,12 @@
         let Ok(permit) = self.pick(terms) else {
             return first.await;
         };
+        let log = state.log();
+        log.hedged(state.now(), &id, permit.node(), late_target, delay);
         self.hedges += 1;
         self.runs_left = self.runs_left.saturating_sub(1);
         // Rare, so that it takes no room in the future of each request.
-        let mut second = Box::pin(attempt(state, permit, &request, deadline));
+        let mut second = Box::pin(attempt(state, permit, &request, &id, deadline));
         tokio::select! {
             end = first.as_mut() => {
                 if is_success(&end) { end } else { better_end(end, second.await) }
@@ -229,6 +254,15 @@
     response
 }
 
+/// Why an offer that ended so came to nothing, if it did.
+fn cause_of(end: &AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Answered(..) => "failed answer",
+        AttemptEnd::Refused(refusal, _) => refusal.reason.as_str(),
+        AttemptEnd::Lost(_) => "answer lost",
+    }
+}
+
 /// Whether another backend server may do better.
 fn is_retryable(status: StatusCode) -> bool {
     matches!(
--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -1,15 +1,14 @@
 //! Offers at the host, from other nodes and from the entry on the same node.
 
-use std::{fmt::Display, pin::pin, sync::Arc, time::Duration};
+use std::{pin::pin, time::Duration};
 
 use fescueway_core::{Idempotency, LoadReport, Outcome, Refusal, RefusalReason};
-use fescueway_telemetry::{emit, events::path};
 use fescueway_wire::{AnswerHead, HeaderList, OfferHead};
 use http::Response;
 use http_body::Body;
 use tokio::{sync::oneshot, time::timeout};
 
-use super::{BackendBody, BackendError, HostRun, HostTarget, RunStop, host_run::RunAnswer};
+use super::{BackendBody, BackendError, HostRun, RunStop, host_run::RunAnswer};
 use crate::{
     body::{AnswerBody, HostBody, pump_body},
     duplicate_answer::duplicate_answer,
@@ -17,6 +16,7 @@
     offer_request::{HostRequest, OfferRequest},
     peer::{FrameReader, PeerReply},
     proxy_state::ProxyState,
+    request_log::HostTrace,
 };
 
 /// Answers an offer of the entry on the same node, without a socket.
@@ -25,13 +25,20 @@
         return OfferAnswer::refused(unknown_service(), None);
     };
     let request = HostRequest::from_offer(offer);
+    let mut trace = state.log().offer_came(state.now(), &request);
     let run = match HostRun::prepare(state.checks(), &target, &request).await {
         Ok(run) => run,
-        Err(stop) => return stopped(stop, target.report()),
+        Err(stop) => {
+            let load = target.report();
+            tell_stop(state, &trace, &stop, &load);
+            return stopped(stop, load);
+        }
     };
+    trace.began(state.now());
     let body = HostBody::Local(offer.body.clone());
     let answer = start(state, run, request, body).await;
     let load = target.report();
+    tell_end(state, &trace, &answer, &load);
     match answer {
         RunAnswer::Answered(response) => OfferAnswer::Answered {
             answer: KnownAnswer {
@@ -41,13 +48,10 @@
             load,
         },
         RunAnswer::Refused(refusal) => OfferAnswer::refused(refusal, Some(load)),
-        RunAnswer::Lost(error) => {
-            tell_lost(&offer.terms.service, &error);
-            OfferAnswer::Lost {
-                load: Some(load),
-                error: None,
-            }
-        }
+        RunAnswer::Lost(_told) => OfferAnswer::Lost {
+            load: Some(load),
+            error: None,
+        },
     }
 }
 
@@ -66,15 +70,21 @@
     let Some(target) = target else {
         return refuse(&mut reply, unknown_service(), LoadReport::default());
     };
+    let mut trace = state.log().offer_came(state.now(), &request);
     let prepared = tokio::select! {
         prepared = HostRun::prepare(state.checks(), &target, &request) => prepared,
         // The entry left: dropping the work withdraws the offer.
-        () = reply.reset() => return,
+        () = reply.reset() => return state.log().run_withdrawn(state.now(), &trace),
     };
     let run = match prepared {
         Ok(run) => run,
-        Err(stop) => return stop_offer(&mut reply, stop, target.report()),
+        Err(stop) => {
+            let load = target.report();
+            tell_stop(state, &trace, &stop, &load);
+            return stop_offer(&mut reply, stop, load);
+        }
     };
+    trace.began(state.now());
     if is_body_held && reply.send(&AnswerHead::Accepted, false).is_err() {
         return;
     }
@@ -82,9 +92,11 @@
     let answer = tokio::select! {
         answer = start(state, run, request, body) => answer,
         // The entry left: dropping the work cancels what may be cancelled.
-        () = reply.reset() => return,
+        () = reply.reset() => return state.log().run_withdrawn(state.now(), &trace),
     };
-    finish(state, &target, answer, &mut reply).await;
+    let load = target.report();
+    tell_end(state, &trace, &answer, &load);
+    finish(state, answer, load, &mut reply).await;
 }
 
 /// Runs the request, within its deadline. What must not be cancelled runs on when this is dropped.
@@ -117,30 +129,37 @@
 }
 
 /// Sends what became of a run to the entry.
-async fn finish(
-    state: &ProxyState,
-    target: &Arc<HostTarget>,
-    answer: RunAnswer,
-    reply: &mut PeerReply,
-) {
-    let load = target.report();
+async fn finish(state: &ProxyState, answer: RunAnswer, load: LoadReport, reply: &mut PeerReply) {
     match answer {
         RunAnswer::Answered(response) => {
             send_answer(*response, load, state.limits().body_idle, reply).await;
         }
         RunAnswer::Refused(refusal) => refuse(reply, refusal, load),
-        RunAnswer::Lost(error) => {
-            tell_lost(&target.pool().address(), &error);
+        RunAnswer::Lost(_told) => {
             // An entry that left needs no answer.
             let _ = reply.send(&AnswerHead::Lost { load }, true);
         }
     }
 }
 
-/// Logs that the answer of `target` was lost, unless the caller broke its request off.
-fn tell_lost(target: &dyn Display, error: &BackendError) {
-    if !error.is_caller_side() {
-        emit(&path::ANSWER_LOST, &[target, error]);
+/// Logs why a request is not handed over. The end of a duplicate is logged by its keys' home.
+fn tell_stop(state: &ProxyState, trace: &HostTrace, stop: &RunStop, load: &LoadReport) {
+    if let RunStop::Refused(refusal) = stop {
+        state.log().host_refused(state.now(), trace, refusal, load);
+    }
+}
+
+/// Logs what became of a request that had a slot.
+fn tell_end(state: &ProxyState, trace: &HostTrace, answer: &RunAnswer, load: &LoadReport) {
+    let (log, now) = (state.log(), state.now());
+    match answer {
+        RunAnswer::Answered(response) => {
+            log.run_ended(now, trace, response.status().as_u16(), load);
+        }
+        RunAnswer::Refused(refusal) => log.host_refused(now, trace, refusal, load),
+        // What the caller broke off says nothing of the backend server.
+        RunAnswer::Lost(error) if error.is_caller_side() => log.run_withdrawn(now, trace),
+        RunAnswer::Lost(error) => log.run_lost(now, trace, error),
     }
 }
 
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -29,6 +29,7 @@
 mod proxy_state;
 mod recent_entries;
 mod request_digest;
+mod request_log;
 mod request_record;
 mod route_table;
 mod socket_options;
--- a/crates/fescueway_proxy/src/offer_request.rs
+++ b/crates/fescueway_proxy/src/offer_request.rs
@@ -49,6 +49,8 @@
 /// A request as the host runs it, whichever way it came.
 #[derive(Clone, Debug)]
 pub struct HostRequest {
+    /// The entry.
+    pub entry: NodeId,
     /// What the request needs.
     pub terms: RequestTerms,
     /// HTTP method.
@@ -66,6 +68,7 @@
     #[must_use]
     pub fn from_head(head: OfferHead) -> Self {
         Self {
+            entry: head.entry,
             terms: head.terms,
             method: head.method,
             target: head.target,
@@ -78,6 +81,7 @@
     #[must_use]
     pub fn from_offer(request: &OfferRequest) -> Self {
         Self {
+            entry: request.entry,
             terms: request.terms.clone(),
             method: request.method.clone(),
             target: request.target.clone(),
--- a/crates/fescueway_proxy/src/proxy_options.rs
+++ b/crates/fescueway_proxy/src/proxy_options.rs
@@ -23,6 +23,8 @@
     pub profile: EdgeProfile,
     /// Whether requests are told apart by their idempotency keys.
     pub takes_keys: bool,
+    /// Lines of each kind about single requests that are logged in a second at most. Above zero.
+    pub log_lines_per_s: f64,
     /// Seeds the choice of targets.
     pub seed: u64,
     /// Makes the tokens of calls unguessable.
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -28,6 +28,7 @@
     proxy_limits::ProxyLimits,
     proxy_options::ProxyOptions,
     recent_entries::RecentEntries,
+    request_log::RequestLog,
     request_record::RequestRecord,
     route_table::RouteTable,
     split_table::SplitTable,
@@ -79,6 +80,8 @@
     entries: RecentEntries,
     /// What callers and peers hold open.
     open: OpenCounts,
+    /// Logs what is decided about single requests.
+    log: RequestLog,
     /// Keeps hostile peers from flooding the log.
     refused_peers: EventLimit<IpAddr>,
     /// Hears of each request.
@@ -110,6 +113,11 @@
             targets: LocalTargets::default(),
             entries: RecentEntries::default(),
             open: OpenCounts::default(),
+            log: RequestLog::new(
+                options.node,
+                options.profile.request_id.clone(),
+                options.log_lines_per_s,
+            ),
             refused_peers: EventLimit::new(&path::PEER_REFUSED),
             request_observer: ObserverSlot::default(),
             load_observer: ObserverSlot::default(),
@@ -194,6 +202,11 @@
         &self.0.open
     }
 
+    /// Logs what is decided about single requests.
+    pub(crate) fn log(&self) -> &RequestLog {
+        &self.0.log
+    }
+
     /// Logs that a peer's bytes were refused.
     pub(crate) fn refuse_peer(&self, peer: SocketAddr, error: &dyn Display) {
         let limit = &self.0.refused_peers;
--- /dev/null
+++ b/crates/fescueway_proxy/src/request_log.rs
@@ -0,0 +1,387 @@
+//! Logs what is decided about single requests.
+
+use std::time::Duration;
+
+use fescueway_core::{LoadReport, MonoTime, NodeId, Outcome, Refusal, RequestTerms, ServiceName};
+use fescueway_telemetry::{EventBudget, EventKind, events::request};
+use http::{HeaderMap, HeaderName, HeaderValue};
+
+use crate::{
+    host::BackendError, offer_request::HostRequest, request_record::RequestRecord,
+    route_table::TrustChange,
+};
+
+/// Names a request in the log, unless the installation has an id of its own.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// What stands for an id, a route or a target that isn't known.
+const UNKNOWN: &str = "-";
+
+/// Logs what is decided about single requests, each kind of event so many times a second.
+#[derive(Debug)]
+pub struct RequestLog {
+    /// The node.
+    node: NodeId,
+    /// Names a request.
+    id_name: HeaderName,
+    answered: EventBudget,
+    answered_late: EventBudget,
+    failed: EventBudget,
+    refused: EventBudget,
+    unrouted: EventBudget,
+    caller_left: EventBudget,
+    offer_lost: EventBudget,
+    offered_again: EventBudget,
+    hedged: EventBudget,
+    run_ended: EventBudget,
+    host_refused: EventBudget,
+    run_lost: EventBudget,
+    run_withdrawn: EventBudget,
+    target_ejected: EventBudget,
+    target_trusted: EventBudget,
+}
+
+/// A request's id as it stands in the log; `None` when the caller gave none, or nobody reads it.
+pub type LogId = Option<HeaderValue>;
+
+/// How the latest offer of a request came to nothing.
+#[derive(Clone, Copy, Debug)]
+pub struct LastOffer {
+    /// The host.
+    pub target: NodeId,
+    /// Why.
+    pub cause: &'static str,
+    /// Time from the offer to its end.
+    pub took: Duration,
+}
+
+/// A request at its host, from the offer on.
+#[derive(Clone, Debug)]
+pub struct HostTrace {
+    /// Its id.
+    id: LogId,
+    /// Where it came from.
+    entry: NodeId,
+    /// Its service.
+    service: ServiceName,
+    /// When the offer came.
+    came_at: MonoTime,
+    /// Time that it had left then.
+    time_left: Duration,
+    /// When it got a slot and a connection.
+    began_at: Option<MonoTime>,
+}
+
+impl RequestLog {
+    /// A log of `node` that writes `lines_per_s` of each kind. Requests are named by `id_name`, or else by
+    /// `x-request-id`.
+    #[must_use]
+    pub fn new(node: NodeId, id_name: Option<HeaderName>, lines_per_s: f64) -> Self {
+        let budget = |kind: &'static EventKind| EventBudget::new(kind, lines_per_s);
+        Self {
+            node,
+            id_name: id_name.unwrap_or(REQUEST_ID),
+            answered: budget(&request::ANSWERED),
+            answered_late: budget(&request::ANSWERED_LATE),
+            failed: budget(&request::FAILED),
+            refused: budget(&request::REFUSED),
+            unrouted: budget(&request::UNROUTED),
+            caller_left: budget(&request::CALLER_LEFT),
+            offer_lost: budget(&request::OFFER_LOST),
+            offered_again: budget(&request::OFFERED_AGAIN),
+            hedged: budget(&request::HEDGED),
+            run_ended: budget(&request::RUN_ENDED),
+            host_refused: budget(&request::HOST_REFUSED),
+            run_lost: budget(&request::RUN_LOST),
+            run_withdrawn: budget(&request::RUN_WITHDRAWN),
+            target_ejected: budget(&request::TARGET_EJECTED),
+            target_trusted: budget(&request::TARGET_TRUSTED),
+        }
+    }
+
+    /// The id of the request with these header fields.
+    #[must_use]
+    pub fn id_of(&self, headers: &HeaderMap) -> LogId {
+        // Failures are logged at the highest level of these events.
+        if !request::FAILED.is_logged() {
+            return None;
+        }
+        headers.get(&self.id_name).cloned()
+    }
+}
+
+/// What the entry decides.
+impl RequestLog {
+    /// A request got the head of its answer.
+    pub fn request_ended(&self, now: MonoTime, record: &RequestRecord) {
+        let id = id_text(&record.id);
+        let route = record.route.as_deref().unwrap_or(UNKNOWN);
+        let latency_us = record.latency.as_micros();
+        let Some(service) = &record.service else {
+            return self.unrouted.emit(now, &[&id, &self.node, &record.status]);
+        };
+        if let Some(reason) = record.reason {
+            let reason = reason.as_str();
+            return self.refused.emit(
+                now,
+                &[
+                    &id,
+                    &self.node,
+                    &route,
+                    service,
+                    &record.status,
+                    &reason,
+                    &record.offers,
+                    &latency_us,
+                ],
+            );
+        }
+        let target = record.target.map(|node| node.to_string());
+        let target = target.as_deref().unwrap_or(UNKNOWN);
+        let outcome = record.outcome.unwrap_or(Outcome::Unknown);
+        if outcome != Outcome::Ran || record.status >= 500 {
+            return self.failed.emit(
+                now,
+                &[
+                    &id,
+                    &self.node,
+                    &route,
+                    service,
+                    &target,
+                    &record.status,
+                    &outcome.as_str(),
+                    &record.offers,
+                    &record.hedges,
+                    &latency_us,
+                ],
+            );
+        }
+        let budget = if record.latency > record.objective {
+            &self.answered_late
+        } else {
+            &self.answered
+        };
+        budget.emit(
+            now,
+            &[
+                &id,
+                &self.node,
+                &route,
+                service,
+                &target,
+                &record.status,
+                &record.offers,
+                &record.hedges,
+                &latency_us,
+                &record.objective.as_micros(),
+            ],
+        );
+    }
+
+    /// A caller left before the head of its answer.
+    pub fn caller_left(&self, now: MonoTime, record: &RequestRecord) {
+        let service = record.service.as_ref().map_or(UNKNOWN, ServiceName::as_str);
+        self.caller_left.emit(
+            now,
+            &[
+                &id_text(&record.id),
+                &self.node,
+                &record.route.as_deref().unwrap_or(UNKNOWN),
+                &service,
+                &record.latency.as_micros(),
+            ],
+        );
+    }
+
+    /// The answer to an offer that was sent `took` ago is lost.
+    pub fn offer_lost(
+        &self,
+        now: MonoTime,
+        id: &LogId,
+        target: NodeId,
+        error: &str,
+        took: Duration,
+    ) {
+        let took_us = took.as_micros();
+        self.offer_lost
+            .emit(now, &[&id_text(id), &self.node, &target, &error, &took_us]);
+    }
+
+    /// A request that was offered before goes to another target, on these terms.
+    pub fn offered_again(
+        &self,
+        now: MonoTime,
+        id: &LogId,
+        target: NodeId,
+        last: &LastOffer,
+        terms: &RequestTerms,
+        runs_left: u8,
+    ) {
+        self.offered_again.emit(
+            now,
+            &[
+                &id_text(id),
+                &self.node,
+                &target,
+                &last.target,
+                &last.cause,
+                &last.took.as_micros(),
+                &terms.offers_left,
+                &runs_left,
+                &terms.time_left.as_micros(),
+            ],
+        );
+    }
+
+    /// A request whose target is late by `after` goes to another one as well.
+    pub fn hedged(
+        &self,
+        now: MonoTime,
+        id: &LogId,
+        target: NodeId,
+        late_target: NodeId,
+        after: Duration,
+    ) {
+        let after_us = after.as_micros();
+        self.hedged.emit(
+            now,
+            &[&id_text(id), &self.node, &target, &late_target, &after_us],
+        );
+    }
+
+    /// A target gets no work for a while, or may get work again.
+    pub fn trust_changed(
+        &self,
+        now: MonoTime,
+        target: NodeId,
+        service: &ServiceName,
+        change: TrustChange,
+        cause: &str,
+    ) {
+        match change {
+            TrustChange::Ejected => self
+                .target_ejected
+                .emit(now, &[&self.node, &target, service, &cause]),
+            TrustChange::Trusted => self
+                .target_trusted
+                .emit(now, &[&self.node, &target, service]),
+        }
+    }
+}
+
+/// What the host decides.
+impl RequestLog {
+    /// An offer came.
+    #[must_use]
+    pub fn offer_came(&self, now: MonoTime, request: &HostRequest) -> HostTrace {
+        HostTrace {
+            id: self.id_of(&request.headers),
+            entry: request.entry,
+            service: request.terms.service.clone(),
+            came_at: now,
+            time_left: request.terms.time_left,
+            began_at: None,
+        }
+    }
+
+    /// The head of the backend server's answer came. `load` is the target's now.
+    pub fn run_ended(&self, now: MonoTime, trace: &HostTrace, status: u16, load: &LoadReport) {
+        self.run_ended.emit(
+            now,
+            &[
+                &id_text(&trace.id),
+                &self.node,
+                &trace.entry,
+                &trace.service,
+                &status,
+                &trace.waited(now).as_micros(),
+                &trace.took(now).as_micros(),
+                &load.in_flight,
+                &load.limit,
+            ],
+        );
+    }
+
+    /// The request was not handed over. `load` is the target's now.
+    pub fn host_refused(
+        &self,
+        now: MonoTime,
+        trace: &HostTrace,
+        refusal: &Refusal,
+        load: &LoadReport,
+    ) {
+        self.host_refused.emit(
+            now,
+            &[
+                &id_text(&trace.id),
+                &self.node,
+                &trace.entry,
+                &trace.service,
+                &refusal.reason.as_str(),
+                &refusal.retry_after.as_micros(),
+                &trace.waited(now).as_micros(),
+                &trace.time_left.as_micros(),
+                &load.in_flight,
+                &load.limit,
+                &load.queued,
+                &load.wait_us,
+                &load.service_time_us,
+                &load.work_permille,
+            ],
+        );
+    }
+
+    /// The request was handed over and its answer is lost.
+    pub fn run_lost(&self, now: MonoTime, trace: &HostTrace, error: &BackendError) {
+        self.run_lost.emit(
+            now,
+            &[
+                &id_text(&trace.id),
+                &self.node,
+                &trace.entry,
+                &trace.service,
+                error,
+                &trace.waited(now).as_micros(),
+                &trace.took(now).as_micros(),
+            ],
+        );
+    }
+
+    /// The entry withdrew the request.
+    pub fn run_withdrawn(&self, now: MonoTime, trace: &HostTrace) {
+        self.run_withdrawn.emit(
+            now,
+            &[
+                &id_text(&trace.id),
+                &self.node,
+                &trace.entry,
+                &trace.service,
+                &trace.waited(now).as_micros(),
+                &trace.took(now).as_micros(),
+            ],
+        );
+    }
+}
+
+impl HostTrace {
+    /// The request has a slot and a connection.
+    pub fn began(&mut self, now: MonoTime) {
+        self.began_at = Some(now);
+    }
+
+    /// How long the request waited for its slot and its connection.
+    fn waited(&self, now: MonoTime) -> Duration {
+        self.began_at.unwrap_or(now).since(self.came_at)
+    }
+
+    /// How long it has run; zero before it does.
+    fn took(&self, now: MonoTime) -> Duration {
+        now.since(self.began_at.unwrap_or(now))
+    }
+}
+
+/// The text of an id.
+fn id_text(id: &LogId) -> &str {
+    let text = id.as_ref().and_then(|id| id.to_str().ok());
+    text.unwrap_or(UNKNOWN)
+}
--- a/crates/fescueway_proxy/src/request_record.rs
+++ b/crates/fescueway_proxy/src/request_record.rs
@@ -1,12 +1,21 @@
 //! What is known of a request when the head of its answer is sent.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use fescueway_core::{Outcome, RefusalReason, ServiceName};
+use fescueway_core::{NodeId, Outcome, RefusalReason, ServiceName};
+use http::HeaderValue;
 
 /// What is known of a request when the head of its answer is sent.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RequestRecord {
+    /// Its id in the log.
+    pub id: Option<HeaderValue>,
+    /// The name of its route, empty for a service's default route; `None` when none was found.
+    pub route: Option<Arc<str>>,
+    /// An answer is in time within this long.
+    pub objective: Duration,
+    /// The host of the latest offer.
+    pub target: Option<NodeId>,
     /// The service, `None` when none was configured for the request.
     pub service: Option<ServiceName>,
     /// HTTP status of the answer.
--- a/crates/fescueway_proxy/src/route_table.rs
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -61,6 +61,15 @@
     pub load: Option<(LoadReport, MonoTime)>,
 }
 
+/// Whether a target gets work, when that changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TrustChange {
+    /// It gets none for a while.
+    Ejected,
+    /// It may get work again.
+    Trusted,
+}
+
 impl RouteTable {
     /// A table without targets for the entry that `options` describe.
     #[must_use]
@@ -147,29 +156,33 @@
         routes.router.hedge_after(now, terms, node)
     }
 
-    /// Tells the router how an offer ended.
-    pub fn end_offer(&self, now: MonoTime, service: &ServiceName, node: NodeId, end: OfferEnd) {
-        if let Some(routes) = self.state().services.get_mut(service) {
-            let event = RouteEvent::OfferEnded { node, end };
-            routes.router.handle(now, event);
-        }
+    /// Tells the router how an offer ended, and what that changed.
+    pub fn end_offer(
+        &self,
+        now: MonoTime,
+        service: &ServiceName,
+        node: NodeId,
+        end: OfferEnd,
+    ) -> Option<TrustChange> {
+        let mut state = self.state();
+        let routes = state.services.get_mut(service)?;
+        routes.handle(now, node, RouteEvent::OfferEnded { node, end })
     }
 
-    /// Tells the router of a load report.
+    /// Tells the router of a load report, and what that changed.
     pub fn report_load(
         &self,
         now: MonoTime,
         service: &ServiceName,
         node: NodeId,
         report: LoadReport,
-    ) {
-        if let Some(routes) = self.state().services.get_mut(service) {
-            let event = RouteEvent::LoadReported { node, report };
-            routes.router.handle(now, event);
-            if let Some(view) = routes.targets.get_mut(&node) {
-                view.load = Some((report, now));
-            }
+    ) -> Option<TrustChange> {
+        let mut state = self.state();
+        let routes = state.services.get_mut(service)?;
+        if let Some(view) = routes.targets.get_mut(&node) {
+            view.load = Some((report, now));
         }
+        routes.handle(now, node, RouteEvent::LoadReported { node, report })
     }
 
     /// Where the target's host takes streams.
@@ -196,6 +209,19 @@
     }
 }
 
+impl ServiceRoutes {
+    /// Tells the router of an event of the target at `node`, and whether it is trusted otherwise now.
+    fn handle(&mut self, now: MonoTime, node: NodeId, event: RouteEvent) -> Option<TrustChange> {
+        let was_ejected = self.router.is_ejected(node);
+        self.router.handle(now, event);
+        match (was_ejected, self.router.is_ejected(node)) {
+            (false, true) => Some(TrustChange::Ejected),
+            (true, false) => Some(TrustChange::Trusted),
+            _ => None,
+        }
+    }
+}
+
 impl TableState {
     /// Hands each router its plan.
     fn put_in_force(&mut self) {
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -194,6 +194,13 @@
         self.latency.get().map(|late| late.max(silence))
     }
 
+    /// Whether the target at `node` is ejected, or on probation after that.
+    #[must_use]
+    pub fn is_ejected(&self, node: NodeId) -> bool {
+        let mut views = self.views.iter();
+        views.any(|view| view.node == node && view.is_ejected())
+    }
+
     /// Takes in what happened.
     pub fn handle(&mut self, now: MonoTime, event: RouteEvent) {
         match event {
--- a/crates/fescueway_routing/src/target_phase.rs
+++ b/crates/fescueway_routing/src/target_phase.rs
@@ -72,6 +72,11 @@
         self.machine.handle(event);
     }
 
+    /// Whether the target is ejected, or on probation after that.
+    pub(crate) fn is_ejected(&self) -> bool {
+        !matches!(self.machine.state(), State::Trusted {})
+    }
+
     /// Whether the target may get work while better ones are there, with `open` offers at it now.
     pub(crate) fn is_trusted(&self, open: u32) -> bool {
         match self.machine.state() {
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -196,6 +196,11 @@
         self.phase.is_trusted(self.open)
     }
 
+    /// Whether the target is ejected, or on probation after that.
+    pub(crate) fn is_ejected(&self) -> bool {
+        self.phase.is_ejected()
+    }
+
     /// The last time that is known of this target.
     pub(crate) fn known_since(&self) -> MonoTime {
         self.reported_at
--- a/crates/fescueway_telemetry/src/event_kind.rs
+++ b/crates/fescueway_telemetry/src/event_kind.rs
@@ -1,6 +1,6 @@
 //! One kind of numbered event.
 
-use std::fmt::{Display, Write};
+use std::fmt::{Display, Formatter, Result};
 
 use log::{Level, Record, kv::Value};
 
@@ -28,6 +28,14 @@
     pub advice: &'static str,
 }
 
+impl EventKind {
+    /// Whether events of this kind are logged.
+    #[must_use]
+    pub fn is_logged(&self) -> bool {
+        log::log_enabled!(target: LOG_TARGET, self.level)
+    }
+}
+
 /// Logs an event with its fields, given in the order of [`EventKind::fields`].
 ///
 /// A value that holds spaces or control characters is quoted, so that nothing a caller sends can
@@ -39,17 +47,16 @@
         "event {} fields",
         kind.number
     );
-    if !log::log_enabled!(target: LOG_TARGET, kind.level) {
+    if !kind.is_logged() {
         return;
     }
-    let texts: Vec<_> = values.iter().map(ToString::to_string).collect();
-    let mut pairs = vec![
-        (NUMBER_KEY, Value::from(kind.number)),
-        (SUMMARY_KEY, Value::from(kind.summary)),
-    ];
-    let fields = kind.fields.iter().copied().zip(texts.iter());
-    pairs.extend(fields.map(|(name, text)| (name, Value::from(&**text))));
-    let line = event_line(kind, &texts);
+    let mut pairs = Vec::with_capacity(values.len() + 2);
+    pairs.push((NUMBER_KEY, Value::from(kind.number)));
+    pairs.push((SUMMARY_KEY, Value::from(kind.summary)));
+    let fields = kind.fields.iter().copied().zip(values);
+    pairs.extend(fields.map(|(name, value)| (name, Value::from_dyn_display(*value))));
+    // Formed only when the log has the form of text.
+    let line = EventLine { kind, values };
     log::logger().log(
         &Record::builder()
             .target(LOG_TARGET)
@@ -60,19 +67,28 @@
     );
 }
 
-/// The event as one line of text.
-fn event_line(kind: &EventKind, texts: &[String]) -> String {
-    let mut line = format!("E{:04} {}", kind.number, kind.summary);
-    for (name, text) in kind.fields.iter().zip(texts) {
-        let is_plain = !text.is_empty() && text.chars().all(is_plain_letter);
-        // Writing to a string can't fail.
-        let _ = if is_plain {
-            write!(line, " {name}={text}")
-        } else {
-            write!(line, " {name}={text:?}")
-        };
+/// An event as one line of text.
+struct EventLine<'a> {
+    /// What happened.
+    kind: &'a EventKind,
+    /// Its fields' values.
+    values: &'a [&'a dyn Display],
+}
+
+impl Display for EventLine<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+        write!(f, "E{:04} {}", self.kind.number, self.kind.summary)?;
+        for (name, value) in self.kind.fields.iter().zip(self.values) {
+            let text = value.to_string();
+            let is_plain = !text.is_empty() && text.chars().all(is_plain_letter);
+            if is_plain {
+                write!(f, " {name}={text}")?;
+            } else {
+                write!(f, " {name}={text:?}")?;
+            }
+        }
+        Ok(())
     }
-    line
 }
 
 /// Whether a letter needs no quotes around it.
--- a/crates/fescueway_telemetry/src/events/mod.rs
+++ b/crates/fescueway_telemetry/src/events/mod.rs
@@ -4,13 +4,20 @@
 pub mod control;
 pub mod operator;
 pub mod path;
+pub mod request;
 
 use crate::EventKind;
 
 /// Every event of every area, by number.
 #[must_use]
 pub fn all() -> Vec<&'static EventKind> {
-    let areas = [path::ALL, control::ALL, operator::ALL, claim::ALL];
+    let areas = [
+        path::ALL,
+        request::ALL,
+        control::ALL,
+        operator::ALL,
+        claim::ALL,
+    ];
     let mut kinds: Vec<_> = areas.into_iter().flatten().copied().collect();
     kinds.sort_by_key(|kind| kind.number);
     kinds
--- a/crates/fescueway_telemetry/src/events/operator.rs
+++ b/crates/fescueway_telemetry/src/events/operator.rs
@@ -4,6 +4,15 @@
 
 use crate::EventKind;
 
+/// Log lines were left out because nobody read the log in time.
+pub const LOG_LINES_LOST: EventKind = EventKind {
+    number: 3013,
+    level: Level::Warn,
+    summary: "log lines were left out",
+    fields: &["count"],
+    advice: "Read the node's standard output faster, or raise `log.level`. Requests go on meanwhile.",
+};
+
 /// Every event of this area.
 pub const ALL: &[&EventKind] = &[
     &NODE_STARTED,
@@ -18,6 +27,7 @@
     &STOP_CUT_REQUESTS,
     &BURN_ALARM_BEGAN,
     &BURN_ALARM_ENDED,
+    &LOG_LINES_LOST,
 ];
 
 /// The node takes requests.
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -22,15 +22,6 @@
     advice: "Find out what connects to the peer address; during an upgrade, finish it.",
 };
 
-/// A request was handed over and its answer was lost.
-pub const ANSWER_LOST: EventKind = EventKind {
-    number: 1002,
-    level: Level::Warn,
-    summary: "the answer of a backend server was lost",
-    fields: &["target", "error"],
-    advice: "See whether the backend server crashed or missed its deadline.",
-};
-
 /// A caller's connection ended with an error.
 pub const CALLER_FAILED: EventKind = EventKind {
     number: 1003,
@@ -90,7 +81,6 @@
 pub const ALL: &[&EventKind] = &[
     &ACCEPT_FAILED,
     &PEER_REFUSED,
-    &ANSWER_LOST,
     &CALLER_FAILED,
     &BACKEND_ANNOUNCED,
     &BACKEND_LEFT,
--- /dev/null
+++ b/crates/fescueway_telemetry/src/events/request.rs
@@ -0,0 +1,262 @@
+//! Events of single requests: numbers from 1100.
+//!
+//! Each has the request's `id` and the `node` that logs it, so that the lines of all nodes tell a
+//! request's story. Times are in microseconds. Of each kind a node logs so many a second; `suppressed`
+//! is how many of the kind were left out before the line.
+
+use log::Level;
+
+use crate::EventKind;
+
+/// At the entry: answered within the objective.
+pub const ANSWERED: EventKind = EventKind {
+    number: 1100,
+    level: Level::Info,
+    summary: "request answered",
+    fields: &[
+        "id",
+        "node",
+        "route",
+        "service",
+        "target",
+        "status",
+        "offers",
+        "hedges",
+        "latency_us",
+        "objective_us",
+        "suppressed",
+    ],
+    advice: "Nothing.",
+};
+
+/// At the entry: answered after the objective.
+pub const ANSWERED_LATE: EventKind = EventKind {
+    number: 1101,
+    summary: "request answered late",
+    advice: "Compare with E1120 of its target: `waited_us` there is the queue, `took_us` the backend server; what \
+             is left are trips, and offers that E1111 to E1113 tell of.",
+    ..ANSWERED
+};
+
+/// At the entry: the request failed, or may have run without an answer.
+pub const FAILED: EventKind = EventKind {
+    number: 1102,
+    level: Level::Warn,
+    summary: "request failed",
+    fields: &[
+        "id",
+        "node",
+        "route",
+        "service",
+        "target",
+        "status",
+        "outcome",
+        "offers",
+        "hedges",
+        "latency_us",
+        "suppressed",
+    ],
+    advice: "`outcome` tells whether it ran. See E1111 with its id for the offer that was lost, and E2002 for its \
+             target's node.",
+};
+
+/// At the entry: refused; it did not run.
+pub const REFUSED: EventKind = EventKind {
+    number: 1103,
+    level: Level::Info,
+    summary: "request refused",
+    fields: &[
+        "id",
+        "node",
+        "route",
+        "service",
+        "status",
+        "reason",
+        "offers",
+        "latency_us",
+        "suppressed",
+    ],
+    advice: "See `Refusals` in docs/OPERATIONS.md. E1121 with its id has what its hosts knew.",
+};
+
+/// At the entry: no route, no service or a request that is malformed.
+pub const UNROUTED: EventKind = EventKind {
+    number: 1104,
+    level: Level::Info,
+    summary: "request without a route rejected",
+    fields: &["id", "node", "status", "suppressed"],
+    advice: "Compare its host and path with the configuration in force.",
+};
+
+/// At the entry: the caller left before its answer.
+pub const CALLER_LEFT: EventKind = EventKind {
+    number: 1105,
+    level: Level::Info,
+    summary: "caller left before its answer",
+    fields: &["id", "node", "route", "service", "latency_us", "suppressed"],
+    advice: "Nothing, unless callers give up earlier than the route's deadline says.",
+};
+
+/// At the entry: the answer to an offer was lost.
+pub const OFFER_LOST: EventKind = EventKind {
+    number: 1111,
+    level: Level::Warn,
+    summary: "offer lost",
+    fields: &["id", "node", "target", "error", "took_us", "suppressed"],
+    advice: "See whether the target's node is up (E2002, E3007) and its backend server (E1006, E1122).",
+};
+
+/// At the entry: the request is offered again.
+pub const OFFERED_AGAIN: EventKind = EventKind {
+    number: 1112,
+    level: Level::Info,
+    summary: "request offered again",
+    fields: &[
+        "id",
+        "node",
+        "target",
+        "last_target",
+        "cause",
+        "took_us",
+        "offers_left",
+        "runs_left",
+        "time_left_us",
+        "suppressed",
+    ],
+    advice: "`cause` is why the offer to `last_target` came to nothing, after `took_us`; E1121 there with the same id \
+             tells more of a refusal.",
+};
+
+/// At the entry: a late request is offered to a second target as well.
+pub const HEDGED: EventKind = EventKind {
+    number: 1113,
+    level: Level::Info,
+    summary: "request hedged",
+    fields: &[
+        "id",
+        "node",
+        "target",
+        "late_target",
+        "after_us",
+        "suppressed",
+    ],
+    advice: "Nothing, unless one target is late all the time.",
+};
+
+/// At the host: the head of the backend server's answer came.
+pub const RUN_ENDED: EventKind = EventKind {
+    number: 1120,
+    level: Level::Info,
+    summary: "request ran",
+    fields: &[
+        "id",
+        "node",
+        "entry",
+        "service",
+        "status",
+        "waited_us",
+        "took_us",
+        "in_flight",
+        "limit",
+        "suppressed",
+    ],
+    advice: "Nothing.",
+};
+
+/// At the host: the request was not handed over.
+pub const HOST_REFUSED: EventKind = EventKind {
+    number: 1121,
+    level: Level::Info,
+    summary: "offer refused by this host",
+    fields: &[
+        "id",
+        "node",
+        "entry",
+        "service",
+        "reason",
+        "retry_after_us",
+        "waited_us",
+        "time_left_us",
+        "in_flight",
+        "limit",
+        "queued",
+        "expected_wait_us",
+        "service_time_us",
+        "pace_permille",
+        "suppressed",
+    ],
+    advice: "Compare `time_left_us` with `expected_wait_us` and `service_time_us`: the target had no room in time. A \
+             pace above 1000 says that neighbours slow the backend server down.",
+};
+
+/// At the host: the request was handed over, and its answer was lost.
+pub const RUN_LOST: EventKind = EventKind {
+    number: 1122,
+    level: Level::Warn,
+    summary: "answer of the backend server lost",
+    fields: &[
+        "id",
+        "node",
+        "entry",
+        "service",
+        "error",
+        "waited_us",
+        "took_us",
+        "suppressed",
+    ],
+    advice: "See whether the backend server crashed (E1006, E4100), or missed the request's deadline.",
+};
+
+/// At the host: the entry withdrew the request.
+pub const RUN_WITHDRAWN: EventKind = EventKind {
+    number: 1123,
+    level: Level::Info,
+    summary: "request withdrawn by its entry",
+    fields: &[
+        "id",
+        "node",
+        "entry",
+        "service",
+        "waited_us",
+        "took_us",
+        "suppressed",
+    ],
+    advice: "Nothing: its caller left, a hedge was faster, or its entry is gone (E2002).",
+};
+
+/// At the entry: a target gets no work for a while.
+pub const TARGET_EJECTED: EventKind = EventKind {
+    number: 1130,
+    level: Level::Info,
+    summary: "target ejected",
+    fields: &["node", "target", "service", "cause", "suppressed"],
+    advice: "Look at the backend server, and at its node.",
+};
+
+/// At the entry: a target may get work again.
+pub const TARGET_TRUSTED: EventKind = EventKind {
+    number: 1131,
+    level: Level::Info,
+    summary: "target trusted again",
+    fields: &["node", "target", "service", "suppressed"],
+    advice: "Nothing.",
+};
+
+/// Every event of this area.
+pub const ALL: &[&EventKind] = &[
+    &ANSWERED,
+    &ANSWERED_LATE,
+    &FAILED,
+    &REFUSED,
+    &UNROUTED,
+    &CALLER_LEFT,
+    &OFFER_LOST,
+    &OFFERED_AGAIN,
+    &HEDGED,
+    &RUN_ENDED,
+    &HOST_REFUSED,
+    &RUN_LOST,
+    &RUN_WITHDRAWN,
+    &TARGET_EJECTED,
+    &TARGET_TRUSTED,
+];
--- a/crates/fescueway_telemetry/src/log_setup.rs
+++ b/crates/fescueway_telemetry/src/log_setup.rs
@@ -1,15 +1,16 @@
 //! Where log records go and what they look like.
 
-use std::{fmt::Arguments, io::Write, time::SystemTime};
-
-use fern::{Dispatch, FormatCallback};
-use log::{
-    LevelFilter, Record,
-    kv::{Error, Key, Value, VisitSource},
+use std::{
+    fmt::Arguments,
+    io::{self, IsTerminal, Write, stdout},
+    time::SystemTime,
 };
-use serde_json::{Map, Value as JsonValue, json};
 
-use crate::event_kind::{NUMBER_KEY, SUMMARY_KEY};
+use fern::{Dispatch, FormatCallback, Output};
+use log::{LevelFilter, Record};
+use thiserror::Error;
+
+use crate::{LogQueue, json_line::JsonLine};
 
 /// What a log record looks like.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -30,11 +31,28 @@
     pub form: LogForm,
 }
 
+/// Why there is no log.
+#[derive(Debug, Error)]
+pub enum LogError {
+    /// No thread for the writer.
+    #[error("starting the log's writer: {0}")]
+    Thread(#[source] io::Error),
+    /// Another logger is in use.
+    #[error("putting the log in use: {0}")]
+    InUse(#[from] log::SetLoggerError),
+}
+
 impl Default for LogPlan {
+    /// Text on a terminal, else JSON, from the level `info`.
     fn default() -> Self {
+        let form = if stdout().is_terminal() {
+            LogForm::Text
+        } else {
+            LogForm::Json
+        };
         Self {
             level: LevelFilter::Info,
-            form: LogForm::Text,
+            form,
         }
     }
 }
@@ -42,24 +60,32 @@
 impl LogPlan {
     /// Builds the dispatch of records to `output`. The log is not in use until it is applied.
     pub fn dispatch(self, output: impl Write + Send + 'static) -> Dispatch {
-        let form = self.form;
         let output: Box<dyn Write + Send> = Box::new(output);
+        self.form_lines().chain(output)
+    }
+
+    /// A dispatch that forms lines and has no output yet.
+    fn form_lines(self) -> Dispatch {
+        let form = self.form;
         Dispatch::new()
             .level(self.level)
             .format(move |out, message, record| match form {
                 LogForm::Text => text_line(out, message, record),
                 LogForm::Json => json_line(out, message, record),
             })
-            .chain(output)
     }
 
-    /// Sends the process's records to standard error.
+    /// Sends the process's records to standard output, through a queue that never blocks.
     ///
     /// # Errors
     ///
-    /// When the process already has a logger.
-    pub fn apply(self) -> Result<(), log::SetLoggerError> {
-        self.dispatch(std::io::stderr()).apply()
+    /// When the process already has a logger, or the operating system gives no thread.
+    pub fn apply(self) -> Result<LogQueue, LogError> {
+        let queue = LogQueue::start(stdout()).map_err(LogError::Thread)?;
+        let filling = queue.clone();
+        let output = Output::call(move |record| filling.push(record.args()));
+        self.form_lines().chain(output).apply()?;
+        Ok(queue)
     }
 }
 
@@ -75,32 +101,5 @@
 
 /// Writes a record as JSON.
 fn json_line(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
-    let mut fields = FieldVisitor(Map::new());
-    // The visitor refuses nothing.
-    let _ = record.key_values().visit(&mut fields);
-    let mut fields = fields.0;
-    let number = fields.remove(NUMBER_KEY);
-    let summary = fields.remove(SUMMARY_KEY);
-    let line = json!({
-        "time": utc_now().to_string(),
-        "level": record.level().as_str(),
-        "event": number,
-        "message": summary.unwrap_or_else(|| JsonValue::String(message.to_string())),
-        "fields": fields,
-    });
-    out.finish(format_args!("{line}"));
-}
-
-/// Collects the key values of a record as JSON.
-struct FieldVisitor(Map<String, JsonValue>);
-
-impl<'kvs> VisitSource<'kvs> for FieldVisitor {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let json = match value.to_u64() {
-            Some(number) => JsonValue::from(number),
-            None => JsonValue::String(value.to_string()),
-        };
-        self.0.insert(key.as_str().to_owned(), json);
-        Ok(())
-    }
+    out.finish(format_args!("{}", JsonLine { message, record }));
 }
--- a/crates/fescueway_telemetry/tests/catalogue.rs
+++ b/crates/fescueway_telemetry/tests/catalogue.rs
@@ -17,8 +17,9 @@
 
 #[test]
 fn numbers_are_unique_and_within_their_area() {
-    let areas: [(u16, &[&EventKind]); 4] = [
+    let areas: [(u16, &[&EventKind]); 5] = [
         (1000, events::path::ALL),
+        (1000, events::request::ALL),
         (2000, events::control::ALL),
         (3000, events::operator::ALL),
         (4000, events::claim::ALL),
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -349,6 +349,7 @@
         limits: settings.limits.clone(),
         profile: adapter.profile.clone(),
         takes_keys: settings.takes_keys,
+        log_lines_per_s: settings.log.lines_per_s,
         seed: random()?,
         secret: u128::from(random()?) << 64 | u128::from(random()?),
     })
--- a/crates/fescuewayd/src/daemon_settings.rs
+++ b/crates/fescuewayd/src/daemon_settings.rs
@@ -9,6 +9,9 @@
 use fescueway_config::SitePlan;
 use fescueway_core::{DomainName, ServiceName, SiteName};
 use fescueway_proxy::ProxyLimits;
+use log::LevelFilter;
+
+use crate::settings_rules::LOG_LINES;
 
 /// Checked settings of one daemon. A port of zero lets the operating system choose.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +34,8 @@
     pub fleet_secret: Arc<str>,
     /// Addresses of the platform's store; empty means that it runs without.
     pub store: Vec<SocketAddr>,
+    /// What is logged.
+    pub log: LogSettings,
     /// Limits.
     pub limits: ProxyLimits,
     /// How long a stop waits for what is in flight.
@@ -53,6 +58,24 @@
     pub plan: Option<Arc<SitePlan>>,
 }
 
+/// What is logged.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LogSettings {
+    /// Records below this level are dropped.
+    pub level: LevelFilter,
+    /// Lines of each kind about single requests that are logged in a second at most. Above zero.
+    pub lines_per_s: f64,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LevelFilter::Info,
+            lines_per_s: LOG_LINES.default,
+        }
+    }
+}
+
 impl DaemonSettings {
     /// Settings for `site` in `domain` on ports of loopback that the operating system chooses.
     #[must_use]
@@ -68,6 +91,7 @@
             seed_peers: Vec::new(),
             fleet_secret: Arc::from(""),
             store: Vec::new(),
+            log: LogSettings::default(),
             limits: ProxyLimits::default(),
             stop_timeout: Duration::from_secs(10),
             announce_timeout: Duration::from_secs(10),
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -40,7 +40,7 @@
     backend_load::{BackendLoad, LoadError},
     daemon::Daemon,
     daemon_error::{DaemonError, DaemonStep},
-    daemon_settings::DaemonSettings,
+    daemon_settings::{DaemonSettings, LogSettings},
     daemon_sockets::DaemonAddresses,
     local_http::LocalRequest,
     node_adapter::{
--- a/crates/fescuewayd/src/node_process.rs
+++ b/crates/fescuewayd/src/node_process.rs
@@ -4,6 +4,7 @@
     io::{self, Write},
     path::{Path, PathBuf},
     process::ExitCode,
+    time::Duration,
 };
 
 use eyre::{Result, WrapErr, bail};
@@ -38,6 +39,9 @@
 /// The exit status for wrong usage and wrong settings.
 const USAGE_STATUS: u8 = 2;
 
+/// Time in which the last lines of the log are written.
+const LAST_LINES_TIME: Duration = Duration::from_millis(200);
+
 /// What the command line asks for.
 enum DaemonRequest {
     /// Print this text.
@@ -110,7 +114,19 @@
 
 /// Runs a node until it is told to stop.
 fn run(file: &Path, settings: DaemonSettings, adapter: &NodeAdapter) -> Result<()> {
-    LogPlan::default().apply().wrap_err("setting up the log")?;
+    let plan = LogPlan {
+        level: settings.log.level,
+        ..LogPlan::default()
+    };
+    let queue = plan.apply().wrap_err("setting up the log")?;
+    let ended = run_node(file, settings, adapter);
+    // A reader who is away must not keep the process from ending; what is lost then nobody reads.
+    let _ = queue.flush(LAST_LINES_TIME);
+    ended
+}
+
+/// Runs a node, once there is a log.
+fn run_node(file: &Path, settings: DaemonSettings, adapter: &NodeAdapter) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.wrap_err("starting the runtime")?;
     runtime.block_on(async {
--- a/crates/fescuewayd/src/raw_settings.rs
+++ b/crates/fescuewayd/src/raw_settings.rs
@@ -5,10 +5,11 @@
 use fescueway_config::{FieldFault, NumberRule};
 use fescueway_core::{DomainName, ServiceName, SiteName};
 use fescueway_proxy::ProxyLimits;
+use log::LevelFilter;
 use serde::Deserialize;
 use serde_json::Number;
 
-use crate::{DaemonSettings, settings_rules as rules};
+use crate::{DaemonSettings, LogSettings, settings_rules as rules};
 
 /// Settings as they stand in their file.
 #[derive(Clone, Debug, Deserialize)]
@@ -31,6 +32,9 @@
     pub store: Vec<String>,
     /// What is in force until the store or a peer has something newer.
     pub plan_files: Option<RawPlanFiles>,
+    /// What is logged.
+    #[serde(default)]
+    pub log: RawLog,
     /// Limits.
     #[serde(default)]
     pub limits: RawLimits,
@@ -75,6 +79,16 @@
     pub overlays: Vec<PathBuf>,
 }
 
+/// What is logged.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields, expecting = "an object")]
+pub struct RawLog {
+    /// The lowest level.
+    pub level: Option<String>,
+    /// Lines of each kind about single requests.
+    pub lines_per_s: Option<Number>,
+}
+
 /// Limits that bound what others can take from the node.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields, expecting = "an object")]
@@ -97,6 +111,14 @@
     pub connection_idle_ms: Option<Number>,
 }
 
+/// Levels of the log by their names.
+const LOG_LEVELS: [(&str, LevelFilter); 4] = [
+    ("error", LevelFilter::Error),
+    ("warn", LevelFilter::Warn),
+    ("info", LevelFilter::Info),
+    ("debug", LevelFilter::Debug),
+];
+
 /// Where backend servers announce themselves unless it is set.
 const DEFAULT_BACKENDS: &str = "127.0.0.1:7072";
 
@@ -125,6 +147,7 @@
             seed_peers: addresses("seed_peers", &raw.seed_peers)?,
             fleet_secret: raw.fleet_secret.into(),
             store: addresses("store", &raw.store)?,
+            log: LogSettings::try_from(raw.log)?,
             limits: ProxyLimits::try_from(raw.limits)?,
             stop_timeout: millis(&rules::STOP_TIMEOUT, raw.stop_timeout_ms.as_ref())?,
             announce_timeout: millis(&rules::ANNOUNCE_TIMEOUT, raw.announce_timeout_ms.as_ref())?,
@@ -138,6 +161,23 @@
     }
 }
 
+impl TryFrom<RawLog> for LogSettings {
+    type Error = FieldFault;
+
+    fn try_from(raw: RawLog) -> Result<Self, Self::Error> {
+        let level = raw.level.as_deref().unwrap_or("info");
+        let known = LOG_LEVELS.iter().find(|known| known.0 == level);
+        let (_name, level) = known.ok_or_else(|| {
+            let allowed = "error, warn, info or debug";
+            FieldFault::new("log.level", format!("{level:?}"), allowed)
+        })?;
+        Ok(Self {
+            level: *level,
+            lines_per_s: number(&rules::LOG_LINES, raw.lines_per_s.as_ref())? as f64,
+        })
+    }
+}
+
 impl TryFrom<RawLimits> for ProxyLimits {
     type Error = FieldFault;
 
--- a/crates/fescuewayd/src/settings_rules.rs
+++ b/crates/fescuewayd/src/settings_rules.rs
@@ -12,6 +12,7 @@
     &BODY_IDLE,
     &CONNECT_TIMEOUT,
     &CONNECTION_IDLE,
+    &LOG_LINES,
     &STOP_TIMEOUT,
     &ANNOUNCE_TIMEOUT,
     &STOP_LINGER,
@@ -106,6 +107,17 @@
     meaning: "A connection to a node or a backend server closes after this long without use.",
 };
 
+/// Lines about single requests.
+pub const LOG_LINES: NumberRule = NumberRule {
+    field: "log.lines_per_s",
+    unit: "lines a second",
+    default: 100.0,
+    min: 1.0,
+    max: 100_000.0,
+    is_whole: true,
+    meaning: "Lines of each kind about single requests that are logged at most. What is left out is counted.",
+};
+
 /// Time for stopping.
 pub const STOP_TIMEOUT: NumberRule = NumberRule {
     field: "stop_timeout_ms",
--- a/crates/fescuewayd/tests/path/logged_process.rs
+++ b/crates/fescuewayd/tests/path/logged_process.rs
@@ -9,6 +9,7 @@
 };
 
 use fescueway_testkit::{BackendPlan, BackendStub};
+use serde_json::Value;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -69,7 +70,7 @@
             env!("CARGO_BIN_EXE_fescuewayd"),
             settings_file(name, &settings).display(),
         ));
-        let command = command.stderr(output);
+        let command = command.stdout(output);
         let child = command.spawn().expect("it starts");
         wait_until_open(operators).await;
         Self {
@@ -81,18 +82,23 @@
         }
     }
 
-    /// Lines of the log that hold an event.
-    fn events(&self, number: &str) -> Vec<String> {
+    /// Lines of the log whose event's number begins so.
+    fn events(&self, number: &str) -> Vec<Value> {
         let log = fs::read_to_string(&self.log).expect("the log");
-        let lines = log.lines().filter(|line| line.contains(number));
-        lines.map(str::to_owned).collect()
+        // The last line may not be written whole yet.
+        let whole = log.rsplit_once('\n').map_or("", |(whole, _rest)| whole);
+        let lines = whole
+            .lines()
+            .map(|line| serde_json::from_str(line).expect("a line of JSON"));
+        let is_meant = |line: &Value| line["event"].to_string().starts_with(number);
+        lines.filter(is_meant).collect()
     }
 
     /// Waits until an event is logged `count` times.
     async fn knows(&self, number: &str, count: usize) {
         let start = Instant::now();
         while self.events(number).len() < count {
-            assert!(start.elapsed() < 2 * SOON, "{number} is not logged");
+            assert!(start.elapsed() < 2 * SOON, "E{number} is not logged");
             sleep(Duration::from_millis(20)).await;
         }
     }
@@ -116,20 +122,17 @@
         let _ = socket.write_all(&[0x5a; 64]).await;
         let _ = socket.read(&mut [0]).await;
     }
-    process.knows("E1001", 1).await;
+    process.knows("1001", 1).await;
     let most = start.elapsed().as_secs() as usize + 1;
-    let lines = process.events("E1001");
+    let lines = process.events("1001");
     assert!(lines.len() <= most, "{} lines, {most} seconds", lines.len());
     // The next one tells what was left out.
     sleep(Duration::from_secs(1)).await;
     let mut socket = TcpStream::connect(process.peers).await.expect("it listens");
     socket.write_all(&[0x5a; 64]).await.expect("an open socket");
-    process.knows("E1001", lines.len() + 1).await;
-    let lines = process.events("E1001");
-    let suppressed = |line: &String| {
-        let (_, count) = line.rsplit_once("suppressed=")?;
-        count.trim().parse::<usize>().ok()
-    };
+    process.knows("1001", lines.len() + 1).await;
+    let lines = process.events("1001");
+    let suppressed = |line: &Value| line["fields"]["suppressed"].as_str()?.parse::<usize>().ok();
     let suppressed: usize = lines.iter().filter_map(suppressed).sum();
     assert_eq!(lines.len() + suppressed, HOSTILE + 1, "{lines:?}");
 }
@@ -149,11 +152,11 @@
     );
     let announcement = request("POST", "/v1/announce", &[], body.leak());
     assert_eq!(send(process.backends, announcement).await.status(), 200);
-    process.knows("E42", 1).await;
+    process.knows("42", 1).await;
     // Time for more probes.
     sleep(Duration::from_secs(3)).await;
-    assert_eq!(process.events("E4201"), Vec::<String>::new());
-    assert_eq!(process.events("E4202").len(), 1);
+    assert_eq!(process.events("4201"), Vec::<Value>::new());
+    assert_eq!(process.events("4202").len(), 1);
     assert_eq!(backend.tally().probes, 1);
 }
 
@@ -165,10 +168,10 @@
     for _ in 0..FEW_FILES {
         open.push(TcpStream::connect(process.callers).await);
     }
-    process.knows("E1000", 1).await;
+    process.knows("1000", 1).await;
     sleep(Duration::from_secs(2)).await;
     let most = start.elapsed().as_secs() as usize + 1;
-    let lines = process.events("E1000");
+    let lines = process.events("1000");
     assert!(lines.len() <= most, "{} lines, {most} seconds", lines.len());
 
     // It takes connections again once there are files.
--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -3,6 +3,7 @@
 mod backends;
 mod caller_limits;
 mod common;
+mod decision_lines;
 mod hostile_peers;
 mod live_gates;
 mod load_header;
