Tell a request's story from its id, count by route, and name refusals by slow hosts

Cause: lines alone need grep over nodes and a catalogue in the head; metrics lacked routes, repeats, budgets, slots, kinds of store calls, targets known and the configuration's age; a host that was slow refused as `queue-full` with free slots, which sent the reader of its line looking for overload. A log that nobody reads holds no request up: 4,000 requests against a full pipe and a full queue, with the lost lines counted.

--- a/crates/fescueway/src/command_spec.rs
+++ b/crates/fescueway/src/command_spec.rs
@@ -29,6 +29,8 @@
     Status,
     /// Shows the targets that a node knows.
     Targets,
+    /// Tells the story of a request.
+    Trace,
     /// Ends a drain.
     Undrain,
 }
@@ -145,6 +147,15 @@
         details: "Adds up what the nodes counted; give every node whose callers matter.",
         options: &[CliOption::Node, CliOption::Svg, CliOption::Json],
     },
+    CommandSpec {
+        command: CliCommand::Trace,
+        name: "trace",
+        arguments: "ID FILE...",
+        summary: "Tell the story of a request from the logs of nodes",
+        details: "Reads log lines in JSON, whatever stands before them in a line, and prints those of\n\
+                  the request in order. `-` reads standard input.",
+        options: &[CliOption::Json],
+    },
     CommandSpec {
         command: CliCommand::Help,
         name: "help",
--- a/crates/fescueway/src/commands/mod.rs
+++ b/crates/fescueway/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod render;
 mod status;
 mod targets;
+mod trace;
 
 use std::net::SocketAddr;
 
@@ -35,6 +36,7 @@
         CliCommand::Render => render::run(options),
         CliCommand::Status => wait_for(status::run(options)),
         CliCommand::Targets => wait_for(targets::run(options)),
+        CliCommand::Trace => trace::run(options),
         CliCommand::Undrain => wait_for(drain::undrain(options)),
     }
 }
--- a/crates/fescueway/tests/cli/main.rs
+++ b/crates/fescueway/tests/cli/main.rs
@@ -5,3 +5,4 @@
 mod fleet;
 mod rollout;
 mod support;
+mod trace;
--- a/crates/fescueway/tests/cli/rollout.rs
+++ b/crates/fescueway/tests/cli/rollout.rs
@@ -88,7 +88,7 @@
     }
     for counter in [
         r#"fescueway_gossip_bytes_total{direction="sent"} "#,
-        r#"fescueway_store_calls_total{answered="true"} "#,
+        r#"fescueway_store_calls_total{answered="true",kind="range"} "#,
     ] {
         let count = metrics.lines().find_map(|line| line.strip_prefix(counter));
         assert!(
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -137,11 +137,12 @@
             return GateResult::Refuse(Self::draining());
         }
         if self.is_disturbed(now, terms) {
-            return GateResult::Refuse(Self::refusal(RefusalReason::QueueFull, PACE_LIFE));
+            let refusal = Self::refusal(RefusalReason::BetterElsewhere, PACE_LIFE);
+            return GateResult::Refuse(refusal);
         }
         if self.is_better_elsewhere(now, terms) && !self.take_trial(now) {
             let wait = Duration::from_micros(self.service.straggler_us(now) as u64);
-            return GateResult::Refuse(Self::refusal(RefusalReason::QueueFull, wait));
+            return GateResult::Refuse(Self::refusal(RefusalReason::BetterElsewhere, wait));
         }
         let offer = QueuedOffer::new(now, ticket, terms);
         if self.has_slot(now) && self.queue.len() == 0 {
@@ -293,7 +294,7 @@
             .map(|offer| GateAction::Refuse(offer.ticket, refusal))
             .collect();
         let slow = Duration::from_micros(self.service.straggler_us(now) as u64);
-        let refusal = Self::refusal(RefusalReason::QueueFull, slow);
+        let refusal = Self::refusal(RefusalReason::BetterElsewhere, slow);
         let released = self.queue.release(slow);
         actions.extend(released.map(|offer| GateAction::Refuse(offer.ticket, refusal)));
         while self.has_slot(now)
--- a/crates/fescueway_core/src/refusal.rs
+++ b/crates/fescueway_core/src/refusal.rs
@@ -32,6 +32,8 @@
     BackendRefused,
     /// No configuration is known yet.
     NoConfiguration,
+    /// The target is slow or fails now, and the entry knows a better one.
+    BetterElsewhere,
 }
 
 impl RefusalReason {
@@ -51,6 +53,7 @@
             Self::UnknownService => "unknown-service",
             Self::BackendRefused => "backend-refused",
             Self::NoConfiguration => "no-configuration",
+            Self::BetterElsewhere => "better-elsewhere",
         }
     }
 }
--- a/crates/fescueway_platform/src/lib.rs
+++ b/crates/fescueway_platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod store_error;
 mod store_mapping;
 mod store_pacer;
+mod store_tally;
 mod store_types;
 mod store_watch;
 
@@ -18,6 +19,7 @@
     store_error::{StoreError, StoreFault, StoreStep},
     store_mapping::{RangePage, StoreAnswer, StoreCall, StoreMapping, WatchMapping},
     store_pacer::StorePacer,
+    store_tally::StoreCount,
     store_types::{
         Compare, KeyRange, LeaseGrant, LeaseId, RangeReply, StoreOp, StoreTxn, StoreValue,
         TxnReply, WatchBatch, WatchEvent,
--- a/crates/fescueway_platform/src/store_client.rs
+++ b/crates/fescueway_platform/src/store_client.rs
@@ -13,6 +13,7 @@
     ETCD_MAPPING, KeyRange, LeaseGrant, LeaseId, RangePage, RangeReply, StoreAnswer, StoreCall,
     StoreError, StoreFault, StoreMapping, StoreStep, StoreTxn, StoreWatch, TxnReply,
     store_connection::ConnectionSlot,
+    store_tally::{StoreCount, StoreTally},
 };
 
 /// Where the store is.
@@ -56,6 +57,8 @@
     position: AtomicUsize,
     /// The connection in use.
     connection: ConnectionSlot,
+    /// Counts calls.
+    tally: StoreTally,
 }
 
 impl StoreClient {
@@ -173,9 +176,9 @@
         let opening = StoreWatch::open(peer, &self.mapping.watch, range, from_revision);
         let opened = tokio::time::timeout(time_left, opening).await;
         let timed_out = || Err(StoreFault::AnswerLost("the watch did not open".into()));
-        opened
-            .unwrap_or_else(|_elapsed| timed_out())
-            .map_err(|fault| self.failed(StoreStep::Watch, peer, fault))
+        let opened = opened.unwrap_or_else(|_elapsed| timed_out());
+        self.shared.tally.count(StoreStep::Watch, opened.is_ok());
+        opened.map_err(|fault| self.failed(StoreStep::Watch, peer, fault))
     }
 
     /// Reads keys, page by page.
@@ -225,8 +228,15 @@
             )))
         };
         let answer = answer.unwrap_or_else(|_elapsed| timed_out());
-        let answer = answer.map_err(|fault| self.failed(step, peer, fault))?;
-        read(&answer).map_err(|fault| self.failed(step, peer, fault))
+        let answer = answer.and_then(|answer| read(&answer));
+        self.shared.tally.count(step, answer.is_ok());
+        answer.map_err(|fault| self.failed(step, peer, fault))
+    }
+
+    /// How many calls of each kind were answered so far, and how many were not.
+    #[must_use]
+    pub fn counts(&self) -> impl IntoIterator<Item = StoreCount> + use<> {
+        self.shared.tally.counts()
     }
 
     /// The address in use.
--- a/crates/fescueway_platform/src/store_error.rs
+++ b/crates/fescueway_platform/src/store_error.rs
@@ -15,6 +15,22 @@
     Watch,
 }
 
+impl StoreStep {
+    /// Every kind of call, in the order of its number.
+    pub const ALL: [Self; 4] = [Self::Range, Self::Txn, Self::Lease, Self::Watch];
+
+    /// The kind as it stands in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Range => "range",
+            Self::Txn => "txn",
+            Self::Lease => "lease",
+            Self::Watch => "watch",
+        }
+    }
+}
+
 /// What went wrong.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum StoreFault {
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -200,11 +200,13 @@
                 None => lost_answer(self.state.profile(), StatusCode::BAD_GATEWAY),
             };
         }
+        let stop = refusal.reason;
         // A host knows better than the entry why there is no place for the request.
         let outcome = self.refused_outcome();
         let refusal = self.refusal.unwrap_or(refusal);
         record.outcome = Some(outcome);
         record.reason = Some(refusal.reason);
+        record.stopped_by = Some(stop);
         refused_answer(self.state.profile(), &refusal, outcome)
     }
 
--- a/crates/fescueway_proxy/src/proxy_state/local_backends.rs
+++ b/crates/fescueway_proxy/src/proxy_state/local_backends.rs
@@ -84,6 +84,15 @@
         self.0.targets.services()
     }
 
+    /// Slots that the target of `service` beside this node announced; zero without one.
+    #[must_use]
+    pub fn announced_slots(&self, service: &ServiceName) -> u32 {
+        self.0
+            .targets
+            .record(service)
+            .map_or(0, |record| record.slots)
+    }
+
     /// The target of this node that serves `service`.
     #[must_use]
     pub fn host_target(&self, service: &ServiceName) -> Option<Arc<HostTarget>> {
--- a/crates/fescueway_proxy/src/request_log.rs
+++ b/crates/fescueway_proxy/src/request_log.rs
@@ -121,6 +121,7 @@
             return self.unrouted.emit(now, &[&id, &self.node, &record.status]);
         };
         if let Some(reason) = record.reason {
+            let stop = record.stopped_by.unwrap_or(reason).as_str();
             let reason = reason.as_str();
             return self.refused.emit(
                 now,
@@ -131,6 +132,7 @@
                     service,
                     &record.status,
                     &reason,
+                    &stop,
                     &record.offers,
                     &latency_us,
                 ],
--- a/crates/fescueway_proxy/src/request_record.rs
+++ b/crates/fescueway_proxy/src/request_record.rs
@@ -24,6 +24,8 @@
     pub outcome: Option<Outcome>,
     /// Why it was refused.
     pub reason: Option<RefusalReason>,
+    /// Why a refused request was offered no further.
+    pub stopped_by: Option<RefusalReason>,
     /// From the request's head to the head of its answer.
     pub latency: Duration,
     /// Offers that were made, hedges counted.
--- a/crates/fescueway_proxy/src/route_table.rs
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -185,6 +185,22 @@
         routes.handle(now, node, RouteEvent::LoadReported { node, report })
     }
 
+    /// Retries and hedges, and further offers after refusals, that may be made for a service now.
+    #[must_use]
+    pub fn tokens(&self, service: &ServiceName) -> Option<(f64, f64)> {
+        let state = self.state();
+        state
+            .services
+            .get(service)
+            .map(|routes| routes.router.tokens())
+    }
+
+    /// The services that the entry knows targets of.
+    #[must_use]
+    pub fn services(&self) -> Vec<ServiceName> {
+        self.state().services.keys().cloned().collect()
+    }
+
     /// Where the target's host takes streams.
     #[must_use]
     pub fn address(&self, service: &ServiceName, node: NodeId) -> Option<SocketAddr> {
--- a/crates/fescueway_routing/src/offer_budget.rs
+++ b/crates/fescueway_routing/src/offer_budget.rs
@@ -44,6 +44,11 @@
         (1.0 - self.tokens / self.reserve).min(1.0)
     }
 
+    /// Tokens in hand; below zero when some are owed.
+    pub(crate) fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
     /// Whether a whole token is in hand.
     pub(crate) fn has_token(&self) -> bool {
         self.tokens >= 1.0
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -194,6 +194,13 @@
         self.latency.get().map(|late| late.max(silence))
     }
 
+    /// Retries and hedges, and further offers after refusals, that may be made now. The latter are below
+    /// zero when some are owed.
+    #[must_use]
+    pub fn tokens(&self) -> (f64, f64) {
+        (self.retries.tokens(), self.refusals.tokens())
+    }
+
     /// Whether the target at `node` is ejected, or on probation after that.
     #[must_use]
     pub fn is_ejected(&self, node: NodeId) -> bool {
--- a/crates/fescueway_telemetry/src/events/operator.rs
+++ b/crates/fescueway_telemetry/src/events/operator.rs
@@ -108,7 +108,7 @@
     level: Level::Warn,
     summary: "service-level burn alarm began",
     fields: &["service", "severity", "windows", "burn", "threshold"],
-    advice: "See `Service-level burn` in docs/OPERATING.md; `fescueway burn` shows all services.",
+    advice: "See `Service-level burn` in docs/OPERATIONS.md; `fescueway burn` shows all services.",
 };
 
 /// The error budget of a service burns slowly again.
--- a/crates/fescueway_telemetry/src/events/request.rs
+++ b/crates/fescueway_telemetry/src/events/request.rs
@@ -72,11 +72,12 @@
         "service",
         "status",
         "reason",
+        "stopped_by",
         "offers",
         "latency_us",
         "suppressed",
     ],
-    advice: "See `Refusals` in docs/OPERATIONS.md. E1121 with its id has what its hosts knew.",
+    advice: "`reason` is what the caller was told, `stopped_by` why the entry offered it no further. See `Refusals` in docs/OPERATIONS.md. E1121 with its id has what its hosts knew.",
 };
 
 /// At the entry: no route, no service or a request that is malformed.
--- a/crates/fescueway_telemetry/src/lib.rs
+++ b/crates/fescueway_telemetry/src/lib.rs
@@ -35,8 +35,8 @@
     event_page::event_page,
     log_queue::LogQueue,
     log_setup::{LogForm, LogPlan},
-    metric_set::{MetricError, MetricSet, NodeTotals},
+    metric_set::{MetricError, MetricSet, NodeGauges, NodeTotals, StoreCalls},
     node_status::{NodeStatus, StoreState, TargetList, TargetStatus},
     request_end::RequestEnd,
-    service_metrics::ServiceMetrics,
+    service_metrics::{RouteResult, ServiceLoad, ServiceMetrics},
 };
--- a/crates/fescueway_telemetry/src/metric_set.rs
+++ b/crates/fescueway_telemetry/src/metric_set.rs
@@ -27,16 +27,40 @@
 }
 
 /// Totals since the start of a node that are counted outside of its metrics.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct NodeTotals {
     /// Bytes of membership messages that were sent.
     pub gossip_sent_bytes: u64,
     /// Bytes of membership messages that were received.
     pub gossip_received_bytes: u64,
-    /// Answers of the store.
-    pub store_answers: u64,
-    /// Calls of the store that failed.
-    pub store_failures: u64,
+    /// Calls of the store.
+    pub store_calls: Vec<StoreCalls>,
+    /// Log lines that were left out.
+    pub log_lines_lost: u64,
+}
+
+/// Calls of the store of one kind.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreCalls {
+    /// The kind.
+    pub kind: &'static str,
+    /// Those that were answered.
+    pub answered: u64,
+    /// Those that were not.
+    pub failed: u64,
+}
+
+/// What a node knows now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct NodeGauges {
+    /// Revision of the configuration in force.
+    pub config_revision: u64,
+    /// Time since it came in force, in seconds.
+    pub config_age_s: f64,
+    /// Nodes known to be up.
+    pub nodes: u64,
+    /// Targets known.
+    pub targets: u64,
 }
 
 /// Totals that the callbacks of the instruments read.
@@ -56,8 +80,12 @@
     totals: SharedTotals,
     /// Revision of the configuration in force.
     config_revision: Gauge<u64>,
+    /// How long it is.
+    config_age: Gauge<f64>,
     /// Nodes known to be up.
     known_nodes: Gauge<u64>,
+    /// Targets known.
+    known_targets: Gauge<u64>,
 }
 
 impl Debug for MetricSet {
@@ -97,7 +125,13 @@
                 "fescueway.config.revision",
                 "Revision of the configuration in force.",
             ),
+            config_age: meter
+                .f64_gauge("fescueway.config.age")
+                .with_description("Time since the configuration in force came in force.")
+                .with_unit("s")
+                .build(),
             known_nodes: gauge(&meter, "fescueway.nodes", "Nodes known to be up."),
+            known_targets: gauge(&meter, "fescueway.targets", "Targets known."),
             _provider: provider,
         })
     }
@@ -117,14 +151,12 @@
         *self.totals.lock().unwrap_or_else(PoisonError::into_inner) = totals;
     }
 
-    /// Notes the revision of the configuration in force.
-    pub fn set_revision(&self, revision: u64) {
-        self.config_revision.record(revision, &[]);
-    }
-
-    /// Notes how many nodes are known to be up.
-    pub fn set_known_nodes(&self, count: u64) {
-        self.known_nodes.record(count, &[]);
+    /// Notes what the node knows now.
+    pub fn set_gauges(&self, gauges: &NodeGauges) {
+        self.config_revision.record(gauges.config_revision, &[]);
+        self.config_age.record(gauges.config_age_s, &[]);
+        self.known_nodes.record(gauges.nodes, &[]);
+        self.known_targets.record(gauges.targets, &[]);
     }
 
     /// All metrics in Prometheus' text form.
@@ -149,7 +181,7 @@
         .u64_observable_counter("fescueway.gossip.bytes")
         .with_description("Bytes of membership messages.")
         .with_callback(move |observer| {
-            let totals = *shared.lock().unwrap_or_else(PoisonError::into_inner);
+            let totals = shared.lock().unwrap_or_else(PoisonError::into_inner);
             observer.observe(
                 totals.gossip_sent_bytes,
                 &[KeyValue::new("direction", "sent")],
@@ -161,11 +193,28 @@
     let shared = Arc::clone(totals);
     meter
         .u64_observable_counter("fescueway.store.calls")
-        .with_description("Calls of the store, by whether they were answered.")
+        .with_description("Calls of the store, by kind and by whether they were answered.")
+        .with_callback(move |observer| {
+            let totals = shared.lock().unwrap_or_else(PoisonError::into_inner);
+            for calls in &totals.store_calls {
+                let labels = |is_answered: bool| {
+                    [
+                        KeyValue::new("kind", calls.kind),
+                        KeyValue::new("answered", is_answered),
+                    ]
+                };
+                observer.observe(calls.answered, &labels(true));
+                observer.observe(calls.failed, &labels(false));
+            }
+        })
+        .build();
+    let shared = Arc::clone(totals);
+    meter
+        .u64_observable_counter("fescueway.log.lines.lost")
+        .with_description("Log lines that were left out because nobody read the log in time.")
         .with_callback(move |observer| {
-            let totals = *shared.lock().unwrap_or_else(PoisonError::into_inner);
-            observer.observe(totals.store_answers, &[KeyValue::new("answered", true)]);
-            observer.observe(totals.store_failures, &[KeyValue::new("answered", false)]);
+            let totals = shared.lock().unwrap_or_else(PoisonError::into_inner);
+            observer.observe(totals.log_lines_lost, &[]);
         })
         .build();
 }
--- a/crates/fescueway_telemetry/src/service_metrics.rs
+++ b/crates/fescueway_telemetry/src/service_metrics.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     fmt::{Debug, Formatter, Result as FormatResult},
-    sync::{Mutex, OnceLock, PoisonError},
+    sync::{Arc, Mutex, OnceLock, PoisonError},
     time::Duration,
 };
 
@@ -20,9 +20,15 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0,
 ];
 
+/// Routes of a service that are told apart; further ones count as `other`.
+const MAX_ROUTES: usize = 64;
+
 /// Upper bounds of the buckets for offers of one request.
 const OFFER_BOUNDS: [f64; 5] = [0.0, 1.0, 2.0, 3.0, 5.0];
 
+/// Results of a route's requests.
+const ROUTE_RESULTS: usize = 4;
+
 /// Microseconds in a second.
 const MICROS_PER_S: f64 = 1e6;
 
@@ -35,12 +41,56 @@
     refusals: Counter<u64>,
     offers: Histogram<u64>,
     hedges: Counter<u64>,
+    repeats: Counter<u64>,
+    routes: Counter<u64>,
+    retry_tokens: Gauge<f64>,
+    refusal_tokens: Gauge<f64>,
     probe_spent: Counter<f64>,
     probe_budget: Gauge<f64>,
     utilization: Gauge<f64>,
     in_flight: Gauge<u64>,
     queued: Gauge<u64>,
     limit: Gauge<u64>,
+    slots: Gauge<u64>,
+}
+
+/// How a request ended, for its route.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum RouteResult {
+    /// Answered within its objective.
+    Answered,
+    /// Answered later.
+    Late,
+    /// Refused: it did not run.
+    Refused,
+    /// Failed, or lost.
+    Failed,
+}
+
+/// The load of a service at a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServiceLoad {
+    /// What its target beside the node reports; `None` when there is none.
+    pub report: Option<LoadReport>,
+    /// Slots that the target announced.
+    pub slots: u32,
+    /// Retries and hedges that this entry may make now.
+    pub retry_tokens: f64,
+    /// Further offers after refusals that this entry may make now; below zero when it owes some.
+    pub refusal_tokens: f64,
+}
+
+impl RouteResult {
+    /// The result as it stands in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Late => "late",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+        }
+    }
 }
 
 impl ServiceInstruments {
@@ -73,6 +123,15 @@
             .f64_counter("fescueway.probe.spent")
             .with_description("Backend time that probes took.")
             .with_unit("s");
+        let repeats = meter
+            .u64_counter("fescueway.repeats")
+            .with_description("Further offers of requests after a refusal, a failure or a loss.");
+        let routes = meter
+            .u64_counter("fescueway.route.requests")
+            .with_description("Requests that ended at this entry, by route and result.");
+        let tokens = |name: &'static str, meaning: &'static str| {
+            meter.f64_gauge(name).with_description(meaning).build()
+        };
         let gauge = |name: &'static str, meaning: &'static str| {
             meter.u64_gauge(name).with_description(meaning).build()
         };
@@ -83,6 +142,16 @@
             refusals: refusals.build(),
             offers: offers.build(),
             hedges: hedges.build(),
+            repeats: repeats.build(),
+            routes: routes.build(),
+            retry_tokens: tokens(
+                "fescueway.retry.tokens",
+                "Retries and hedges that this entry may make now.",
+            ),
+            refusal_tokens: tokens(
+                "fescueway.refusal.tokens",
+                "Further offers after refusals that this entry may make now.",
+            ),
             probe_spent: spent.build(),
             probe_budget: meter
                 .f64_gauge("fescueway.probe.budget")
@@ -95,10 +164,14 @@
             in_flight: gauge("fescueway.target.in.flight", "Requests that run here."),
             queued: gauge("fescueway.target.queued", "Requests that wait here."),
             limit: gauge("fescueway.target.limit", "Requests that may run here now."),
+            slots: gauge("fescueway.target.slots", "Slots that the target announced."),
         }
     }
 }
 
+/// Counters of requests by route and result.
+type RouteCounters = BTreeMap<(Arc<str>, RouteResult), BoundCounter<u64>>;
+
 /// The metrics of one service at one node. Its labels are bound, so that counting on the path of
 /// a request costs neither a search nor an allocation once a label has been seen.
 pub struct ServiceMetrics {
@@ -110,6 +183,8 @@
     requests: Mutex<BTreeMap<(Outcome, &'static str), BoundCounter<u64>>>,
     /// Refusals by reason, bound when first seen.
     refusals: Mutex<BTreeMap<RefusalReason, BoundCounter<u64>>>,
+    /// Requests by route and result, bound when first seen.
+    routes: Mutex<RouteCounters>,
     /// Requests that kept their objective.
     kept: BoundCounter<u64>,
     /// Requests that missed their objective.
@@ -117,6 +192,9 @@
     latency: BoundHistogram<f64>,
     offers: BoundHistogram<u64>,
     hedges: BoundCounter<u64>,
+    repeats: BoundCounter<u64>,
+    retry_tokens: BoundGauge<f64>,
+    refusal_tokens: BoundGauge<f64>,
     probe_spent: BoundCounter<f64>,
     probe_budget: BoundGauge<f64>,
     /// Bound with the first report, so that a target that reports nothing shows nothing.
@@ -124,6 +202,7 @@
     in_flight: BoundGauge<u64>,
     queued: BoundGauge<u64>,
     limit: BoundGauge<u64>,
+    slots: BoundGauge<u64>,
 }
 
 impl Debug for ServiceMetrics {
@@ -148,6 +227,11 @@
             missed: objective(false),
             requests: Mutex::default(),
             refusals: Mutex::default(),
+            routes: Mutex::default(),
+            repeats: instruments.repeats.bind(&labels),
+            retry_tokens: instruments.retry_tokens.bind(&labels),
+            refusal_tokens: instruments.refusal_tokens.bind(&labels),
+            slots: instruments.slots.bind(&labels),
             latency: instruments.latency.bind(&labels),
             offers: instruments.offers.bind(&labels),
             hedges: instruments.hedges.bind(&labels),
@@ -180,6 +264,32 @@
         if end.hedges > 0 {
             self.hedges.add(end.hedges.into());
         }
+        let repeats = end.offers.saturating_sub(1 + end.hedges);
+        if repeats > 0 {
+            self.repeats.add(repeats.into());
+        }
+    }
+
+    /// A request of `route` ended; the default route has an empty name.
+    pub fn route_ended(&self, route: &Arc<str>, result: RouteResult) {
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_new = !routes.contains_key(&(Arc::clone(route), result));
+        let is_full = routes.len() >= MAX_ROUTES * ROUTE_RESULTS;
+        let route = if is_new && is_full {
+            Arc::from("other")
+        } else {
+            Arc::clone(route)
+        };
+        let counter = routes.entry((Arc::clone(&route), result));
+        let counter = counter.or_insert_with(|| {
+            let labels = [
+                self.label.clone(),
+                KeyValue::new("route", route),
+                KeyValue::new("result", result.as_str()),
+            ];
+            self.instruments.routes.bind(&labels)
+        });
+        counter.add(1);
     }
 
     /// A request of a caller kept or missed its objective; see [`RequestEnd::is_good`].
@@ -220,10 +330,15 @@
         self.utilization.get_or_init(bind).record(utilization);
     }
 
-    /// Notes the load of the target beside this node.
-    pub fn set_load(&self, report: &LoadReport) {
-        self.in_flight.record(report.in_flight.into());
-        self.queued.record(report.queued.into());
-        self.limit.record(report.limit.into());
+    /// Notes the load of the service here.
+    pub fn set_load(&self, load: &ServiceLoad) {
+        if let Some(report) = load.report {
+            self.in_flight.record(report.in_flight.into());
+            self.queued.record(report.queued.into());
+            self.limit.record(report.limit.into());
+            self.slots.record(load.slots.into());
+        }
+        self.retry_tokens.record(load.retry_tokens);
+        self.refusal_tokens.record(load.refusal_tokens);
     }
 }
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use fescueway_core::{LoadReport, Outcome, RefusalReason, ServiceName};
-use fescueway_telemetry::{MetricSet, NodeTotals, RequestEnd};
+use fescueway_telemetry::{
+    MetricSet, NodeGauges, NodeTotals, RequestEnd, RouteResult, ServiceLoad, StoreCalls,
+};
 
 #[test]
 fn counts_show_in_prometheus_form_and_sets_are_apart() {
@@ -23,14 +25,31 @@
     bands.refused(RefusalReason::QueueFull);
     bands.probed(Duration::from_millis(5));
     bands.set_probe_budget(10.0);
-    bands.set_load(&LoadReport {
-        queued: 4,
-        ..LoadReport::default()
+    let route = "look".into();
+    bands.route_ended(&route, RouteResult::Late);
+    bands.set_load(&ServiceLoad {
+        report: Some(LoadReport {
+            queued: 4,
+            ..LoadReport::default()
+        }),
+        slots: 9,
+        retry_tokens: 2.5,
+        refusal_tokens: -1.0,
+    });
+    set.set_gauges(&NodeGauges {
+        config_revision: 7,
+        config_age_s: 1.5,
+        nodes: 3,
+        targets: 5,
     });
-    set.set_revision(7);
     set.set_totals(NodeTotals {
         gossip_sent_bytes: 1_200,
-        store_answers: 1,
+        store_calls: vec![StoreCalls {
+            kind: "lease",
+            answered: 1,
+            failed: 2,
+        }],
+        log_lines_lost: 6,
         ..NodeTotals::default()
     });
 
@@ -49,7 +68,16 @@
         r#"fescueway_target_queued{service="bands"} 4"#,
         "fescueway_config_revision 7",
         r#"fescueway_gossip_bytes_total{direction="sent"} 1200"#,
-        r#"fescueway_store_calls_total{answered="true"} 1"#,
+        r#"fescueway_store_calls_total{answered="true",kind="lease"} 1"#,
+        r#"fescueway_store_calls_total{answered="false",kind="lease"} 2"#,
+        r#"fescueway_route_requests_total{result="late",route="look",service="bands"} 1"#,
+        r#"fescueway_target_slots{service="bands"} 9"#,
+        r#"fescueway_retry_tokens{service="bands"} 2.5"#,
+        r#"fescueway_refusal_tokens{service="bands"} -1"#,
+        "fescueway_config_age_seconds 1.5",
+        "fescueway_nodes 3",
+        "fescueway_targets 5",
+        "fescueway_log_lines_lost_total 6",
     ] {
         assert!(
             text.lines().any(|found| found == line),
@@ -58,3 +86,21 @@
     }
     assert!(!other.render().expect("text").contains("bands"));
 }
+
+#[test]
+fn routes_that_are_told_apart_are_bounded() {
+    let set = MetricSet::new().expect("metrics");
+    let bands = set.service(&ServiceName::new("bands"));
+    for index in 0..1_000 {
+        bands.route_ended(&format!("r-{index}").into(), RouteResult::Answered);
+    }
+    let text = set.render().expect("text");
+    let lines = text
+        .lines()
+        .filter(|line| line.starts_with("fescueway_route_requests_total{"));
+    let counts: Vec<u64> = lines
+        .filter_map(|line| line.rsplit_once(' ')?.1.parse().ok())
+        .collect();
+    assert!(counts.len() <= 64 * 4 + 1, "{} routes", counts.len());
+    assert_eq!(counts.iter().sum::<u64>(), 1_000);
+}
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -9,7 +9,7 @@
 use fescueway_core::NodeId;
 use fescueway_membership::MemberEvent;
 use fescueway_proxy::{ProxyOptions, ProxyState, TaskGroup, serve_callers, serve_peers};
-use fescueway_telemetry::{MetricSet, emit, events::operator};
+use fescueway_telemetry::{LogQueue, MetricSet, emit, events::operator};
 use tokio::{
     net::UdpSocket,
     time::{Instant, sleep},
@@ -152,6 +152,11 @@
         self.meter.metrics()
     }
 
+    /// Shows in its metrics how many lines the log leaves out.
+    pub fn watch_log(&self, log: LogQueue) {
+        self.meter.watch_log(log);
+    }
+
     /// Where it listens.
     #[must_use]
     pub fn addresses(&self) -> DaemonAddresses {
@@ -258,6 +263,11 @@
             self.claims.get().cloned(),
             self.orders.clone(),
         );
+        if let Some(listener) = sockets.metrics {
+            let operators = operators.clone();
+            let answer = move |request| operators.answer_metrics(&request);
+            tasks.spawn(serve_local(tasks.clone(), listener, "metrics", answer));
+        }
         let answer = move |request| operators.answer(&request);
         tasks.spawn(serve_local(
             tasks.clone(),
@@ -274,6 +284,9 @@
         run_membership(state, &link);
         let mapping = self.adapter.store_mapping;
         let store = StoreLink::new(state, board, &self.settings, mapping);
+        if let Some(store) = &store {
+            self.meter.watch_store(store.client.clone());
+        }
         match self.adapter.document.clone() {
             None => run_rollout(state, &link, board, store.clone(), notes),
             Some(source) => {
--- a/crates/fescuewayd/src/daemon_error.rs
+++ b/crates/fescuewayd/src/daemon_error.rs
@@ -18,6 +18,8 @@
     Backends,
     /// Binding the address for operators.
     Operators,
+    /// Binding the address for metrics.
+    Metrics,
 }
 
 /// Why a daemon could not start.
--- a/crates/fescuewayd/src/daemon_settings.rs
+++ b/crates/fescuewayd/src/daemon_settings.rs
@@ -28,6 +28,8 @@
     pub backends: SocketAddr,
     /// Where operators look.
     pub operators: SocketAddr,
+    /// Where metrics are read as well, without the rest of what operators may do.
+    pub metrics: Option<SocketAddr>,
     /// Peers to join through. May hold the node's own address, which is passed over.
     pub seed_peers: Vec<SocketAddr>,
     /// What all nodes of the fleet share, so that strangers' datagrams are told from theirs.
@@ -88,6 +90,7 @@
             peers: any_port,
             backends: any_port,
             operators: any_port,
+            metrics: None,
             seed_peers: Vec::new(),
             fleet_secret: Arc::from(""),
             store: Vec::new(),
--- a/crates/fescuewayd/src/daemon_sockets.rs
+++ b/crates/fescuewayd/src/daemon_sockets.rs
@@ -29,6 +29,8 @@
     pub backends: TcpListener,
     /// For operators.
     pub operators: TcpListener,
+    /// For metrics only, when they have an address of their own.
+    pub metrics: Option<TcpListener>,
     /// For datagrams of other nodes, at the address of `peers`.
     pub gossip: UdpSocket,
 }
@@ -37,12 +39,17 @@
     /// Binds every address of the settings.
     pub async fn bind(settings: &DaemonSettings) -> Result<Self, DaemonError> {
         let (peers, gossip) = bind_peers(settings.peers).await?;
+        let metrics = match settings.metrics {
+            Some(address) => Some(bind(DaemonStep::Metrics, address).await?),
+            None => None,
+        };
         Ok(Self {
             callers: bind(DaemonStep::Callers, settings.callers).await?,
             peers,
             gossip,
             backends: bind(DaemonStep::Backends, settings.backends).await?,
             operators: bind(DaemonStep::Operators, settings.operators).await?,
+            metrics,
         })
     }
 
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -214,7 +214,7 @@
         if !is_newer {
             return true;
         }
-        let services = plan.services.len();
+        let (services, now) = (plan.services.len(), self.proxy.now());
         self.proxy.apply_plan(Arc::new(plan));
         let mark = ConfigMark {
             revision: version,
@@ -225,6 +225,7 @@
         self.board.change(|facts| {
             facts.revision = version;
             facts.in_force = version;
+            facts.in_force_at = now;
             facts.config_error = None;
         });
         true
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -1,15 +1,18 @@
 //! Counts requests for the metrics and the service-level burn of one node.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    collections::BTreeSet,
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
     time::Duration,
 };
 
 use fescueway_config::SitePlan;
 use fescueway_core::{Outcome, ServiceName};
+use fescueway_platform::StoreClient;
 use fescueway_proxy::{ProxyState, RequestRecord};
 use fescueway_telemetry::{
-    AlarmChange, BurnReport, BurnTracker, MetricError, MetricSet, NodeTotals, RequestEnd,
+    AlarmChange, BurnReport, BurnTracker, LogQueue, MetricError, MetricSet, NodeGauges, NodeTotals,
+    RequestEnd, RouteResult, ServiceLoad, StoreCalls,
 };
 use tokio::time::sleep;
 
@@ -25,6 +28,17 @@
     metrics: Arc<MetricSet>,
     /// Which requests kept their objective.
     burn: Arc<Mutex<BurnState>>,
+    /// What is counted elsewhere.
+    sources: Arc<MeterSources>,
+}
+
+/// What is counted elsewhere, once it is there.
+#[derive(Debug, Default)]
+struct MeterSources {
+    /// Calls of the store.
+    store: OnceLock<StoreClient>,
+    /// Log lines.
+    log: OnceLock<LogQueue>,
 }
 
 /// The burn and the objectives that it counts by.
@@ -52,6 +66,7 @@
         let meter = Self {
             metrics: Arc::new(MetricSet::new()?),
             burn: Arc::new(Mutex::new(burn)),
+            sources: Arc::default(),
         };
         let (counter, watched) = (meter.clone(), state.clone());
         state.observe(move |record| counter.count(&watched, record));
@@ -61,6 +76,18 @@
         Ok(meter)
     }
 
+    /// Shows the calls of this client from now on. The first one counts.
+    pub fn watch_store(&self, store: StoreClient) {
+        // A node has one store.
+        let _ = self.sources.store.set(store);
+    }
+
+    /// Shows the lines that this queue leaves out from now on. The first one counts.
+    pub fn watch_log(&self, log: LogQueue) {
+        // A process has one log.
+        let _ = self.sources.log.set(log);
+    }
+
     /// Metrics.
     #[must_use]
     pub fn metrics(&self) -> &Arc<MetricSet> {
@@ -82,22 +109,41 @@
     /// When the library can't encode them.
     pub fn render(&self, state: &ProxyState, facts: &BoardFacts) -> Result<String, MetricError> {
         let plan = state.plan();
-        for service in state.local_services() {
-            let metrics = self.metrics.service(&service);
-            if let Some(target) = state.host_target(&service) {
-                metrics.set_load(&target.report());
-            }
-            if let Some(plan) = plan.services.get(&service) {
+        let services: BTreeSet<_> = state.local_services().into_iter().collect();
+        let known = state.routes().services();
+        for service in services.iter().chain(&known) {
+            let metrics = self.metrics.service(service);
+            let target = state.host_target(service);
+            let (retry_tokens, refusal_tokens) = state.routes().tokens(service).unwrap_or_default();
+            metrics.set_load(&ServiceLoad {
+                report: target.map(|target| target.report()),
+                slots: state.announced_slots(service),
+                retry_tokens,
+                refusal_tokens,
+            });
+            if let Some(plan) = plan.services.get(service)
+                && services.contains(service)
+            {
                 metrics.set_probe_budget(plan.probe.budget_ms_per_s);
             }
         }
-        self.metrics.set_revision(facts.in_force);
-        self.metrics.set_known_nodes(facts.peers.into());
+        self.metrics.set_gauges(&NodeGauges {
+            config_revision: facts.in_force,
+            config_age_s: state.now().since(facts.in_force_at).as_secs_f64(),
+            nodes: facts.peers.into(),
+            targets: state.routes().targets().len() as u64,
+        });
+        let calls = self.sources.store.get().map(StoreClient::counts);
+        let calls = calls.into_iter().flatten().map(|count| StoreCalls {
+            kind: count.step.as_str(),
+            answered: count.answered,
+            failed: count.failed,
+        });
         self.metrics.set_totals(NodeTotals {
             gossip_sent_bytes: facts.traffic.sent_bytes,
             gossip_received_bytes: facts.traffic.received_bytes,
-            store_answers: facts.store_answers,
-            store_failures: facts.store_failures,
+            store_calls: calls.collect(),
+            log_lines_lost: self.sources.log.get().map_or(0, LogQueue::lost),
         });
         self.metrics.render()
     }
@@ -119,7 +165,10 @@
         if let Some(reason) = record.reason {
             metrics.refused(reason);
         }
-        if let Some(is_good) = self.burn().count(state, service, &end) {
+        if let Some(route) = &record.route {
+            metrics.route_ended(route, result_of(record));
+        }
+        if let Some(is_good) = self.burn().count(state, service, &end, record.objective) {
             metrics.objective_counted(is_good);
         }
     }
@@ -139,6 +188,19 @@
     }
 }
 
+/// How a request ended, for its route.
+fn result_of(record: &RequestRecord) -> RouteResult {
+    if record.reason.is_some() {
+        RouteResult::Refused
+    } else if record.outcome != Some(Outcome::Ran) || record.status >= 500 {
+        RouteResult::Failed
+    } else if record.latency > record.objective {
+        RouteResult::Late
+    } else {
+        RouteResult::Answered
+    }
+}
+
 impl BurnState {
     /// Counts a request against its objective and tells whether it was kept; `None` for a service
     /// that the configuration no longer has.
@@ -147,10 +209,11 @@
         state: &ProxyState,
         service: &ServiceName,
         end: &RequestEnd,
+        objective: Duration,
     ) -> Option<bool> {
         self.follow(state);
-        let plan = self.plan.services.get(service)?;
-        let is_good = end.is_good(plan.objective.latency);
+        self.plan.services.get(service)?;
+        let is_good = end.is_good(objective);
         self.tracker.record(state.now(), service, is_good);
         Some(is_good)
     }
--- a/crates/fescuewayd/src/node_process.rs
+++ b/crates/fescuewayd/src/node_process.rs
@@ -8,7 +8,7 @@
 };
 
 use eyre::{Result, WrapErr, bail};
-use fescueway_telemetry::{LogPlan, emit, events::operator};
+use fescueway_telemetry::{LogPlan, LogQueue, emit, events::operator};
 use lexopt::{Arg, Parser};
 use tokio::{
     runtime::Builder,
@@ -119,14 +119,19 @@
         ..LogPlan::default()
     };
     let queue = plan.apply().wrap_err("setting up the log")?;
-    let ended = run_node(file, settings, adapter);
+    let ended = run_node(file, settings, adapter, &queue);
     // A reader who is away must not keep the process from ending; what is lost then nobody reads.
     let _ = queue.flush(LAST_LINES_TIME);
     ended
 }
 
 /// Runs a node, once there is a log.
-fn run_node(file: &Path, settings: DaemonSettings, adapter: &NodeAdapter) -> Result<()> {
+fn run_node(
+    file: &Path,
+    settings: DaemonSettings,
+    adapter: &NodeAdapter,
+    queue: &LogQueue,
+) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.wrap_err("starting the runtime")?;
     runtime.block_on(async {
@@ -134,6 +139,7 @@
         let mut interrupt = signal(SignalKind::interrupt()).wrap_err("handling SIGINT")?;
         let mut hangup = signal(SignalKind::hangup()).wrap_err("handling SIGHUP")?;
         let daemon = Daemon::start_with(settings, adapter.clone()).await?;
+        daemon.watch_log(queue.clone());
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -77,7 +77,15 @@
         }
     }
 
-    /// The node in short.
+    /// Answers a request at the address for metrics, which takes no orders.
+    #[must_use]
+    pub fn answer_metrics(&self, request: &LocalRequest) -> LocalAnswer {
+        match (&request.method, request.path.as_str()) {
+            (&Method::GET, "/metrics") => self.metrics(),
+            _ => text(StatusCode::NOT_FOUND, "only GET /metrics is answered here"),
+        }
+    }
+
     /// Whether the node takes new work and can serve it.
     fn ready(&self) -> LocalAnswer {
         let facts = self.board.facts();
--- a/crates/fescuewayd/src/raw_settings.rs
+++ b/crates/fescuewayd/src/raw_settings.rs
@@ -66,6 +66,8 @@
     pub backends: Option<String>,
     /// For operators.
     pub operators: Option<String>,
+    /// For metrics only.
+    pub metrics: Option<String>,
 }
 
 /// Files with a configuration. Paths are relative to the settings' folder.
@@ -135,6 +137,8 @@
             .map(|slack| rules::RETRY_SLACK.check_at("retry_slack".to_owned(), Some(slack)));
         let backend_address = raw.backend_address.as_deref();
         let backend_address = backend_address.map(|text| address("backend_address", text));
+        let metrics = listen.metrics.as_deref();
+        let metrics = metrics.map(|text| address("listen.metrics", text));
         let backends = listen.backends.as_deref().unwrap_or(DEFAULT_BACKENDS);
         let operators = listen.operators.as_deref().unwrap_or(DEFAULT_OPERATORS);
         Ok(Self {
@@ -144,6 +148,7 @@
             peers: peer_address("listen.peers", &listen.peers)?,
             backends: address("listen.backends", backends)?,
             operators: address("listen.operators", operators)?,
+            metrics: metrics.transpose()?,
             seed_peers: addresses("seed_peers", &raw.seed_peers)?,
             fleet_secret: raw.fleet_secret.into(),
             store: addresses("store", &raw.store)?,
--- a/crates/fescuewayd/src/rollout_task.rs
+++ b/crates/fescuewayd/src/rollout_task.rs
@@ -143,8 +143,12 @@
             self.carry_out(action);
         }
         self.report_due.notify_one();
+        let now = self.proxy.now();
         self.board.change(|facts| {
             facts.revision = status.newest.revision;
+            if facts.in_force != status.in_force.revision {
+                facts.in_force_at = now;
+            }
             facts.in_force = status.in_force.revision;
             facts.config_error = Some(status.fault).filter(|fault| !fault.is_empty());
         });
--- a/crates/fescuewayd/src/status_board.rs
+++ b/crates/fescuewayd/src/status_board.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use fescueway_core::MonoTime;
 use fescueway_membership::TrafficCounts;
 use fescueway_telemetry::StoreState;
 
@@ -16,14 +17,12 @@
     pub revision: u64,
     /// The revision in force.
     pub in_force: u64,
+    /// When it came in force.
+    pub in_force_at: MonoTime,
     /// Why the highest revision can't be applied.
     pub config_error: Option<String>,
     /// Whether the store is reached.
     pub store: StoreState,
-    /// Answers of the store since the start.
-    pub store_answers: u64,
-    /// Calls of the store that failed since the start.
-    pub store_failures: u64,
     /// Other nodes that are known to be up.
     pub peers: u32,
     /// What the membership sent and received.
--- a/crates/fescuewayd/src/store_link.rs
+++ b/crates/fescuewayd/src/store_link.rs
@@ -96,13 +96,7 @@
             Some(_) => StoreState::Unreachable,
         };
         let before = self.board.facts().store;
-        self.board.change(|facts| {
-            facts.store = state;
-            match error {
-                None => facts.store_answers += 1,
-                Some(_) => facts.store_failures += 1,
-            }
-        });
+        self.board.change(|facts| facts.store = state);
         if let Some(error) = error {
             let now = self.proxy.now();
             let mut pace = self.pace();
--- a/crates/fescuewayd/tests/path/logged_process.rs
+++ b/crates/fescuewayd/tests/path/logged_process.rs
@@ -4,7 +4,7 @@
     fs::{self, File},
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command},
+    process::{Child, Command, Stdio},
     time::{Duration, Instant},
 };
 
@@ -17,13 +17,19 @@
 };
 
 use crate::{
-    common::{SOON, get, request, send},
+    common::{SOON, connect, get, request, send, text},
     process::{free_addresses, settings_file, wait_until_open},
 };
 
 /// Connections of a hostile peer.
 const HOSTILE: usize = 60;
 
+/// Requests whose lines don't fit into a pipe and the queue before it.
+const UNREAD_REQUESTS: u32 = 4_000;
+
+/// Time that a request has unless its route says otherwise.
+const DEADLINE: Duration = Duration::from_secs(2);
+
 /// Files that a daemon may have open.
 const FILES: u32 = 1_024;
 
@@ -42,12 +48,28 @@
     peers: SocketAddr,
     /// Where backend servers announce themselves.
     backends: SocketAddr,
+    /// Where operators look.
+    operators: SocketAddr,
 }
 
 impl LoggedProcess {
     /// Starts a daemon on 127.0.0.`host` for the service `w` with this plan of probes, which may
     /// have `files` open.
     async fn start(name: &str, host: u8, probe: &str, files: u32) -> Self {
+        let log = settings_file(&format!("{name}-log"), "");
+        let output = File::create(&log).expect("a folder for temporary files");
+        Self::start_with(name, host, probe, files, log, output.into()).await
+    }
+
+    /// The same with its log going to `output`.
+    async fn start_with(
+        name: &str,
+        host: u8,
+        probe: &str,
+        files: u32,
+        log: PathBuf,
+        output: Stdio,
+    ) -> Self {
         let [callers, peers, backends, operators] = free_addresses(host);
         let base = format!(
             r#"{{ "services": {{ "w": {{ "path_prefixes": ["/"], "probe": {probe} }} }} }}"#
@@ -55,15 +77,13 @@
         let base = settings_file(&format!("{name}-base"), &base);
         let overlay = settings_file(&format!("{name}-overlay"), r#"{ "site": "s" }"#);
         let settings = format!(
-            r#"{{ "site": "s", "domain": "d",
+            r#"{{ "site": "s", "domain": "d", "log": {{ "lines_per_s": 100000 }},
                 "listen": {{ "callers": "{callers}", "peers": "{peers}",
                              "backends": "{backends}", "operators": "{operators}" }},
                 "plan_files": {{ "base": "{}", "overlays": ["{}"] }} }}"#,
             base.display(),
             overlay.display(),
         );
-        let log = settings_file(&format!("{name}-log"), "");
-        let output = File::create(&log).expect("a folder for temporary files");
         let mut command = Command::new("sh");
         let command = command.arg("-c").arg(format!(
             "ulimit -n {files} && exec {} --settings {}",
@@ -79,6 +99,7 @@
             callers,
             peers,
             backends,
+            operators,
         }
     }
 
@@ -137,6 +158,27 @@
     assert_eq!(lines.len() + suppressed, HOSTILE + 1, "{lines:?}");
 }
 
+#[tokio::test]
+async fn a_log_that_nobody_reads_holds_no_request_up() {
+    let unread = Stdio::piped();
+    let process = LoggedProcess::start_with("unread", 7, "{}", FILES, PathBuf::new(), unread).await;
+    let mut sender = connect(process.callers).await;
+    let start = Instant::now();
+    for _ in 0..UNREAD_REQUESTS {
+        let response = sender.send_request(get("/w")).await.expect("an answer");
+        assert_eq!(response.status(), 503);
+        text(response).await;
+    }
+    // A tenth of the time within which a request would have to be answered.
+    assert!(start.elapsed() < UNREAD_REQUESTS * DEADLINE / 10);
+    let metrics = text(send(process.operators, get("/metrics")).await).await;
+    let lost = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("fescueway_log_lines_lost_total "));
+    let lost: u64 = lost.expect("the metric").parse().expect("a number");
+    assert!(lost > 0, "no line was left out");
+}
+
 #[tokio::test]
 async fn a_backend_server_without_a_load_endpoint_is_not_failing() {
     let often = r#"{ "budget_ms_per_s": 1000, "timeout_ms": 400 }"#;
