Answer 400 to a request that names no host, or two

Cause: a request with two Host fields was answered by the first, one without any as if its host were empty (RFC 9112, section 3.2, asks for 400 in HTTP/1.1). Ruled out: a check in the HTTP library, which passes both on. Before: 200 for both with a route for all hosts. After: 400; HTTP/1.0 may do without. The test over raw sockets failed before.

--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use fescueway_core::{Idempotency, MonoTime, Outcome, Refusal, RefusalReason};
-use http::{Response, StatusCode, header::HOST, request::Parts};
+use http::{Response, StatusCode, Version, header::HOST, request::Parts};
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
@@ -132,6 +132,10 @@
     start: MonoTime,
     record: &mut RequestRecord,
 ) -> Response<AnswerBody> {
+    if !is_host_clear(&parts) {
+        let text = "a request names its host once";
+        return reject(state, StatusCode::BAD_REQUEST, text, record);
+    }
     let head = RequestHead::take(state, &mut parts, caller);
     let plan = state.plan();
     if !state.is_configured() {
@@ -182,6 +186,15 @@
         .await
 }
 
+/// Whether a request names its host as its version has to (RFC 9112, section 3.2).
+fn is_host_clear(parts: &Parts) -> bool {
+    let fields = parts.headers.get_all(HOST).iter().count();
+    match parts.version {
+        Version::HTTP_11 => fields == 1,
+        _ => fields <= 1,
+    }
+}
+
 /// Answers a request that is offered to nobody.
 fn reject(
     state: &ProxyState,
--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod caller_limits;
 mod common;
 mod decision_lines;
+mod host_field;
 mod hostile_peers;
 mod live_gates;
 mod load_header;
