--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -34,7 +34,7 @@
             return stopped(stop, load);
         }
     };
-    trace.began(state.now());
+    trace.began(state.now(), &target);
     let body = HostBody::Local(offer.body.clone());
     let answer = start(state, run, request, body).await;
     let load = target.report();
@@ -84,7 +84,7 @@
             return stop_offer(&mut reply, stop, load);
         }
     };
-    trace.began(state.now());
+    trace.began(state.now(), &target);
     if is_body_held && reply.send(&AnswerHead::Accepted, false).is_err() {
         return;
     }
--- a/crates/fescueway_proxy/src/request_log.rs
+++ b/crates/fescueway_proxy/src/request_log.rs
@@ -7,7 +7,9 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::{
-    host::BackendError, offer_request::HostRequest, request_record::RequestRecord,
+    host::{BackendError, HostTarget},
+    offer_request::HostRequest,
+    request_record::RequestRecord,
     route_table::TrustChange,
 };
 
@@ -70,6 +72,8 @@
     time_left: Duration,
     /// When it got a slot and a connection.
     began_at: Option<MonoTime>,
+    /// The pace of work then, 1000 for the usual; zero when it isn't known.
+    pace_permille: u32,
 }
 
 impl RequestLog {
@@ -283,6 +287,7 @@
             came_at: now,
             time_left: request.terms.time_left,
             began_at: None,
+            pace_permille: 0,
         }
     }
 
@@ -298,6 +303,7 @@
                 &status,
                 &trace.waited(now).as_micros(),
                 &trace.took(now).as_micros(),
+                &trace.pace_permille,
                 &load.in_flight,
                 &load.limit,
             ],
@@ -366,9 +372,11 @@
 }
 
 impl HostTrace {
-    /// The request has a slot and a connection.
-    pub fn began(&mut self, now: MonoTime) {
+    /// The request has a slot and a connection at `target`.
+    pub fn began(&mut self, now: MonoTime, target: &HostTarget) {
         self.began_at = Some(now);
+        let pace = target.told_pace().map_or(0.0, |(pace, _age)| pace);
+        self.pace_permille = (pace * 1_000.0) as u32;
     }
 
     /// How long the request waited for its slot and its connection.
--- a/crates/fescueway_telemetry/src/events/request.rs
+++ b/crates/fescueway_telemetry/src/events/request.rs
@@ -157,11 +157,12 @@
         "status",
         "waited_us",
         "took_us",
+        "pace_permille",
         "in_flight",
         "limit",
         "suppressed",
     ],
-    advice: "Nothing.",
+    advice: "Nothing. `pace_permille` is the pace of work when it began, 1000 for the usual and 0 for unknown.",
 };
 
 /// At the host: the request was not handed over.
--- a/crates/fescuewayd/tests/path/decision_lines.rs
+++ b/crates/fescuewayd/tests/path/decision_lines.rs
@@ -47,7 +47,9 @@
     fn lines(&self) -> Vec<Value> {
         let bytes = self.0.lock().expect("no writer panicked").clone();
         let text = String::from_utf8(bytes).expect("UTF-8");
-        let lines = text.lines();
+        // Other tests log meanwhile: the last line may not be written whole yet.
+        let whole = text.rsplit_once('\n').map_or("", |(whole, _rest)| whole);
+        let lines = whole.lines();
         lines
             .map(|line| serde_json::from_str(line).expect("a line of JSON"))
             .collect()
