Prove a report that came before the configuration by the next answer

Cause: after a loss of all nodes a backend server's report may reach its node in the first milliseconds, before the node has a configuration and with it the health path. The question that proves the report could not be asked then, and the node's own questions in the first second were taken for older than the report, so the backend server took no work until its next report, 1.4 s later. Ruled out: load (the answers came within milliseconds); longer questions, which would take a cold start for warm. The test failed before: the target was never known without another report.

--- a/crates/fescuewayd/src/backend_api/reports.rs
+++ b/crates/fescuewayd/src/backend_api/reports.rs
@@ -207,7 +207,12 @@
             sequence: 0,
             is_draining: !answer.status.is_success(),
         };
-        if load.slots == 0 || self.register().report(&report) != ReportVerdict::Serves {
+        let verdict = self.register().report(&report);
+        // One that reported before there was a configuration could not be asked then.
+        let is_proof = verdict == ReportVerdict::Stale
+            && !report.is_draining
+            && self.register().is_serving(&report.identity);
+        if load.slots == 0 || (verdict != ReportVerdict::Serves && !is_proof) {
             return false;
         }
         self.take(&BackendAnnouncement {
