Say once how a request ended, what an event changed and how seeds are read

Now the router tells what the event changed, from the view it has in hand. - Seeds were read from the store by the same lines in two tasks, the service beside the node was told by the same lines at the start and at a reload, and numbers and addresses without a default were checked by the same lines at five places. Each is one function now. - Metrics handled a service twice that is both beside the node and known, and copied all views of targets to count them, as the status did. Both count now. - A route's plan was made with a wrong work kind and copied with the right one; a trace sorted the catalogue of events for each line; two loops pinged seeds. Ruled out: one budget for EventLimit and EventBudget, which pause by source and by rate; the store's socket options and the path's, whose crates must not know each other.

--- a/crates/fescueway/src/commands/trace.rs
+++ b/crates/fescueway/src/commands/trace.rs
@@ -10,7 +10,7 @@
 };
 
 use eyre::{WrapErr, eyre};
-use fescueway_telemetry::{EventKind, events};
+use fescueway_telemetry::events;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
@@ -147,11 +147,14 @@
 fn story_text(story: &[LogLine]) -> String {
     let own = story.iter().filter(|line| !line.is_context);
     let start = own.filter_map(LogLine::at).min();
+    let kinds = events::all();
     let mut text = String::new();
     for line in story {
+        let kind = kinds.iter().find(|kind| kind.number == line.event);
+        let known = kind.map_or(&[][..], |kind| kind.fields);
         let mark = if line.is_context { "~" } else { " " };
         let offset = line.offset_ms(start);
-        let fields = line.field_text();
+        let fields = line.field_text(known);
         let (time, event, message) = (&line.time, line.event, &line.message);
         let times = if line.repeats > 1 {
             format!(" ({} times)", line.repeats)
@@ -196,12 +199,9 @@
         named.filter_map(Value::as_str).filter(|node| *node != "-")
     }
 
-    /// Its fields as text, in the catalogue's order. Left out are the id, which the operator gave, and
-    /// counts of nothing.
-    fn field_text(&self) -> String {
-        let kinds = events::all();
-        let kind: Option<&EventKind> = kinds.iter().find(|kind| kind.number == self.event).copied();
-        let known = kind.map_or(&[][..], |kind| kind.fields);
+    /// Its fields as text, those that are `known` first and in that order. Left out are the id, which the
+    /// operator gave, and counts of nothing.
+    fn field_text(&self, known: &[&str]) -> String {
         let is_known = |name: &&String| known.contains(&name.as_str());
         let others = self.fields.keys().filter(|name| !is_known(name));
         let names = known.iter().copied().chain(others.map(String::as_str));
--- a/crates/fescueway_config/src/field_rule.rs
+++ b/crates/fescueway_config/src/field_rule.rs
@@ -75,6 +75,20 @@
         Err(FieldFault::new(path, number.to_string(), self.to_string()))
     }
 
+    /// As [`NumberRule::check_at`], for a field that has no default of its own.
+    ///
+    /// # Errors
+    ///
+    /// When the value is out of range.
+    pub fn check_given(
+        &self,
+        path: String,
+        raw: Option<&Number>,
+    ) -> Result<Option<f64>, FieldFault> {
+        raw.map(|number| self.check_at(path, Some(number)))
+            .transpose()
+    }
+
     /// The number as it stands in a document.
     #[must_use]
     pub fn raw(&self, value: f64) -> Option<Number> {
--- a/crates/fescueway_config/src/service_check.rs
+++ b/crates/fescueway_config/src/service_check.rs
@@ -201,14 +201,9 @@
     raw: &BTreeMap<String, RawRoute>,
     fallback: &RoutePlan,
 ) -> Result<Vec<RoutePlan>, FieldFault> {
-    let routes = raw.iter().map(|(name, raw)| {
-        let path = format!("{scope}.routes.{name}");
-        let route = checked_route(&path, name, raw, fallback)?;
-        Ok(RoutePlan {
-            work_kind: RoutePlan::kind_of(scope, name),
-            ..route
-        })
-    });
+    let routes = raw
+        .iter()
+        .map(|(name, raw)| checked_route(scope, name, raw, fallback));
     let mut routes = routes.collect::<Result<Vec<_>, _>>()?;
     routes.sort_by_key(|route| (Reverse(route.path_prefix.len()), route.method.is_none()));
     check_distinct_routes(scope, &routes)?;
@@ -235,12 +230,13 @@
 
 /// One route; what it does not give is as in `fallback`.
 fn checked_route(
-    path: &str,
+    scope: &str,
     name: &str,
     raw: &RawRoute,
     fallback: &RoutePlan,
 ) -> Result<RoutePlan, FieldFault> {
-    let name = checked_name(path.to_owned(), name)?;
+    let path = format!("{scope}.routes.{name}");
+    let checked = checked_name(path.clone(), name)?;
     let method = raw.method.as_deref().map(|method| {
         checked_text(
             format!("{path}.method"),
@@ -249,35 +245,26 @@
             is_method,
         )
     });
-    let prefix_path = format!("{path}.path_prefix");
-    let deadline = match &raw.deadline_ms {
-        Some(number) => {
-            let path = format!("{path}.deadline_ms");
-            let deadline = rules::DEFAULT_DEADLINE.check_at(path, Some(number))?;
-            Duration::from_millis(deadline as u64)
-        }
-        None => fallback.deadline,
+    let number = |rule: &NumberRule, field: &str, raw: &Option<Number>| {
+        rule.check_given(format!("{path}.{field}"), raw.as_ref())
     };
-    let objective = raw.objective_ms.as_ref().map(|number| {
-        rules::OBJECTIVE_LATENCY.check_at(format!("{path}.objective_ms"), Some(number))
-    });
-    let runs = raw
-        .max_runs
-        .as_ref()
-        .map(|number| rules::MAX_OFFERS.check_at(format!("{path}.max_runs"), Some(number)));
+    let millis = |rule, field, raw| {
+        let millis = number(rule, field, raw)?;
+        Ok(millis.map(|millis| Duration::from_millis(millis as u64)))
+    };
+    let deadline = millis(&rules::DEFAULT_DEADLINE, "deadline_ms", &raw.deadline_ms)?;
+    let prefix_path = format!("{path}.path_prefix");
     Ok(RoutePlan {
-        name: name.as_str().into(),
-        work_kind: fallback.work_kind,
+        name: checked.as_str().into(),
+        work_kind: RoutePlan::kind_of(scope, name),
         method: method.transpose()?,
         path_prefix: checked_text(prefix_path, &raw.path_prefix, &rules::ROUTE_PREFIX, is_path)?,
         idempotency: raw.idempotency,
         priority: raw.priority.unwrap_or(fallback.priority),
-        deadline,
-        objective: objective
-            .transpose()?
-            .map(|objective| Duration::from_millis(objective as u64)),
-        max_runs: runs.transpose()?.map(|runs| runs as u8),
-        split: split(path, &raw.weights)?,
+        deadline: deadline.unwrap_or(fallback.deadline),
+        objective: millis(&rules::OBJECTIVE_LATENCY, "objective_ms", &raw.objective_ms)?,
+        max_runs: number(&rules::MAX_OFFERS, "max_runs", &raw.max_runs)?.map(|runs| runs as u8),
+        split: split(&path, &raw.weights)?,
     })
 }
 
--- a/crates/fescueway_membership/src/fleet_join.rs
+++ b/crates/fescueway_membership/src/fleet_join.rs
@@ -101,6 +101,11 @@
         } else {
             step.now + FIRST_SEED_PAUSE
         };
+        self.ping_seeds(step);
+    }
+
+    /// Pings some seeds that are no live members.
+    fn ping_seeds(&mut self, step: &mut Step<'_, impl Rng>) {
         for _seed in 0..SEEDS_AT_ONCE {
             self.ping_seed(step);
         }
@@ -119,9 +124,7 @@
                 SEED_PAUSE
             };
             self.join.next_at = step.now + pause;
-            for _seed in 0..SEEDS_AT_ONCE {
-                self.ping_seed(step);
-            }
+            self.ping_seeds(step);
             return;
         }
         let parts = parts_of(self.fleet_size.max(self.table.live_count()));
--- a/crates/fescueway_proxy/src/entry/offer_attempt.rs
+++ b/crates/fescueway_proxy/src/entry/offer_attempt.rs
@@ -1,7 +1,7 @@
 //! One offer, and what its end tells the router.
 
 use fescueway_core::{LoadReport, MonoTime, NodeId, Refusal, RequestTerms, ServiceName};
-use fescueway_routing::{HandedOver, OfferEnd, OfferPermit};
+use fescueway_routing::{HandedOver, OfferEnd, OfferPermit, TrustChange};
 
 use crate::{
     host::offer_locally,
@@ -10,7 +10,6 @@
     peer::{offer_to_peer, unreachable_host},
     proxy_state::ProxyState,
     request_log::LogId,
-    route_table::TrustChange,
 };
 
 /// How an offer ended, with what may be done next.
--- a/crates/fescueway_proxy/src/request_log.rs
+++ b/crates/fescueway_proxy/src/request_log.rs
@@ -2,15 +2,17 @@
 
 use std::time::Duration;
 
-use fescueway_core::{LoadReport, MonoTime, NodeId, Outcome, Refusal, RequestTerms, ServiceName};
-use fescueway_telemetry::{EventBudget, EventKind, events::request};
+use fescueway_core::{
+    LoadReport, MonoTime, NodeId, Refusal, RefusalReason, RequestTerms, ServiceName,
+};
+use fescueway_routing::TrustChange;
+use fescueway_telemetry::{EventBudget, EventKind, RouteResult, events::request};
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::{
     host::{BackendError, HostTarget},
     offer_request::HostRequest,
     request_record::RequestRecord,
-    route_table::TrustChange,
 };
 
 /// Names a request in the log, unless the installation has an id of its own.
@@ -124,29 +126,28 @@
         let Some(service) = &record.service else {
             return self.unrouted.emit(now, &[&id, &self.node, &record.status]);
         };
-        if let Some(reason) = record.reason {
-            let stop = record.stopped_by.unwrap_or(reason).as_str();
-            let reason = reason.as_str();
-            return self.refused.emit(
-                now,
-                &[
-                    &id,
-                    &self.node,
-                    &route,
-                    service,
-                    &record.status,
-                    &reason,
-                    &stop,
-                    &record.offers,
-                    &latency_us,
-                ],
-            );
-        }
         let target = record.target.map(|node| node.to_string());
         let target = target.as_deref().unwrap_or(UNKNOWN);
-        let outcome = record.outcome.unwrap_or(Outcome::Unknown);
-        if outcome != Outcome::Ran || record.status >= 500 {
-            return self.failed.emit(
+        match record.result() {
+            RouteResult::Refused => {
+                let reason = record.reason.map_or(UNKNOWN, RefusalReason::as_str);
+                let stop = record.stopped_by.map_or(reason, RefusalReason::as_str);
+                self.refused.emit(
+                    now,
+                    &[
+                        &id,
+                        &self.node,
+                        &route,
+                        service,
+                        &record.status,
+                        &reason,
+                        &stop,
+                        &record.offers,
+                        &latency_us,
+                    ],
+                );
+            }
+            RouteResult::Failed => self.failed.emit(
                 now,
                 &[
                     &id,
@@ -155,33 +156,35 @@
                     service,
                     &target,
                     &record.status,
-                    &outcome.as_str(),
+                    &record.end().outcome.as_str(),
                     &record.offers,
                     &record.hedges,
                     &latency_us,
                 ],
-            );
+            ),
+            result @ (RouteResult::Answered | RouteResult::Late) => {
+                let budget = if result == RouteResult::Late {
+                    &self.answered_late
+                } else {
+                    &self.answered
+                };
+                budget.emit(
+                    now,
+                    &[
+                        &id,
+                        &self.node,
+                        &route,
+                        service,
+                        &target,
+                        &record.status,
+                        &record.offers,
+                        &record.hedges,
+                        &latency_us,
+                        &record.objective.as_micros(),
+                    ],
+                );
+            }
         }
-        let budget = if record.latency > record.objective {
-            &self.answered_late
-        } else {
-            &self.answered
-        };
-        budget.emit(
-            now,
-            &[
-                &id,
-                &self.node,
-                &route,
-                service,
-                &target,
-                &record.status,
-                &record.offers,
-                &record.hedges,
-                &latency_us,
-                &record.objective.as_micros(),
-            ],
-        );
     }
 
     /// A caller left before the head of its answer.
--- a/crates/fescueway_proxy/src/request_record.rs
+++ b/crates/fescueway_proxy/src/request_record.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use fescueway_core::{NodeId, Outcome, RefusalReason, ServiceName};
+use fescueway_telemetry::{RequestEnd, RouteResult};
 use http::HeaderValue;
 
 /// What is known of a request when the head of its answer is sent.
@@ -33,3 +34,23 @@
     /// How many of the offers were hedges.
     pub hedges: u32,
 }
+
+impl RequestRecord {
+    /// How the request ended, as metrics count it.
+    #[must_use]
+    pub fn end(&self) -> RequestEnd {
+        RequestEnd {
+            outcome: self.outcome.unwrap_or(Outcome::Unknown),
+            status: self.status,
+            latency: self.latency,
+            offers: self.offers,
+            hedges: self.hedges,
+        }
+    }
+
+    /// What the request came to for its caller.
+    #[must_use]
+    pub fn result(&self) -> RouteResult {
+        self.end().result(self.reason.is_some(), self.objective)
+    }
+}
--- a/crates/fescueway_proxy/src/route_table.rs
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -12,7 +12,9 @@
     DomainName, LoadReport, MonoTime, NodeId, Refusal, RefusalReason, RequestTerms, ServiceName,
     SiteName, TargetRecord,
 };
-use fescueway_routing::{OfferEnd, PickResult, RouteEvent, RoutingPlan, ServiceRouter};
+use fescueway_routing::{
+    OfferEnd, PickResult, RouteEvent, RoutingPlan, ServiceRouter, TrustChange,
+};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -61,15 +63,6 @@
     pub load: Option<(LoadReport, MonoTime)>,
 }
 
-/// Whether a target gets work, when that changes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum TrustChange {
-    /// It gets none for a while.
-    Ejected,
-    /// It may get work again.
-    Trusted,
-}
-
 impl RouteTable {
     /// A table without targets for the entry that `options` describe.
     #[must_use]
@@ -166,7 +159,9 @@
     ) -> Option<TrustChange> {
         let mut state = self.state();
         let routes = state.services.get_mut(service)?;
-        routes.handle(now, node, RouteEvent::OfferEnded { node, end })
+        routes
+            .router
+            .handle(now, RouteEvent::OfferEnded { node, end })
     }
 
     /// Tells the router of a load report, and what that changed.
@@ -182,7 +177,9 @@
         if let Some(view) = routes.targets.get_mut(&node) {
             view.load = Some((report, now));
         }
-        routes.handle(now, node, RouteEvent::LoadReported { node, report })
+        routes
+            .router
+            .handle(now, RouteEvent::LoadReported { node, report })
     }
 
     /// Retries and hedges, and further offers after refusals, that may be made for a service now.
@@ -209,6 +206,17 @@
         Some(view.record.peer_address)
     }
 
+    /// How many targets are known, of all services.
+    #[must_use]
+    pub fn target_count(&self) -> usize {
+        let state = self.state();
+        state
+            .services
+            .values()
+            .map(|routes| routes.targets.len())
+            .sum()
+    }
+
     /// Every target, by service and node.
     #[must_use]
     pub fn targets(&self) -> Vec<TargetView> {
@@ -225,19 +233,6 @@
     }
 }
 
-impl ServiceRoutes {
-    /// Tells the router of an event of the target at `node`, and whether it is trusted otherwise now.
-    fn handle(&mut self, now: MonoTime, node: NodeId, event: RouteEvent) -> Option<TrustChange> {
-        let was_ejected = self.router.is_ejected(node);
-        self.router.handle(now, event);
-        match (was_ejected, self.router.is_ejected(node)) {
-            (false, true) => Some(TrustChange::Ejected),
-            (true, false) => Some(TrustChange::Trusted),
-            _ => None,
-        }
-    }
-}
-
 impl TableState {
     /// Hands each router its plan.
     fn put_in_force(&mut self) {
--- a/crates/fescueway_routing/src/lib.rs
+++ b/crates/fescueway_routing/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use crate::{
     offer_permit::{HandedOver, OfferPermit},
-    route_event::{OfferEnd, RouteEvent},
+    route_event::{OfferEnd, RouteEvent, TrustChange},
     routing_plan::RoutingPlan,
     service_router::{PickResult, ServiceRouter},
     split_counter::SplitCounter,
--- a/crates/fescueway_routing/src/route_event.rs
+++ b/crates/fescueway_routing/src/route_event.rs
@@ -40,3 +40,12 @@
         report: LoadReport,
     },
 }
+
+/// Whether a target gets work, when an event changed that.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TrustChange {
+    /// It gets none for a while.
+    Ejected,
+    /// It may get work again.
+    Trusted,
+}
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -9,7 +9,7 @@
 use rand_core::Rng;
 
 use crate::{
-    OfferEnd, OfferPermit, RouteEvent, RoutingPlan,
+    OfferEnd, OfferPermit, RouteEvent, RoutingPlan, TrustChange,
     latency_quantile::LatencyQuantile,
     offer_budget::OfferBudget,
     place_choice::choose_place,
@@ -201,28 +201,20 @@
         (self.retries.tokens(), self.refusals.tokens())
     }
 
-    /// Whether the target at `node` is ejected, or on probation after that.
-    #[must_use]
-    pub fn is_ejected(&self, node: NodeId) -> bool {
-        let mut views = self.views.iter();
-        views.any(|view| view.node == node && view.is_ejected())
-    }
-
-    /// Takes in what happened.
-    pub fn handle(&mut self, now: MonoTime, event: RouteEvent) {
+    /// Takes in what happened, and tells whether the target is trusted otherwise since.
+    pub fn handle(&mut self, now: MonoTime, event: RouteEvent) -> Option<TrustChange> {
         match event {
             RouteEvent::OfferEnded { node, end } => self.end_offer(now, node, end),
             RouteEvent::LoadReported { node, report } => {
                 self.pool.learn(&report);
-                if let Some(view) = self.view_mut(node) {
-                    view.learn_report(now, &report);
-                }
+                let view = self.view_mut(node)?;
+                view.note_trust(|view| view.learn_report(now, &report))
             }
         }
     }
 
     /// Takes in how an offer ended.
-    fn end_offer(&mut self, now: MonoTime, node: NodeId, end: OfferEnd) {
+    fn end_offer(&mut self, now: MonoTime, node: NodeId, end: OfferEnd) -> Option<TrustChange> {
         if let OfferEnd::Answered {
             latency,
             is_failure: false,
@@ -231,16 +223,14 @@
             self.retries.earn(self.plan.budget_share);
             self.latency.learn(latency);
         }
-        let Some(view) = self.view_mut(node) else {
-            return;
-        };
+        let view = self.view_mut(node)?;
         view.end_offer();
-        match end {
+        view.note_trust(|view| match end {
             OfferEnd::Answered { is_failure, .. } => view.learn_answer(now, is_failure),
             OfferEnd::Lost => view.learn_answer(now, true),
             OfferEnd::Refused(refusal) => view.learn_refusal(now, refusal.reason),
             OfferEnd::Cancelled => {}
-        }
+        })
     }
 
     /// Earns or spends budget for an offer. Whether the offer may be made.
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -3,6 +3,7 @@
 use fescueway_core::{LoadReport, MonoTime, NodeId, RefusalReason, TargetRecord, TargetState};
 
 use crate::{
+    TrustChange,
     pool_view::{PoolView, report_pace},
     target_phase::{PhaseEvent, TargetPhase},
 };
@@ -196,9 +197,15 @@
         self.phase.is_trusted(self.open)
     }
 
-    /// Whether the target is ejected, or on probation after that.
-    pub(crate) fn is_ejected(&self) -> bool {
-        self.phase.is_ejected()
+    /// Lets the view learn something, and tells whether the target is trusted otherwise since.
+    pub(crate) fn note_trust(&mut self, learn: impl FnOnce(&mut Self)) -> Option<TrustChange> {
+        let was_ejected = self.phase.is_ejected();
+        learn(self);
+        match (was_ejected, self.phase.is_ejected()) {
+            (false, true) => Some(TrustChange::Ejected),
+            (true, false) => Some(TrustChange::Trusted),
+            _ => None,
+        }
     }
 
     /// The last time that is known of this target.
--- a/crates/fescueway_telemetry/src/lib.rs
+++ b/crates/fescueway_telemetry/src/lib.rs
@@ -37,6 +37,6 @@
     log_setup::{LogForm, LogPlan},
     metric_set::{MetricError, MetricSet, NodeGauges, NodeTotals, StoreCalls},
     node_status::{NodeStatus, StoreState, TargetList, TargetStatus},
-    request_end::RequestEnd,
-    service_metrics::{RouteResult, ServiceLoad, ServiceMetrics},
+    request_end::{RequestEnd, RouteResult},
+    service_metrics::{ServiceLoad, ServiceMetrics},
 };
--- a/crates/fescueway_telemetry/src/request_end.rs
+++ b/crates/fescueway_telemetry/src/request_end.rs
@@ -19,13 +19,54 @@
     pub hedges: u32,
 }
 
+/// What a request came to for its caller.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum RouteResult {
+    /// Answered within its objective.
+    Answered,
+    /// Answered later.
+    Late,
+    /// Refused: it did not run.
+    Refused,
+    /// Failed, or lost.
+    Failed,
+}
+
+impl RouteResult {
+    /// The result as it stands in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Late => "late",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 impl RequestEnd {
+    /// What the request came to, when an answer is in time within `latency_limit`. `is_refused` tells
+    /// that nobody took it.
+    #[must_use]
+    pub fn result(&self, is_refused: bool, latency_limit: Duration) -> RouteResult {
+        if is_refused {
+            RouteResult::Refused
+        } else if self.outcome != Outcome::Ran || self.status >= 500 {
+            RouteResult::Failed
+        } else if self.latency > latency_limit {
+            RouteResult::Late
+        } else {
+            RouteResult::Answered
+        }
+    }
+
     /// Whether the request kept its objective: it ran, the backend server did not fail, and the
     /// answer began within `latency_limit`. A 4xx answer is the caller's own fault and counts as
     /// kept; a refusal and a lost answer do not.
     #[must_use]
     pub fn is_good(&self, latency_limit: Duration) -> bool {
-        self.outcome == Outcome::Ran && self.status < 500 && self.latency <= latency_limit
+        self.result(false, latency_limit) == RouteResult::Answered
     }
 
     /// The class of the status as a label.
--- a/crates/fescueway_telemetry/src/service_metrics.rs
+++ b/crates/fescueway_telemetry/src/service_metrics.rs
@@ -13,7 +13,7 @@
     metrics::{BoundCounter, BoundGauge, BoundHistogram, Counter, Gauge, Histogram, Meter},
 };
 
-use crate::RequestEnd;
+use crate::{RequestEnd, RouteResult};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BOUNDS_S: [f64; 15] = [
@@ -54,19 +54,6 @@
     slots: Gauge<u64>,
 }
 
-/// How a request ended, for its route.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum RouteResult {
-    /// Answered within its objective.
-    Answered,
-    /// Answered later.
-    Late,
-    /// Refused: it did not run.
-    Refused,
-    /// Failed, or lost.
-    Failed,
-}
-
 /// The load of a service at a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServiceLoad {
@@ -80,19 +67,6 @@
     pub refusal_tokens: f64,
 }
 
-impl RouteResult {
-    /// The result as it stands in metrics.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Answered => "answered",
-            Self::Late => "late",
-            Self::Refused => "refused",
-            Self::Failed => "failed",
-        }
-    }
-}
-
 impl ServiceInstruments {
     /// Creates the instruments.
     pub(crate) fn new(meter: &Meter) -> Self {
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -102,9 +102,7 @@
         let tasks = TaskGroup::default();
         let options = proxy_options(&settings, &adapter, addresses.peers)?;
         let state = ProxyState::new(options, tasks);
-        let service = settings.caller_service.as_ref();
-        // A name that is no header value can't be told.
-        state.set_caller_service(service.and_then(|name| name.as_str().parse().ok()));
+        tell_caller_service(&state, &settings);
         if let Some(plan) = &settings.plan {
             state.apply_plan(Arc::clone(plan));
         }
@@ -165,10 +163,7 @@
 
     /// Takes over from changed settings what can change while a node runs: the service beside it.
     pub fn reload(&self, settings: &DaemonSettings) {
-        let service = settings.caller_service.as_ref();
-        // A name that is no header value can't be told.
-        let service = service.and_then(|name| name.as_str().parse().ok());
-        self.state.set_caller_service(service);
+        tell_caller_service(&self.state, settings);
         emit(&operator::SETTINGS_READ, &[]);
     }
 
@@ -347,6 +342,13 @@
     }
 }
 
+/// Tells the path which service runs beside the node.
+fn tell_caller_service(state: &ProxyState, settings: &DaemonSettings) {
+    let service = settings.caller_service.as_ref();
+    // A name that is no header value can't be told.
+    state.set_caller_service(service.and_then(|name| name.as_str().parse().ok()));
+}
+
 /// What the path starts with.
 fn proxy_options(
     settings: &DaemonSettings,
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -7,12 +7,12 @@
 };
 
 use fescueway_config::SitePlan;
-use fescueway_core::{Outcome, ServiceName};
+use fescueway_core::ServiceName;
 use fescueway_platform::StoreClient;
 use fescueway_proxy::{ProxyState, RequestRecord};
 use fescueway_telemetry::{
     AlarmChange, BurnReport, BurnTracker, LogQueue, MetricError, MetricSet, NodeGauges, NodeTotals,
-    RequestEnd, RouteResult, ServiceLoad, StoreCalls,
+    RequestEnd, ServiceLoad, StoreCalls,
 };
 use tokio::time::sleep;
 
@@ -109,11 +109,16 @@
     /// When the library can't encode them.
     pub fn render(&self, state: &ProxyState, facts: &BoardFacts) -> Result<String, MetricError> {
         let plan = state.plan();
-        let services: BTreeSet<_> = state.local_services().into_iter().collect();
-        let known = state.routes().services();
-        for service in services.iter().chain(&known) {
+        let mut services: BTreeSet<_> = state.routes().services().into_iter().collect();
+        services.extend(state.local_services());
+        for service in &services {
             let metrics = self.metrics.service(service);
             let target = state.host_target(service);
+            if let Some(plan) = plan.services.get(service)
+                && target.is_some()
+            {
+                metrics.set_probe_budget(plan.probe.budget_ms_per_s);
+            }
             let (retry_tokens, refusal_tokens) = state.routes().tokens(service).unwrap_or_default();
             metrics.set_load(&ServiceLoad {
                 report: target.map(|target| target.report()),
@@ -121,17 +126,12 @@
                 retry_tokens,
                 refusal_tokens,
             });
-            if let Some(plan) = plan.services.get(service)
-                && services.contains(service)
-            {
-                metrics.set_probe_budget(plan.probe.budget_ms_per_s);
-            }
         }
         self.metrics.set_gauges(&NodeGauges {
             config_revision: facts.in_force,
             config_age_s: state.now().since(facts.in_force_at).as_secs_f64(),
             nodes: facts.peers.into(),
-            targets: state.routes().targets().len() as u64,
+            targets: state.routes().target_count() as u64,
         });
         let calls = self.sources.store.get().map(StoreClient::counts);
         let calls = calls.into_iter().flatten().map(|count| StoreCalls {
@@ -153,20 +153,14 @@
         let Some(service) = &record.service else {
             return;
         };
-        let end = RequestEnd {
-            outcome: record.outcome.unwrap_or(Outcome::Unknown),
-            status: record.status,
-            latency: record.latency,
-            offers: record.offers,
-            hedges: record.hedges,
-        };
+        let end = record.end();
         let metrics = self.metrics.service(service);
         metrics.request_ended(&end);
         if let Some(reason) = record.reason {
             metrics.refused(reason);
         }
         if let Some(route) = &record.route {
-            metrics.route_ended(route, result_of(record));
+            metrics.route_ended(route, record.result());
         }
         if let Some(is_good) = self.burn().count(state, service, &end, record.objective) {
             metrics.objective_counted(is_good);
@@ -188,19 +182,6 @@
     }
 }
 
-/// How a request ended, for its route.
-fn result_of(record: &RequestRecord) -> RouteResult {
-    if record.reason.is_some() {
-        RouteResult::Refused
-    } else if record.outcome != Some(Outcome::Ran) || record.status >= 500 {
-        RouteResult::Failed
-    } else if record.latency > record.objective {
-        RouteResult::Late
-    } else {
-        RouteResult::Answered
-    }
-}
-
 impl BurnState {
     /// Counts a request against its objective and tells whether it was kept; `None` for a service
     /// that the configuration no longer has.
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -111,7 +111,7 @@
             config_error: facts.config_error,
             is_draining: facts.is_draining,
             in_flight: self.in_flight(),
-            targets: self.state.routes().targets().len() as u32,
+            targets: self.state.routes().target_count() as u32,
             store: facts.store,
             peers: facts.peers,
             uptime_ms: self.state.now().as_micros() / 1_000,
--- a/crates/fescuewayd/src/raw_settings.rs
+++ b/crates/fescuewayd/src/raw_settings.rs
@@ -132,13 +132,6 @@
 
     fn try_from(raw: RawSettings) -> Result<Self, Self::Error> {
         let listen = raw.listen;
-        let retry_slack = raw.retry_slack.as_ref();
-        let retry_slack = retry_slack
-            .map(|slack| rules::RETRY_SLACK.check_at("retry_slack".to_owned(), Some(slack)));
-        let backend_address = raw.backend_address.as_deref();
-        let backend_address = backend_address.map(|text| address("backend_address", text));
-        let metrics = listen.metrics.as_deref();
-        let metrics = metrics.map(|text| address("listen.metrics", text));
         let backends = listen.backends.as_deref().unwrap_or(DEFAULT_BACKENDS);
         let operators = listen.operators.as_deref().unwrap_or(DEFAULT_OPERATORS);
         Ok(Self {
@@ -148,7 +141,7 @@
             peers: peer_address("listen.peers", &listen.peers)?,
             backends: address("listen.backends", backends)?,
             operators: address("listen.operators", operators)?,
-            metrics: metrics.transpose()?,
+            metrics: optional_address("listen.metrics", listen.metrics.as_deref())?,
             seed_peers: addresses("seed_peers", &raw.seed_peers)?,
             fleet_secret: raw.fleet_secret.into(),
             store: addresses("store", &raw.store)?,
@@ -157,9 +150,12 @@
             stop_timeout: millis(&rules::STOP_TIMEOUT, raw.stop_timeout_ms.as_ref())?,
             announce_timeout: millis(&rules::ANNOUNCE_TIMEOUT, raw.announce_timeout_ms.as_ref())?,
             stop_linger: millis(&rules::STOP_LINGER, raw.stop_linger_ms.as_ref())?,
-            backend_address: backend_address.transpose()?,
+            backend_address: optional_address("backend_address", raw.backend_address.as_deref())?,
             caller_service: raw.caller_service.map(ServiceName::new),
-            retry_slack: retry_slack.transpose()?,
+            retry_slack: rules::RETRY_SLACK.check_given(
+                rules::RETRY_SLACK.field.to_owned(),
+                raw.retry_slack.as_ref(),
+            )?,
             takes_keys: raw.takes_keys.unwrap_or(true),
             plan: None,
         })
@@ -239,6 +235,11 @@
     Ok(parsed)
 }
 
+/// An address that need not be given.
+fn optional_address(field: &str, text: Option<&str>) -> Result<Option<SocketAddr>, FieldFault> {
+    text.map(|text| address(field, text)).transpose()
+}
+
 /// A list of addresses.
 fn addresses(field: &str, texts: &[String]) -> Result<Vec<SocketAddr>, FieldFault> {
     let texts = texts.iter().enumerate();
--- a/crates/fescuewayd/src/seed_task.rs
+++ b/crates/fescuewayd/src/seed_task.rs
@@ -113,14 +113,26 @@
 
     /// Joins through the entries of others.
     async fn find_others(&self) -> Result<(), StoreError> {
-        let range = KeyRange::Prefix(store_keys::SEEDS.to_owned());
-        let client = self.store.client.clone();
-        let reply = self.store.call(client.range(&range, CALL_TIMEOUT)).await?;
-        let texts = reply.values.iter();
-        let texts = texts.filter_map(|value| std::str::from_utf8(&value.value).ok());
-        // What another writer left there is no address and names nobody.
-        let seeds = texts.filter_map(|text| text.parse().ok()).collect();
-        self.members.handle(MemberEvent::Seeds(seeds));
-        Ok(())
+        read_seeds(&self.store, &self.members, store_keys::SEEDS).await
     }
 }
+
+/// Reads the addresses under a prefix of the store, and tries them as seeds.
+///
+/// # Errors
+///
+/// When the store does not answer.
+pub async fn read_seeds(
+    store: &StoreLink,
+    members: &MemberLink,
+    prefix: &str,
+) -> Result<(), StoreError> {
+    let range = KeyRange::Prefix(prefix.to_owned());
+    let reply = store.call(store.client.range(&range, CALL_TIMEOUT)).await?;
+    let texts = reply.values.iter();
+    let texts = texts.filter_map(|value| std::str::from_utf8(&value.value).ok());
+    // What another writer left there is no address and names nobody.
+    let seeds = texts.filter_map(|text| text.parse().ok()).collect();
+    members.handle(MemberEvent::Seeds(seeds));
+    Ok(())
+}
--- a/crates/fescuewayd/src/watch_task.rs
+++ b/crates/fescuewayd/src/watch_task.rs
@@ -6,7 +6,6 @@
 };
 
 use fescueway_core::MonoTime;
-use fescueway_membership::MemberEvent;
 use fescueway_platform::{KeyRange, LeaseId, StoreError, StoreOp, StoreTxn, WatchEvent};
 use fescueway_proxy::ProxyState;
 use fescueway_rollout::{
@@ -20,6 +19,7 @@
 
 use crate::{
     member_link::MemberLink,
+    seed_task::read_seeds,
     store_link::{CALL_TIMEOUT, StoreLink},
 };
 
@@ -251,20 +251,13 @@
 
     /// Learns the watchers' addresses from the store when no peer of the settings answers.
     async fn find_seeds(self) {
-        let range = KeyRange::Prefix(store_keys::WATCHERS.to_owned());
         loop {
             sleep(SEED_WAIT).await;
             if self.members.live_count() > 1 {
                 return;
             }
-            let read = self.store.client.range(&range, CALL_TIMEOUT);
-            let Ok(reply) = self.store.call(read).await else {
-                continue;
-            };
-            let texts = reply.values.iter();
-            let texts = texts.filter_map(|value| std::str::from_utf8(&value.value).ok());
-            let seeds = texts.filter_map(|text| text.parse().ok()).collect();
-            self.members.handle(MemberEvent::Seeds(seeds));
+            // The link has logged a failure, and the wait bounds the next try.
+            let _ = read_seeds(&self.store, &self.members, store_keys::WATCHERS).await;
         }
     }
 
