--- a/crates/fescuewayd/tests/path/common.rs
+++ b/crates/fescuewayd/tests/path/common.rs
@@ -153,6 +153,27 @@
         .unwrap_or_default()
 }
 
+/// Starts `count` hosts that join through `entry`, each with a backend server of "windows", and waits
+/// until it knows them.
+pub async fn hosts(
+    plan: &Arc<SitePlan>,
+    entry: &Daemon,
+    count: usize,
+) -> (Vec<Daemon>, Vec<BackendStub>) {
+    let mut hosts = Vec::new();
+    let mut backends = Vec::new();
+    for _ in 0..count {
+        let started = BackendStub::start(BackendPlan::default()).await;
+        let backend = started.expect("a port");
+        let host = node(plan, &[entry.addresses().peers]).await;
+        announce(&host, "windows", backend.address());
+        hosts.push(host);
+        backends.push(backend);
+    }
+    knows_targets(entry, count).await;
+    (hosts, backends)
+}
+
 /// An entry without a backend server, and a host with one.
 pub struct TwoNodes {
     /// Takes the requests.
--- a/crates/fescuewayd/tests/path/decision_lines.rs
+++ b/crates/fescuewayd/tests/path/decision_lines.rs
@@ -10,15 +10,13 @@
 use fescueway_config::SitePlan;
 use fescueway_core::SiteName;
 use fescueway_telemetry::{LogForm, LogPlan};
-use fescueway_testkit::{BackendFault, BackendPlan, BackendStub};
+use fescueway_testkit::{BackendFault, BackendPlan};
 use fescuewayd::Daemon;
 use log::LevelFilter;
 use serde_json::Value;
 use tokio::time::sleep;
 
-use crate::common::{
-    TwoNodes, announce, eventually, knows_targets, node, plan, request, send, text,
-};
+use crate::common::{TwoNodes, eventually, hosts, node, plan, request, send, text};
 
 const DEADLINE: Duration = Duration::from_secs(5);
 
@@ -181,17 +179,7 @@
 async fn offered_again(log: &SharedLog) {
     let plan = plan("windows", DEADLINE);
     let entry = node(&plan, &[]).await;
-    let mut backends = Vec::new();
-    let mut hosts = Vec::new();
-    for _ in 0..2 {
-        let started = BackendStub::start(BackendPlan::default()).await;
-        let backend = started.expect("a port");
-        let host = node(&plan, &[entry.addresses().peers]).await;
-        announce(&host, "windows", backend.address());
-        backends.push(backend);
-        hosts.push(host);
-    }
-    knows_targets(&entry, 2).await;
+    let (_hosts, backends) = hosts(&plan, &entry, 2).await;
     backends[0].crash();
     sleep(Duration::from_millis(50)).await;
     // Many at once, so that both targets get some.
@@ -223,17 +211,7 @@
     let windows = Arc::make_mut(windows.expect("the service"));
     windows.retry.budget_share = 1.0;
     let entry = node(&plan, &[]).await;
-    let mut backends = Vec::new();
-    let mut hosts = Vec::new();
-    for _ in 0..2 {
-        let started = BackendStub::start(BackendPlan::default()).await;
-        let backend = started.expect("a port");
-        let host = node(&plan, &[entry.addresses().peers]).await;
-        announce(&host, "windows", backend.address());
-        backends.push(backend);
-        hosts.push(host);
-    }
-    knows_targets(&entry, 2).await;
+    let (_hosts, backends) = hosts(&plan, &entry, 2).await;
     for index in 0..100 {
         ask(&entry, "GET", &format!("usual-{index}")).await;
     }
--- a/crates/fescuewayd/tests/path/outcomes.rs
+++ b/crates/fescuewayd/tests/path/outcomes.rs
@@ -11,8 +11,8 @@
 use tokio::{net::TcpStream, time::sleep};
 
 use crate::common::{
-    TwoNodes, announce, connect, get, header, knows_targets, node, node_with, plan, request, send,
-    text,
+    TwoNodes, announce, connect, get, header, hosts, knows_targets, node, node_with, plan, request,
+    send, text,
 };
 
 const DEADLINE: Duration = Duration::from_secs(2);
@@ -202,18 +202,7 @@
     let windows = Arc::make_mut(windows.expect("the service"));
     windows.retry.budget_share = 1.0;
     let entry = node(&plan, &[]).await;
-    let mut backends = Vec::new();
-    let mut hosts = Vec::new();
-    for _ in 0..2 {
-        let backend = BackendStub::start(BackendPlan::default())
-            .await
-            .expect("a port");
-        let host = node(&plan, &[entry.addresses().peers]).await;
-        announce(&host, "windows", backend.address());
-        backends.push(backend);
-        hosts.push(host);
-    }
-    knows_targets(&entry, 2).await;
+    let (_hosts, backends) = hosts(&plan, &entry, 2).await;
     let address = entry.addresses().callers;
     for _ in 0..USUAL_READS {
         assert_eq!(send(address, get("/windows")).await.status(), 200);
