Hold work while neighbours disturb a backend server's VM

Change: WorkPace learns how long disturbances last and tells them from lasting slowness; the gate holds work that ends sooner by beginning later, and gives back what its entry can place elsewhere. The pace is asked for every 25 ms then.

--- a/crates/fescueway_admission/src/lib.rs
+++ b/crates/fescueway_admission/src/lib.rs
@@ -16,6 +16,7 @@
 mod suspect_step;
 mod target_gate;
 mod wait_queue;
+mod work_pace;
 
 pub use crate::{
     backend_register::{BackendRegister, BackendReport, ReportVerdict},
--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -4,7 +4,10 @@
 
 use fescueway_core::MonoTime;
 
-use crate::TicketId;
+use crate::{
+    TicketId,
+    work_pace::{Disturbance, WorkPace},
+};
 
 /// Weight of one finished request in the recent mean.
 const RECENT_WEIGHT: f64 = 1.0 / 64.0;
@@ -47,10 +50,6 @@
 /// Weight of one finished request in the mean of its kind.
 const KIND_WEIGHT: f64 = 1.0 / 16.0;
 
-/// How long a report of the pace of work holds. Neighbours come and go within some hundred
-/// milliseconds.
-pub(crate) const PACE_LIFE: Duration = Duration::from_millis(300);
-
 /// How long requests of one kind hold a slot.
 #[derive(Clone, Copy, Debug, Default)]
 struct KindMean {
@@ -106,8 +105,8 @@
     failed_share: f64,
     /// How long each kind of request takes.
     kinds: BTreeMap<u64, KindMean>,
-    /// How long work takes as a multiple of the usual time, and when that was so.
-    pace: Option<(f64, MonoTime)>,
+    /// How long work takes as a multiple of the usual time.
+    pace: WorkPace,
 }
 
 impl ServiceEstimate {
@@ -124,24 +123,23 @@
             count: 0,
             failed_share: 0.0,
             kinds: BTreeMap::new(),
-            pace: None,
+            pace: WorkPace::new(),
         }
     }
 
     /// The backend server says how long work takes now, as a multiple of the usual time.
     pub(crate) fn set_pace(&mut self, now: MonoTime, pace: f64) {
-        self.pace = Some((pace, now));
+        self.pace.learn(now, pace);
     }
 
     /// How long work takes now as a multiple of the usual time, `None` when that isn't known.
     pub(crate) fn pace(&self, now: MonoTime) -> Option<f64> {
-        let (pace, since) = self.pace?;
-        (now.since(since) < PACE_LIFE).then_some(pace)
+        self.pace.now(now)
     }
 
     /// The pace that was last told, and when.
     pub(crate) fn told_pace(&self) -> Option<(f64, MonoTime)> {
-        self.pace
+        self.pace.told()
     }
 
     /// Expected time of a request of this kind that begins now, in microseconds.
@@ -149,10 +147,9 @@
         self.usual_us(now, kind) * self.pace(now).unwrap_or(1.0)
     }
 
-    /// Expected time beyond the usual of a request of this kind that begins now, in microseconds,
-    /// because of the VM's neighbours.
-    pub(crate) fn disturbance_us(&self, now: MonoTime, kind: u64) -> f64 {
-        self.usual_us(now, kind) * (self.pace(now).unwrap_or(1.0) - 1.0).max(0.0)
+    /// What the VM's neighbours cost a request of this kind that would begin now.
+    pub(crate) fn disturbance(&self, now: MonoTime, kind: u64) -> Disturbance {
+        self.pace.disturbance(now, self.usual_us(now, kind))
     }
 
     /// Whether requests of this kind ended before.
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -9,9 +9,10 @@
 use crate::{
     GatePlan,
     concurrency_limit::ConcurrencyLimit,
-    service_estimate::{PACE_LIFE, ServiceEstimate},
+    service_estimate::ServiceEstimate,
     slow_start::SlowStart,
     wait_queue::{QueuedOffer, WaitQueue},
+    work_pace::{Disturbance, PACE_LIFE},
 };
 
 /// An offer that would begin later than this many mean service times before its deadline is
@@ -136,19 +137,21 @@
         if self.is_draining {
             return GateResult::Refuse(Self::draining());
         }
-        if self.is_disturbed(now, terms) {
-            let refusal = Self::refusal(RefusalReason::BetterElsewhere, PACE_LIFE);
-            return GateResult::Refuse(refusal);
-        }
         if self.is_better_elsewhere(now, terms) && !self.take_trial(now) {
             let wait = Duration::from_micros(self.service.straggler_us(now) as u64);
             return GateResult::Refuse(Self::refusal(RefusalReason::BetterElsewhere, wait));
         }
-        let offer = QueuedOffer::new(now, ticket, terms);
-        if self.has_slot(now) && self.queue.len() == 0 {
+        let disturbance = self.service.disturbance(now, terms.work_kind);
+        let cost = Duration::from_micros(disturbance.cost_us as u64);
+        if cost > terms.wait_limit && terms.wait_limit < terms.time_left {
+            return GateResult::Refuse(Self::refusal(RefusalReason::BetterElsewhere, cost));
+        }
+        // What waits although a slot is free is held for the end of a disturbance.
+        if self.has_slot(now) && !disturbance.is_held {
             return self.start(now, ticket, terms);
         }
-        let wait_us = self.wait_us(now, self.queue.count_ahead(&offer));
+        let offer = QueuedOffer::new(now, ticket, terms);
+        let wait_us = self.wait_us(now, self.queue.count_ahead(&offer), disturbance);
         let wait = Duration::from_micros(wait_us as u64);
         if wait_us + self.queue_margin_us(now, terms) > latest_end_us(terms) {
             return GateResult::Refuse(Self::refusal(RefusalReason::DeadlineTooShort, wait));
@@ -193,6 +196,10 @@
         let deadline = self.queue.next_deadline()?;
         let margin_us = self.start_margin().as_micros() as u64;
         let wake = MonoTime::from_micros(deadline.as_micros().saturating_sub(margin_us));
+        let held = self.service.told_pace().map(|(_, told)| told + PACE_LIFE);
+        let wake = held
+            .filter(|held| *held > self.ticked)
+            .map_or(wake, |held| wake.min(held));
         match self.service.stall_time() {
             Some(stall) if stall > self.ticked => Some(wake.min(stall)),
             _ => Some(wake),
@@ -215,10 +222,11 @@
     }
 
     /// The backend server reports its load.
-    pub fn learn_load(&mut self, now: MonoTime, load: &ReportedLoad) {
+    pub fn learn_load(&mut self, now: MonoTime, load: &ReportedLoad) -> Vec<GateAction> {
         if let Some(permille) = load.work_permille {
             self.service.set_pace(now, f64::from(permille) / 1_000.0);
         }
+        self.fill(now)
     }
 
     /// From now on uses at most this share of the slots.
@@ -247,7 +255,7 @@
             queued: self.queue.len() as u32,
             limit: self.current_limit(now),
             service_time_us: self.service.mean_us(now) as u32,
-            wait_us: self.wait_us(now, self.queue.len()) as u32,
+            wait_us: self.wait_us(now, self.queue.len(), self.service.disturbance(now, 0)) as u32,
             age_us: 0,
             failed_permille: self.service.failed_permille(),
             work_permille: self
@@ -293,12 +301,21 @@
         let mut actions: Vec<_> = expired
             .map(|offer| GateAction::Refuse(offer.ticket, refusal))
             .collect();
-        let slow = Duration::from_micros(self.service.straggler_us(now) as u64);
-        let refusal = Self::refusal(RefusalReason::BetterElsewhere, slow);
-        let released = self.queue.release(slow);
-        actions.extend(released.map(|offer| GateAction::Refuse(offer.ticket, refusal)));
+        let straggler_us = self.service.straggler_us(now);
+        let service = &self.service;
+        let slower = |offer: &QueuedOffer| {
+            let disturbance = service.disturbance(now, offer.work_kind);
+            Duration::from_micros(straggler_us.max(disturbance.cost_us) as u64)
+        };
+        let released = self.queue.release(slower);
+        actions.extend(released.map(|offer| {
+            let refusal = Self::refusal(RefusalReason::BetterElsewhere, slower(&offer));
+            GateAction::Refuse(offer.ticket, refusal)
+        }));
         while self.has_slot(now)
-            && let Some(offer) = self.queue.pop()
+            && let Some(offer) = self
+                .queue
+                .pop_where(|offer| !self.service.disturbance(now, offer.work_kind).is_held)
         {
             self.service.start(now, offer.ticket, offer.work_kind);
             actions.push(GateAction::Run(offer.ticket));
@@ -306,13 +323,6 @@
         actions
     }
 
-    /// Whether neighbours on the VM make a request take so much longer now that the entry should look
-    /// elsewhere. The backend server tells when that is over, so that no trial is needed.
-    fn is_disturbed(&self, now: MonoTime, terms: &RequestTerms) -> bool {
-        let slower_us = self.service.disturbance_us(now, terms.work_kind);
-        terms.wait_limit < terms.time_left && slower_us > terms.wait_limit.as_micros() as f64
-    }
-
     /// The pace of work that the backend server last told, as a multiple of the usual time, and when.
     #[must_use]
     pub fn told_pace(&self) -> Option<(f64, MonoTime)> {
@@ -349,14 +359,23 @@
         self.limit.limit(self.ramp.share(now))
     }
 
-    /// Expected wait of an offer with `ahead` others before it, in microseconds.
-    fn wait_us(&self, now: MonoTime, ahead: usize) -> f64 {
-        if self.has_slot(now) && ahead == 0 {
-            return 0.0;
-        }
-        let limit = f64::from(self.current_limit(now));
-        let pace = self.service.pace(now).unwrap_or(1.0);
-        (ahead as f64 + 1.0) * self.service.mean_us(now) * pace / limit
+    /// Expected wait of an offer with `ahead` others before it that `disturbance` meets, in
+    /// microseconds.
+    fn wait_us(&self, now: MonoTime, ahead: usize, disturbance: Disturbance) -> f64 {
+        let limit = self.current_limit(now);
+        let free = limit.saturating_sub(self.service.open_count());
+        let ahead = (ahead as f64 + 1.0 - f64::from(free)).max(0.0);
+        let pace = if disturbance.is_held {
+            1.0
+        } else {
+            self.service.pace(now).unwrap_or(1.0)
+        };
+        let held_us = if disturbance.is_held {
+            disturbance.cost_us
+        } else {
+            0.0
+        };
+        held_us.max(ahead * self.service.mean_us(now) * pace / f64::from(limit))
     }
 
     /// Time before a deadline at which a request that hasn't begun is too late.
--- a/crates/fescueway_admission/src/wait_queue.rs
+++ b/crates/fescueway_admission/src/wait_queue.rs
@@ -87,6 +87,15 @@
         self.offers.pop()
     }
 
+    /// Takes the first offer that may go.
+    pub(crate) fn pop_where(
+        &mut self,
+        may_go: impl Fn(&QueuedOffer) -> bool,
+    ) -> Option<QueuedOffer> {
+        let index = self.offers.iter().rposition(may_go)?;
+        Some(self.offers.remove(index))
+    }
+
     /// Takes out one offer. Whether it was there.
     pub(crate) fn remove(&mut self, ticket: TicketId) -> bool {
         let found = self.offers.iter().position(|offer| offer.ticket == ticket);
@@ -99,10 +108,13 @@
             .extract_if(.., move |offer| offer.deadline <= limit)
     }
 
-    /// Takes out every offer whose entry accepts less than this wait.
-    pub(crate) fn release(&mut self, wait: Duration) -> impl Iterator<Item = QueuedOffer> {
+    /// Takes out every offer whose entry accepts less than the wait that `expected_wait` tells.
+    pub(crate) fn release(
+        &mut self,
+        expected_wait: impl Fn(&QueuedOffer) -> Duration,
+    ) -> impl Iterator<Item = QueuedOffer> {
         self.offers
-            .extract_if(.., move |offer| offer.wait_limit < wait)
+            .extract_if(.., move |offer| offer.wait_limit < expected_wait(offer))
     }
 
     /// The nearest deadline.
--- a/crates/fescueway_proxy/src/host/host_target.rs
+++ b/crates/fescueway_proxy/src/host/host_target.rs
@@ -136,7 +136,7 @@
 
     /// The backend server reports its load.
     pub fn learn_load(&self, load: &ReportedLoad) {
-        self.state().gate.learn_load(self.clock.now(), load);
+        self.with_gate(|gate, now| gate.learn_load(now, load));
     }
 
     /// The pace of work that the backend server last told, as a multiple of the usual time, and how long
--- a/crates/fescuewayd/src/pace_task.rs
+++ b/crates/fescuewayd/src/pace_task.rs
@@ -11,9 +11,9 @@
 
 use crate::backend_inquiry::InquiryLine;
 
-/// Age of the last word at which a disturbed backend server is asked: a sixth of the time that a
-/// disturbance lasts.
-const DISTURBED_AGE: Duration = Duration::from_millis(50);
+/// Age of the last word at which a disturbed backend server is asked: work waits for the end of the
+/// disturbance.
+const DISTURBED_AGE: Duration = Duration::from_millis(25);
 
 /// Age of the last word at which any other one is asked: a third of that time. What begins in between
 /// runs slowly to its end.
