Tell callers that came back from what they say of their time

Cause: an objective counts from a caller's first try. One that was refused and came back was taken for new, and took a slot from one that could be in time. Change: CallerPatience follows the median of what callers of a route say they wait; less than 0.8 of it tells one that came back. SplitTable becomes RouteMemory, which keeps both notes of a route.

--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -151,7 +151,7 @@
             record,
         );
     };
-    let chosen = state.splits().next(found.route);
+    let chosen = state.route_memory().next_service(found.route);
     let chosen = chosen.and_then(|name| plan.services.get(&name));
     let Some(service) = chosen.or(found.owner) else {
         return refuse(state, RefusalReason::NoTarget, record);
@@ -159,7 +159,12 @@
     record.service = Some(service.name.clone());
     record.route = Some(Arc::clone(&found.route.name));
     record.objective = found.route.objective.unwrap_or(service.objective.latency);
-    let terms = head.terms(service, found.route);
+    let mut terms = head.terms(service, found.route);
+    if let Some((objective, left)) = terms.objective.zip(head.caller_time) {
+        // An objective counts from the first try of a caller that was refused and came back.
+        let waited = state.route_memory().waited(found.route, left);
+        terms.objective = Some(objective.saturating_sub(waited));
+    }
     if terms.depth > MAX_DEPTH {
         return reject(
             state,
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -31,9 +31,9 @@
 mod request_digest;
 mod request_log;
 mod request_record;
+mod route_memory;
 mod route_table;
 mod socket_options;
-mod split_table;
 mod task_group;
 mod watched_socket;
 
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -30,8 +30,8 @@
     recent_entries::RecentEntries,
     request_log::RequestLog,
     request_record::RequestRecord,
+    route_memory::RouteMemory,
     route_table::RouteTable,
-    split_table::SplitTable,
     task_group::TaskGroup,
 };
 
@@ -62,8 +62,8 @@
     is_configured: AtomicBool,
     /// The service that runs beside this node, as backend servers are told.
     caller_service: Mutex<Option<HeaderValue>>,
-    /// Shares of the routes that several services serve.
-    splits: SplitTable,
+    /// What is remembered of each route.
+    route_memory: RouteMemory,
     /// Targets as the entry sees them.
     routes: RouteTable,
     /// Connections to peers.
@@ -104,7 +104,7 @@
             plan: Mutex::new(Arc::new(plan)),
             is_configured: AtomicBool::new(false),
             caller_service: Mutex::default(),
-            splits: SplitTable::default(),
+            route_memory: RouteMemory::default(),
             routes: RouteTable::new(&options),
             peers: PeerPool::new(limits, tasks, clock),
             controls: ControlTable::default(),
@@ -236,7 +236,7 @@
     /// Puts a configuration in force, for requests that come from now on.
     pub fn apply_plan(&self, plan: Arc<SitePlan>) {
         self.0.routes.apply_plan(&plan);
-        self.0.splits.apply_plan(&plan);
+        self.0.route_memory.apply_plan(&plan);
         self.0.is_configured.store(true, Ordering::Relaxed);
         *lock(&self.0.plan) = plan;
         self.0.targets.apply_plan(&self.plan());
@@ -258,9 +258,9 @@
         lock(&self.0.caller_service).clone()
     }
 
-    /// Shares of the routes that several services serve.
-    pub(crate) fn splits(&self) -> &SplitTable {
-        &self.0.splits
+    /// What is remembered of each route.
+    pub(crate) fn route_memory(&self) -> &RouteMemory {
+        &self.0.route_memory
     }
 
     /// Header fields at both edges.
--- a/crates/fescueway_routing/src/lib.rs
+++ b/crates/fescueway_routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! A [`ServiceRouter`] holds one service's targets as this entry sees them. It takes the time, a
 //! random generator and events, and answers with an [`OfferPermit`] or a refusal. It does no I/O.
 
+mod caller_patience;
 mod latency_quantile;
 mod offer_budget;
 mod offer_permit;
@@ -17,6 +18,7 @@
 mod target_view;
 
 pub use crate::{
+    caller_patience::CallerPatience,
     offer_permit::{HandedOver, OfferPermit},
     route_event::{OfferEnd, RouteEvent, TrustChange},
     routing_plan::RoutingPlan,
