--- a/crates/fescuewayd/src/pace_task.rs
+++ b/crates/fescuewayd/src/pace_task.rs
@@ -66,6 +66,8 @@
     /// Asks one target while it is the one in use.
     async fn follow(&self, service: &ServiceName, target: &Arc<HostTarget>) {
         let mut line = InquiryLine::new(target.pool().address());
+        // What begins before the pace is known may run slowly to its end.
+        self.ask(service, target, &mut line).await;
         loop {
             sleep(DISTURBED_AGE).await;
             let current = self.proxy.host_target(service);
