--- a/crates/fescueway_config/src/raw_service.rs
+++ b/crates/fescueway_config/src/raw_service.rs
@@ -143,4 +143,7 @@
     pub subset_size: Option<Number>,
     /// One-way trip to another failure domain beyond that within one.
     pub domain_trip_us: Option<Number>,
+    /// What it counts that a KiB goes to another failure domain.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub far_cost_us_per_kib: Option<Number>,
 }
--- a/crates/fescueway_config/src/service_check.rs
+++ b/crates/fescueway_config/src/service_check.rs
@@ -83,6 +83,10 @@
             locality: RawLocality {
                 subset_size: Some(Number::from(plan.locality.subset_size)),
                 domain_trip_us: Some(Number::from(plan.locality.domain_trip.as_micros() as u64)),
+                far_cost_us_per_kib: unless_default(
+                    &rules::FAR_COST,
+                    plan.locality.far_cost_per_kib.as_micros() as f64,
+                ),
             },
         }
     }
@@ -333,8 +337,10 @@
 /// Where the service's targets lie.
 fn locality(scope: &str, raw: &RawLocality) -> Result<LocalityPlan, FieldFault> {
     let trip = rules::DOMAIN_TRIP.check(scope, raw.domain_trip_us.as_ref())?;
+    let far_cost = rules::FAR_COST.check(scope, raw.far_cost_us_per_kib.as_ref())?;
     Ok(LocalityPlan {
         subset_size: rules::SUBSET_SIZE.check(scope, raw.subset_size.as_ref())? as usize,
         domain_trip: Duration::from_micros(trip as u64),
+        far_cost_per_kib: Duration::from_micros(far_cost as u64),
     })
 }
--- a/crates/fescueway_config/src/service_plan.rs
+++ b/crates/fescueway_config/src/service_plan.rs
@@ -133,6 +133,9 @@
     pub subset_size: usize,
     /// One-way trip to another failure domain beyond that within one.
     pub domain_trip: Duration,
+    /// How much later an answer from the own failure domain may be than one from another, for each KiB
+    /// of the bodies that would cross.
+    pub far_cost_per_kib: Duration,
 }
 
 impl ServicePlan {
--- a/crates/fescueway_config/src/service_rules.rs
+++ b/crates/fescueway_config/src/service_rules.rs
@@ -273,6 +273,17 @@
     meaning: "One-way trip to another failure domain beyond that within one.",
 };
 
+pub(crate) const FAR_COST: NumberRule = NumberRule {
+    field: "locality.far_cost_us_per_kib",
+    unit: "µs for each KiB",
+    default: 0.0,
+    min: 0.0,
+    max: 100_000.0,
+    is_whole: true,
+    meaning: "How much later an answer from the own failure domain may be than one from another, for each \
+              KiB of the bodies that would cross.",
+};
+
 /// Every field of a service, in the order of the reference page.
 pub const SERVICE_RULES: &[FieldRule] = &[
     FieldRule::Text(&HOSTS),
@@ -305,4 +316,5 @@
     FieldRule::Number(&QUEUE_PER_SLOT),
     FieldRule::Number(&SUBSET_SIZE),
     FieldRule::Number(&DOMAIN_TRIP),
+    FieldRule::Number(&FAR_COST),
 ];
--- a/crates/fescueway_config/tests/pages.rs
+++ b/crates/fescueway_config/tests/pages.rs
@@ -33,7 +33,7 @@
     let route = r#"{"name":"a","plan":{"path_prefixes":["/"],"routes":{"NAME":
         {"method":"GET","path_prefix":"/","idempotency":"idempotent","objective_ms":50,"max_runs":2,
         "weights":{"SERVICE":1}}},
-        "limit":{"slot_share":0.8},"retry":{"refusal_share":0.5}}}"#;
+        "limit":{"slot_share":0.8},"locality":{"far_cost_us_per_kib":700},"retry":{"refusal_share":0.5}}}"#;
     let stored: StoredService = serde_json::from_str(route).expect("a raw service");
     let mut fields = Vec::new();
     collect(
--- a/crates/fescueway_proxy/src/entry/offer_attempt.rs
+++ b/crates/fescueway_proxy/src/entry/offer_attempt.rs
@@ -2,8 +2,11 @@
 
 use fescueway_core::{LoadReport, MonoTime, NodeId, Refusal, RequestTerms, ServiceName};
 use fescueway_routing::{HandedOver, OfferEnd, OfferPermit, TrustChange};
+use http::{Response, header::CONTENT_LENGTH};
+use http_body::Body;
 
 use crate::{
+    body::AnswerBody,
     host::offer_locally,
     offer_answer::{KnownAnswer, OfferAnswer},
     offer_request::OfferRequest,
@@ -52,7 +55,7 @@
     request.terms.time_left = deadline.since(state.now());
     let answer = send(state, &request).await;
     let is_broken = request.body.broken().is_some();
-    open.report(&answer, is_broken);
+    open.report(&answer, &request, is_broken);
     let (log, now, host) = (state.log(), state.now(), request.host);
     let took = now.since(open.start);
     match answer {
@@ -99,8 +102,13 @@
 
     /// The offer ended: takes in the load report. A request whose own body is broken tells
     /// nothing of the host.
-    fn report(&mut self, answer: &OfferAnswer, is_broken: bool) {
+    fn report(&mut self, answer: &OfferAnswer, request: &OfferRequest, is_broken: bool) {
         self.end = self.end_of(answer, is_broken);
+        if let OfferAnswer::Answered { answer, .. } = answer
+            && answer.response.status().is_success()
+        {
+            self.report_size(&answer.response, request);
+        }
         if let Some(load) = load_of(answer) {
             let now = self.state.now();
             let routes = self.state.routes();
@@ -109,6 +117,17 @@
         }
     }
 
+    /// Tells how many bytes the request and its answer have, where the answer tells its length.
+    fn report_size(&self, response: &Response<AnswerBody>, request: &OfferRequest) {
+        let length = response.headers().get(CONTENT_LENGTH);
+        let length = length.and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
+        if let Some(length) = length {
+            let bytes = length + request.body.size_hint().lower();
+            let routes = self.state.routes();
+            routes.report_size(&self.service, request.terms.work_kind, bytes);
+        }
+    }
+
     /// Logs that the target is ejected or trusted again.
     fn tell(&self, now: MonoTime, change: Option<TrustChange>, cause: &str) {
         if let Some(change) = change {
--- a/crates/fescueway_proxy/src/route_table.rs
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -182,6 +182,14 @@
             .handle(now, RouteEvent::LoadReported { node, report })
     }
 
+    /// Tells the router of the bytes of a request of this kind and its answer.
+    pub fn report_size(&self, service: &ServiceName, work_kind: u64, bytes: u64) {
+        if let Some(routes) = self.state().services.get_mut(service) {
+            let event = RouteEvent::AnswerSized { work_kind, bytes };
+            routes.router.handle(MonoTime::ZERO, event);
+        }
+    }
+
     /// Retries and hedges, and further offers after refusals, that may be made for a service now.
     #[must_use]
     pub fn tokens(&self, service: &ServiceName) -> Option<(f64, f64)> {
@@ -272,6 +280,7 @@
         budget_share: plan.retry.budget_share,
         refusal_share: plan.retry.refusal_share,
         domain_trip: plan.locality.domain_trip,
+        far_cost_per_kib: plan.locality.far_cost_per_kib,
         subset_size: plan.locality.subset_size,
         is_hedging: plan.retry.is_hedging,
     }
--- a/crates/fescueway_routing/src/lib.rs
+++ b/crates/fescueway_routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! A [`ServiceRouter`] holds one service's targets as this entry sees them. It takes the time, a
 //! random generator and events, and answers with an [`OfferPermit`] or a refusal. It does no I/O.
 
+mod body_sizes;
 mod caller_patience;
 mod latency_quantile;
 mod offer_budget;
--- a/crates/fescueway_routing/src/route_event.rs
+++ b/crates/fescueway_routing/src/route_event.rs
@@ -32,6 +32,13 @@
         /// How it ended.
         end: OfferEnd,
     },
+    /// An answer began to a request of this kind.
+    AnswerSized {
+        /// The request's [`fescueway_core::RequestTerms::work_kind`].
+        work_kind: u64,
+        /// Bytes of both bodies.
+        bytes: u64,
+    },
     /// A load report of `node` arrived.
     LoadReported {
         /// The host node that sent it.
--- a/crates/fescueway_routing/src/routing_plan.rs
+++ b/crates/fescueway_routing/src/routing_plan.rs
@@ -15,6 +15,9 @@
     pub retry_reserve: f64,
     /// One-way trip to a target of another failure domain beyond that to one of the own.
     pub domain_trip: Duration,
+    /// How much later an answer from the own failure domain may be than one from another, for each KiB
+    /// of the bodies that would cross.
+    pub far_cost_per_kib: Duration,
     /// Targets in this entry's view at most.
     pub subset_size: usize,
     /// Whether idempotent requests are hedged.
@@ -29,6 +32,7 @@
             refusal_share: 0.13,
             retry_reserve: 10.0,
             domain_trip: Duration::from_micros(1_500),
+            far_cost_per_kib: Duration::ZERO,
             subset_size: 32,
             is_hedging: true,
         }
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     OfferEnd, OfferPermit, RouteEvent, RoutingPlan, TrustChange,
+    body_sizes::BodySizes,
     latency_quantile::LatencyQuantile,
     offer_budget::OfferBudget,
     place_choice::choose_place,
@@ -74,6 +75,8 @@
     retries: OfferBudget,
     /// When an unanswered request is hedged.
     latency: LatencyQuantile,
+    /// What crosses when a request goes to another failure domain.
+    sizes: BodySizes,
 }
 
 impl ServiceRouter {
@@ -90,6 +93,7 @@
             refusals: OfferBudget::new(REFUSAL_RESERVE).with_debt(REFUSAL_DEBT),
             retries: OfferBudget::new(plan.retry_reserve),
             latency: LatencyQuantile::default(),
+            sizes: BodySizes::default(),
             plan,
         }
     }
@@ -153,17 +157,20 @@
         if terms.offers_left == 0 || !self.charge(terms.cause) {
             return PickResult::Refuse(self.refusal(RefusalReason::BudgetSpent));
         }
+        let crossing_us = self.crossing_us(terms.work_kind);
         let scene = PickScene {
             now,
             pool: &self.pool,
-            far_trip_us: self.plan.domain_trip.as_micros() as f64,
+            far_us: 2.0 * self.plan.domain_trip.as_micros() as f64 + crossing_us,
         };
         let choice = choose_place(&mut self.views, &scene, tried, random);
         let Some(choice) = choice else {
             return PickResult::Refuse(self.refusal(RefusalReason::NoTarget));
         };
         terms.offers_left -= 1;
-        terms.wait_limit = self.wait_limit(&terms, choice.next_score_us);
+        let is_near = self.views[choice.best].is_near;
+        let spared_us = if is_near { crossing_us } else { 0.0 };
+        terms.wait_limit = self.wait_limit(&terms, choice.next_score_us, spared_us);
         let view = &mut self.views[choice.best];
         if !view.is_near {
             let trips = self.plan.domain_trip * 2;
@@ -207,6 +214,10 @@
     pub fn handle(&mut self, now: MonoTime, event: RouteEvent) -> Option<TrustChange> {
         match event {
             RouteEvent::OfferEnded { node, end } => self.end_offer(now, node, end),
+            RouteEvent::AnswerSized { work_kind, bytes } => {
+                self.sizes.learn(work_kind, bytes);
+                None
+            }
             RouteEvent::LoadReported { node, report } => {
                 self.pool.learn(&report);
                 let view = self.view_mut(node)?;
@@ -247,14 +258,27 @@
         }
     }
 
-    /// The longest wait at the host that is better than a refusal and another offer.
-    fn wait_limit(&self, terms: &RequestTerms, next_score_us: Option<f64>) -> Duration {
+    /// What it costs that the bodies of a request of this kind go to another failure domain, in
+    /// microseconds of its latency.
+    fn crossing_us(&self, work_kind: u64) -> f64 {
+        let cost_us = self.plan.far_cost_per_kib.as_micros() as f64;
+        cost_us * self.sizes.mean(work_kind) / 1_024.0
+    }
+
+    /// The longest wait at the host that is better than a refusal and another offer. `spared_us` is what
+    /// it costs to go elsewhere, whatever the load there.
+    fn wait_limit(
+        &self,
+        terms: &RequestTerms,
+        next_score_us: Option<f64>,
+        spared_us: f64,
+    ) -> Duration {
         let may_offer_again = terms.offers_left > 0 && self.refusals.has_token();
         match next_score_us {
             Some(score_us) if may_offer_again => {
                 let scarcity = self.refusals.spent_share();
                 let price = 1.0 + SCARCITY_PRICE * scarcity * scarcity;
-                let most_us = MOST_WAIT_SHARE * self.pool.service_us();
+                let most_us = MOST_WAIT_SHARE * self.pool.service_us() + spared_us;
                 let least_us = LEAST_WAIT_SHARE * self.pool.service_us();
                 let limit_us = (score_us * price).min(most_us).max(least_us);
                 Duration::from_micros(limit_us as u64)
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -61,8 +61,9 @@
     pub(crate) now: MonoTime,
     /// The targets taken together.
     pub(crate) pool: &'router PoolView,
-    /// One-way trip to another failure domain beyond that within the own, in microseconds.
-    pub(crate) far_trip_us: f64,
+    /// What a target of another failure domain costs: the trips there and back beyond those within the own
+    /// one, and the bytes that cross, in microseconds.
+    pub(crate) far_us: f64,
 }
 
 /// What one entry knows of one target.
@@ -238,11 +239,7 @@
     ///
     /// `noise` is a standard normal variable, by which a part of the load's uncertainty is drawn.
     pub(crate) fn score_us(&self, scene: &PickScene<'_>, noise: f64) -> f64 {
-        let trip_us = if self.is_near {
-            0.0
-        } else {
-            2.0 * scene.far_trip_us
-        };
+        let trip_us = if self.is_near { 0.0 } else { scene.far_us };
         let service_us = self.service_now_us(scene.now, scene.pool);
         let usual_us = scene.pool.service_us() * scene.pool.pace();
         let slower_us = slower_us(usual_us, service_us);
