Log and measure what a backend server states about itself

What callers saw: nothing. What operators could not see: that a backend server named a limit, which, and how many requests its host started meanwhile, so that "nothing reads it" could not be told from "requests pass the gate by".

Cause: no field of an answer but the load report was decoded. Change: `EdgeProfile` has the names of two fields, which only platform/ gives the users' names; `ServerStatement` decodes them once into typed values, with a defined outcome for invalid ones; E1009 to E1011; gauges of the limit and of leaving, counters of starts and of offers refused for a limit; the limit in load reports and in `fescueway targets`. Frames between nodes are of version 3. Nothing obeys the statements yet.

--- a/crates/fescueway/src/commands/targets.rs
+++ b/crates/fescueway/src/commands/targets.rs
@@ -30,6 +30,7 @@
         "LIMIT",
         "IN FLIGHT",
         "QUEUED",
+        "PER S",
     ]);
     let mut rows = vec![heading];
     rows.extend(list.targets.iter().map(target_row));
@@ -47,17 +48,29 @@
         target.site.to_string(),
         record.domain.to_string(),
         record.peer_address.to_string(),
-        state_text(record.state).to_owned(),
+        state_text(target).to_owned(),
         record.slots.to_string(),
         count_text(target.load.map(|load| load.limit)),
         count_text(target.load.map(|load| load.in_flight)),
         count_text(target.load.map(|load| load.queued)),
+        rate_limit_text(target),
     ]
 }
 
+/// The request rate limit that the backend server states, in requests per second.
+fn rate_limit_text(target: &TargetStatus) -> String {
+    let notice = target.load.and_then(|load| load.notice);
+    let limit = notice.and_then(|notice| notice.rate_limit);
+    limit.map_or_else(|| String::from("-"), |limit| limit.to_string())
+}
+
 /// The state as the table shows it.
-fn state_text(state: TargetState) -> &'static str {
-    match state {
+fn state_text(target: &TargetStatus) -> &'static str {
+    let notice = target.load.and_then(|load| load.notice);
+    if notice.is_some_and(|notice| notice.is_leaving) {
+        return "leaving";
+    }
+    match target.record.state {
         TargetState::Starting => "starting",
         TargetState::Serving => "serving",
         TargetState::Draining => "draining",
--- a/crates/fescueway_admission/src/lib.rs
+++ b/crates/fescueway_admission/src/lib.rs
@@ -8,6 +8,7 @@
 mod concurrency_limit;
 mod gate_plan;
 mod health_tracker;
+mod notice_tracker;
 mod probe_budget;
 mod probe_scheduler;
 mod service_estimate;
@@ -28,5 +29,5 @@
     suspect_decision::{SuspectDecision, SuspectEnd},
     suspect_list::SuspectList,
     suspect_message::{CrashId, SuspectMessage, SuspectReply},
-    target_gate::{GateAction, GateResult, RunEnd, TargetGate, TicketId},
+    target_gate::{GateAction, GateCounts, GateResult, RunEnd, TargetGate, TicketId},
 };
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -4,11 +4,15 @@
 
 use std::time::Duration;
 
-use fescueway_core::{LoadReport, MonoTime, Refusal, RefusalReason, RequestTerms, ServerLoad};
+use fescueway_core::{
+    LoadReport, MonoTime, RateLimit, Refusal, RefusalReason, RequestTerms, ServerLoad,
+    ServerNotice, ServerStart, StatementSource,
+};
 
 use crate::{
     GatePlan,
     concurrency_limit::ConcurrencyLimit,
+    notice_tracker::NoticeTracker,
     service_estimate::ServiceEstimate,
     slow_start::SlowStart,
     wait_queue::WaitQueue,
@@ -66,6 +70,15 @@
     Released,
 }
 
+/// Decisions that a gate made since its target was announced.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct GateCounts {
+    /// Requests that the gate started.
+    pub starts: u64,
+    /// Offers that it refused because the backend server's rate limit was reached.
+    pub rate_limited: u64,
+}
+
 /// Admission gate of one target: decides which offers run now, which wait and which are refused.
 ///
 /// ```
@@ -101,6 +114,10 @@
     next_trial: MonoTime,
     /// Whether the target is draining.
     is_draining: bool,
+    /// What the backend server states about itself.
+    notices: NoticeTracker,
+    /// Decisions so far.
+    counts: GateCounts,
 }
 
 impl TargetGate {
@@ -116,6 +133,8 @@
             last_tick: MonoTime::ZERO,
             next_trial: MonoTime::ZERO,
             is_draining: false,
+            notices: NoticeTracker::default(),
+            counts: GateCounts::default(),
             plan,
         }
     }
@@ -221,6 +240,42 @@
         self.fill_slots(now)
     }
 
+    /// Sets the backend server behind the gate. What it stated is kept if it is the same start of
+    /// it.
+    pub fn set_server(&mut self, server: ServerStart) {
+        self.notices.set_server(server);
+    }
+
+    /// The backend server behind the gate.
+    #[must_use]
+    pub fn server(&self) -> ServerStart {
+        self.notices.server()
+    }
+
+    /// What the backend server last stated about itself; `None` before its first statement.
+    #[must_use]
+    pub fn notice(&self) -> Option<ServerNotice> {
+        self.notices.notice()
+    }
+
+    /// Records the request rate limit that an answer of the backend server states, `None` for an
+    /// answer without one.
+    pub fn learn_limit(
+        &mut self,
+        _now: MonoTime,
+        source: StatementSource,
+        rate_limit: Option<RateLimit>,
+    ) -> Vec<GateAction> {
+        self.notices.learn_limit(source, rate_limit);
+        Vec::new()
+    }
+
+    /// Records that the backend server stated that it is leaving.
+    pub fn learn_leaving(&mut self, _now: MonoTime) -> Vec<GateAction> {
+        self.notices.learn_leaving();
+        Vec::new()
+    }
+
     /// Changes the largest share of the slots to use.
     pub fn set_slot_share(&mut self, slot_share: f64) {
         self.plan.slot_share = slot_share;
@@ -233,6 +288,12 @@
         self.plan.queue_per_slot = queue_per_slot;
     }
 
+    /// Decisions since the target was announced.
+    #[must_use]
+    pub fn counts(&self) -> GateCounts {
+        self.counts
+    }
+
     /// Whether no request runs or waits.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -257,6 +318,7 @@
                 .current_pace(now)
                 .map_or(0, |pace| (pace * 1_000.0) as u32),
             is_draining: self.is_draining,
+            notice: self.notices.notice(),
         }
     }
 
@@ -287,6 +349,12 @@
         is_due
     }
 
+    /// Starts a request, which then holds a slot.
+    fn begin_run(&mut self, now: MonoTime, ticket: TicketId, work_kind: u64) {
+        self.counts.starts += 1;
+        self.service.start(now, ticket, work_kind);
+    }
+
     /// Whether another request may start.
     fn has_slot(&self, now: MonoTime) -> bool {
         self.service.running_count() < self.current_limit(now)
--- a/crates/fescueway_admission/src/target_gate/waiting.rs
+++ b/crates/fescueway_admission/src/target_gate/waiting.rs
@@ -37,7 +37,7 @@
             let refusal = Self::refusal(RefusalReason::DeadlineTooShort, Duration::ZERO);
             return GateResult::Refuse(refusal);
         }
-        self.service.start(now, ticket, terms.work_kind);
+        self.begin_run(now, ticket, terms.work_kind);
         GateResult::Run
     }
 
@@ -94,7 +94,7 @@
         while self.has_slot(now)
             && let Some(offer) = self.next_offer(now)
         {
-            self.service.start(now, offer.ticket, offer.work_kind);
+            self.begin_run(now, offer.ticket, offer.work_kind);
             actions.push(GateAction::Run(offer.ticket));
         }
         self.refuse_late(now, &mut actions);
--- a/crates/fescueway_core/src/lib.rs
+++ b/crates/fescueway_core/src/lib.rs
@@ -10,9 +10,11 @@
 mod names;
 mod node_id;
 mod outcome;
+mod rate_limit;
 mod refusal;
 mod request_terms;
 mod server_load;
+mod server_notice;
 mod target_record;
 mod token_bucket;
 
@@ -24,9 +26,11 @@
     names::{DomainName, ServiceName, SiteName},
     node_id::NodeId,
     outcome::Outcome,
+    rate_limit::{RateLimit, RateLimitError},
     refusal::{Refusal, RefusalReason},
     request_terms::{Idempotency, KeyDigest, OfferCause, Priority, RequestTerms},
     server_load::ServerLoad,
+    server_notice::{ServerNotice, ServerStart, StatementSource},
     target_record::{TargetRecord, TargetState},
     token_bucket::TokenBucket,
 };
--- a/crates/fescueway_core/src/load_report.rs
+++ b/crates/fescueway_core/src/load_report.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ServerNotice;
+
 /// The load of one target, sent by its host node with each answer and each refusal.
 ///
 /// [`LoadReport::age_us`] is the age of the figures when they were sent; the receiver adds the time
@@ -28,4 +30,8 @@
     pub work_permille: u32,
     /// Whether the target is draining and takes no new requests.
     pub is_draining: bool,
+    /// What the backend server stated in its last answer, `None` until the host node has received
+    /// one.
+    #[serde(default)]
+    pub notice: Option<ServerNotice>,
 }
--- a/crates/fescueway_proxy/src/backend_announcement.rs
+++ b/crates/fescueway_proxy/src/backend_announcement.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use fescueway_core::ServiceName;
+use fescueway_core::{ServerStart, ServiceName, fnv1a_64};
 use http::HeaderValue;
 
 /// The announcement of a backend server: its service, address and capacity.
@@ -19,11 +19,23 @@
     /// Identifies one start of the backend server, if announced. A different identity at the same
     /// address is a different target.
     pub identity: Option<HeaderValue>,
+    /// When it started, in milliseconds of its VM's wall clock. Zero if it isn't announced.
+    pub born_ms: u64,
     /// Time until the backend server has warmed up, if announced.
     pub warmup_left: Option<Duration>,
 }
 
 impl BackendAnnouncement {
+    /// Identifies the start of the backend server.
+    #[must_use]
+    pub fn server_start(&self) -> ServerStart {
+        let identity = self.identity.as_ref();
+        ServerStart {
+            name_digest: identity.map_or(0, |identity| fnv1a_64(identity.as_bytes())),
+            born_ms: self.born_ms,
+        }
+    }
+
     /// The announcement of a backend server without an identity and a warm-up time.
     #[must_use]
     pub fn new(service: ServiceName, address: SocketAddr, slots: u32, connections: u32) -> Self {
@@ -33,6 +45,7 @@
             slots,
             connections,
             identity: None,
+            born_ms: 0,
             warmup_left: None,
         }
     }
--- a/crates/fescueway_proxy/src/edge_profile.rs
+++ b/crates/fescueway_proxy/src/edge_profile.rs
@@ -23,6 +23,11 @@
     /// Parses `load` in the installation's own format; `None` for the ORCA format, which has no
     /// pace of work.
     pub read_load: Option<LoadReader>,
+    /// In a backend server's answer: the requests per second that it accepts from all nodes
+    /// together, a decimal number. It holds until an answer without the field.
+    pub rate_limit: Option<HeaderName>,
+    /// In a backend server's answer: `1` when it is leaving and accepts no new requests.
+    pub leaving: Option<HeaderName>,
     /// In an answer to a caller: the request's outcome.
     pub outcome: Option<HeaderName>,
     /// In an answer to a caller: why the request was refused.
@@ -67,6 +72,8 @@
             time_left: HeaderName::from_static("fescueway-time-left-ms"),
             load: HeaderName::from_static("endpoint-load-metrics"),
             read_load: None,
+            rate_limit: Some(headers::RATE_LIMIT),
+            leaving: Some(headers::LEAVING),
             outcome: Some(headers::OUTCOME),
             reason: Some(headers::REASON),
             call: Some(headers::CALL),
--- a/crates/fescueway_proxy/src/headers.rs
+++ b/crates/fescueway_proxy/src/headers.rs
@@ -21,6 +21,12 @@
 /// Token of the call that a backend server is serving, which it sends with its nested calls.
 pub const CALL: HeaderName = HeaderName::from_static("fescueway-call");
 
+/// In a backend server's answer: the requests per second that it accepts.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("fescueway-rate-limit");
+
+/// In a backend server's answer: whether it is leaving.
+pub const LEAVING: HeaderName = HeaderName::from_static("fescueway-leaving");
+
 /// A backend server's load as a binary message: removed, but not parsed.
 const LOAD_BINARY: HeaderName = HeaderName::from_static("endpoint-load-metrics-bin");
 
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use fescueway_admission::RunEnd;
-use fescueway_core::{Idempotency, Refusal, RefusalReason};
+use fescueway_core::{Idempotency, Refusal, RefusalReason, StatementSource};
 use http::{
     HeaderValue, Request, Response, Uri,
     header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRANSFER_ENCODING},
@@ -115,7 +115,13 @@
                         None => state.notify_load(&service, load.as_bytes()),
                     }
                 }
-                match profile.judge(response.status(), response.headers(), id.as_ref()) {
+                let verdict = profile.judge(response.status(), response.headers(), id.as_ref());
+                if !matches!(verdict, AnswerVerdict::Invalid(_)) {
+                    let (status, fields) = (response.status(), response.headers());
+                    let source = StatementSource::Request;
+                    state.learn_statement(&service, ticket.target(), source, status, fields);
+                }
+                match verdict {
                     AnswerVerdict::Ran => {}
                     AnswerVerdict::NotRun => {
                         ticket.undo_hand_over();
--- a/crates/fescueway_proxy/src/host/host_target.rs
+++ b/crates/fescueway_proxy/src/host/host_target.rs
@@ -6,8 +6,12 @@
     time::Duration,
 };
 
-use fescueway_admission::{GateAction, GatePlan, GateResult, RunEnd, TargetGate, TicketId};
-use fescueway_core::{LoadReport, MonoTime, Refusal, RequestTerms, ServerLoad};
+use fescueway_admission::{
+    GateAction, GateCounts, GatePlan, GateResult, RunEnd, TargetGate, TicketId,
+};
+use fescueway_core::{
+    LoadReport, MonoTime, RateLimit, Refusal, RequestTerms, ServerLoad, StatementSource,
+};
 use http::HeaderValue;
 use tokio::{
     sync::{Notify, oneshot},
@@ -16,7 +20,10 @@
 
 use super::{BackendPool, RunTicket};
 use crate::{
-    backend_announcement::BackendAnnouncement, mono_clock::MonoClock, proxy_limits::ProxyLimits,
+    backend_announcement::BackendAnnouncement,
+    mono_clock::MonoClock,
+    proxy_limits::ProxyLimits,
+    server_statement::{InvalidField, ServerStatement},
     task_group::TaskGroup,
 };
 
@@ -50,6 +57,19 @@
     last_ticket: u64,
     /// Whether the timer task is running.
     is_timer_running: bool,
+    /// The last invalid statement, so that it is logged once.
+    invalid_field: Option<InvalidField>,
+}
+
+/// What an answer changed in what is known of the backend server.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct StatementChange {
+    /// The previous and the new request rate limit, if it changed.
+    pub(crate) limit: Option<(Option<RateLimit>, Option<RateLimit>)>,
+    /// Whether it is the first statement that the server is leaving.
+    pub(crate) is_leaving_new: bool,
+    /// An invalid field that was not the last one reported.
+    pub(crate) invalid_field: Option<InvalidField>,
 }
 
 /// Receives `Ok` when the offer may run.
@@ -76,14 +96,18 @@
         clock: MonoClock,
     ) -> Self {
         let (address, connections) = (announcement.address, announcement.connections);
+        let slots = plan.slots;
+        let mut gate = TargetGate::new(plan, clock.now());
+        gate.set_server(announcement.server_start());
         Self {
-            pool: BackendPool::new(address, connections, plan.slots, limits, tasks.clone()),
+            pool: BackendPool::new(address, connections, slots, limits, tasks.clone()),
             identity: announcement.identity.clone(),
             state: Mutex::new(GateState {
-                gate: TargetGate::new(plan, clock.now()),
+                gate,
                 waiters: BTreeMap::new(),
                 last_ticket: 0,
                 is_timer_running: false,
+                invalid_field: None,
             }),
             wake: Notify::new(),
             load_query_change: Notify::new(),
@@ -115,6 +139,12 @@
         self.state().gate.report(self.clock.now())
     }
 
+    /// Decisions of the gate since the target was announced.
+    #[must_use]
+    pub fn counts(&self) -> GateCounts {
+        self.state().gate.counts()
+    }
+
     /// Starts draining: refuses waiting and new offers and lets the running requests finish.
     pub fn drain(&self) {
         let mut state = self.state();
@@ -143,6 +173,40 @@
         self.with_gate(|gate, now| gate.learn_load(now, load));
     }
 
+    /// Records what an answer of the backend server states about it. Returns what changed by that.
+    pub(crate) fn learn_statement(
+        &self,
+        source: StatementSource,
+        statement: &ServerStatement,
+    ) -> StatementChange {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let before = state.gate.notice().unwrap_or_default();
+        let mut actions = Vec::new();
+        if let Ok(rate_limit) = statement.rate_limit {
+            actions.extend(state.gate.learn_limit(now, source, rate_limit));
+        }
+        if statement.is_leaving == Ok(true) {
+            actions.extend(state.gate.learn_leaving(now));
+        }
+        let after = state.gate.notice().unwrap_or_default();
+        let invalid_field = statement.invalid_field();
+        let is_new = invalid_field.is_some() && invalid_field != state.invalid_field.as_ref();
+        if is_new {
+            state.invalid_field = invalid_field.cloned();
+        }
+        state.apply(now, actions);
+        drop(state);
+        self.wake.notify_one();
+        self.load_query_change.notify_one();
+        StatementChange {
+            limit: (before.rate_limit != after.rate_limit)
+                .then_some((before.rate_limit, after.rate_limit)),
+            is_leaving_new: after.is_leaving && !before.is_leaving,
+            invalid_field: invalid_field.filter(|_| is_new).cloned(),
+        }
+    }
+
     /// Pace that the backend server last reported and the age of the report, `None` without a
     /// report. The pace is the duration of work as a multiple of its normal duration.
     #[must_use]
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -34,6 +34,7 @@
 mod request_record;
 mod route_states;
 mod route_table;
+mod server_statement;
 mod socket_options;
 mod task_group;
 mod watched_socket;
@@ -51,5 +52,6 @@
     proxy_state::ProxyState,
     request_record::RequestRecord,
     route_table::{RouteTable, TargetView},
+    server_statement::{InvalidField, ServerStatement},
     task_group::TaskGroup,
 };
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -1,6 +1,7 @@
 //! The shared state of a node's proxy.
 
 mod local_backends;
+mod server_statements;
 
 use std::{
     fmt::Display,
@@ -84,6 +85,10 @@
     log: RequestLog,
     /// Limits the log lines about refused peers, so that a hostile peer can't flood the log.
     refused_peers: SourceRateLimit<IpAddr>,
+    /// Limits the log lines about changed limits of backend servers.
+    limit_changes: SourceRateLimit<ServiceName>,
+    /// Limits the log lines about invalid statements of backend servers.
+    invalid_statements: SourceRateLimit<ServiceName>,
     /// Called for each request.
     request_observer: ObserverSlot<RequestObserver>,
     /// Called for each load report.
@@ -119,6 +124,8 @@
                 options.log_lines_per_s,
             ),
             refused_peers: SourceRateLimit::new(&path::PEER_REFUSED),
+            limit_changes: SourceRateLimit::new(&path::SERVER_LIMIT_CHANGED),
+            invalid_statements: SourceRateLimit::new(&path::SERVER_STATEMENT_INVALID),
             request_observer: ObserverSlot::default(),
             load_observer: ObserverSlot::default(),
             options,
--- /dev/null
+++ b/crates/fescueway_proxy/src/proxy_state/server_statements.rs
@@ -0,0 +1,47 @@
+//! What the local backend servers state about themselves in their answers.
+
+use fescueway_core::{RateLimit, ServiceName, StatementSource};
+use fescueway_telemetry::{emit, events::path};
+use http::{HeaderMap, StatusCode};
+
+use super::ProxyState;
+use crate::{host::HostTarget, server_statement::ServerStatement};
+
+/// Logged in place of a limit that doesn't exist.
+const NO_LIMIT: &str = "none";
+
+impl ProxyState {
+    /// Applies and logs what an answer of a local backend server, with `status` and `fields`, states
+    /// about the server itself.
+    pub fn learn_statement(
+        &self,
+        service: &ServiceName,
+        target: &HostTarget,
+        source: StatementSource,
+        status: StatusCode,
+        fields: &HeaderMap,
+    ) {
+        let Some(statement) = ServerStatement::read(self.profile(), status, fields) else {
+            return;
+        };
+        let change = target.learn_statement(source, &statement);
+        let (now, address) = (self.now(), target.pool().address());
+        if let Some((previous, current)) = change.limit {
+            let (previous, current) = (limit_text(previous), limit_text(current));
+            let values: [&dyn std::fmt::Display; 4] = [service, &address, &current, &previous];
+            self.0.limit_changes.emit(now, service.clone(), &values);
+        }
+        if let Some(invalid_field) = &change.invalid_field {
+            let log_limit = &self.0.invalid_statements;
+            log_limit.emit(now, service.clone(), &[service, &address, invalid_field]);
+        }
+        if change.is_leaving_new {
+            emit(&path::SERVER_LEAVING, &[service, &address]);
+        }
+    }
+}
+
+/// A limit as it is logged, in requests per second.
+fn limit_text(limit: Option<RateLimit>) -> String {
+    limit.map_or_else(|| NO_LIMIT.to_owned(), |limit| limit.to_string())
+}
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -77,6 +77,42 @@
     advice: "Find the sender. The call names no target, so the known targets stay unchanged.",
 };
 
+/// A backend server named another limit of requests per second in its answers, or none any more. Logged
+/// once a second for each service.
+pub const SERVER_LIMIT_CHANGED: EventKind = EventKind {
+    number: 1009,
+    level: Level::Info,
+    summary: "request rate limit of a backend server changed",
+    fields: &[
+        "service",
+        "address",
+        "limit_per_s",
+        "previous_per_s",
+        "suppressed",
+    ],
+    advice: "Find out why the backend server needs relief. Requests above the limit go to other targets; E1121 with \
+             the reason `rate-limited` tells which offers were refused for it.",
+};
+
+/// What a backend server stated about itself in a header is not allowed. Logged when the value changes, at
+/// most once a second for each service.
+pub const SERVER_STATEMENT_INVALID: EventKind = EventKind {
+    number: 1010,
+    level: Level::Warn,
+    summary: "a statement of a backend server in the header of an answer was ignored",
+    fields: &["service", "address", "error", "suppressed"],
+    advice: "Correct what the backend server sends. Its last valid statement remains in force.",
+};
+
+/// A backend server stated in an answer that it is leaving.
+pub const SERVER_LEAVING: EventKind = EventKind {
+    number: 1011,
+    level: Level::Info,
+    summary: "a backend server stated in an answer that it is leaving",
+    fields: &["service", "address"],
+    advice: "Nothing. It gets no new requests until another backend server is announced there.",
+};
+
 /// Every event of this area.
 pub const ALL: &[&EventKind] = &[
     &ACCEPT_FAILED,
@@ -87,4 +123,7 @@
     &BACKEND_SILENT,
     &LOAD_IGNORED,
     &BACKEND_CALL_INVALID,
+    &SERVER_LIMIT_CHANGED,
+    &SERVER_STATEMENT_INVALID,
+    &SERVER_LEAVING,
 ];
--- a/crates/fescueway_telemetry/src/service_metrics.rs
+++ b/crates/fescueway_telemetry/src/service_metrics.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use fescueway_core::{LoadReport, Outcome, RefusalReason, ServiceName};
+use fescueway_core::{LoadReport, Outcome, RateLimit, RefusalReason, ServerNotice, ServiceName};
 use opentelemetry::{
     KeyValue,
     metrics::{BoundCounter, BoundGauge, BoundHistogram, Counter, Gauge, Histogram, Meter},
@@ -52,6 +52,10 @@
     queued: Gauge<u64>,
     limit: Gauge<u64>,
     slots: Gauge<u64>,
+    rate_limit: Gauge<f64>,
+    leaving: Gauge<u64>,
+    starts: Counter<u64>,
+    rate_limited: Counter<u64>,
 }
 
 /// Load and token gauges of a service at a node.
@@ -61,6 +65,10 @@
     pub report: Option<LoadReport>,
     /// Slots that the target announced.
     pub slots: u32,
+    /// Requests that the host started at the target since it was announced.
+    pub starts: u64,
+    /// Offers that the host refused since then because of the backend server's rate limit.
+    pub rate_limited: u64,
     /// Retries and hedges that the retry budget of this entry allows now.
     pub retry_tokens: f64,
     /// Further offers after refusals that the budget of this entry allows now; below zero when overdrawn.
@@ -139,6 +147,23 @@
             queued: gauge("fescueway.target.queued", "Requests that wait here."),
             limit: gauge("fescueway.target.limit", "Requests that may run here now."),
             slots: gauge("fescueway.target.slots", "Slots that the target announced."),
+            rate_limit: float_gauge(
+                "fescueway.target.rate.limit",
+                "Requests per second that the backend server accepts from all nodes; infinite \
+                 without a limit.",
+            ),
+            starts: meter
+                .u64_counter("fescueway.target.starts")
+                .with_description("Requests that this host started at its target.")
+                .build(),
+            rate_limited: meter
+                .u64_counter("fescueway.target.rate.limited")
+                .with_description("Offers refused here for the rate limit of the backend server.")
+                .build(),
+            leaving: gauge(
+                "fescueway.target.leaving",
+                "Whether the backend server stated that it is leaving.",
+            ),
         }
     }
 }
@@ -177,6 +202,18 @@
     queued: BoundGauge<u64>,
     limit: BoundGauge<u64>,
     slots: BoundGauge<u64>,
+    /// Bound at the first statement, so that a target without one has no such metrics.
+    notice: OnceLock<NoticeGauges>,
+    starts: BoundCounter<u64>,
+    rate_limited: BoundCounter<u64>,
+    /// The counts that were last added, of starts and of offers refused for a rate limit.
+    counted: Mutex<(u64, u64)>,
+}
+
+/// Gauges of what a backend server states about itself.
+struct NoticeGauges {
+    rate_limit: BoundGauge<f64>,
+    leaving: BoundGauge<u64>,
 }
 
 impl Debug for ServiceMetrics {
@@ -215,6 +252,10 @@
             in_flight: instruments.in_flight.bind(&labels),
             queued: instruments.queued.bind(&labels),
             limit: instruments.limit.bind(&labels),
+            notice: OnceLock::new(),
+            starts: instruments.starts.bind(&labels),
+            rate_limited: instruments.rate_limited.bind(&labels),
+            counted: Mutex::default(),
             label,
             instruments,
         }
@@ -304,6 +345,27 @@
         self.utilization.get_or_init(bind).record(utilization);
     }
 
+    /// Adds what was counted since the last call. Counts begin at zero with each target.
+    fn add_counts(&self, starts: u64, rate_limited: u64) {
+        let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
+        let added = |count: u64, before: u64| count.checked_sub(before).unwrap_or(count);
+        self.starts.add(added(starts, counted.0));
+        self.rate_limited.add(added(rate_limited, counted.1));
+        *counted = (starts, rate_limited);
+    }
+
+    /// Sets the gauges of what the backend server states about itself.
+    fn set_notice(&self, notice: &ServerNotice) {
+        let labels = [self.label.clone()];
+        let gauges = self.notice.get_or_init(|| NoticeGauges {
+            rate_limit: self.instruments.rate_limit.bind(&labels),
+            leaving: self.instruments.leaving.bind(&labels),
+        });
+        let per_s = notice.rate_limit.map_or(f64::INFINITY, RateLimit::per_s);
+        gauges.rate_limit.record(per_s);
+        gauges.leaving.record(notice.is_leaving.into());
+    }
+
     /// Sets the gauges of the load of the service at this node.
     pub fn set_load(&self, load: &ServiceLoad) {
         if let Some(report) = load.report {
@@ -311,6 +373,10 @@
             self.queued.record(report.queued.into());
             self.limit.record(report.limit.into());
             self.slots.record(load.slots.into());
+            if let Some(notice) = report.notice {
+                self.set_notice(&notice);
+            }
+            self.add_counts(load.starts, load.rate_limited);
         }
         self.retry_tokens.record(load.retry_tokens);
         self.refusal_tokens.record(load.refusal_tokens);
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fescueway_core::{LoadReport, Outcome, RefusalReason, ServiceName};
+use fescueway_core::{LoadReport, Outcome, RateLimit, RefusalReason, ServerNotice, ServiceName};
 use fescueway_telemetry::{
     MetricSet, NodeGauges, NodeTotals, RequestEnd, RouteResult, ServiceLoad, StoreCalls,
 };
@@ -30,9 +30,16 @@
     bands.set_load(&ServiceLoad {
         report: Some(LoadReport {
             queued: 4,
+            notice: Some(ServerNotice {
+                rate_limit: RateLimit::try_from("28.2").ok(),
+                is_leaving: true,
+                ..ServerNotice::default()
+            }),
             ..LoadReport::default()
         }),
         slots: 9,
+        starts: 12,
+        rate_limited: 3,
         retry_tokens: 2.5,
         refusal_tokens: -1.0,
     });
@@ -72,6 +79,10 @@
         r#"fescueway_store_calls_total{answered="false",kind="lease"} 2"#,
         r#"fescueway_route_requests_total{result="late",route="look",service="bands"} 1"#,
         r#"fescueway_target_slots{service="bands"} 9"#,
+        r#"fescueway_target_rate_limit{service="bands"} 28.2"#,
+        r#"fescueway_target_leaving{service="bands"} 1"#,
+        r#"fescueway_target_starts_total{service="bands"} 12"#,
+        r#"fescueway_target_rate_limited_total{service="bands"} 3"#,
         r#"fescueway_retry_tokens{service="bands"} 2.5"#,
         r#"fescueway_refusal_tokens{service="bands"} -1"#,
         "fescueway_config_age_seconds 1.5",
--- a/crates/fescueway_wire/src/frame_codec.rs
+++ b/crates/fescueway_wire/src/frame_codec.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 
 /// Version of the protocol between nodes. Nodes of different versions reject each other's frames.
-pub const WIRE_VERSION: u8 = 2;
+pub const WIRE_VERSION: u8 = 3;
 
 /// Bytes before the payload: the version and the length.
 pub const PREFIX_BYTES: usize = 5;
--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -235,6 +235,7 @@
             slots: raw.slots,
             connections: raw.connections,
             identity: None,
+            born_ms: 0,
             warmup_left: None,
         })
     }
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -121,9 +121,13 @@
                 metrics.set_probe_budget(plan.probe.budget_ms_per_s);
             }
             let (retry_tokens, refusal_tokens) = state.routes().tokens(service).unwrap_or_default();
+            let counts = target.as_ref().map(|target| target.counts());
+            let counts = counts.unwrap_or_default();
             metrics.set_load(&ServiceLoad {
                 report: target.map(|target| target.report()),
                 slots: state.announced_slots(service),
+                starts: counts.starts,
+                rate_limited: counts.rate_limited,
                 retry_tokens,
                 refusal_tokens,
             });
--- a/crates/fescuewayd/src/pace_task.rs
+++ b/crates/fescuewayd/src/pace_task.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fescueway_core::ServiceName;
+use fescueway_core::{ServiceName, StatementSource};
 use fescueway_proxy::{HostTarget, LoadReader, ProxyState};
 use tokio::time::{sleep, timeout};
 
@@ -93,6 +93,10 @@
             sleep(RETRY_DELAY).await;
             return;
         };
+        let source = StatementSource::Query;
+        let (status, fields) = (answer.status, &answer.headers);
+        self.proxy
+            .learn_statement(&service.name, target, source, status, fields);
         let load = answer.headers.get(&self.proxy.profile().load);
         if let Some(load) = load.and_then(|field| (self.read_load)(field.as_bytes())) {
             target.learn_load(&load);
