Let entries share the rate limit of a target instead of running into it

Cause: a limited server runs little, so entries see it idle and offer to it first. Change: a host tells with each load report how long an entry should pause between two offers. The pause rises by 5% with each offer that the limit refuses and falls by 3% with each start after which a token was left over, so the host needs to know neither how many entries there are nor who has how much to send. An entry counts what is left of the pause as waiting time in the target's score: it still offers there when all other places are worse.

--- a/crates/fescueway_admission/src/start_pacer.rs
+++ b/crates/fescueway_admission/src/start_pacer.rs
@@ -24,6 +24,21 @@
 /// Lowest rate that is distinguished from zero, in starts per second.
 const MIN_RATE: f64 = 1e-3;
 
+/// Initial pause of an entry between two offers, in mean times between two starts.
+const INITIAL_PAUSE: f64 = 4.0;
+
+/// Shortest pause of an entry between two offers, in mean times between two starts.
+const MIN_PAUSE: f64 = 0.25;
+
+/// Longest pause of an entry between two offers. Only an answer to an offer ends it early.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+
+/// Factor on the pause for each offer that the limit refuses.
+const PAUSE_RISE: f64 = 1.05;
+
+/// Factor on the pause for each start after which the limit had allowed another one.
+const PAUSE_FALL: f64 = 0.97;
+
 /// Longest expected wait that is computed.
 const MAX_WAIT: Duration = Duration::from_hours(1);
 
@@ -44,6 +59,11 @@
     limit_per_s: f64,
     /// One token for each start that is allowed now.
     tokens: TokenBucket,
+    /// How long an entry should pause between two offers, in seconds.
+    ///
+    /// It rises while entries offer more than the limit allows and falls while they offer less, so
+    /// the host needs to know neither their number nor how the load is spread over them.
+    pause_s: f64,
     /// When the limit ended, `None` while the backend server states it.
     ended_at: Option<MonoTime>,
 }
@@ -85,10 +105,27 @@
         pace.is_none_or(|pace| pace.tokens.peek(now) >= 1.0)
     }
 
+    /// How long an entry should pause between two offers, zero when the starts are not spaced.
+    pub(crate) fn offer_pause(&self) -> Duration {
+        let pace = self.pace.as_ref().filter(|pace| pace.ended_at.is_none());
+        pace.map_or(Duration::ZERO, |pace| Duration::from_secs_f64(pace.pause_s))
+    }
+
+    /// Records that the limit refused an offer.
+    pub(crate) fn record_refusal(&mut self) {
+        if let Some(pace) = &mut self.pace {
+            pace.scale_pause(PAUSE_RISE);
+        }
+    }
+
     /// Records a start.
     pub(crate) fn record_start(&mut self, now: MonoTime) {
         self.recover(now);
         if let Some(pace) = &mut self.pace {
+            let unused_s = now.since(pace.tokens.time_of(1.0)).as_secs_f64();
+            if unused_s * pace.limit_per_s >= 1.0 {
+                pace.scale_pause(PAUSE_FALL);
+            }
             pace.tokens.available(now);
             pace.tokens.charge(1.0);
         }
@@ -136,16 +173,27 @@
         Self {
             limit_per_s,
             tokens,
+            pause_s: (INITIAL_PAUSE / limit_per_s.max(MIN_RATE)).min(MAX_PAUSE.as_secs_f64()),
             ended_at: None,
         }
     }
 
+    /// Changes the pause of the entries by a factor.
+    fn scale_pause(&mut self, factor: f64) {
+        let max_s = MAX_PAUSE.as_secs_f64();
+        let min_s = (MIN_PAUSE / self.limit_per_s.max(MIN_RATE)).min(max_s);
+        self.pause_s = (self.pause_s * factor).clamp(min_s, max_s);
+    }
+
     /// Changes the limit and ends a recovery.
     fn set_limit(&mut self, now: MonoTime, limit_per_s: f64) {
         let is_same = (self.limit_per_s - limit_per_s).abs() < f64::EPSILON;
         if is_same && self.ended_at.is_none() {
             return;
         }
+        if limit_per_s > 0.0 {
+            self.scale_pause(self.limit_per_s / limit_per_s);
+        }
         self.limit_per_s = limit_per_s;
         self.ended_at = None;
         self.set_rate(now, limit_per_s);
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -338,6 +338,7 @@
                 .current_pace(now)
                 .map_or(0, |pace| (pace * 1_000.0) as u32),
             is_draining: self.is_draining,
+            offer_pause_us: self.pacer.offer_pause().as_micros() as u32,
             notice: self.notices.notice(),
         }
     }
--- a/crates/fescueway_admission/src/target_gate/waiting.rs
+++ b/crates/fescueway_admission/src/target_gate/waiting.rs
@@ -143,6 +143,7 @@
     fn refuse(&mut self, reason: RefusalReason, wait: Duration) -> GateResult {
         if reason == RefusalReason::RateLimited {
             self.counts.rate_limited += 1;
+            self.pacer.record_refusal();
         }
         GateResult::Refuse(Self::refusal(reason, wait))
     }
--- a/crates/fescueway_core/src/load_report.rs
+++ b/crates/fescueway_core/src/load_report.rs
@@ -30,6 +30,10 @@
     pub work_permille: u32,
     /// Whether the target is draining and takes no new requests.
     pub is_draining: bool,
+    /// How long an entry should wait after an offer before the next one, in microseconds, so that
+    /// the entries together stay within the backend server's rate limit. Zero without a limit.
+    #[serde(default)]
+    pub offer_pause_us: u32,
     /// What the backend server stated in its last answer, `None` until the host node has received
     /// one.
     #[serde(default)]
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -1,5 +1,7 @@
 //! The state of one target, as one entry sees it.
 
+use std::time::Duration;
+
 use fescueway_core::{LoadReport, MonoTime, NodeId, RefusalReason, TargetRecord, TargetState};
 
 use crate::{
@@ -77,6 +79,10 @@
     pub(crate) is_draining: bool,
     /// Offers of this entry in flight at the target.
     pub(crate) open_offers: u32,
+    /// When this entry last made an offer.
+    offered_at: MonoTime,
+    /// How long this entry should pause between two offers, by the last report.
+    offer_pause: Duration,
     /// Since when the offers in flight have brought no answer. A refusal doesn't reset it: it comes
     /// from the host and says nothing about the backend server.
     silent_since: MonoTime,
@@ -123,6 +129,8 @@
             is_same_domain,
             is_draining: record.state == TargetState::Draining,
             open_offers: 0,
+            offered_at: MonoTime::ZERO,
+            offer_pause: Duration::ZERO,
             silent_since: now,
             others_load: load,
             reported_at: now,
@@ -149,6 +157,7 @@
             self.silent_since = now;
         }
         self.open_offers += 1;
+        self.offered_at = now;
     }
 
     /// Counts an offer as ended.
@@ -230,6 +239,7 @@
         self.limit = f64::from(report.limit.max(1));
         self.service_us = f64::from(report.service_time_us);
         self.pace = report_pace(report);
+        self.offer_pause = Duration::from_micros(report.offer_pause_us.into());
         let failed_share = f64::from(report.failed_permille) / 1_000.0;
         self.failed_share += (failed_share - self.failed_share) * FAILURE_WEIGHT;
         self.is_draining = report.is_draining;
@@ -251,7 +261,14 @@
         let service_us = self.current_service_us(context.now, context.pool);
         let usual_us = context.pool.service_us() * context.pool.pace();
         let slowness_penalty_us = slowness_penalty_us(usual_us, service_us);
-        trip_us + slowness_penalty_us + self.wait_us(context, service_us, noise)
+        let wait_us = self.wait_us(context, service_us, noise);
+        trip_us + slowness_penalty_us + wait_us.max(self.pause_left_us(context.now))
+    }
+
+    /// Time until the next offer of this entry that the backend server's rate limit likely allows,
+    /// in microseconds.
+    fn pause_left_us(&self, now: MonoTime) -> f64 {
+        elapsed_us(now, self.offered_at + self.offer_pause)
     }
 
     /// Expected wait for a slot of an offer that arrives now, plus the cost of a likely refusal, in
