Send nothing more to a backend server that states it is leaving

What callers saw: not seen by callers yet; with stand-ins, requests went on to a backend server that had stated in its answers that it leaves, until it reported its drain, and to one that had said so before its node was restarted.

Change: the field closes the gate at once, refuses what waits there, is announced to the entries like a drain and marks the instance in the registry. Neither a later report of the same start, nor operators, nor a new announcement with other slots end it: only another name or a later start at that address does, which now is a new target with a new gate. Until now the same name with a later start kept its predecessor's gate, drained or not. A node that starts reads both fields in the answer by which it finds or verifies its backend server, before the first request.

--- a/crates/fescueway_admission/src/backend_registry.rs
+++ b/crates/fescueway_admission/src/backend_registry.rs
@@ -94,6 +94,13 @@
         known.is_some_and(|known| !known.is_ended && !known.is_draining)
     }
 
+    /// Records that the instance of this name, if it is in use, is draining, without a report of it.
+    pub fn drain(&mut self, identity: &str) {
+        if let Some(known) = self.instances.get_mut(identity) {
+            known.is_draining = true;
+        }
+    }
+
     /// Ends the instance of this name. Returns whether it was in use.
     pub fn leave(&mut self, identity: &str) -> bool {
         let known = self.instances.get_mut(identity);
--- a/crates/fescueway_admission/src/notice_tracker.rs
+++ b/crates/fescueway_admission/src/notice_tracker.rs
@@ -92,6 +92,18 @@
         self.notice_mut().is_leaving = true;
     }
 
+    /// Forgets that the backend server is leaving.
+    pub(crate) fn forget_leaving(&mut self) {
+        if let Some(notice) = &mut self.stated {
+            notice.is_leaving = false;
+        }
+    }
+
+    /// Whether the backend server stated that it is leaving.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.stated.is_some_and(|notice| notice.is_leaving)
+    }
+
     /// What the backend server stated, created without a limit at the first statement.
     fn notice_mut(&mut self) -> &mut ServerNotice {
         let server = self.server;
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -113,7 +113,7 @@
     last_tick: MonoTime,
     /// Earliest time of the next trial request while the target is a straggler or failing.
     next_trial: MonoTime,
-    /// Whether the target is draining.
+    /// Whether a drain was requested.
     is_draining: bool,
     /// What the backend server states about itself.
     notices: NoticeTracker,
@@ -145,7 +145,7 @@
 
     /// Decides on an offer.
     pub fn offer(&mut self, now: MonoTime, ticket: TicketId, terms: &RequestTerms) -> GateResult {
-        if self.is_draining {
+        if self.is_draining() {
             return GateResult::Refuse(Self::draining_refusal());
         }
         if self.is_better_elsewhere(now, terms) && !self.take_trial(now) {
@@ -231,6 +231,11 @@
     /// Starts draining: refuses waiting and new offers and lets the running requests finish.
     pub fn drain(&mut self, _now: MonoTime) -> Vec<GateAction> {
         self.is_draining = true;
+        self.refuse_waiting()
+    }
+
+    /// Refuses all waiting offers because the target is draining.
+    fn refuse_waiting(&mut self) -> Vec<GateAction> {
         let mut actions = Vec::with_capacity(self.queue.len());
         while let Some(offer) = self.queue.pop() {
             actions.push(GateAction::Refuse(offer.ticket, Self::draining_refusal()));
@@ -238,9 +243,20 @@
         actions
     }
 
-    /// Ends draining, so that offers are accepted again.
+    /// Ends draining, so that offers are accepted again. A named backend server can't revoke that it
+    /// is leaving; one without a name can't be told from its successor, so the call speaks for the
+    /// current one.
     pub fn undrain(&mut self, _now: MonoTime) {
         self.is_draining = false;
+        if !self.notices.server().is_named() {
+            self.notices.forget_leaving();
+        }
+    }
+
+    /// Whether the target is draining or its backend server stated that it is leaving.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.is_draining || self.notices.is_leaving()
     }
 
     /// Records a load report of the backend server.
@@ -293,7 +309,45 @@
     /// Records that the backend server stated that it is leaving.
     pub fn learn_leaving(&mut self, _now: MonoTime) -> Vec<GateAction> {
         self.notices.learn_leaving();
-        Vec::new()
+        self.refuse_waiting()
+    }
+
+    /// Records what an entry knows of the backend server from this node's predecessor.
+    ///
+    /// A notice of an unknown start may be of an earlier one, so it counts only until this node
+    /// knows the current start itself.
+    pub fn learn_notice(&mut self, now: MonoTime, notice: &ServerNotice) -> Vec<GateAction> {
+        let is_older = notice.server.born_ms == 0 && self.server().born_ms != 0;
+        if is_older {
+            return Vec::new();
+        }
+        self.adopt_notice(now, notice)
+    }
+
+    /// Adopts a notice of the same start of the backend server. Its own statements to this gate take
+    /// precedence, except that it can't revoke that it is leaving.
+    fn adopt_notice(&mut self, now: MonoTime, notice: &ServerNotice) -> Vec<GateAction> {
+        if !self.server().is_same(notice.server) {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        if notice.rate_limit.is_some() && self.notices.notice().is_none() {
+            let source = StatementSource::Request;
+            actions.extend(self.learn_limit(now, source, notice.rate_limit));
+        }
+        if notice.is_leaving && !self.notices.is_leaving() {
+            actions.extend(self.learn_leaving(now));
+        }
+        actions
+    }
+
+    /// Takes over what the backend server stated to a gate that this one replaces, if both are of
+    /// the same start of it.
+    pub fn inherit(&mut self, now: MonoTime, replaced: &Self) {
+        if let Some(notice) = replaced.notice() {
+            // Nothing waits at a new gate.
+            let _no_actions = self.adopt_notice(now, &notice);
+        }
     }
 
     /// Changes the largest share of the slots to use.
@@ -337,7 +391,7 @@
                 .service
                 .current_pace(now)
                 .map_or(0, |pace| (pace * 1_000.0) as u32),
-            is_draining: self.is_draining,
+            is_draining: self.is_draining(),
             offer_pause_us: self.pacer.offer_pause().as_micros() as u32,
             notice: self.notices.notice(),
         }
--- a/crates/fescueway_admission/tests/rate_limit.rs
+++ b/crates/fescueway_admission/tests/rate_limit.rs
@@ -4,7 +4,8 @@
 
 use fescueway_admission::{GateAction, GatePlan, GateResult, RunEnd, TargetGate, TicketId};
 use fescueway_core::{
-    MonoTime, RateLimit, Refusal, RefusalReason, RequestTerms, ServerStart, StatementSource,
+    MonoTime, RateLimit, Refusal, RefusalReason, RequestTerms, ServerNotice, ServerStart,
+    StatementSource,
 };
 
 /// Time that each request runs.
@@ -127,8 +128,8 @@
     }
 }
 
-fn limit(per_s: f64) -> Option<RateLimit> {
-    Some(RateLimit::try_from(per_s).expect("a valid limit"))
+fn limit(per_s: f64) -> RateLimit {
+    RateLimit::try_from(per_s).expect("a valid limit")
 }
 
 /// The load of the users' day: a server that answers up to 200 requests/s states much less.
@@ -137,7 +138,7 @@
     for per_s in [28.2, 14.5, 3.0, 0.6] {
         let mut replay = GateReplay::new(12);
         replay.offer(60, Duration::from_secs(2));
-        replay.limit = limit(per_s);
+        replay.limit = Some(limit(per_s));
         // The runs that were in flight answer within a service time.
         replay.offer(60, SERVICE_TIME * 2);
         let limited_at = replay.now;
@@ -155,7 +156,7 @@
 fn a_limit_of_zero_starts_nothing_and_its_end_is_queried() {
     let mut replay = GateReplay::new(12);
     replay.offer(60, Duration::from_secs(1));
-    replay.limit = limit(0.0);
+    replay.limit = Some(limit(0.0));
     replay.offer(60, SERVICE_TIME * 2);
     replay.state_to_query();
     let limited_at = replay.now;
@@ -183,18 +184,18 @@
 #[test]
 fn a_limit_of_zero_that_only_requests_can_tell_is_tried_rarely() {
     let mut replay = GateReplay::new(12);
-    replay.limit = limit(0.0);
+    replay.limit = Some(limit(0.0));
     replay.offer(60, SERVICE_TIME * 2);
     let limited_at = replay.now;
     replay.offer(60, Duration::from_secs(41));
-    let trials = replay.most_starts(limited_at, Duration::from_secs(60));
+    let trials = replay.most_starts(limited_at, Duration::from_mins(1));
     assert!((3..=5).contains(&trials), "{trials} starts in 41 s");
 }
 
 #[test]
 fn the_end_of_a_limit_releases_no_burst() {
     let mut replay = GateReplay::new(12);
-    replay.limit = limit(10.0);
+    replay.limit = Some(limit(10.0));
     replay.offer(100, Duration::from_secs(4));
     replay.limit = None;
     let ended_at = replay.now;
@@ -210,13 +211,13 @@
 #[test]
 fn answers_without_the_limit_in_between_do_little_harm() {
     let mut replay = GateReplay::new(12);
-    replay.limit = limit(14.5);
+    replay.limit = Some(limit(14.5));
     replay.offer(60, Duration::from_secs(1));
     let limited_at = replay.now;
     for _ in 0..20 {
         replay.limit = None;
         replay.offer(60, SERVICE_TIME);
-        replay.limit = limit(14.5);
+        replay.limit = Some(limit(14.5));
         replay.offer(60, Duration::from_millis(440));
     }
     let most = replay.most_starts(limited_at, WINDOW);
@@ -230,7 +231,7 @@
 #[test]
 fn a_jump_of_the_clock_releases_no_burst() {
     let mut replay = GateReplay::new(12);
-    replay.limit = limit(20.0);
+    replay.limit = Some(limit(20.0));
     replay.offer(60, Duration::from_secs(2));
     replay.advance(replay.now + Duration::from_secs(30));
     let resumed_at = replay.now;
@@ -242,15 +243,15 @@
 #[test]
 fn a_changed_limit_holds_from_the_next_start_on() {
     let mut replay = GateReplay::new(12);
-    replay.limit = limit(40.0);
+    replay.limit = Some(limit(40.0));
     replay.offer(100, Duration::from_secs(3));
-    replay.limit = limit(4.0);
+    replay.limit = Some(limit(4.0));
     replay.offer(100, SERVICE_TIME * 2);
     let lowered_at = replay.now;
     replay.offer(100, Duration::from_secs(8));
     let most = replay.most_starts(lowered_at, WINDOW);
     assert!(most <= 18, "{most} starts in 4 s at 4/s");
-    replay.limit = limit(40.0);
+    replay.limit = Some(limit(40.0));
     replay.offer(100, Duration::from_secs(1));
     let raised_at = replay.now;
     replay.offer(100, Duration::from_secs(4));
@@ -261,7 +262,7 @@
 #[test]
 fn an_offer_waits_for_its_turn_if_its_entry_accepts_that() {
     let mut replay = GateReplay::new(12);
-    replay.limit = limit(10.0);
+    replay.limit = Some(limit(10.0));
     replay.offer(10, Duration::from_secs(2));
     replay.advance(replay.now + Duration::from_millis(200));
     replay.starts.clear();
@@ -302,7 +303,7 @@
         born_ms: 1_000,
     };
     replay.gate.set_server(first);
-    replay.limit = limit(1.0);
+    replay.limit = Some(limit(1.0));
     replay.offer(10, Duration::from_secs(1));
     assert!(replay.gate.notice().is_some());
     replay.gate.set_server(ServerStart {
@@ -320,3 +321,88 @@
     replay.offer(60, Duration::from_secs(2));
     assert!(replay.most_starts(replaced_at, WINDOW) > 100);
 }
+
+/// A host that was restarted learns from entries what its predecessor knew.
+#[test]
+fn a_notice_of_an_entry_counts_until_the_server_states_its_limit_itself() {
+    let server = ServerStart {
+        name_digest: 7,
+        born_ms: 1_000,
+    };
+    let notice = ServerNotice {
+        server,
+        rate_limit: Some(limit(3.0)),
+        is_leaving: false,
+    };
+    let mut replay = GateReplay::new(12);
+    replay.gate.set_server(server);
+    let other = ServerNotice {
+        server: ServerStart {
+            born_ms: 900,
+            ..server
+        },
+        ..notice
+    };
+    replay.gate.learn_notice(replay.now, &other);
+    assert_eq!(replay.gate.notice(), None, "of an earlier start");
+    let unknown = ServerNotice {
+        server: ServerStart {
+            born_ms: 0,
+            ..server
+        },
+        ..notice
+    };
+    replay.gate.learn_notice(replay.now, &unknown);
+    assert_eq!(replay.gate.notice(), None, "maybe of an earlier start");
+    replay.gate.learn_notice(replay.now, &notice);
+    replay.limit = notice.rate_limit;
+    replay.offer(60, Duration::from_secs(4));
+    assert!(replay.starts.len() <= 14, "{} starts", replay.starts.len());
+    replay.limit = None;
+    replay.offer(60, Duration::from_secs(4));
+    replay.gate.learn_notice(replay.now, &notice);
+    let stated = replay.gate.notice().expect("a notice");
+    assert_eq!(stated.rate_limit, None, "the server's own statement counts");
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_more_and_cannot_revoke_it() {
+    let server = ServerStart {
+        name_digest: 7,
+        born_ms: 1_000,
+    };
+    let mut replay = GateReplay::new(1);
+    replay.gate.set_server(server);
+    replay.offer_one(Duration::from_millis(800));
+    replay.offer_one(Duration::from_millis(800));
+    assert_eq!(replay.starts.len(), 1, "the other waits");
+    let actions = replay.gate.learn_leaving(replay.now);
+    replay.apply(actions);
+    assert_eq!(replay.refusals.len(), 1);
+    assert_eq!(replay.refusals[0].reason, RefusalReason::Draining);
+    replay.gate.undrain(replay.now);
+    replay.offer(60, Duration::from_secs(1));
+    assert_eq!(replay.starts.len(), 1);
+    assert!(replay.gate.report(replay.now).is_draining);
+    let mut successor = TargetGate::new(GatePlan::default(), replay.now);
+    successor.set_server(server);
+    successor.inherit(replay.now, &replay.gate);
+    assert!(successor.is_draining(), "the same start, announced anew");
+    let mut successor = TargetGate::new(GatePlan::default(), replay.now);
+    successor.set_server(ServerStart {
+        born_ms: 2_000,
+        ..server
+    });
+    successor.inherit(replay.now, &replay.gate);
+    assert!(!successor.is_draining(), "a later start");
+}
+
+/// Without a name, a server can't be told from its successor.
+#[test]
+fn a_server_without_a_name_may_revoke_that_it_is_leaving() {
+    let mut gate = TargetGate::new(GatePlan::default(), MonoTime::ZERO);
+    gate.learn_leaving(MonoTime::ZERO);
+    assert!(gate.is_draining());
+    gate.undrain(MonoTime::ZERO);
+    assert!(!gate.is_draining());
+}
--- a/crates/fescueway_core/src/server_notice.rs
+++ b/crates/fescueway_core/src/server_notice.rs
@@ -37,7 +37,21 @@
     pub is_leaving: bool,
 }
 
+impl ServerNotice {
+    /// Whether it restricts the requests that the backend server gets.
+    #[must_use]
+    pub const fn is_restrictive(&self) -> bool {
+        self.is_leaving || self.rate_limit.is_some()
+    }
+}
+
 impl ServerStart {
+    /// Whether the backend server announced a name.
+    #[must_use]
+    pub const fn is_named(self) -> bool {
+        self.name_digest != 0
+    }
+
     /// Whether both are the same start of the same named backend server. An unknown start time
     /// matches any.
     ///
@@ -50,7 +64,7 @@
     /// ```
     #[must_use]
     pub const fn is_same(self, other: Self) -> bool {
-        let is_same_name = self.name_digest != 0 && self.name_digest == other.name_digest;
+        let is_same_name = self.is_named() && self.name_digest == other.name_digest;
         let is_same_birth =
             self.born_ms == other.born_ms || self.born_ms == 0 || other.born_ms == 0;
         is_same_name && is_same_birth
--- a/crates/fescueway_proxy/src/host/mod.rs
+++ b/crates/fescueway_proxy/src/host/mod.rs
@@ -19,5 +19,6 @@
 pub(crate) use self::{
     host_offer::{offer_locally, serve_offer},
     host_run::HostRun,
+    host_target::NoticeChange,
     run_ticket::RunTicket,
 };
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -43,6 +43,9 @@
 /// header field's value.
 type LoadObserver = dyn Fn(&ServiceName, &[u8]) + Send + Sync;
 
+/// Called when a local backend server states that it is leaving, with its service.
+type LeavingObserver = dyn Fn(&ServiceName) + Send + Sync;
+
 /// The shared state of a node's proxy. Cheap to clone.
 #[derive(Clone)]
 pub struct ProxyState(Arc<SharedState>);
@@ -93,6 +96,8 @@
     request_observer: ObserverSlot<RequestObserver>,
     /// Called for each load report.
     load_observer: ObserverSlot<LoadObserver>,
+    /// Called for each local backend server that leaves.
+    leaving_observer: ObserverSlot<LeavingObserver>,
 }
 
 impl ProxyState {
@@ -128,6 +133,7 @@
             invalid_statements: SourceRateLimit::new(&path::SERVER_STATEMENT_INVALID),
             request_observer: ObserverSlot::default(),
             load_observer: ObserverSlot::default(),
+            leaving_observer: ObserverSlot::default(),
             options,
         }))
     }
@@ -304,6 +310,12 @@
         self.0.load_observer.set(Arc::new(observer));
     }
 
+    /// Sets the `observer` that is called when a local backend server states in an answer that it is
+    /// leaving, with its service. Replaces the previous one.
+    pub fn observe_leaving(&self, observer: impl Fn(&ServiceName) + Send + Sync + 'static) {
+        self.0.leaving_observer.set(Arc::new(observer));
+    }
+
     /// Passes a request's record to the observer.
     pub(crate) fn notify_request(&self, record: &RequestRecord) {
         if let Some(observer) = self.0.request_observer.get() {
--- a/crates/fescueway_proxy/src/proxy_state/local_backends.rs
+++ b/crates/fescueway_proxy/src/proxy_state/local_backends.rs
@@ -37,21 +37,36 @@
     pub fn announce(&self, announcement: &BackendAnnouncement) {
         let record = self.local_record(announcement);
         let known = self.0.targets.record(&announcement.service);
+        let replaced = self.host_target(&announcement.service);
         if known.is_some_and(|known| has_same_capacity(&known, &record))
-            && self.is_same_backend(announcement)
+            && let Some(known) = &replaced
+            && is_same_backend(known, announcement)
         {
+            let server = announcement.server_start();
+            if server.is_named() {
+                known.set_server(server);
+            }
             return;
         }
         let service = announcement.service.clone();
         let targets = &self.0.targets;
-        if let Some(replaced) = targets.get(&service) {
+        let target = targets.insert(service.clone(), || self.new_target(announcement));
+        if let Some(replaced) = replaced {
+            target.inherit(&replaced);
             replaced.drain();
         }
-        let target = targets.insert(service.clone(), || self.new_target(announcement));
+        let is_draining = target.is_draining();
         let ramp_time = ramp_time(announcement);
         let finishing = self.clone().finish_warmup(service, target, ramp_time);
         self.0.tasks.spawn(finishing);
-        self.publish(record);
+        self.publish(if is_draining {
+            TargetRecord {
+                state: TargetState::Draining,
+                ..record
+            }
+        } else {
+            record
+        });
     }
 
     /// Drains and removes the target of a backend server that left.
@@ -71,13 +86,16 @@
         self.set_state(service, TargetState::Draining);
     }
 
-    /// Admits requests to the local target again. No effect without a target.
+    /// Admits requests to the local target again. No effect without a target, or while its backend
+    /// server is leaving.
     pub fn undrain(&self, service: &ServiceName) {
         let Some(target) = self.host_target(service) else {
             return;
         };
         target.undrain();
-        self.set_state(service, TargetState::Serving);
+        if !target.is_draining() {
+            self.set_state(service, TargetState::Serving);
+        }
     }
 
     /// Services that have a local backend server.
@@ -153,17 +171,8 @@
         )
     }
 
-    /// Whether an announcement has the address and identity of the known backend server.
-    fn is_same_backend(&self, announcement: &BackendAnnouncement) -> bool {
-        let known = self.host_target(&announcement.service);
-        known.is_some_and(|known| {
-            known.pool().address() == announcement.address
-                && known.identity() == announcement.identity.as_ref()
-        })
-    }
-
     /// Changes the state in the record of `service`.
-    fn set_state(&self, service: &ServiceName, state: TargetState) {
+    pub(super) fn set_state(&self, service: &ServiceName, state: TargetState) {
         if let Some(mut record) = self.0.targets.record(service) {
             record.state = state;
             self.publish(record);
@@ -177,6 +186,14 @@
     }
 }
 
+/// Whether an announcement is of the known backend server and of the same start of it.
+fn is_same_backend(known: &HostTarget, announcement: &BackendAnnouncement) -> bool {
+    let server = announcement.server_start();
+    known.pool().address() == announcement.address
+        && known.identity() == announcement.identity.as_ref()
+        && (!server.is_named() || known.server().is_same(server))
+}
+
 /// Duration of the target's slow-start ramp: its announced rest of the warm-up, or the default.
 fn ramp_time(announcement: &BackendAnnouncement) -> Duration {
     let warmup_left = announcement.warmup_left;
--- a/crates/fescueway_proxy/src/proxy_state/server_statements.rs
+++ b/crates/fescueway_proxy/src/proxy_state/server_statements.rs
@@ -1,11 +1,16 @@
 //! What the local backend servers state about themselves in their answers.
 
-use fescueway_core::{RateLimit, ServiceName, StatementSource};
+use std::fmt::Display;
+
+use fescueway_core::{RateLimit, ServerNotice, ServiceName, StatementSource, TargetState};
 use fescueway_telemetry::{emit, events::path};
 use http::{HeaderMap, StatusCode};
 
 use super::ProxyState;
-use crate::{host::HostTarget, server_statement::ServerStatement};
+use crate::{
+    host::{HostTarget, NoticeChange},
+    server_statement::ServerStatement,
+};
 
 /// Logged in place of a limit that doesn't exist.
 const NO_LIMIT: &str = "none";
@@ -27,14 +32,34 @@
             // Another backend server is at this address now.
             return;
         }
-        let Some(statement) = ServerStatement::read(self.profile(), status, fields) else {
-            return;
-        };
-        let change = target.learn_statement(source, &statement);
+        if let Some(statement) = ServerStatement::read(self.profile(), status, fields) {
+            let change = target.learn_statement(source, &statement);
+            self.apply_notice_change(service, target, &change);
+        }
+    }
+
+    /// Applies what an entry knows of a local backend server.
+    pub(crate) fn learn_notice(
+        &self,
+        service: &ServiceName,
+        target: &HostTarget,
+        notice: &ServerNotice,
+    ) {
+        let change = target.learn_notice(notice);
+        self.apply_notice_change(service, target, &change);
+    }
+
+    /// Logs what changed, and announces that a backend server is leaving.
+    fn apply_notice_change(
+        &self,
+        service: &ServiceName,
+        target: &HostTarget,
+        change: &NoticeChange,
+    ) {
         let (now, address) = (self.now(), target.pool().address());
         if let Some((previous, current)) = change.limit {
             let (previous, current) = (limit_text(previous), limit_text(current));
-            let values: [&dyn std::fmt::Display; 4] = [service, &address, &current, &previous];
+            let values: [&dyn Display; 4] = [service, &address, &current, &previous];
             self.0.limit_changes.emit(now, service.clone(), &values);
         }
         if let Some(invalid_field) = &change.invalid_field {
@@ -43,6 +68,13 @@
         }
         if change.is_leaving_new {
             emit(&path::SERVER_LEAVING, &[service, &address]);
+            let current = self.host_target(service);
+            if current.is_some_and(|current| std::ptr::eq(&raw const *current, target)) {
+                self.set_state(service, TargetState::Draining);
+                if let Some(observer) = self.0.leaving_observer.get() {
+                    observer(service);
+                }
+            }
         }
     }
 }
--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -87,7 +87,7 @@
         settings: &DaemonSettings,
         read_call: Option<CallReader>,
     ) -> Self {
-        Self {
+        let api = Self {
             state,
             drains,
             timeout: settings.announce_timeout,
@@ -98,7 +98,23 @@
             unverified: Arc::default(),
             registry: Arc::default(),
             deadlines: Arc::default(),
+        };
+        let (state, observer) = (api.state.clone(), api.clone());
+        state.observe_leaving(move |service| observer.handle_leaving(service));
+        api
+    }
+
+    /// Keeps a backend server that stated that it is leaving drained, whatever it reports later.
+    fn handle_leaving(&self, service: &ServiceName) {
+        let target = self.state.host_target(service);
+        let identity = target.and_then(|target| target.identity().cloned());
+        if let Some(identity) = identity.as_ref().and_then(|name| name.to_str().ok()) {
+            self.registry
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .drain(identity);
         }
+        self.drains.drain_backend(service);
     }
 
     /// Answers one request.
--- a/crates/fescuewayd/src/backend_api/reports.rs
+++ b/crates/fescuewayd/src/backend_api/reports.rs
@@ -8,7 +8,7 @@
 };
 
 use fescueway_admission::{BackendRegistry, BackendReport, ReportOutcome};
-use fescueway_core::{MonoTime, ServiceName};
+use fescueway_core::{MonoTime, ServiceName, StatementSource};
 use fescueway_proxy::BackendAnnouncement;
 use http::{HeaderValue, StatusCode};
 use tokio::time::{sleep, timeout};
@@ -127,7 +127,7 @@
     /// trusted in the end, as its health endpoint may be wrong.
     async fn verify(self, announcement: BackendAnnouncement) {
         let identity = announcement.identity.clone();
-        let is_serving = self.is_serving(&announcement).await;
+        let answer = self.serving_answer(&announcement).await;
         let reports = {
             let mut unverified = self.unverified();
             let reports = if unverified.0 == identity {
@@ -140,21 +140,31 @@
         };
         let name = identity.as_ref().and_then(|name| name.to_str().ok());
         let is_current = self.registry().is_serving(name.unwrap_or_default());
-        if is_current && (is_serving || reports >= REPORTS_BEFORE_TRUST) {
+        if is_current && (answer.is_some() || reports >= REPORTS_BEFORE_TRUST) {
             self.apply(&announcement);
+            if let Some(answer) = answer {
+                self.learn_statement(&announcement.service, &answer);
+            }
         }
     }
 
-    /// Whether the backend server responds that it is the announced one and takes work.
-    async fn is_serving(&self, announcement: &BackendAnnouncement) -> bool {
-        let answer = self
-            .query(&announcement.service, announcement.address)
-            .await;
-        let Some(answer) = answer else {
-            return false;
-        };
-        answer.status.is_success()
-            && self.answer_identity(&answer) == announcement.identity.as_ref()
+    /// The backend server's answer to a query, if it is the announced one and takes work.
+    async fn serving_answer(&self, announcement: &BackendAnnouncement) -> Option<QueryAnswer> {
+        let address = announcement.address;
+        let answer = self.query(&announcement.service, address).await?;
+        let is_serving = answer.status.is_success()
+            && self.answer_identity(&answer) == announcement.identity.as_ref();
+        is_serving.then_some(answer)
+    }
+
+    /// Applies what the answer to a query states about the current backend server of `service`.
+    fn learn_statement(&self, service: &ServiceName, answer: &QueryAnswer) {
+        if let Some(target) = self.state.host_target(service) {
+            let (status, fields) = (answer.status, &answer.headers);
+            let source = StatementSource::Query;
+            self.state
+                .learn_statement(service, &target, source, status, fields);
+        }
     }
 
     /// Queries the health endpoint of a backend server; `None` without a response.
@@ -234,6 +244,7 @@
                 load.slots.saturating_mul(CONNECTIONS_PER_SLOT),
             )
         });
+        self.learn_statement(service, answer);
         true
     }
 
