Tell a restarted host what its backend server stated before

What callers saw: nothing. A node that was restarted knows the statements of its backend server from one query; if that fails, or the health endpoint says otherwise, it would send up to all its slots at once, or requests to a server that is leaving.

Change: a load report carries what the server stated and which start of it; an entry keeps what restricts the server (`NoticeBoard`), by the host's address, and sends it with its offers. A host adopts it for the same start: the limit until the server answers itself, the leaving for good.

--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -117,6 +117,7 @@
         target,
         authority: head.authority.clone(),
         headers: Arc::new(parts.headers),
+        notice: None,
         body,
     }
 }
--- a/crates/fescueway_proxy/src/entry/offer_attempt.rs
+++ b/crates/fescueway_proxy/src/entry/offer_attempt.rs
@@ -54,6 +54,7 @@
     request.host = permit.node();
     request.terms = permit.terms().clone();
     request.terms.time_left = deadline.since(state.now());
+    request.notice = state.routes().notice(&request.terms.service, request.host);
     let answer = send(state, &request).await;
     let is_broken = request.body.failure_status().is_some();
     guard.report(&answer, &request, is_broken);
--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -8,7 +8,7 @@
 use http_body::Body;
 use tokio::{sync::oneshot, time::timeout};
 
-use super::{BackendBody, BackendError, HostRun, RunDenial, host_run::RunAnswer};
+use super::{BackendBody, BackendError, HostRun, HostTarget, RunDenial, host_run::RunAnswer};
 use crate::{
     body::{AnswerBody, HostBody, send_body},
     duplicate_answer::duplicate_answer,
@@ -25,6 +25,7 @@
         return OfferAnswer::refused(unknown_service(), None);
     };
     let request = HostRequest::from_offer(offer);
+    learn_notice(state, &target, &request);
     let mut trace = state.log().offer_received(state.now(), &request);
     let run = match HostRun::prepare(state.checks(), &target, &request).await {
         Ok(run) => run,
@@ -70,6 +71,7 @@
     let Some(target) = target else {
         return send_refusal(&mut reply, unknown_service(), LoadReport::default());
     };
+    learn_notice(state, &target, &request);
     let mut trace = state.log().offer_received(state.now(), &request);
     let prepared = tokio::select! {
         prepared = HostRun::prepare(state.checks(), &target, &request) => prepared,
@@ -99,6 +101,13 @@
     send_run_answer(state, answer, load, &mut reply).await;
 }
 
+/// Applies what the entry of an offer knows of the target's backend server.
+fn learn_notice(state: &ProxyState, target: &HostTarget, request: &HostRequest) {
+    if let Some(notice) = &request.notice {
+        state.learn_notice(&request.terms.service, target, notice);
+    }
+}
+
 /// Runs the request within its deadline. If it must not be cancelled, it continues in the
 /// background when this future is dropped.
 async fn run_within_deadline(
--- a/crates/fescueway_proxy/src/offer_request.rs
+++ b/crates/fescueway_proxy/src/offer_request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fescueway_core::{NodeId, RequestTerms};
+use fescueway_core::{NodeId, RequestTerms, ServerNotice};
 use fescueway_wire::{HeaderList, OfferHead};
 use http::{HeaderMap, HeaderValue, Method, uri::PathAndQuery};
 
@@ -25,6 +25,8 @@
     pub authority: HeaderValue,
     /// Header fields.
     pub headers: Arc<HeaderMap<HeaderValue>>,
+    /// What the entry knows of the host's backend server, if that restricts the requests it gets.
+    pub notice: Option<ServerNotice>,
     /// The body.
     pub body: RequestBody,
 }
@@ -41,6 +43,7 @@
             target: self.target.clone(),
             authority: self.authority.clone(),
             headers: HeaderList::new(Arc::clone(&self.headers)),
+            notice: self.notice,
             is_body_held: matches!(self.body, RequestBody::Streaming(_)),
         }
     }
@@ -61,6 +64,8 @@
     pub authority: HeaderValue,
     /// Header fields.
     pub headers: HeaderMap<HeaderValue>,
+    /// What the entry knows of the backend server, if that restricts the requests it gets.
+    pub notice: Option<ServerNotice>,
 }
 
 impl HostRequest {
@@ -74,6 +79,7 @@
             target: head.target,
             authority: head.authority,
             headers: head.headers.into_map(),
+            notice: head.notice,
         }
     }
 
@@ -87,6 +93,7 @@
             target: request.target.clone(),
             authority: request.authority.clone(),
             headers: HeaderMap::clone(&request.headers),
+            notice: request.notice,
         }
     }
 }
--- a/crates/fescueway_proxy/src/route_table.rs
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -9,11 +9,11 @@
 
 use fescueway_config::{ServicePlan, SitePlan};
 use fescueway_core::{
-    DomainName, LoadReport, MonoTime, NodeId, Refusal, RefusalReason, RequestTerms, ServiceName,
-    SiteName, TargetRecord,
+    DomainName, LoadReport, MonoTime, NodeId, Refusal, RefusalReason, RequestTerms, ServerNotice,
+    ServiceName, SiteName, TargetRecord,
 };
 use fescueway_routing::{
-    EjectionChange, OfferEnd, PickResult, RouteEvent, RoutingPlan, ServiceRouter,
+    EjectionChange, NoticeBoard, OfferEnd, PickResult, RouteEvent, RoutingPlan, ServiceRouter,
 };
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -41,6 +41,8 @@
     plans: BTreeMap<ServiceName, RoutingPlan>,
     /// Maximum number of saved tokens for retries and hedges of each service.
     max_retry_tokens: f64,
+    /// What the entry knows of backend servers that restrict the requests they get.
+    notices: NoticeBoard,
 }
 
 /// One service's router and targets.
@@ -75,6 +77,7 @@
             services: BTreeMap::new(),
             plans: BTreeMap::new(),
             max_retry_tokens: RoutingPlan::default().max_retry_tokens,
+            notices: NoticeBoard::default(),
         }))
     }
 
@@ -175,15 +178,33 @@
         report: LoadReport,
     ) -> Option<EjectionChange> {
         let mut state = self.state();
-        let routes = state.services.get_mut(service)?;
+        let RouteTableState {
+            services, notices, ..
+        } = &mut *state;
+        let routes = services.get_mut(service)?;
         if let Some(view) = routes.targets.get_mut(&node) {
             view.load = Some((report, now));
+            if let Some(notice) = report.notice {
+                notices.record(now, service, view.record.peer_address, notice);
+            }
         }
         routes
             .router
             .handle(now, RouteEvent::LoadReported { node, report })
     }
 
+    /// What the entry knows of the backend server beside `node`, if that restricts the requests it
+    /// gets. It may come from a predecessor of the node.
+    #[must_use]
+    pub fn notice(&self, service: &ServiceName, node: NodeId) -> Option<ServerNotice> {
+        let state = self.state();
+        if state.notices.is_empty() {
+            return None;
+        }
+        let view = state.services.get(service)?.targets.get(&node)?;
+        state.notices.get(service, view.record.peer_address)
+    }
+
     /// Reports to the router the size of a request of this kind and its answer, in bytes.
     pub fn report_size(&self, service: &ServiceName, work_kind: u64, bytes: u64) {
         if let Some(routes) = self.state().services.get_mut(service) {
--- a/crates/fescueway_routing/src/lib.rs
+++ b/crates/fescueway_routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller_wait_estimator;
 mod ejection_state;
 mod latency_quantile;
+mod notice_board;
 mod offer_budget;
 mod offer_permit;
 mod pool_view;
@@ -20,6 +21,7 @@
 
 pub use crate::{
     caller_wait_estimator::CallerWaitEstimator,
+    notice_board::NoticeBoard,
     offer_permit::{HandedOver, OfferPermit},
     route_event::{EjectionChange, OfferEnd, RouteEvent},
     routing_plan::RoutingPlan,
--- a/crates/fescueway_wire/src/offer_head.rs
+++ b/crates/fescueway_wire/src/offer_head.rs
@@ -1,6 +1,6 @@
 //! Heads of the streams on which an entry offers a request to a host node.
 
-use fescueway_core::{LoadReport, NodeId, Outcome, Refusal, RequestTerms};
+use fescueway_core::{LoadReport, NodeId, Outcome, Refusal, RequestTerms, ServerNotice};
 use http::{HeaderValue, Method, uri::PathAndQuery};
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +26,9 @@
     pub authority: HeaderValue,
     /// Header fields, without hop-by-hop ones.
     pub headers: HeaderList,
+    /// What the entry knows of the host's backend server, if that restricts the requests it gets. A
+    /// host that was restarted may not know it.
+    pub notice: Option<ServerNotice>,
     /// Whether the entry sends the body only after [`AnswerHead::Accepted`]; otherwise it follows
     /// at once.
     pub is_body_held: bool,
--- a/crates/fescueway_wire/tests/frames.rs
+++ b/crates/fescueway_wire/tests/frames.rs
@@ -29,6 +29,7 @@
         target: PathAndQuery::from_static("/windows/7?day=2"),
         authority: HeaderValue::from_static("windows.example"),
         headers: HeaderList::new(fields),
+        notice: None,
         is_body_held: false,
     }))
 }
--- a/crates/fescuewayd/tests/path/stopping.rs
+++ b/crates/fescuewayd/tests/path/stopping.rs
@@ -119,6 +119,7 @@
         target: PathAndQuery::from_static("/windows/download/3000"),
         authority: HeaderValue::from_static("a"),
         headers: HeaderList::default(),
+        notice: None,
         is_body_held: false,
     }));
     let frame = encode_frame(&head).expect("a small head");
