Obey the lowest rate limit of the last 4 s when a server raises it

What callers saw: nothing. A server that raised its limit from 8.8 to 15.4 requests/s got, in the 4 s that followed, what the higher one allows.

Cause: the latest statement alone was in force. A server that counts its requests over a span holds all of that span to one limit. Change: a higher limit counts once the lower one is 4 s old; a lower one counts at once, as before. The test of a changed limit had asked for 40/s within 1 s of the raise, which contradicts this; it now asks for the low rate first and for 40/s after 4 s.

--- a/crates/fescueway_admission/src/start_pacer.rs
+++ b/crates/fescueway_admission/src/start_pacer.rs
@@ -7,6 +7,10 @@
 /// Starts that may follow at once after an idle time, as the time in which the limit allows them.
 const BURST_TIME: Duration = Duration::from_millis(250);
 
+/// How long a lower limit remains in force after the backend server states a higher one: the span in
+/// which it counts requests. A limit that swings is thus obeyed at its lowest.
+const RAISE_DELAY: Duration = Duration::from_secs(4);
+
 /// After the end of a limit, starts are spaced until this time has passed, so that the requests it
 /// held back don't arrive at once and an answer that lacks the limit by mistake does little harm.
 const RECOVERY_TIME: Duration = Duration::from_secs(2);
@@ -55,8 +59,11 @@
 /// A limit in force.
 #[derive(Clone, Debug)]
 struct StartPace {
-    /// The stated limit, in starts per second.
+    /// The limit in force, in starts per second: the lowest that was stated within [`RAISE_DELAY`].
     limit_per_s: f64,
+    /// The lowest limit stated since `limit_per_s` was last stated, and since when; `None` while that
+    /// is the latest statement.
+    raise: Option<(f64, MonoTime)>,
     /// One token for each start that is allowed now.
     tokens: TokenBucket,
     /// How long an entry should pause between two offers, in seconds.
@@ -172,6 +179,7 @@
         tokens.cap(0.0);
         Self {
             limit_per_s,
+            raise: None,
             tokens,
             pause_s: (INITIAL_PAUSE / limit_per_s.max(MIN_RATE)).min(MAX_PAUSE.as_secs_f64()),
             ended_at: None,
@@ -185,8 +193,22 @@
         self.pause_s = (self.pause_s * factor).clamp(min_s, max_s);
     }
 
-    /// Changes the limit and ends a recovery.
-    fn set_limit(&mut self, now: MonoTime, limit_per_s: f64) {
+    /// Records the stated limit, and ends a recovery. A lower one is in force at once.
+    fn set_limit(&mut self, now: MonoTime, stated_per_s: f64) {
+        let limit_per_s = if self.ended_at.is_some() {
+            stated_per_s
+        } else if stated_per_s > self.limit_per_s {
+            let (lowest_per_s, since) = self.raise.unwrap_or((stated_per_s, now));
+            let lowest_per_s = lowest_per_s.min(stated_per_s);
+            if now.since(since) < RAISE_DELAY {
+                self.raise = Some((lowest_per_s, since));
+                return;
+            }
+            lowest_per_s
+        } else {
+            stated_per_s
+        };
+        self.raise = None;
         let is_same = (self.limit_per_s - limit_per_s).abs() < f64::EPSILON;
         if is_same && self.ended_at.is_none() {
             return;
--- a/crates/fescueway_admission/tests/rate_limit.rs
+++ b/crates/fescueway_admission/tests/rate_limit.rs
@@ -256,9 +256,42 @@
     let raised_at = replay.now;
     replay.offer(100, Duration::from_secs(4));
     let most = replay.most_starts(raised_at, WINDOW);
+    assert!(most <= 60, "{most} starts in 4 s across the raise from 4/s");
+    let raised_at = replay.now;
+    replay.offer(100, Duration::from_secs(4));
+    let most = replay.most_starts(raised_at, WINDOW);
     assert!((140..=171).contains(&most), "{most} starts in 4 s at 40/s");
 }
 
+/// A span of 4 s that has both a low and a high limit in it gets what the low one allows.
+#[test]
+fn a_raised_limit_does_not_count_for_the_span_before_it() {
+    let mut replay = GateReplay::new(12);
+    replay.limit = Some(limit(3.8));
+    replay.offer(100, Duration::from_secs(4));
+    let low_at = replay.now;
+    replay.limit = Some(limit(59.5));
+    replay.offer(100, Duration::from_secs(4));
+    let most = replay.most_starts(low_at, WINDOW);
+    assert!(most as f64 <= 3.8 * 6.0 + 5.0, "{most} starts in 4 s");
+    // A limit that swings is obeyed at its lowest.
+    for _ in 0..8 {
+        replay.limit = Some(limit(59.5));
+        replay.offer(100, Duration::from_millis(900));
+        replay.limit = Some(limit(10.0));
+        replay.offer(100, Duration::from_millis(100));
+    }
+    let swing_at = replay.now;
+    for _ in 0..8 {
+        replay.limit = Some(limit(59.5));
+        replay.offer(100, Duration::from_millis(900));
+        replay.limit = Some(limit(10.0));
+        replay.offer(100, Duration::from_millis(100));
+    }
+    let most = replay.most_starts(swing_at, WINDOW);
+    assert!(most <= 44, "{most} starts in 4 s");
+}
+
 #[test]
 fn an_offer_waits_for_its_turn_if_its_entry_accepts_that() {
     let mut replay = GateReplay::new(12);
