Tell callers the Retry-After of the backend server that refused them

What callers saw: 0.2 s, whatever the server that refused their request had said.

Change: the host takes the server's seconds, up to 10, into its refusal. Dates and invalid values leave the 0.2 s.

--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -5,8 +5,8 @@
 use fescueway_admission::RunEnd;
 use fescueway_core::{Idempotency, Refusal, RefusalReason, StatementSource};
 use http::{
-    HeaderValue, Request, Response, Uri,
-    header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRANSFER_ENCODING},
+    HeaderMap, HeaderValue, Request, Response, Uri,
+    header::{CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TE, TRANSFER_ENCODING},
 };
 use http_body::Body;
 use hyper::body::Incoming;
@@ -24,10 +24,14 @@
     proxy_state::ProxyState,
 };
 
-/// Retry delay when the backend server refuses a request although its host had a free slot. It is
-/// short because the backend server's own queue is short and a slot soon becomes free.
+/// Retry delay when the backend server refuses a request although its host had a free slot, and
+/// states none. It is short because the backend server's own queue is short and a slot soon becomes
+/// free.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Longest retry delay that a backend server may state.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+
 /// Request that holds a slot and a connection and of which no byte was sent yet.
 #[derive(Debug)]
 pub struct HostRun {
@@ -126,7 +130,7 @@
                     AnswerVerdict::NotRun => {
                         ticket.undo_hand_over();
                         ticket.set_end(RunEnd::Released);
-                        return RunAnswer::Refused(refused_by_backend());
+                        return RunAnswer::Refused(refused_by_backend(response.headers()));
                     }
                     AnswerVerdict::Invalid(detail) => {
                         ticket.set_end(RunEnd::Lost);
@@ -224,14 +228,29 @@
     response
 }
 
-/// Creates the refusal for a backend server that reports that it did not run the request.
-fn refused_by_backend() -> Refusal {
+/// Creates the refusal for a backend server that reports, with these header fields, that it did not
+/// run the request.
+fn refused_by_backend(fields: &HeaderMap) -> Refusal {
     Refusal {
         reason: RefusalReason::BackendRefused,
-        retry_after: BUSY_RETRY_AFTER,
+        retry_after: stated_retry_after(fields).unwrap_or(BUSY_RETRY_AFTER),
     }
 }
 
+/// The retry delay that a backend server states in seconds, at most [`MAX_RETRY_AFTER`]. A date,
+/// which RFC 9110 allows too, is ignored: it depends on the server's wall clock.
+fn stated_retry_after(fields: &HeaderMap) -> Option<Duration> {
+    let seconds = fields
+        .get(RETRY_AFTER)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse::<f64>()
+        .ok()?;
+    let is_valid = seconds.is_finite() && seconds >= 0.0;
+    is_valid.then(|| Duration::from_secs_f64(seconds.min(MAX_RETRY_AFTER.as_secs_f64())))
+}
+
 /// Creates the refusal of a host whose backend server can't be reached.
 fn unreachable_backend() -> Refusal {
     Refusal {
