Test the limit and the leaving state in the table of targets

Cause: `fescueway targets` has a column more and a state more; the test compared the whole row. Change: the test compares two whole rows, one of a target that is limited and leaving.

--- a/crates/fescueway/tests/cli/command_line.rs
+++ b/crates/fescueway/tests/cli/command_line.rs
@@ -261,23 +261,28 @@
 
 #[test]
 fn targets_are_listed_with_their_load() {
-    let list = json!({ "targets": [{
-        "node": 170, "service": "cap-bands", "peer_address": "127.0.0.1:7001",
-        "site": "wales", "domain": "south", "slots": 12, "connections": 200, "state": "draining",
-        "load": { "in_flight": 5, "queued": 1, "limit": 9, "service_time_us": 0, "wait_us": 0,
-                  "age_us": 0, "failed_permille": 0, "is_draining": true },
-    }] });
+    let target = |node: u64, notice: Value| {
+        json!({
+            "node": node, "service": "cap-bands", "peer_address": "127.0.0.1:7001",
+            "site": "wales", "domain": "south", "slots": 12, "connections": 200, "state": "draining",
+            "load": { "in_flight": 5, "queued": 1, "limit": 9, "service_time_us": 0, "wait_us": 0,
+                      "age_us": 0, "failed_permille": 0, "is_draining": true, "notice": notice },
+        })
+    };
+    let notice = json!({
+        "server": { "name_digest": 7, "born_ms": 0 },
+        "rate_limit": { "milli_per_s": 28_200 }, "is_leaving": true,
+    });
+    let list = json!({ "targets": [target(171, notice), target(170, Value::Null)] });
     let (node, _requests) = node_stub(vec![(200, list.to_string()), (200, String::from("{"))]);
     let run = fescueway(&["targets", "--node", &node.to_string()]);
-    let cells: Vec<_> = run
-        .stdout
-        .lines()
-        .last()
-        .expect("a row")
-        .split_whitespace()
-        .collect();
-    let expected = "cap-bands 00000000000000aa wales south 127.0.0.1:7001 draining 12 9 5 1";
-    assert_eq!(cells.join(" "), expected, "{run:?}");
+    let cells = |line: &str| line.split_whitespace().collect::<Vec<_>>().join(" ");
+    let rows: Vec<_> = run.stdout.lines().skip(1).map(cells).collect();
+    let expected = [
+        "cap-bands 00000000000000ab wales south 127.0.0.1:7001 leaving 12 9 5 1 28.2",
+        "cap-bands 00000000000000aa wales south 127.0.0.1:7001 draining 12 9 5 1 -",
+    ];
+    assert_eq!(rows, expected, "{run:?}");
     let run = fescueway(&["targets", "--node", &node.to_string()]);
     assert_fails(&run, 1, "can't parse the response");
 }
