--- a/crates/fescueway_proxy/src/proxy_state/local_backends.rs
+++ b/crates/fescueway_proxy/src/proxy_state/local_backends.rs
@@ -55,18 +55,15 @@
             target.inherit(&replaced);
             replaced.drain();
         }
-        let is_draining = target.is_draining();
+        let state = if target.is_draining() {
+            TargetState::Draining
+        } else {
+            record.state
+        };
         let ramp_time = ramp_time(announcement);
         let finishing = self.clone().finish_warmup(service, target, ramp_time);
         self.0.tasks.spawn(finishing);
-        self.publish(if is_draining {
-            TargetRecord {
-                state: TargetState::Draining,
-                ..record
-            }
-        } else {
-            record
-        });
+        self.publish(TargetRecord { state, ..record });
     }
 
     /// Drains and removes the target of a backend server that left.
--- a/crates/fescuewayd/src/backend_api/reports.rs
+++ b/crates/fescuewayd/src/backend_api/reports.rs
@@ -8,7 +8,7 @@
 };
 
 use fescueway_admission::{BackendRegistry, BackendReport, ReportOutcome};
-use fescueway_core::{MonoTime, ServiceName, StatementSource};
+use fescueway_core::{MonoTime, ServiceName};
 use fescueway_proxy::BackendAnnouncement;
 use http::{HeaderValue, StatusCode};
 use tokio::time::{sleep, timeout};
@@ -160,10 +160,7 @@
     /// Applies what the answer to a query states about the current backend server of `service`.
     fn learn_statement(&self, service: &ServiceName, answer: &QueryAnswer) {
         if let Some(target) = self.state.host_target(service) {
-            let (status, fields) = (answer.status, &answer.headers);
-            let source = StatementSource::Query;
-            self.state
-                .learn_statement(service, &target, source, status, fields);
+            answer.apply_statement(&self.state, service, &target);
         }
     }
 
--- a/crates/fescuewayd/src/backend_query.rs
+++ b/crates/fescuewayd/src/backend_query.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use eyre::Result;
+use fescueway_core::{ServiceName, StatementSource};
+use fescueway_proxy::{HostTarget, ProxyState};
 use http::{HeaderMap, Request, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Empty};
 use hyper::{body::Bytes, client::conn::http1};
@@ -21,6 +23,14 @@
     pub headers: HeaderMap,
 }
 
+impl QueryAnswer {
+    /// Applies what the backend server of `target` states about itself in this response.
+    pub fn apply_statement(&self, proxy: &ProxyState, service: &ServiceName, target: &HostTarget) {
+        let source = StatementSource::Query;
+        proxy.learn_statement(service, target, source, self.status, &self.headers);
+    }
+}
+
 /// A connection for repeated queries of a backend server.
 #[derive(Debug)]
 pub struct QueryConnection {
--- a/crates/fescuewayd/src/pace_task.rs
+++ b/crates/fescuewayd/src/pace_task.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fescueway_core::{ServiceName, StatementSource};
+use fescueway_core::ServiceName;
 use fescueway_proxy::{HostTarget, LoadReader, ProxyState};
 use tokio::time::{sleep, timeout};
 
@@ -94,10 +94,7 @@
             sleep(RETRY_DELAY).await;
             return;
         };
-        let source = StatementSource::Query;
-        let (status, fields) = (answer.status, &answer.headers);
-        self.proxy
-            .learn_statement(&service.name, target, source, status, fields);
+        answer.apply_statement(&self.proxy, &service.name, target);
         let load = answer.headers.get(&self.proxy.profile().load);
         if let Some(load) = load.and_then(|field| (self.read_load)(field.as_bytes())) {
             target.learn_load(&load);
--- a/crates/fescuewayd/src/probe_task.rs
+++ b/crates/fescuewayd/src/probe_task.rs
@@ -9,7 +9,7 @@
 
 use fescueway_admission::{HealthStatus, ProbeBudget, ProbeEnd, ProbeScheduler};
 use fescueway_config::ProbePlan;
-use fescueway_core::{MonoTime, ServiceName, StatementSource};
+use fescueway_core::{MonoTime, ServiceName};
 use fescueway_proxy::ProxyState;
 use fescueway_telemetry::{
     MetricSet, SourceRateLimit, emit,
@@ -185,8 +185,7 @@
         let proxy = &self.0.proxy;
         let target = proxy.host_target(service);
         if let Some(target) = target.filter(|target| target.pool().address() == address) {
-            let (status, fields) = (answer.status, &answer.headers);
-            proxy.learn_statement(service, &target, StatementSource::Query, status, fields);
+            answer.apply_statement(proxy, service, &target);
         }
     }
 
