--- a/crates/fescueway_admission/src/notice_tracker.rs
+++ b/crates/fescueway_admission/src/notice_tracker.rs
@@ -4,6 +4,10 @@
 
 use fescueway_core::{MonoTime, RateLimit, ServerNotice, ServerStart, StatementSource};
 
+/// Interval between queries of a backend server whose statement restricts the requests that it gets,
+/// while no other answer arrives.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Tracks what a backend server states about itself in its answers.
 ///
 /// A limit holds until an answer without one. Answers to queries may lack what answers to requests
@@ -20,10 +24,6 @@
     checked_at: MonoTime,
 }
 
-/// Interval between queries of a backend server whose statement restricts the requests that it gets,
-/// while no other answer arrives.
-const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
 impl NoticeTracker {
     /// Sets the backend server. Its statements are kept if it is the same start of it.
     pub(crate) fn set_server(&mut self, server: ServerStart) {
--- a/crates/fescueway_admission/src/start_pacer.rs
+++ b/crates/fescueway_admission/src/start_pacer.rs
@@ -21,13 +21,16 @@
 /// Rate from which the recovery begins at least, in starts per second.
 const MIN_RECOVERY_RATE: f64 = 1.0;
 
-/// Rate of trial requests to a backend server whose end of a limit only an answer to a request can
-/// tell, in starts per second.
+/// Lowest rate, in starts per second, while only an answer to a request can tell that the limit has
+/// ended.
 const TRIAL_RATE: f64 = 0.1;
 
 /// Lowest rate that is distinguished from zero, in starts per second.
 const MIN_RATE: f64 = 1e-3;
 
+/// Rate of a bucket that should get no tokens, per second. A bucket's rate is above zero.
+const NO_REFILL_RATE: f64 = 1e-9;
+
 /// Initial pause of an entry between two offers, in mean times between two starts.
 const INITIAL_PAUSE: f64 = 4.0;
 
@@ -48,8 +51,8 @@
 
 /// Spaces the starts of requests at a backend server that states a rate limit.
 ///
-/// Invariant: in any span, at most the limit times the span starts, and the starts of
-/// [`BURST_TIME`] or one.
+/// Invariant: in any span, the number of starts is at most the limit times the span, plus those of
+/// [`BURST_TIME`], or plus one.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StartPacer {
     /// The limit in force; `None` when starts are not spaced.
@@ -232,7 +235,7 @@
 
 /// A full bucket for this rate, in starts per second.
 fn bucket(now: MonoTime, per_s: f64) -> TokenBucket {
-    TokenBucket::full(now, burst(per_s), per_s.max(MIN_RATE / 1e6))
+    TokenBucket::full(now, burst(per_s), per_s.max(NO_REFILL_RATE))
 }
 
 /// Starts that may follow at once after an idle time.
