Remove an unused method and lock the registry in one place

Cause: reading the whole change: `RateLimit::is_zero` has no caller, and `handle_leaving` locked the registry by hand beside `registry()`. Change: the method is gone; `handle_leaving` stands with the other reports and calls `registry()`. No behaviour changes.

--- a/crates/fescueway_core/src/rate_limit.rs
+++ b/crates/fescueway_core/src/rate_limit.rs
@@ -44,12 +44,6 @@
     pub fn per_s(self) -> f64 {
         self.milli_per_s as f64 / MILLIS_PER_S
     }
-
-    /// Whether the backend server accepts no requests at all.
-    #[must_use]
-    pub const fn is_zero(self) -> bool {
-        self.milli_per_s == 0
-    }
 }
 
 impl TryFrom<f64> for RateLimit {
--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -104,19 +104,6 @@
         api
     }
 
-    /// Keeps a backend server that stated that it is leaving drained, whatever it reports later.
-    fn handle_leaving(&self, service: &ServiceName) {
-        let target = self.state.host_target(service);
-        let identity = target.and_then(|target| target.identity().cloned());
-        if let Some(identity) = identity.as_ref().and_then(|name| name.to_str().ok()) {
-            self.registry
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .drain(identity);
-        }
-        self.drains.drain_backend(service);
-    }
-
     /// Answers one request.
     #[must_use]
     pub fn answer(&self, request: &LocalRequest) -> LocalAnswer {
--- a/crates/fescuewayd/src/backend_api/reports.rs
+++ b/crates/fescuewayd/src/backend_api/reports.rs
@@ -268,6 +268,16 @@
         }
     }
 
+    /// Keeps a backend server that stated that it is leaving drained, whatever it reports later.
+    pub(super) fn handle_leaving(&self, service: &ServiceName) {
+        let target = self.state.host_target(service);
+        let identity = target.and_then(|target| target.identity().cloned());
+        if let Some(identity) = identity.as_ref().and_then(|name| name.to_str().ok()) {
+            self.registry().drain(identity);
+        }
+        self.drains.drain_backend(service);
+    }
+
     /// Locks the registry.
     fn registry(&self) -> MutexGuard<'_, BackendRegistry> {
         self.registry.lock().unwrap_or_else(PoisonError::into_inner)
