--- a/crates/fescueway_bench/benches/policy.rs
+++ b/crates/fescueway_bench/benches/policy.rs
@@ -6,7 +6,7 @@
 use std::{fmt::Write as _, process::ExitCode, thread};
 
 use fescueway_bench::{
-    is_known_red,
+    BenchBound, print_broken,
     simulation::{
         CAPROCK_FEW, CAPROCK_MANY, PWLL_FEW, PWLL_MANY, SimDeployment, SimPolicy, SimResults,
         SimRun, SimScenario, generate_trace, simple_policies,
@@ -40,16 +40,6 @@
 /// Tolerance within which two policies' in-time shares count as equal.
 const IN_TIME_TOLERANCE: f64 = 0.01;
 
-/// Upper bound and the measured value.
-struct PolicyBound {
-    /// Name, as listed in `KNOWN-RED.txt`.
-    name: String,
-    /// Measured value.
-    value: f64,
-    /// Largest allowed value.
-    limit: f64,
-}
-
 /// Results of all policies for one deployment and scenario.
 struct ScenarioTable {
     /// Deployment and scenario.
@@ -146,7 +136,7 @@
     }
 
     /// Returns every bound of this scenario.
-    fn bounds(&self) -> Vec<PolicyBound> {
+    fn bounds(&self) -> Vec<BenchBound> {
         let fescueway = &self.fescueway;
         let latency_ratio = fescueway.latency_ms(0.99) / self.oracle.latency_ms(0.99);
         let extra_ratio = fescueway.extra_ms(0.99) / self.oracle.extra_ms(0.99);
@@ -183,7 +173,7 @@
     /// Returns the bounds relative to the best simple policy. Latency is compared only with
     /// policies of an equal in-time share, since a policy that loses its slow requests has a short
     /// tail.
-    fn simple_bounds(&self) -> Vec<PolicyBound> {
+    fn simple_bounds(&self) -> Vec<BenchBound> {
         let fescueway = &self.fescueway;
         let shares = self.simple.iter().map(|entry| entry.1.in_time_share());
         let max_share = shares.fold(0.0, f64::max);
@@ -207,8 +197,8 @@
     }
 
     /// Creates a bound of this scenario.
-    fn bound(&self, check: &str, value: f64, limit: f64) -> PolicyBound {
-        PolicyBound {
+    fn bound(&self, check: &str, value: f64, limit: f64) -> BenchBound {
+        BenchBound {
             name: format!("policy: {} / {check}", self.title),
             value,
             limit,
@@ -217,7 +207,7 @@
 }
 
 /// Returns the tables of one deployment and its bounds.
-fn report(deployment: &SimDeployment) -> (String, Vec<PolicyBound>) {
+fn report(deployment: &SimDeployment) -> (String, Vec<BenchBound>) {
     let mut text = String::new();
     let mut bounds = Vec::new();
     for scenario in SimScenario::all() {
@@ -228,25 +218,6 @@
     (text, bounds)
 }
 
-/// Prints the broken bounds. Returns whether one of them isn't listed as known.
-fn print_broken(bounds: &[PolicyBound]) -> bool {
-    let mut has_unknown = false;
-    for bound in bounds {
-        let is_known = is_known_red(&bound.name);
-        let is_broken = bound.value > bound.limit;
-        let verdict = match (is_broken, is_known) {
-            (true, true) => "known red",
-            (true, false) => "BROKEN",
-            (false, true) => "holds, but is listed as known red",
-            (false, false) => continue,
-        };
-        has_unknown |= is_broken && !is_known;
-        let PolicyBound { name, value, limit } = bound;
-        println!("{verdict}: {name}: {value:.4}, bound {limit:.4}");
-    }
-    has_unknown
-}
-
 fn main() -> ExitCode {
     println!(
         "Milliseconds; seeds {TUNED_SEEDS:?} (tuned) and {HELD_OUT_SEEDS:?} (held out) together."
--- a/crates/fescueway_bench/src/simulation/mod.rs
+++ b/crates/fescueway_bench/src/simulation/mod.rs
@@ -2,10 +2,10 @@
 //!
 //! Used by `benches/policy.rs`. The same seed gives the same results.
 
-mod event_queue;
 mod fake_target;
 mod request_trace;
 mod scenario;
+mod sim_event;
 mod sim_policy;
 mod sim_results;
 mod sim_run;
--- a/crates/fescueway_bench/src/simulation/event_queue.rs
+++ b/crates/fescueway_bench/src/simulation/sim_event.rs
@@ -1,6 +1,4 @@
-//! Event queue in virtual time.
-
-use std::{cmp::Reverse, collections::BinaryHeap};
+//! Events of the simulation.
 
 /// Event of the simulation.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -53,26 +51,3 @@
         fault: usize,
     },
 }
-
-/// Queue of events ordered by time, then by order of insertion.
-#[derive(Debug, Default)]
-pub struct EventQueue {
-    /// Each event with its time in microseconds and its insertion number.
-    heap: BinaryHeap<Reverse<(u64, u64, SimEvent)>>,
-    /// Number of events pushed so far.
-    pushed: u64,
-}
-
-impl EventQueue {
-    /// Adds an event at `time_us`.
-    pub fn push(&mut self, time_us: u64, event: SimEvent) {
-        self.pushed += 1;
-        self.heap.push(Reverse((time_us, self.pushed, event)));
-    }
-
-    /// Removes the earliest event and returns it with its time in microseconds.
-    pub fn pop(&mut self) -> Option<(u64, SimEvent)> {
-        let Reverse((time_us, _, event)) = self.heap.pop()?;
-        Some((time_us, event))
-    }
-}
--- a/crates/fescueway_bench/src/simulation/sim_run/entry_events.rs
+++ b/crates/fescueway_bench/src/simulation/sim_run/entry_events.rs
@@ -10,7 +10,7 @@
     SimRun,
     request_state::{ReplyKind, RequestEnd, SimOffer, SimReply},
 };
-use crate::simulation::{event_queue::SimEvent, scenario::CALLER_TRIP_US, sim_policy::PickView};
+use crate::simulation::{scenario::CALLER_TRIP_US, sim_event::SimEvent, sim_policy::PickView};
 
 impl SimRun<'_> {
     /// Handles a request that arrives at its entry, or at another one when its domain is lost.
--- a/crates/fescueway_bench/src/simulation/sim_run/host_events.rs
+++ b/crates/fescueway_bench/src/simulation/sim_run/host_events.rs
@@ -8,7 +8,7 @@
     SimRun,
     request_state::{ReplyKind, SimOffer, SimReply},
 };
-use crate::simulation::event_queue::SimEvent;
+use crate::simulation::sim_event::SimEvent;
 
 /// Time that a failing target takes to answer, in microseconds.
 const FAILURE_US: f64 = 500.0;
--- a/crates/fescueway_bench/src/simulation/sim_run/mod.rs
+++ b/crates/fescueway_bench/src/simulation/sim_run/mod.rs
@@ -15,15 +15,16 @@
 
 use self::request_state::{RequestEnd, RequestState, SimOffer, SimReply};
 use super::{
-    event_queue::{EventQueue, SimEvent},
     fake_target::FakeTarget,
     request_trace::SimRequest,
     scenario::{
         CALLER_TRIP_US, MEMBERSHIP_DELAY_US, NEAR_TRIP_US, SECOND_US, SimDeployment, SimScenario,
     },
+    sim_event::SimEvent,
     sim_policy::{EntryState, SimPolicy},
     sim_results::SimResults,
 };
+use crate::event_queue::EventQueue;
 
 /// Waiting requests per slot, as in the shipped configurations and by default.
 const QUEUE_PER_SLOT: f64 = 0.5;
@@ -46,7 +47,7 @@
     /// Every reply sent.
     replies: Vec<SimReply>,
     /// Pending events.
-    events: EventQueue,
+    events: EventQueue<SimEvent>,
     /// Current virtual time, in microseconds.
     now_us: u64,
     /// The backend servers.
