Compare views again at once while many members differ

Cause: on the large deployment entries knew a fraction of the targets for half a minute after a start of all nodes. Every target's first report is a second piece of news about its node; 295 of them at once exhaust the budgets of rumors, and comparing views repaired 4 of 128 buckets in 2 s at best.

Ruled out: the join itself (93% of the members live after 0.5 s), the store (all nodes joined within 0.3 s), the size of subsets (32 of 21 targets).

Change: where an eighth of the buckets differ all are repaired, within eight datagrams, and the next comparison follows within 0.3 s; the pause then doubles up to 20 s again. The same after a join.

Conclusion: what was taken for stale views and subsets at 295 entries was mostly views that did not exist yet. The same holds after a loss of all nodes.

--- a/crates/fescueway_membership/src/datagram.rs
+++ b/crates/fescueway_membership/src/datagram.rs
@@ -46,11 +46,11 @@
     Gossip,
     /// Starts an anti-entropy exchange: a digest of each bucket of the sender's view.
     Digests(Vec<u32>),
-    /// Answers digests: the stamps of the members in one bucket whose digest differs.
+    /// Answers digests: the stamps of the members in buckets whose digests differ.
     Stamps {
-        /// The bucket.
+        /// The first of the buckets.
         bucket: u8,
-        /// All members of the bucket known to the sender.
+        /// Members of these buckets known to the sender.
         stamps: Vec<MemberStamp>,
     },
     /// Requests the state and records of these members.
--- a/crates/fescueway_membership/src/fleet_join.rs
+++ b/crates/fescueway_membership/src/fleet_join.rs
@@ -136,7 +136,7 @@
         self.join.parts.get_or_insert(parts);
         self.join.next_at = context.now + PULL_TIMEOUT;
         self.pull_parts(context);
-        self.finish_join(context.now);
+        self.finish_join(context);
     }
 
     fn pull_parts(&mut self, context: &mut EventContext<'_, impl Rng>) {
@@ -159,13 +159,13 @@
         }
     }
 
-    fn finish_join(&mut self, now: MonoTime) {
+    fn finish_join(&mut self, context: &mut EventContext<'_, impl Rng>) {
         if self.join.parts.as_ref().is_some_and(BTreeMap::is_empty) {
             self.join.next_at = MonoTime::NEVER;
             if self.has_unknown_seed() {
-                self.join.discovery_at = now + INITIAL_SEED_RETRY_INTERVAL;
+                self.join.discovery_at = context.now + INITIAL_SEED_RETRY_INTERVAL;
             }
-            self.sync.schedule_soon(now);
+            self.sync.schedule_catch_up(context.now, context.random);
         }
     }
 
@@ -219,7 +219,7 @@
         if part.pages.count_ones() >= u32::from(pages) {
             parts.remove(&first);
             self.pull_parts(context);
-            self.finish_join(context.now);
+            self.finish_join(context);
         }
     }
 }
--- a/crates/fescueway_membership/src/fleet_sync.rs
+++ b/crates/fescueway_membership/src/fleet_sync.rs
@@ -20,9 +20,22 @@
 /// Longest time to the next exchange after one that found a difference.
 const SYNC_REPEAT_DELAY: Duration = Duration::from_secs(2);
 
-/// Differing buckets repaired in one exchange.
+/// Longest time to the next exchange after one that found many differences.
+const CATCH_UP_DELAY: Duration = Duration::from_millis(300);
+
+/// Differing buckets repaired in one exchange, unless there are many.
 const BUCKETS_PER_SYNC: usize = 4;
 
+/// Number of differing buckets from which one of the two views is taken for incomplete, as while a
+/// whole fleet starts. News that is still on its way makes fewer buckets differ.
+const MANY_BUCKETS: usize = BUCKETS / 8;
+
+/// Differing members from which one of the two views is taken for incomplete.
+const MANY_MEMBERS: usize = MANY_BUCKETS;
+
+/// Datagrams of stamps sent in one exchange with an incomplete view.
+const MAX_STAMP_DATAGRAMS: usize = 8;
+
 /// Stamps in one datagram.
 const STAMPS_PER_DATAGRAM: usize = 70;
 
@@ -39,12 +52,15 @@
 #[derive(Clone, Debug)]
 pub struct FleetSync {
     next_at: MonoTime,
+    /// Longest time between the next two exchanges. Doubles with each, up to [`SYNC_PERIOD`].
+    period: Duration,
 }
 
 impl FleetSync {
     pub fn new(now: MonoTime, random: &mut impl Rng) -> Self {
         Self {
             next_at: now + jittered(SYNC_PERIOD, random),
+            period: SYNC_PERIOD,
         }
     }
 
@@ -52,10 +68,23 @@
         self.next_at
     }
 
-    /// Schedules the next exchange soon, after a difference was found or the join is complete.
+    /// Schedules the next exchange soon, after one that found few differences.
     pub fn schedule_soon(&mut self, now: MonoTime) {
         self.next_at = self.next_at.min(now + SYNC_REPEAT_DELAY);
     }
+
+    /// Schedules the next exchange at once, after one that found many differences or after the join:
+    /// nodes that start together join with incomplete views.
+    pub fn schedule_catch_up(&mut self, now: MonoTime, random: &mut impl Rng) {
+        self.period = CATCH_UP_DELAY;
+        self.next_at = self.next_at.min(now + jittered(CATCH_UP_DELAY, random));
+    }
+
+    /// Schedules the exchange after one that starts at `now`.
+    fn schedule_next(&mut self, now: MonoTime, random: &mut impl Rng) {
+        self.period = SYNC_PERIOD.min(self.period * 2);
+        self.next_at = now + jittered(self.period, random);
+    }
 }
 
 impl MemberList {
@@ -63,7 +92,7 @@
         if self.sync.next_at > context.now {
             return;
         }
-        self.sync.next_at = context.now + jittered(SYNC_PERIOD, context.random);
+        self.sync.schedule_next(context.now, context.random);
         if let Some(node) = self.pick_live(context) {
             let digests = self.table.digests().to_vec();
             self.send_to_node(context, node, MessageBody::Digests(digests));
@@ -86,14 +115,18 @@
                     .get(*bucket)
                     .is_some_and(|other| *other != own[*bucket])
             })
-            .take(BUCKETS_PER_SYNC)
             .collect();
-        for bucket in &differing {
-            self.send_stamps(context, address, sender, *bucket as u8);
+        if differing.is_empty() {
+            return;
         }
-        if !differing.is_empty() {
+        let repaired = if differing.len() >= MANY_BUCKETS {
+            self.sync.schedule_catch_up(context.now, context.random);
+            differing.len()
+        } else {
             self.sync.schedule_soon(context.now);
-        }
+            differing.len().min(BUCKETS_PER_SYNC)
+        };
+        self.send_stamps(context, address, sender, &differing[..repaired]);
     }
 
     pub(crate) fn on_stamps(
@@ -102,13 +135,17 @@
         address: SocketAddr,
         stamps: &[MemberStamp],
     ) -> Vec<NodeId> {
-        self.sync.schedule_soon(context.now);
         let newer = self.newer_than(stamps);
         let rumors: Vec<_> = stamps
             .iter()
             .map(|stamp| rumor_without_record(*stamp))
             .collect();
         let wanted = self.apply_rumors(context, &rumors, true);
+        if newer.len() + wanted.len() >= MANY_MEMBERS {
+            self.sync.schedule_catch_up(context.now, context.random);
+        } else {
+            self.sync.schedule_soon(context.now);
+        }
         self.send_rumors(context, address, newer);
         wanted
     }
@@ -170,15 +207,22 @@
         newer.collect()
     }
 
+    /// Sends the stamps of all members in `buckets`, as far as the datagrams of one exchange reach.
     fn send_stamps(
         &mut self,
         context: &mut EventContext<'_, impl Rng>,
         address: SocketAddr,
         sender: NodeId,
-        bucket: u8,
+        buckets: &[usize],
     ) {
-        let members = self.table.in_buckets(bucket, 1);
-        let all: Vec<_> = members.map(|(node, state)| state.stamp(node)).collect();
+        let members = buckets
+            .iter()
+            .flat_map(|bucket| self.table.in_buckets(*bucket as u8, 1));
+        let all: Vec<_> = members
+            .map(|(node, state)| state.stamp(node))
+            .take(STAMPS_PER_DATAGRAM * MAX_STAMP_DATAGRAMS)
+            .collect();
+        let bucket = buckets.first().map_or(0, |bucket| *bucket as u8);
         for stamps in all.chunks(STAMPS_PER_DATAGRAM) {
             if self.repair_budget.available(context.now) == 0 {
                 return;
--- a/crates/fescueway_testkit/src/member_network.rs
+++ b/crates/fescueway_testkit/src/member_network.rs
@@ -137,8 +137,15 @@
         self.start_with(address, seeds)
     }
 
-    /// Starts a member at an address with the given seeds.
+    /// Starts a member at an address with the given seeds, and announces its target.
     pub fn start_with(&mut self, address: SocketAddr, seeds: Vec<SocketAddr>) -> usize {
+        let index = self.start_silent(address, seeds);
+        self.announce_target(index, TargetState::Serving);
+        index
+    }
+
+    /// Starts a member at an address with the given seeds. Its target is not announced yet.
+    pub fn start_silent(&mut self, address: SocketAddr, seeds: Vec<SocketAddr>) -> usize {
         let index = self.members.len();
         let node = NodeId(self.random.next_u64());
         let settings = MemberSettings {
@@ -166,10 +173,14 @@
         self.partitions.push(0);
         self.addresses.insert(address, index);
         self.wakes.insert((self.members[index].wake, index));
-        self.announce_target(index, TargetState::Serving);
         index
     }
 
+    /// Tells a member of further seeds.
+    pub fn add_seeds(&mut self, index: usize, seeds: Vec<SocketAddr>) {
+        self.handle(index, MemberEvent::Seeds(seeds));
+    }
+
     /// Lets a member announce its target in the given state.
     pub fn announce_target(&mut self, index: usize, state: TargetState) {
         let member = &self.members[index];
