Judge a waiting request's deadline by the pace at which it will run

The margin before the deadline was taken at the pace of the disturbance, four times the usual one, although the request would wait for its end.

Change: the margins use the same expected time as the decision to wait.

Result: the new test of the gate failed before.

--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -154,11 +154,6 @@
         self.pace.last_report()
     }
 
-    /// Expected service time of a request of this kind that starts now, in microseconds.
-    pub(crate) fn expected_us(&self, now: MonoTime, kind: u64) -> f64 {
-        self.normal_us(now, kind) * self.current_pace(now).unwrap_or(1.0)
-    }
-
     /// Expected service time of a request of this kind, in microseconds, if it starts now or, where
     /// that ends sooner, after the current disturbance.
     pub(crate) fn expected_run_us(&self, now: MonoTime, kind: u64) -> f64 {
--- a/crates/fescueway_admission/src/target_gate/waiting.rs
+++ b/crates/fescueway_admission/src/target_gate/waiting.rs
@@ -193,7 +193,7 @@
     fn wait_margin(&self, now: MonoTime, terms: &RequestTerms) -> Duration {
         let margin_us = match self.known_service_us(now, terms) {
             Some(kind_us) => KNOWN_WAIT_MARGIN * kind_us,
-            None => WAIT_MARGIN * self.service.expected_us(now, terms.work_kind),
+            None => WAIT_MARGIN * self.service.expected_run_us(now, terms.work_kind),
         };
         Duration::from_micros(margin_us as u64)
     }
@@ -201,7 +201,7 @@
     /// Expected service time of a request in microseconds, `None` if none of its kind ended here.
     fn known_service_us(&self, now: MonoTime, terms: &RequestTerms) -> Option<f64> {
         let is_known = self.service.has_kind(terms.work_kind);
-        is_known.then(|| self.service.expected_us(now, terms.work_kind))
+        is_known.then(|| self.service.expected_run_us(now, terms.work_kind))
     }
 
     /// Number of offers that may wait although they are expected to miss their objective.
--- a/crates/fescueway_admission/tests/gate.rs
+++ b/crates/fescueway_admission/tests/gate.rs
@@ -377,6 +377,18 @@
     assert_eq!(actions, [GateAction::Run(TicketId(3))]);
 }
 
+#[test]
+fn a_deadline_that_is_met_after_a_disturbance_is_no_reason_to_refuse() {
+    let mut gate = disturbed_gate();
+    // Enough for the disturbance and 100 ms of work, not for work that takes four times as long.
+    let last_offer = RequestTerms {
+        time_left: Duration::from_millis(400),
+        ..with_wait_limit(400)
+    };
+    let result = gate.offer(millis(10_010), TicketId(3), &last_offer);
+    assert_eq!(result, GateResult::Wait);
+}
+
 #[test]
 fn a_delayed_offer_runs_when_the_last_pace_report_expires() {
     let mut gate = disturbed_gate();
