--- a/crates/fescueway_bench/src/mesh/mesh_run/mesh_state.rs
+++ b/crates/fescueway_bench/src/mesh/mesh_run/mesh_state.rs
@@ -15,8 +15,7 @@
     pub(super) domain: usize,
     /// Admission gate of its target.
     pub(super) gate: TargetGate,
-    /// Duration of work that starts now, as a multiple of its normal duration: the effect of
-    /// neighbouring VMs.
+    /// Effect of neighbouring VMs on the duration of work that starts now.
     pub(super) pace: f64,
     /// Until when its backend server is cold.
     pub(super) cold_until_us: u64,
@@ -30,6 +29,21 @@
     pub(super) is_query_pending: bool,
 }
 
+/// Duration of work at a cold backend server, as a multiple of its normal duration.
+const COLD_PACE: f64 = 2.0;
+
+impl MeshNode {
+    /// Duration of work that starts now, as a multiple of its normal duration. Backend servers tell
+    /// it with each answer.
+    pub(super) fn current_pace(&self, now_us: u64) -> f64 {
+        if now_us < self.cold_until_us {
+            COLD_PACE * self.pace
+        } else {
+            self.pace
+        }
+    }
+}
+
 /// How a request ended at its entry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum RequestEnd {
@@ -37,6 +51,8 @@
     Answered(u64),
     /// Refused without having run.
     Refused(Refusal),
+    /// Its entry could not be connected to.
+    Unconnected,
     /// Failed, or its outcome is unknown.
     Failed,
 }
--- a/crates/fescueway_bench/src/mesh/mesh_run/mod.rs
+++ b/crates/fescueway_bench/src/mesh/mesh_run/mod.rs
@@ -310,7 +310,7 @@
                     }
                     Some(RequestEnd::Answered(_)) => tally.late += 1,
                     Some(RequestEnd::Refused(_)) => tally.refused += 1,
-                    Some(RequestEnd::Failed) | None => tally.failed += 1,
+                    Some(RequestEnd::Failed | RequestEnd::Unconnected) | None => tally.failed += 1,
                 }
             }
         }
