Follow the baseline pace over two seconds

Cause: a host took the pace of a long disturbance for its baseline after half a second, and started work that then held its slot four times as long.

Change: the baseline is the lowest pace of the last two to four seconds in place of 0.5 to 1. That a slowdown lasts is told as before by its length, so that a last offer runs at once after 0.7 s.

--- a/crates/fescueway_admission/src/work_pace.rs
+++ b/crates/fescueway_admission/src/work_pace.rs
@@ -20,8 +20,10 @@
 /// Pace above which the backend server is considered disturbed, as a multiple of its baseline pace.
 const DISTURBED_FACTOR: f64 = 1.25;
 
-/// The baseline pace is the lowest one reported during the last two spans of this length.
-const BASELINE_SPAN: Duration = Duration::from_millis(500);
+/// The baseline pace is the lowest one reported during the last two spans of this length. A
+/// disturbance lasts for several changes of the neighbours' load now and then, which must not pass
+/// for the baseline.
+const BASELINE_SPAN: Duration = Duration::from_secs(2);
 
 /// Initial value of the mean length of a disturbance.
 const INITIAL_LENGTH: Duration = Duration::from_millis(200);
