--- a/crates/fescueway_proxy/src/route_states.rs
+++ b/crates/fescueway_proxy/src/route_states.rs
@@ -15,7 +15,7 @@
 pub struct RouteStates(Mutex<BTreeMap<u64, RouteState>>);
 
 /// The state that an entry keeps of one route.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct RouteState {
     /// Distributes the requests over the services, when several share the route.
     round_robin: WeightedRoundRobin,
@@ -32,7 +32,7 @@
         }
         let weights: Vec<_> = split.iter().map(|part| part.weight).collect();
         let mut states = self.states();
-        let round_robin = &mut states.entry(route.work_kind).or_default().round_robin;
+        let round_robin = &mut state_of(&mut states, route).round_robin;
         let part = split.get(round_robin.next(&weights))?;
         Some(part.service.clone())
     }
@@ -41,8 +41,9 @@
     /// long the caller has waited already.
     pub fn waited(&self, route: &RoutePlan, time_left: Duration) -> Duration {
         let mut states = self.states();
-        let wait_estimator = &mut states.entry(route.work_kind).or_default().wait_estimator;
-        wait_estimator.waited(time_left)
+        state_of(&mut states, route)
+            .wait_estimator
+            .waited(time_left)
     }
 
     /// Removes the state of routes that the plan no longer has.
@@ -61,3 +62,14 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// The state of `route`, created when there is none.
+fn state_of<'a>(
+    states: &'a mut BTreeMap<u64, RouteState>,
+    route: &RoutePlan,
+) -> &'a mut RouteState {
+    states.entry(route.work_kind).or_insert_with(|| RouteState {
+        round_robin: WeightedRoundRobin::default(),
+        wait_estimator: CallerWaitEstimator::new(route.deadline),
+    })
+}
