Assume a share of its objective for work that never ran at a host

Cause: a host that has just started knows no service times.

Change: a kind of work that never ran here is assumed to take a quarter of its objective until the first request of it has ended.

Result: the new test failed before.

--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -51,10 +51,14 @@
 /// Weight of one finished request in the mean of its kind of work.
 const KIND_WEIGHT: f64 = 1.0 / 16.0;
 
+/// Share of its latency objective that a request of a kind that never ran here is assumed to take:
+/// objectives are several times the service time.
+const ASSUMED_SHARE: f64 = 0.25;
+
 /// Mean service time of one kind of work.
 #[derive(Clone, Copy, Debug, Default)]
 struct KindMean {
-    /// Recent mean at normal pace, in microseconds.
+    /// Recent mean at normal pace, in microseconds; assumed while `count` is zero.
     mean_us: f64,
     /// Number of requests that succeeded.
     count: u32,
@@ -168,7 +172,17 @@
 
     /// Whether service times of this kind of work are known.
     pub(crate) fn has_kind(&self, kind: u64) -> bool {
-        self.kinds.contains_key(&kind)
+        self.kinds.get(&kind).is_some_and(|known| known.count > 0)
+    }
+
+    /// Assumes a service time for this kind of work until a request of it has ended here.
+    pub(crate) fn assume_kind(&mut self, kind: u64, objective: Duration) {
+        if let Some(known) = self.kind_mut(kind)
+            && known.count == 0
+        {
+            let assumed_us = ASSUMED_SHARE * objective.as_micros() as f64;
+            known.mean_us = known.mean_us.max(assumed_us);
+        }
     }
 
     /// Expected service time of a request of this kind at normal pace, in microseconds.
@@ -227,14 +241,21 @@
 
     /// Updates the mean of a kind of work.
     fn learn_kind(&mut self, finished: FinishedRun) {
-        let is_new = !self.kinds.contains_key(&finished.kind);
-        if finished.kind == 0 || (is_new && self.kinds.len() >= MAX_KINDS) {
-            return;
+        if let Some(known) = self.kind_mut(finished.kind) {
+            known.count = known.count.saturating_add(1);
+            let weight = KIND_WEIGHT.max(1.0 / f64::from(known.count));
+            known.mean_us += (finished.service_us - known.mean_us) * weight;
+        }
+    }
+
+    /// The mean of a kind of work. `None` for an unnamed kind, and for a new one when there are too
+    /// many.
+    fn kind_mut(&mut self, kind: u64) -> Option<&mut KindMean> {
+        let is_new = !self.kinds.contains_key(&kind);
+        if kind == 0 || (is_new && self.kinds.len() >= MAX_KINDS) {
+            return None;
         }
-        let known = self.kinds.entry(finished.kind).or_default();
-        known.count = known.count.saturating_add(1);
-        let weight = KIND_WEIGHT.max(1.0 / f64::from(known.count));
-        known.mean_us += (finished.service_us - known.mean_us) * weight;
+        Some(self.kinds.entry(kind).or_default())
     }
 
     /// Moves the baseline towards the long-term mean: fast when it falls, slowly when it rises.
@@ -253,8 +274,7 @@
 
     /// Mean service time at normal pace, in microseconds.
     ///
-    /// Includes running requests: when none ends for far longer than expected, the mean of the
-    /// finished ones is out of date.
+    /// Includes running requests: when none ends for far longer than expected, the mean of the finished ones is out of date.
     pub(crate) fn mean_us(&self, now: MonoTime) -> f64 {
         let since_last_end_us = now.since(self.last_end_at).as_micros() as f64;
         let implied_us = since_last_end_us * self.running.len() as f64;
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -146,6 +146,9 @@
         if self.is_draining() {
             return GateResult::Refuse(Self::draining_refusal());
         }
+        if let Some(objective) = terms.objective {
+            self.service.assume_kind(terms.work_kind, objective);
+        }
         if self.is_better_elsewhere(now, terms) && !self.take_trial(now) {
             let wait = Duration::from_micros(self.service.straggler_us(now) as u64);
             return GateResult::Refuse(Self::refusal(RefusalReason::BetterElsewhere, wait));
--- a/crates/fescueway_admission/tests/gate/disturbances.rs
+++ b/crates/fescueway_admission/tests/gate/disturbances.rs
@@ -32,17 +32,18 @@
     let mut gate = warm_gate(4);
     record_kind(&mut gate, 1, 100, 20);
     record_kind(&mut gate, 2, 10, 20);
-    assert!(
-        gate.learn_load(millis(9_990), &pace_report(1_000))
-            .is_empty()
-    );
-    assert!(
-        gate.learn_load(millis(10_000), &pace_report(4_000))
-            .is_empty()
-    );
+    disturb(&mut gate);
     gate
 }
 
+/// Reports the normal pace at 9.99 s and four times that at 10 s.
+fn disturb(gate: &mut TargetGate) {
+    for (time_ms, permille) in [(9_990, 1_000), (10_000, 4_000)] {
+        let actions = gate.learn_load(millis(time_ms), &pace_report(permille));
+        assert!(actions.is_empty(), "{actions:?}");
+    }
+}
+
 #[test]
 fn a_disturbed_target_refuses_offers_that_are_better_placed_elsewhere() {
     let mut gate = disturbed_gate();
@@ -193,3 +194,20 @@
         "{actions:?}"
     );
 }
+
+#[test]
+fn a_kind_that_never_ran_is_assumed_to_take_a_share_of_its_objective() {
+    let mut gate = warm_gate(4);
+    disturb(&mut gate);
+    let unknown = RequestTerms {
+        work_kind: 3,
+        objective: Some(Duration::from_millis(800)),
+        ..with_wait_limit(40)
+    };
+    let refused = gate.offer(millis(10_010), TicketId(3), &unknown);
+    assert!(
+        matches!(refused, GateResult::Refuse(refusal)
+            if refusal.reason == RefusalReason::BetterElsewhere),
+        "{refused:?}"
+    );
+}
