Judge a stall by the pace at which the running requests began

None of their runs had ended for as long as ten usually take; but the usual time is kept for the normal pace, and the runs had begun at a pace of 2 to 8.

Change: the time that running requests should take is reckoned at the pace at which each began.

Result: the new test failed before.

--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -274,10 +274,11 @@
 
     /// Mean service time at normal pace, in microseconds.
     ///
-    /// Includes running requests: when none ends for far longer than expected, the mean of the finished ones is out of date.
+    /// Includes running requests: when none ends for far longer than expected at the pace at which
+    /// they began, the mean of the finished ones is out of date.
     pub(crate) fn mean_us(&self, now: MonoTime) -> f64 {
         let since_last_end_us = now.since(self.last_end_at).as_micros() as f64;
-        let implied_us = since_last_end_us * self.running.len() as f64;
+        let implied_us = since_last_end_us * self.normal_rate();
         let is_stalled = self.running.len() >= self.min_stall_runs
             && self.recent_mean_us > 0.0
             && implied_us > STALL_FACTOR * self.recent_mean_us;
@@ -299,10 +300,16 @@
         if self.running.len() < self.min_stall_runs || self.recent_mean_us <= 0.0 {
             return None;
         }
-        let since_last_end_us = STALL_FACTOR * self.recent_mean_us / self.running.len() as f64;
+        let since_last_end_us = STALL_FACTOR * self.recent_mean_us / self.normal_rate();
         Some(self.last_end_at + Duration::from_micros(since_last_end_us as u64 + 1))
     }
 
+    /// Work that the running requests get done per unit of time, as a multiple of what one gets done
+    /// at normal pace.
+    fn normal_rate(&self) -> f64 {
+        self.running.iter().map(|run| 1.0 / run.pace).sum()
+    }
+
     /// Mean service time above the baseline, in microseconds, if the target is a straggler; zero
     /// otherwise.
     pub(crate) fn straggler_us(&self, now: MonoTime) -> f64 {
--- a/crates/fescueway_admission/tests/gate/disturbances.rs
+++ b/crates/fescueway_admission/tests/gate/disturbances.rs
@@ -211,3 +211,16 @@
         "{refused:?}"
     );
 }
+
+#[test]
+fn runs_that_began_at_a_slow_pace_do_not_look_stalled() {
+    let mut gate = warm_gate(4);
+    record_kind(&mut gate, 1, 100, 20);
+    gate.learn_load(millis(10_000), &pace_report(8_000));
+    for ticket in 0..4 {
+        let result = gate.offer(millis(10_000), TicketId(ticket), &with_wait_limit(2_000));
+        assert_eq!(result, GateResult::Run);
+    }
+    let report = gate.report(millis(10_500));
+    assert_eq!(report.service_time_us, 100_000);
+}
