Offer a request to up to five targets on the users' platform

Cause: at any time neighbours disturb a quarter of the targets, whose hosts refuse at once, and an entry hears of a target every few seconds: with three offers one request in sixty meets three of them.

Change: five offers for a request, and twice as many further offers as first ones. A refusal costs a trip of 0.2 to 2 ms, where objectives are 600 ms and more.

--- a/crates/fescueway_bench/src/mesh/mesh_run/mod.rs
+++ b/crates/fescueway_bench/src/mesh/mesh_run/mod.rs
@@ -23,8 +23,11 @@
 /// Waiting requests per slot, as on the users' platform.
 const QUEUE_PER_SLOT: f64 = 2.0;
 
+/// Offers for each request, as on the users' platform.
+const MAX_OFFERS: u8 = 5;
+
 /// Further offers after refusals as a share of the first offers, as on the users' platform.
-const REFUSAL_SHARE: f64 = 1.0;
+const REFUSAL_SHARE: f64 = 2.0;
 
 /// Repeats that all nodes may make for a service beyond their share.
 const RETRY_SLACK: f64 = 630.0;
@@ -82,6 +85,7 @@
             scenario,
             plan: RoutingPlan {
                 domain_trip: trip,
+                max_offers: MAX_OFFERS,
                 refusal_share: REFUSAL_SHARE,
                 max_retry_tokens: (RETRY_SLACK * deployment.scale / count as f64).max(1.0),
                 ..RoutingPlan::default()
