Earn repeats by requests, not by successes

Change: first offers earn them, a tenth as before. Repeats stay within the platform's rule: a fifth of the requests, where the calls of a repeated run count as repeats at the service that they call, so a tenth each. The mesh bench checks it in every window of ten seconds, with the reserve that the daemon gives each node.

--- a/crates/fescueway_bench/src/mesh/mesh_results.rs
+++ b/crates/fescueway_bench/src/mesh/mesh_results.rs
@@ -40,7 +40,7 @@
 }
 
 /// Results of one or more runs.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct MeshResults {
     /// Requests of callers by kind.
     pub kinds: BTreeMap<&'static str, KindTally>,
@@ -68,6 +68,8 @@
     pub busiest: Vec<f64>,
     /// Slot time of each service.
     pub slots: Vec<SlotAccount>,
+    /// Largest number of repeats at a service above what its requests allow in any window.
+    pub repeat_excess: f64,
 }
 
 impl KindTally {
@@ -114,6 +116,27 @@
     }
 }
 
+impl Default for MeshResults {
+    fn default() -> Self {
+        Self {
+            kinds: BTreeMap::new(),
+            seconds: SecondTally::new(),
+            offers: 0,
+            runs: 0,
+            refused_offers: BTreeMap::new(),
+            given_up: BTreeMap::new(),
+            lost_calls: 0,
+            calls: 0,
+            repeats: 0,
+            doubled: 0,
+            refused_but_run: 0,
+            busiest: Vec::new(),
+            slots: Vec::new(),
+            repeat_excess: f64::NEG_INFINITY,
+        }
+    }
+}
+
 impl MeshResults {
     /// All requests together.
     #[must_use]
@@ -151,6 +174,7 @@
         self.lost_calls += other.lost_calls;
         self.calls += other.calls;
         self.repeats += other.repeats;
+        self.repeat_excess = self.repeat_excess.max(other.repeat_excess);
         self.doubled += other.doubled;
         self.refused_but_run += other.refused_but_run;
         self.slots.resize(other.slots.len(), SlotAccount::default());
--- a/crates/fescueway_bench/src/mesh/mesh_run/entry_events.rs
+++ b/crates/fescueway_bench/src/mesh/mesh_run/entry_events.rs
@@ -28,6 +28,11 @@
         }
         let (kind_index, entry) = (request.kind, request.entry);
         let kind = &self.deployment.kinds[kind_index];
+        let ledger = &mut self.ledgers[kind.service];
+        ledger.count_request(self.now_us);
+        if request.is_repeat {
+            ledger.count_repeat(self.now_us);
+        }
         let time_left = self.time_left(request.deadline_us);
         let key = (entry, kind_index);
         let estimator = self.estimators.entry(key);
@@ -215,6 +220,7 @@
         } = self.offers[offer];
         let parent = &self.requests[request];
         let (kind, parent_deadline_us) = (parent.kind, parent.deadline_us);
+        let is_repeat = parent.is_repeat || parent.arrivals > 1;
         let Some(nested) = self.deployment.kinds[kind].nested else {
             return 0;
         };
@@ -225,6 +231,7 @@
         for _ in 0..nested.times {
             let mut call = MeshRequest::first(nested.kind, target, self.now_us, spec.deadline);
             call.parent = Some(offer);
+            call.is_repeat = is_repeat;
             call.deadline_us = call.deadline_us.min(parent_deadline_us);
             self.push_request(call, Duration::ZERO);
         }
--- a/crates/fescueway_bench/src/mesh/mesh_run/host_events.rs
+++ b/crates/fescueway_bench/src/mesh/mesh_run/host_events.rs
@@ -45,6 +45,10 @@
         let service = self.nodes[target].service;
         self.runs[target] += u64::from(self.is_measured());
         self.results.runs += u64::from(self.is_measured());
+        self.requests[request].arrivals += 1;
+        if self.requests[request].arrivals > 1 {
+            self.ledgers[service].count_repeat(self.now_us);
+        }
         if self.uniform() < self.shed_shares[service] {
             self.offers[offer].run = RunState::Ended;
             self.finish(offer, RunEnd::Released, ReplyKind::Refused(SHED));
--- a/crates/fescueway_bench/src/mesh/mesh_run/mesh_state.rs
+++ b/crates/fescueway_bench/src/mesh/mesh_run/mesh_state.rs
@@ -84,6 +84,10 @@
     pub(super) runs_left: u8,
     /// Runs that began.
     pub(super) runs: u32,
+    /// Arrivals at backend servers.
+    pub(super) arrivals: u32,
+    /// Whether it is a call of a run that was itself a repeat.
+    pub(super) is_repeat: bool,
     /// The last refusal by a host.
     pub(super) refusal: Option<Refusal>,
     /// The offer in flight.
@@ -172,6 +176,8 @@
             tried: Vec::new(),
             runs_left: 2,
             runs: 0,
+            arrivals: 0,
+            is_repeat: false,
             refusal: None,
             open: None,
             end: None,
--- a/crates/fescueway_bench/src/mesh/mod.rs
+++ b/crates/fescueway_bench/src/mesh/mod.rs
@@ -8,6 +8,7 @@
 mod mesh_results;
 mod mesh_run;
 mod mesh_scenario;
+mod repeat_ledger;
 
 pub use self::{
     mesh_deployment::{
--- a/crates/fescueway_config/src/raw_service.rs
+++ b/crates/fescueway_config/src/raw_service.rs
@@ -89,7 +89,7 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields, expecting = "an object")]
 pub struct RawRetry {
-    /// Maximum retries and hedges, as a share of the successful requests.
+    /// Maximum retries and hedges, as a share of the first offers.
     pub budget_share: Option<Number>,
     /// Maximum further offers after refusals, as a share of the first offers.
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/fescueway_config/src/service_plan.rs
+++ b/crates/fescueway_config/src/service_plan.rs
@@ -85,7 +85,7 @@
 /// Limits on retries and hedges.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RetryPlan {
-    /// Maximum retries and hedges, as a share of the successful requests, from 0 to 1.
+    /// Maximum retries and hedges, as a share of the first offers, from 0 to 1.
     pub budget_share: f64,
     /// Maximum further offers after refusals, as a share of the first offers.
     pub refusal_share: f64,
--- a/crates/fescueway_config/src/service_rules.rs
+++ b/crates/fescueway_config/src/service_rules.rs
@@ -140,7 +140,7 @@
 
 pub(crate) const RETRY_SHARE: NumberRule = NumberRule {
     field: "retry.budget_share",
-    unit: "share of the successes",
+    unit: "share of the first offers",
     default: 0.1,
     min: 0.0,
     max: 1.0,
--- a/crates/fescueway_routing/src/routing_plan.rs
+++ b/crates/fescueway_routing/src/routing_plan.rs
@@ -7,7 +7,7 @@
 pub struct RoutingPlan {
     /// Maximum number of offers per request, at least one.
     pub max_offers: u8,
-    /// Retries and hedges allowed, as a share of the successful requests, from 0 to 1.
+    /// Retries and hedges allowed, as a share of the first offers, from 0 to 1.
     pub budget_share: f64,
     /// Further offers allowed after refusals, as a share of the first offers.
     pub refusal_share: f64,
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -236,7 +236,6 @@
             is_failure: false,
         } = end
         {
-            self.retry_budget.deposit(self.plan.budget_share);
             self.latency.observe(latency);
         }
         let view = self.view_mut(node)?;
@@ -254,6 +253,7 @@
         match cause {
             OfferCause::First => {
                 self.refusal_budget.deposit(self.plan.refusal_share);
+                self.retry_budget.deposit(self.plan.budget_share);
                 true
             }
             OfferCause::Refused => self.refusal_budget.try_withdraw(),
