Use twelve targets of a service at each entry of the users' platform

Cause: memory is the second largest price of the large deployment, 12.7 MB a node in the mean against some 5 MB on a tenth of the machines. An entry of 295 kept connections to up to 32 targets of each of four services, and sent each a request every 5 s: its reports were that old, and each connection has buffers at both ends.

Change: subsets of 12 targets.

That a subset is smaller costs nothing, as hosts decide; a target that goes silent is met by fewer entries.

--- a/crates/fescueway_bench/src/mesh/mesh_run/mod.rs
+++ b/crates/fescueway_bench/src/mesh/mesh_run/mod.rs
@@ -32,6 +32,9 @@
 /// Further offers after refusals as a share of the first offers, as on the users' platform.
 const REFUSAL_SHARE: f64 = 2.0;
 
+/// Targets of a service that one entry uses, as on the users' platform.
+const SUBSET_SIZE: usize = 12;
+
 /// Repeats that all nodes may make for a service beyond their share.
 const RETRY_SLACK: f64 = 630.0;
 
@@ -94,6 +97,7 @@
             plan: RoutingPlan {
                 domain_trip: trip,
                 max_offers: MAX_OFFERS,
+                subset_size: SUBSET_SIZE,
                 refusal_share: REFUSAL_SHARE,
                 max_retry_tokens: (RETRY_RESERVE_SHARE * RETRY_SLACK * deployment.scale
                     / count as f64)
