Push a new configuration's mark whatever the gossip budget

Marks are pushed with rumors, and not at all while these have used up their budget, as for half a minute after a start of all nodes; then they ride on pings, two a second.

Change: the pushes of a new mark don't wait for the budget. Without rumors they have some 70 bytes.

--- a/crates/fescueway_membership/src/gossip_push.rs
+++ b/crates/fescueway_membership/src/gossip_push.rs
@@ -41,6 +41,9 @@
 #[derive(Clone, Debug)]
 pub struct GossipPush {
     rounds_left: u8,
+    /// Rounds left of those that carry a new mark. They are pushed whatever the budget: without
+    /// rumors a datagram is short, and marks are rare.
+    mark_rounds_left: u8,
     next_at: MonoTime,
     /// Earliest time of the next push.
     earliest_at: MonoTime,
@@ -50,6 +53,7 @@
     fn default() -> Self {
         Self {
             rounds_left: 0,
+            mark_rounds_left: 0,
             next_at: MonoTime::NEVER,
             earliest_at: MonoTime::ZERO,
         }
@@ -62,6 +66,12 @@
         self.next_at = self.next_at.min(self.earliest_at.max(now + BATCH_DELAY));
     }
 
+    /// Schedules the pushes of this node's new mark.
+    pub fn schedule_mark(&mut self, now: MonoTime) {
+        self.mark_rounds_left = PUSH_ROUNDS;
+        self.schedule(now);
+    }
+
     pub const fn next_wake(&self) -> MonoTime {
         self.next_at
     }
@@ -74,9 +84,11 @@
         }
         self.push.next_at = MonoTime::NEVER;
         self.push.earliest_at = context.now + MIN_PUSH_INTERVAL;
-        if self.gossip_budget.available(context.now) < MIN_PUSH_BUDGET_BYTES {
+        let has_budget = self.gossip_budget.available(context.now) >= MIN_PUSH_BUDGET_BYTES;
+        if !has_budget && self.push.mark_rounds_left == 0 {
             return;
         }
+        self.push.mark_rounds_left = self.push.mark_rounds_left.saturating_sub(1);
         self.push.rounds_left = self.push.rounds_left.saturating_sub(1);
         if self.push.rounds_left > 0 {
             self.push.next_at = context.now + PUSH_REPEAT_DELAY;
--- a/crates/fescueway_membership/src/member_list.rs
+++ b/crates/fescueway_membership/src/member_list.rs
@@ -256,7 +256,7 @@
         if mark.revision > self.mark.revision {
             self.mark = mark;
             self.reported_mark = self.reported_mark.max(mark);
-            self.push.schedule(now);
+            self.push.schedule_mark(now);
         }
     }
 
--- a/crates/fescueway_membership/tests/fleet_start.rs
+++ b/crates/fescueway_membership/tests/fleet_start.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 
-use fescueway_core::TargetState;
+use fescueway_core::{ConfigMark, MonoTime, TargetState};
+use fescueway_membership::MemberEvent;
 use fescueway_testkit::member_network::{MemberNetwork, address_of};
 
 /// Members of the fleet.
@@ -28,6 +29,15 @@
 /// Share of the targets that members have to know after [`KNOWN_TIMEOUT`].
 const MIN_KNOWN_SHARE: f64 = 0.95;
 
+/// Members that read a new configuration from the store.
+const WATCHERS: usize = 10;
+
+/// Time that a member needs to fetch a configuration from another one.
+const FETCH_TIME: Duration = Duration::from_millis(100);
+
+/// Time within which all members must have a new configuration: half of what its operators allow.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Starts all members. Each reads the addresses of those that started before it.
 fn start_fleet(seed: u64) -> MemberNetwork {
     let mut network = MemberNetwork::new(seed);
@@ -92,3 +102,44 @@
         check_announcements(seed, Duration::from_millis(300));
     }
 }
+
+/// Lets the watchers have a new configuration. Returns the number of members that have it after
+/// [`IN_FORCE_TIMEOUT`].
+fn spread_mark(network: &mut MemberNetwork) -> usize {
+    let mark = ConfigMark {
+        revision: 1,
+        ..ConfigMark::default()
+    };
+    let start = network.now();
+    let mut fetched_at = vec![None; MEMBERS];
+    fetched_at[..WATCHERS].fill(Some(start));
+    let mut in_force = 0;
+    while network.now().since(start) < IN_FORCE_TIMEOUT {
+        for (index, fetched_at) in fetched_at.iter_mut().enumerate() {
+            let is_known = network.members[index].newest_mark.1.revision >= mark.revision;
+            if is_known && fetched_at.is_none() {
+                *fetched_at = Some(network.now() + FETCH_TIME);
+            }
+            if fetched_at.is_some_and(|at| at <= network.now()) {
+                *fetched_at = Some(MonoTime::NEVER);
+                in_force += 1;
+                network.handle(index, MemberEvent::Mark(mark));
+            }
+        }
+        network.run_for(Duration::from_millis(10));
+    }
+    in_force
+}
+
+#[test]
+fn a_configuration_spreads_while_the_news_of_a_start_is_still_spreading() {
+    for seed in 1..=3 {
+        let mut network = start_fleet(seed);
+        announce_targets(&mut network, Duration::from_millis(2_500));
+        let in_force = spread_mark(&mut network);
+        assert_eq!(
+            in_force, MEMBERS,
+            "seed {seed}: members with the configuration after {IN_FORCE_TIMEOUT:?}"
+        );
+    }
+}
