Join by stale reads, and publish no address where there are others

Cause: a node that starts knows no other one and so took itself for a watcher: a lease, its address, the others' addresses, the document and a watch, five calls that count in full, 295 times.

Change: a starting node reads document and addresses as they were some seconds ago at most, which counts as a tenth, joins, and is no watcher before it has searched and its view has settled for a second. Only where three such reads find nobody it publishes its address, and reads again in full. A backend server that runs already is queried from the time at which the document is known, as that may come later now.

--- a/crates/fescueway_membership/src/lib.rs
+++ b/crates/fescueway_membership/src/lib.rs
@@ -50,7 +50,7 @@
     datagram::{Datagram, MessageBody},
     datagram_codec::{DatagramCodec, DatagramError, FleetSecret, MAX_DATAGRAM_BYTES},
     member_event::{DownCause, MemberAction, MemberEvent},
-    member_list::{MemberList, PING_PERIOD},
+    member_list::{MemberList, PING_PERIOD, jittered},
     member_settings::MemberSettings,
     member_state::MemberState,
     node_record::{NodeRecord, ServedService},
--- a/crates/fescuewayd/src/backend_api/reports.rs
+++ b/crates/fescuewayd/src/backend_api/reports.rs
@@ -27,8 +27,8 @@
 /// that is leaving sends no further reports, and only a few are delayed in transit.
 const REPORTS_BEFORE_TRUST: u32 = 3;
 
-/// Number of queries by which a starting node looks for a backend server that kept running. After
-/// that it waits for reports.
+/// Number of queries by which a starting node that has a configuration looks for a backend server
+/// that kept running. After that it waits for reports.
 const STARTUP_QUERIES: u32 = 10;
 
 /// Interval between these queries.
@@ -119,8 +119,12 @@
         let known = self.state.host_target(&announcement.service);
         let is_known =
             known.is_some_and(|known| known.identity() == announcement.identity.as_ref());
-        let is_startup_over = self.state.now().since(MonoTime::ZERO) >= STALE_REPORT_TIME;
-        is_known || is_startup_over || self.state.profile().identity.is_none()
+        is_known || self.is_startup_over() || self.state.profile().identity.is_none()
+    }
+
+    /// Whether no report that was sent to the previous process can arrive any more.
+    fn is_startup_over(&self) -> bool {
+        self.state.now().since(MonoTime::ZERO) >= STALE_REPORT_TIME
     }
 
     /// Queries the backend server itself whether it takes work. One that keeps reporting so is
@@ -187,10 +191,17 @@
         if self.state.profile().identity.is_none() {
             return;
         }
-        for _attempt in 0..STARTUP_QUERIES {
+        let mut queries_left = STARTUP_QUERIES;
+        while queries_left > 0 && !self.is_startup_over() {
             if self.state.host_target(&service).is_some() {
                 return;
             }
+            // Without a configuration the path of a query is unknown.
+            if !self.state.is_configured() {
+                sleep(STARTUP_QUERY_INTERVAL).await;
+                continue;
+            }
+            queries_left -= 1;
             if let Some(answer) = self.query(&service, address).await
                 && self.apply_startup_answer(&service, address, &answer)
             {
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -2,7 +2,8 @@
 //!
 //! A few nodes of each failure domain watch the store; the others learn of a newer version through
 //! the membership and fetch it from a peer that has it. A node that knows no other node watches the
-//! store itself.
+//! store itself. A node that starts reads the document once, so that a fleet that starts at once need
+//! not hand it on.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -28,6 +29,9 @@
 /// How often a node checks whether it should watch the store.
 const WATCHER_CHECK_PERIOD: Duration = Duration::from_secs(1);
 
+/// How often a node that searches for the fleet after its start checks that.
+const SEARCH_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// Timeout of fetching the document from a peer. Sized for a compressed document of 1,700 routes,
 /// about 40 kB, from a peer on a 10 Mbit/s link that serves ten other nodes at the same time.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -133,9 +137,16 @@
         }
     }
 
-    /// Watches the document while this node is a watcher.
+    /// Reads the document, then watches it while this node is a watcher.
     async fn follow_store(self, store: StoreLink) {
+        store.set_watcher(true);
+        // The store link has logged the failure. Peers know of versions that are newer.
+        let _ = self.read_stale(&store).await;
         loop {
+            if !self.members.has_searched() {
+                sleep(SEARCH_CHECK_PERIOD).await;
+                continue;
+            }
             let is_watching = self.members.is_watcher();
             store.set_watcher(is_watching);
             if is_watching {
@@ -147,6 +158,17 @@
         }
     }
 
+    /// Reads the document as it was some seconds ago at most, which the store counts as a tenth of
+    /// a read.
+    async fn read_stale(&self, store: &StoreLink) -> Result<(), StoreError> {
+        let range = KeyRange::Key(self.source.key.to_string());
+        let reading = store.client.range_stale(&range, CALL_TIMEOUT);
+        for value in &store.call(reading).await?.values {
+            self.apply_plain(&value.value);
+        }
+        Ok(())
+    }
+
     /// Reads the document and follows its changes until this node is no longer a watcher.
     async fn watch(&self, store: &StoreLink) -> Result<(), StoreError> {
         let range = KeyRange::Key(self.source.key.to_string());
--- a/crates/fescuewayd/src/member_link.rs
+++ b/crates/fescuewayd/src/member_link.rs
@@ -2,12 +2,16 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use fescueway_core::{ConfigMark, MonoTime, NodeId};
 use fescueway_membership::{
-    FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings, TrafficCounts,
+    FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings, TrafficCounts, jittered,
 };
 use fescueway_proxy::ProxyState;
 use fescueway_telemetry::{emit, events::control};
@@ -54,6 +58,8 @@
     notes: mpsc::Sender<ReceivedNote>,
     /// Retries that all entries together may make for a service beyond their share.
     retry_slack: Option<f64>,
+    /// Whether the search for the fleet after the start has ended.
+    has_searched: AtomicBool,
 }
 
 /// The state machine and its random number generator.
@@ -94,6 +100,7 @@
             newest_mark: watch::Sender::default(),
             notes,
             retry_slack: settings.retry_slack,
+            has_searched: AtomicBool::new(false),
         }));
         (link, received)
     }
@@ -157,9 +164,34 @@
         self.0.board.change(|facts| facts.traffic = counts);
     }
 
+    /// Records that the search for the fleet after the start has ended: the node has joined and
+    /// knows the others, or there seem to be none.
+    pub fn end_search(&self) {
+        self.0.has_searched.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the search for the fleet after the start has ended.
+    pub fn has_searched(&self) -> bool {
+        self.0.has_searched.load(Ordering::Relaxed)
+    }
+
+    /// The peer address of this node.
+    pub fn address(&self) -> SocketAddr {
+        self.0.proxy.options().peer_address
+    }
+
+    /// A duration drawn from half of `duration` to all of it.
+    pub fn jittered(&self, duration: Duration) -> Duration {
+        jittered(duration, &mut self.core().random)
+    }
+
     /// Whether this node is one of the few of its failure domain that watch the store: those with the
-    /// lowest ids of the live ones. While views of the membership differ, more nodes may watch.
+    /// lowest ids of the live ones. While views of the membership differ, more nodes may watch; none
+    /// does before it has searched for the fleet.
     pub fn is_watcher(&self) -> bool {
+        if !self.has_searched() {
+            return false;
+        }
         let own = self.0.proxy.node();
         let nodes = self.domain_nodes();
         let lower = nodes.iter().filter(|node| **node < own).count();
--- a/crates/fescuewayd/src/seed_task.rs
+++ b/crates/fescuewayd/src/seed_task.rs
@@ -1,10 +1,11 @@
 //! Publishes addresses in the store through which starting nodes join the fleet.
 //!
-//! A node writes its address under a lease before it reads those of others, so that of two nodes
-//! that start at the same time at least one sees the other. Only the watchers of a failure domain
-//! keep their addresses, so that the store's load grows with the number of failure domains.
+//! A node that starts reads the published addresses and joins through them. Only if it finds no
+//! other node it publishes its own, and then reads again, so that of two nodes that start at the same
+//! time at least one sees the other. Of a fleet that has joined, the watchers of each failure domain
+//! keep their addresses published. So the store's load grows with the number of failure domains.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use fescueway_membership::MemberEvent;
 use fescueway_platform::{KeyRange, LeaseId, StoreError, StoreOp, StoreTxn};
@@ -28,6 +29,24 @@
 /// How often a node that knows no other node reads the addresses.
 const SEARCH_PERIOD: Duration = Duration::from_secs(2);
 
+/// Reads of the addresses by a node that starts, before it publishes its own. These may be stale,
+/// which the store counts as a tenth of a read.
+const FIRST_READS: u32 = 3;
+
+/// Longest delay between the first two of these reads; each further one is three times as long. Of
+/// the nodes of a fleet that start together for the first time, the first to end its reads publishes
+/// its address, and most others find that.
+const FIRST_READ_DELAY: Duration = Duration::from_millis(300);
+
+/// Time within which one of the nodes whose addresses were read has to answer.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How often a starting node checks whether another one has answered.
+const JOIN_CHECK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Time after which a node that joined knows which nodes watch the store.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// Publishes this node's address and finds other nodes.
 #[derive(Debug)]
 pub struct SeedTask {
@@ -53,24 +72,23 @@
         proxy.tasks().spawn(task.run());
     }
 
-    /// Publishes the address while this node is a watcher, and searches for nodes while it knows
-    /// none.
+    /// Joins, then publishes the address while this node is a watcher, and searches for nodes while
+    /// it knows none.
     async fn run(mut self) {
-        // The first search runs in any case: a node that was found by another may know only half of
-        // the fleet.
-        let mut is_first = true;
+        if self.join().await {
+            sleep(SETTLE_TIME).await;
+        }
+        self.members.end_search();
         loop {
             if self.members.is_watcher() {
                 // The store's call budget limits the retry rate.
                 let _ = self.renew_address().await;
             }
-            let mut is_alone = self.members.live_count() < 2;
-            if is_alone || is_first {
+            if self.is_alone() {
                 // As above; the store link has logged the failure.
-                is_first = self.find_peers().await.is_err();
-                is_alone = self.members.live_count() < 2;
+                let _ = self.find_peers(false).await;
             }
-            sleep(if is_alone {
+            sleep(if self.is_alone() {
                 SEARCH_PERIOD
             } else {
                 RENEWAL_PERIOD
@@ -79,6 +97,46 @@
         }
     }
 
+    /// Joins the fleet through the published addresses, or publishes this node's address. Returns
+    /// whether it knows another node.
+    async fn join(&mut self) -> bool {
+        let mut has_seeds = false;
+        for read in 0..FIRST_READS {
+            if let Some(delays) = read.checked_sub(1) {
+                let delay = FIRST_READ_DELAY * 3_u32.pow(delays);
+                sleep(self.members.jittered(delay)).await;
+            }
+            // A failure has been logged and counts as no address.
+            has_seeds = self.find_peers(true).await.unwrap_or(false);
+            if has_seeds || !self.is_alone() {
+                break;
+            }
+        }
+        if self.has_joined(has_seeds).await {
+            return true;
+        }
+        // The store's call budget limits the retry rate; `run` tries again.
+        let _ = self.renew_address().await;
+        let has_seeds = self.find_peers(false).await.unwrap_or(false);
+        self.has_joined(has_seeds).await
+    }
+
+    /// Waits until another node is known, if there are seeds to answer. Returns whether one is.
+    async fn has_joined(&self, has_seeds: bool) -> bool {
+        let checks = JOIN_TIMEOUT.as_millis() / JOIN_CHECK_PERIOD.as_millis();
+        let mut checks_left = if has_seeds { checks } else { 0 };
+        while self.is_alone() && checks_left > 0 {
+            checks_left -= 1;
+            sleep(JOIN_CHECK_PERIOD).await;
+        }
+        !self.is_alone()
+    }
+
+    /// Whether no other live node is known.
+    fn is_alone(&self) -> bool {
+        self.members.live_count() < 2
+    }
+
     /// Renews the address, or writes it again when its lease has lapsed.
     async fn renew_address(&mut self) -> Result<(), StoreError> {
         if let Some(lease) = self.lease {
@@ -113,13 +171,15 @@
         Ok(())
     }
 
-    /// Joins the fleet through the published addresses.
-    async fn find_peers(&self) -> Result<(), StoreError> {
-        read_seeds(&self.store, &self.members, store_keys::SEEDS).await
+    /// Joins the fleet through the published addresses. Returns whether there were any.
+    async fn find_peers(&self, is_stale_allowed: bool) -> Result<bool, StoreError> {
+        let seeds = store_keys::SEEDS;
+        read_seeds(&self.store, &self.members, seeds, is_stale_allowed).await
     }
 }
 
-/// Reads the addresses under a prefix of the store, and uses them as seeds.
+/// Reads the addresses under a prefix of the store, and uses them as seeds. Returns whether there
+/// were any but this node's own.
 ///
 /// # Errors
 ///
@@ -128,13 +188,20 @@
     store: &StoreLink,
     members: &MemberLink,
     prefix: &str,
-) -> Result<(), StoreError> {
+    is_stale_allowed: bool,
+) -> Result<bool, StoreError> {
     let range = KeyRange::Prefix(prefix.to_owned());
-    let reply = store.call(store.client.range(&range, CALL_TIMEOUT)).await?;
+    let client = &store.client;
+    let reply = if is_stale_allowed {
+        store.call(client.range_stale(&range, CALL_TIMEOUT)).await?
+    } else {
+        store.call(client.range(&range, CALL_TIMEOUT)).await?
+    };
     let texts = reply.values.iter();
     let texts = texts.filter_map(|value| std::str::from_utf8(&value.value).ok());
     // Skips values that are not an address.
-    let seeds = texts.filter_map(|text| text.parse().ok()).collect();
+    let seeds: Vec<SocketAddr> = texts.filter_map(|text| text.parse().ok()).collect();
+    let has_others = seeds.iter().any(|seed| *seed != members.address());
     members.handle(MemberEvent::Seeds(seeds));
-    Ok(())
+    Ok(has_others)
 }
--- a/crates/fescuewayd/src/watch_task.rs
+++ b/crates/fescuewayd/src/watch_task.rs
@@ -262,7 +262,7 @@
                 return;
             }
             // A failure was logged by the store link, and the delay limits the retry rate.
-            let _ = read_seeds(&self.store, &self.members, store_keys::WATCHERS).await;
+            let _ = read_seeds(&self.store, &self.members, store_keys::WATCHERS, false).await;
         }
     }
 
