Separate the program's name from its options in the usage line

A line continuation in a string literal skips the blanks at the start of the next line, so the help text read "Usage: fescuewayd--settings FILE".

--- a/crates/fescuewayd/src/node_process.rs
+++ b/crates/fescuewayd/src/node_process.rs
@@ -23,9 +23,9 @@
 
 Usage: ";
 
-/// The output of `--help` after the program's name.
+/// The output of `--help` after the program's name and a space.
 const HELP: &str = "\
- --settings FILE
+--settings FILE
 
 Options:
   --settings FILE  settings in JSON with comments
@@ -91,7 +91,7 @@
             Arg::Long("settings") => file = Some(PathBuf::from(parser.value()?)),
             Arg::Long("check") => is_check = true,
             Arg::Long("help") | Arg::Short('h') => {
-                return Ok(CliCommand::Print(format!("{INTRODUCTION}{program}{HELP}")));
+                return Ok(CliCommand::Print(format!("{INTRODUCTION}{program} {HELP}")));
             }
             Arg::Long("version") => {
                 let version = format!("{program} {}\n", env!("CARGO_PKG_VERSION"));
