--- a/crates/fescuewayd/src/seed_task.rs
+++ b/crates/fescuewayd/src/seed_task.rs
@@ -29,8 +29,7 @@
 /// How often a node that knows no other node reads the addresses.
 const SEARCH_PERIOD: Duration = Duration::from_secs(2);
 
-/// Reads of the addresses by a node that starts, before it publishes its own. These may be stale,
-/// which the store counts as a tenth of a read.
+/// Stale reads of the addresses by a node that starts, before it publishes its own.
 const FIRST_READS: u32 = 3;
 
 /// Longest delay between the first two of these reads; each further one is three times as long. Of
@@ -47,6 +46,15 @@
 /// Time after which a node that joined knows which nodes watch the store.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// How recent the addresses that are read from the store have to be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SeedReading {
+    /// As they are now.
+    Current,
+    /// As they were some seconds ago at most, which the store counts as a tenth of a read.
+    Stale,
+}
+
 /// Publishes this node's address and finds other nodes.
 #[derive(Debug)]
 pub struct SeedTask {
@@ -86,7 +94,7 @@
             }
             if self.is_alone() {
                 // As above; the store link has logged the failure.
-                let _ = self.find_peers(false).await;
+                let _ = self.find_peers(SeedReading::Current).await;
             }
             sleep(if self.is_alone() {
                 SEARCH_PERIOD
@@ -107,7 +115,7 @@
                 sleep(self.members.jittered(delay)).await;
             }
             // A failure has been logged and counts as no address.
-            has_seeds = self.find_peers(true).await.unwrap_or(false);
+            has_seeds = self.find_peers(SeedReading::Stale).await.unwrap_or(false);
             if has_seeds || !self.is_alone() {
                 break;
             }
@@ -117,7 +125,7 @@
         }
         // The store's call budget limits the retry rate; `run` tries again.
         let _ = self.renew_address().await;
-        let has_seeds = self.find_peers(false).await.unwrap_or(false);
+        let has_seeds = self.find_peers(SeedReading::Current).await.unwrap_or(false);
         self.has_joined(has_seeds).await
     }
 
@@ -172,9 +180,8 @@
     }
 
     /// Joins the fleet through the published addresses. Returns whether there were any.
-    async fn find_peers(&self, is_stale_allowed: bool) -> Result<bool, StoreError> {
-        let seeds = store_keys::SEEDS;
-        read_seeds(&self.store, &self.members, seeds, is_stale_allowed).await
+    async fn find_peers(&self, reading: SeedReading) -> Result<bool, StoreError> {
+        read_seeds(&self.store, &self.members, store_keys::SEEDS, reading).await
     }
 }
 
@@ -188,14 +195,13 @@
     store: &StoreLink,
     members: &MemberLink,
     prefix: &str,
-    is_stale_allowed: bool,
+    reading: SeedReading,
 ) -> Result<bool, StoreError> {
     let range = KeyRange::Prefix(prefix.to_owned());
     let client = &store.client;
-    let reply = if is_stale_allowed {
-        store.call(client.range_stale(&range, CALL_TIMEOUT)).await?
-    } else {
-        store.call(client.range(&range, CALL_TIMEOUT)).await?
+    let reply = match reading {
+        SeedReading::Current => store.call(client.range(&range, CALL_TIMEOUT)).await?,
+        SeedReading::Stale => store.call(client.range_stale(&range, CALL_TIMEOUT)).await?,
     };
     let texts = reply.values.iter();
     let texts = texts.filter_map(|value| std::str::from_utf8(&value.value).ok());
--- a/crates/fescuewayd/src/watch_task.rs
+++ b/crates/fescuewayd/src/watch_task.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     member_link::MemberLink,
-    seed_task::read_seeds,
+    seed_task::{SeedReading, read_seeds},
     store_link::{CALL_TIMEOUT, StoreLink},
 };
 
@@ -262,7 +262,13 @@
                 return;
             }
             // A failure was logged by the store link, and the delay limits the retry rate.
-            let _ = read_seeds(&self.store, &self.members, store_keys::WATCHERS, false).await;
+            let _ = read_seeds(
+                &self.store,
+                &self.members,
+                store_keys::WATCHERS,
+                SeedReading::Current,
+            )
+            .await;
         }
     }
 
