Watch the store from eight nodes of a failure domain, not from two

What callers saw: 404 for a route that an acknowledged version had added, more than 2 s after its ack, at nodes that no disruption had touched.

Cause: two nodes of each failure domain watch the store for all others. When all of them are lost, cut off from the store or turned away by it at once, nobody watches until the failure detection has replaced them: up to 4 s.

Change: eight nodes of a failure domain watch, so that in a domain of up to eight no node depends on another's watch. Addresses are still published by two.

--- a/crates/fescueway_platform/src/store_pacer.rs
+++ b/crates/fescueway_platform/src/store_pacer.rs
@@ -19,8 +19,8 @@
 /// exponential backoff with jitter while it doesn't.
 ///
 /// The store serves about 2,000 reads a second for the whole fleet. An ordinary node may make 0.2
-/// calls a second, a watcher of a failure domain 4. With 6,000 nodes and 34 watchers, that is at
-/// most 1,336 calls a second.
+/// calls a second, a watcher of a failure domain 4. With 6,000 nodes and 136 watchers, that is at
+/// most 1,717 calls a second.
 ///
 /// ```
 /// # use fescueway_core::MonoTime;
--- a/crates/fescuewayd/src/member_link.rs
+++ b/crates/fescuewayd/src/member_link.rs
@@ -30,8 +30,12 @@
 /// only part of the fleet and so take too large a share.
 const RETRY_RESERVE_SHARE: f64 = 0.5;
 
-/// Nodes of a failure domain that watch the store.
-const WATCHERS_PER_DOMAIN: usize = 2;
+/// Nodes of a failure domain that watch the store. They replace each other only once the failure
+/// detection has noticed a loss, so a small domain has no node that depends on the others' watches.
+const WATCHERS_PER_DOMAIN: usize = 8;
+
+/// Nodes of a failure domain whose addresses are published.
+const SEEDS_PER_DOMAIN: usize = 2;
 
 /// A note with its sender.
 pub type ReceivedNote = (NodeId, Vec<u8>);
@@ -185,17 +189,27 @@
         jittered(duration, &mut self.core().random)
     }
 
-    /// Whether this node is one of the few of its failure domain that watch the store: those with the
-    /// lowest ids of the live ones. While views of the membership differ, more nodes may watch; none
-    /// does before it has searched for the fleet.
+    /// Whether this node is one of the few of its failure domain that watch the store. While views of
+    /// the membership differ, more nodes may watch; none does before it has searched for the fleet.
     pub fn is_watcher(&self) -> bool {
+        self.is_among_first(WATCHERS_PER_DOMAIN)
+    }
+
+    /// Whether this node is one of the few of its failure domain whose addresses are published.
+    pub fn is_seed(&self) -> bool {
+        self.is_among_first(SEEDS_PER_DOMAIN)
+    }
+
+    /// Whether this node has searched for the fleet, and has one of the `count` lowest ids among the
+    /// live nodes of its failure domain.
+    fn is_among_first(&self, count: usize) -> bool {
         if !self.has_searched() {
             return false;
         }
         let own = self.0.proxy.node();
         let nodes = self.domain_nodes();
         let lower = nodes.iter().filter(|node| **node < own).count();
-        lower < WATCHERS_PER_DOMAIN
+        lower < count
     }
 
     /// The live nodes of this node's failure domain, itself included, sorted.
--- a/crates/fescuewayd/src/seed_task.rs
+++ b/crates/fescuewayd/src/seed_task.rs
@@ -2,7 +2,7 @@
 //!
 //! A node that starts reads the published addresses and joins through them. Only if it finds no
 //! other node it publishes its own, and then reads again, so that of two nodes that start at the same
-//! time at least one sees the other. Of a fleet that has joined, the watchers of each failure domain
+//! time at least one sees the other. Of a fleet that has joined, two nodes of each failure domain
 //! keep their addresses published. So the store's load grows with the number of failure domains.
 
 use std::{net::SocketAddr, time::Duration};
@@ -18,7 +18,7 @@
     store_link::{CALL_TIMEOUT, StoreLink},
 };
 
-/// Lease time of an address. Longer than a watcher takes to restart, so that a whole fleet that
+/// Lease time of an address. Longer than a node takes to restart, so that a whole fleet that
 /// restarts at the same addresses finds its old ones.
 const SEED_LEASE_TTL: Duration = Duration::from_secs(30);
 
@@ -80,7 +80,7 @@
         proxy.tasks().spawn(task.run());
     }
 
-    /// Joins, then publishes the address while this node is a watcher, and searches for nodes while
+    /// Joins, then publishes the address while this node is a seed, and searches for nodes while
     /// it knows none.
     async fn run(mut self) {
         if self.join().await {
@@ -88,7 +88,7 @@
         }
         self.members.end_search();
         loop {
-            if self.members.is_watcher() {
+            if self.members.is_seed() {
                 // The store's call budget limits the retry rate.
                 let _ = self.renew_address().await;
             }
