Drop changes of other keys from a watch of one key

What callers saw: none reported it; the users name an invalid configuration that was taken. With version 9 in force, a document of version 99 written to op/config-draft was in force within a second, and version 12, written to the right key then, never was.

Cause: the store watches prefixes only, and the mapping left it to the watch's user to ignore other keys; the document's task did not. Any key that begins like the document's was read as the document.

Change: the client's watch keeps to the range that it was asked for, so no user of it has to.

Looked for elsewhere: reads name their keys, the product's own store watches one key exactly.

--- a/crates/fescueway_platform/src/store_mapping.rs
+++ b/crates/fescueway_platform/src/store_mapping.rs
@@ -85,7 +85,8 @@
     },
     /// Long polling: each call waits until there are changes or its wait is over.
     Poll {
-        /// Encodes a poll for changes from this revision on that waits at most this long.
+        /// Encodes a poll for changes from this revision on that waits at most this long. The poll may
+        /// cover further keys, whose changes are dropped.
         poll: fn(&KeyRange, i64, Duration) -> StoreCall,
         /// Decodes the changes, if any.
         read: fn(&StoreAnswer) -> Result<WatchBatch, StoreFault>,
--- a/crates/fescueway_platform/src/store_types.rs
+++ b/crates/fescueway_platform/src/store_types.rs
@@ -15,6 +15,17 @@
     Prefix(String),
 }
 
+impl KeyRange {
+    /// Whether the range covers `key`.
+    #[must_use]
+    pub fn contains(&self, key: &str) -> bool {
+        match self {
+            Self::Key(only) => only == key,
+            Self::Prefix(prefix) => key.starts_with(prefix),
+        }
+    }
+}
+
 /// A key and its value in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoreValue {
@@ -113,6 +124,17 @@
     },
 }
 
+impl WatchEvent {
+    /// The key that changed.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(value) => &value.key,
+            Self::Delete { key, .. } => key,
+        }
+    }
+}
+
 /// Changes that a watch reports together.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WatchBatch {
--- a/crates/fescueway_platform/src/store_watch.rs
+++ b/crates/fescueway_platform/src/store_watch.rs
@@ -160,7 +160,9 @@
         *waiting = None;
         let (connection, answer) = answered?;
         *sender = Some(connection);
-        let batch = read(&answer)?;
+        let mut batch = read(&answer)?;
+        // A protocol may be able to watch prefixes only.
+        batch.events.retain(|event| range.contains(event.key()));
         *from_revision = batch.revision.max(*from_revision - 1) + 1;
         Ok(batch)
     }
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -195,6 +195,7 @@
             return Ok(());
         };
         for event in batch.events {
+            // A deleted document stays in force: an accepted configuration never reverts.
             if let WatchEvent::Put(value) = event {
                 self.apply_plain(&value.value);
             }
