--- a/crates/fescueway_platform/src/store_pacer.rs
+++ b/crates/fescueway_platform/src/store_pacer.rs
@@ -13,7 +13,7 @@
 
 /// Maximum backoff of a watcher, before jitter. It can be short because watchers are few; a change
 /// made during an outage of the store has to be in force within seconds of its recovery.
-const MAX_WATCHER_BACKOFF: Duration = Duration::from_secs(2);
+const MAX_WATCHER_BACKOFF: Duration = Duration::from_secs(1);
 
 /// Limits the rate at which one node calls the store: a token bucket while the store answers, and
 /// exponential backoff with jitter while it doesn't.
--- a/crates/fescueway_platform/tests/pacing.rs
+++ b/crates/fescueway_platform/tests/pacing.rs
@@ -78,16 +78,16 @@
 }
 
 #[test]
-fn backoff_of_a_watcher_is_at_most_two_seconds() {
+fn backoff_of_a_watcher_is_at_most_one_second() {
     let mut random = Pcg64Mcg::new(9);
     let mut pacer = StorePacer::for_node(MonoTime::ZERO);
     pacer.set_role(&StorePacer::for_watcher(MonoTime::ZERO));
     let mut now = MonoTime::ZERO;
-    for _failure in 0..40 {
+    for _failure in 0..80 {
         match pacer.try_call(now) {
             Ok(()) => pacer.on_failure(now, &mut random),
             Err(retry_at) => {
-                assert!(retry_at.since(now) <= Duration::from_secs(2));
+                assert!(retry_at.since(now) <= Duration::from_secs(1));
                 now = retry_at;
             }
         }
@@ -97,3 +97,35 @@
         "an outage of {now:?} only"
     );
 }
+
+/// Timeout of a call to the store.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time after an outage until the store counts as stable again, less the time that a change needs to
+/// reach all nodes.
+const READ_TIME: Duration = Duration::from_millis(2_500);
+
+#[test]
+fn watcher_reads_the_store_in_time_after_a_silent_outage() {
+    for seed in 1..500 {
+        let mut random = Pcg64Mcg::new(seed);
+        let mut pacer = StorePacer::for_watcher(MonoTime::ZERO);
+        let outage_end = MonoTime::ZERO + Duration::from_millis(200 * seed as u64);
+        let mut now = MonoTime::ZERO;
+        // Each call that is made during the outage ends by its timeout.
+        while now < outage_end {
+            match pacer.try_call(now) {
+                Ok(()) => {
+                    now = now + CALL_TIMEOUT;
+                    pacer.on_failure(now, &mut random);
+                }
+                Err(opens_at) => now = opens_at,
+            }
+        }
+        while let Err(opens_at) = pacer.try_call(now) {
+            now = opens_at;
+        }
+        let delay = now.since(outage_end);
+        assert!(delay <= READ_TIME, "seed {seed}: {delay:?}");
+    }
+}
--- a/crates/fescuewayd/src/rollout_task.rs
+++ b/crates/fescuewayd/src/rollout_task.rs
@@ -30,6 +30,9 @@
 /// Capacity of the event queues.
 const MAX_QUEUED_EVENTS: usize = 16;
 
+/// Timeout of fetching a configuration from a peer.
+const PEER_CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Delay before a failed write of a report is retried.
 const REPORT_RETRY_PERIOD: Duration = Duration::from_secs(1);
 
@@ -213,7 +216,7 @@
             address,
             ControlKind::Config,
             request.to_bytes(),
-            CALL_TIMEOUT,
+            PEER_CALL_TIMEOUT,
         );
         let bytes = call.await.map_err(|error| error.to_string())?;
         ConfigReply::from_bytes(&bytes).map_err(|error| error.to_string())
--- a/crates/fescuewayd/src/store_link.rs
+++ b/crates/fescuewayd/src/store_link.rs
@@ -14,8 +14,9 @@
 
 use crate::{DaemonSettings, StatusBoard};
 
-/// Timeout of a call to the store.
-pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a call to the store. With the longest backoff of a watcher, it bounds how long after an
+/// outage the store is first read.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The node's connection to the store, limited to its call budget. Cheap to clone.
 #[derive(Clone, Debug)]
