Let the era of the store travel with revisions and leases

What callers saw: nothing yet. In a drill the store may come back from a copy some seconds old: revisions and leases are given out again. With our own stand-in a change at such a revision was never in force, and an address whose lease number was granted to another client never came back.

Cause: a watch goes on from a revision, and a renewal names a lease, whatever the store's data has become meanwhile. A revision that is given out again looks like the former one.

Change: StoreRevision and LeaseId are an era and a number. The client takes the era from the answers, whatever their status; where a store names none, as with etcd's protocol, a revision that falls begins a new one. In another era a watch ends, also while its poll waits; a lease has expired; a transaction that refers to a former revision or lease is not sent, and one during which the era rose has an unknown effect; late answers of the former era are dropped. A claim of a lease holder that fails for that reason begins with a new lease.

Ruled out: the revision of the product's own configuration is counted by the product, and an apply after a loss goes on above what the failure domains report; nothing else that is kept comes from the store.

--- a/crates/fescueway_platform/src/json_mapping.rs
+++ b/crates/fescueway_platform/src/json_mapping.rs
@@ -13,11 +13,13 @@
 
 use crate::{
     Compare, KeyRange, LeaseGrant, LeaseId, RangeReply, StoreAnswer, StoreCall, StoreFault,
-    StoreMapping, StoreOp, StoreTxn, StoreValue, TxnReply, WatchBatch, WatchEvent, WatchMapping,
+    StoreMapping, StoreOp, StoreRevision, StoreTxn, StoreValue, TxnReply, WatchBatch, WatchEvent,
+    WatchMapping,
 };
 
 /// The JSON mapping of etcd v3. Reads are not paginated.
 pub const ETCD_MAPPING: StoreMapping = StoreMapping {
+    read_era: |_headers| None,
     range: |page| {
         post(
             "/v3/kv/range",
@@ -42,14 +44,24 @@
         )
     },
     read_grant: |answer| Ok(lease_grant(&read_json::<RawLease>(answer)?)),
-    keep_alive: |lease| post("/v3/lease/keepalive", &json!({ "ID": lease.0.to_string() })),
+    keep_alive: |lease| {
+        post(
+            "/v3/lease/keepalive",
+            &json!({ "ID": lease.number.to_string() }),
+        )
+    },
     read_keep_alive: |_lease, answer| {
         let raw: RawStreamMessage<RawLease> = read_json(answer)?;
         let kept = raw.result.as_ref().map(lease_grant);
         let alive = kept.filter(|grant| !grant.time_to_live.is_zero());
         alive.ok_or(StoreFault::LeaseExpired)
     },
-    revoke: |lease| post("/v3/lease/revoke", &json!({ "ID": lease.0.to_string() })),
+    revoke: |lease| {
+        post(
+            "/v3/lease/revoke",
+            &json!({ "ID": lease.number.to_string() }),
+        )
+    },
     read_revoke: |answer| read_json::<Value>(answer).map(|_empty| ()),
     watch: WatchMapping::Stream {
         open: |range, from_revision| post("/v3/watch", &watch_body(range, from_revision)),
@@ -230,7 +242,7 @@
     /// The lease and the seconds until it expires.
     fn parts(&self) -> (LeaseId, u64) {
         (
-            LeaseId(self.id.0),
+            LeaseId::new(self.id.0),
             u64::try_from(self.time_to_live.0).unwrap_or(0),
         )
     }
@@ -250,9 +262,9 @@
         Ok(Self {
             key: decode_key(&raw.key)?,
             value: decode_bytes(&raw.value)?,
-            mod_revision: raw.mod_revision.0,
+            mod_revision: StoreRevision::new(raw.mod_revision.0),
             version: raw.version.0,
-            lease: (raw.lease.0 != 0).then_some(LeaseId(raw.lease.0)),
+            lease: (raw.lease.0 != 0).then_some(LeaseId::new(raw.lease.0)),
         })
     }
 }
@@ -267,7 +279,7 @@
             .map(StoreValue::try_from)
             .collect::<Result<_, _>>()?;
         Ok(Self {
-            revision: raw.header.revision.0,
+            revision: StoreRevision::new(raw.header.revision.0),
             values,
         })
     }
@@ -284,7 +296,7 @@
         let reads = ranges.map(|range| RangeReply::try_from(range).map(|reply| reply.values));
         Ok(Self {
             is_success: raw.succeeded,
-            revision: raw.header.revision.0,
+            revision: StoreRevision::new(raw.header.revision.0),
             reads: reads.collect::<Result<_, _>>()?,
         })
     }
@@ -300,7 +312,7 @@
             .map(WatchEvent::try_from)
             .collect::<Result<_, _>>()?;
         Ok(Self {
-            revision: raw.header.revision.0,
+            revision: StoreRevision::new(raw.header.revision.0),
             events,
         })
     }
@@ -314,7 +326,7 @@
             let key = decode_key(&raw.kv.key)?;
             return Ok(Self::Delete {
                 key,
-                mod_revision: raw.kv.mod_revision.0,
+                mod_revision: StoreRevision::new(raw.kv.mod_revision.0),
             });
         }
         raw.kv.try_into().map(Self::Put)
@@ -383,7 +395,7 @@
             "key": STANDARD.encode(key),
             "target": "MOD",
             "result": "EQUAL",
-            "mod_revision": revision.to_string(),
+            "mod_revision": revision.number.to_string(),
         }),
         Compare::Value(key, value) => json!({
             "key": STANDARD.encode(key),
@@ -403,7 +415,7 @@
                 "value": STANDARD.encode(value),
             });
             if let Some(lease) = lease {
-                put["lease"] = json!(lease.0.to_string());
+                put["lease"] = json!(lease.number.to_string());
             }
             json!({ "request_put": put })
         }
--- a/crates/fescueway_platform/src/lib.rs
+++ b/crates/fescueway_platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod store_call_counters;
 mod store_client;
 mod store_connection;
+mod store_era;
 mod store_error;
 mod store_mapping;
 mod store_pacer;
@@ -17,6 +18,7 @@
     json_mapping::ETCD_MAPPING,
     store_call_counters::StoreCallCount,
     store_client::{StoreClient, StoreSettings},
+    store_era::{StoreEra, StoreRevision},
     store_error::{StoreCallKind, StoreError, StoreFault},
     store_mapping::{RangePage, StoreAnswer, StoreCall, StoreMapping, WatchMapping},
     store_pacer::StorePacer,
--- a/crates/fescueway_platform/src/store_client.rs
+++ b/crates/fescueway_platform/src/store_client.rs
@@ -11,9 +11,11 @@
 
 use crate::{
     ETCD_MAPPING, KeyRange, LeaseGrant, LeaseId, RangePage, RangeReply, StoreAnswer, StoreCall,
-    StoreCallKind, StoreError, StoreFault, StoreMapping, StoreTxn, StoreWatch, TxnReply,
+    StoreCallKind, StoreEra, StoreError, StoreFault, StoreMapping, StoreRevision, StoreTxn,
+    StoreWatch, TxnReply,
     store_call_counters::{StoreCallCount, StoreCallCounters},
     store_connection::ConnectionSlot,
+    store_era::EraTracker,
 };
 
 /// Addresses of the store.
@@ -40,6 +42,9 @@
 ///
 /// It never retries a call: only its caller knows whether a write may be sent again. After a
 /// failure to connect or to receive the answer, the next call goes to the next address.
+///
+/// Revisions and leases carry the era of the store in which they were given out. In another era a
+/// lease has expired, a watch ends, and a transaction that refers to them is not sent.
 #[derive(Clone, Debug)]
 pub struct StoreClient {
     settings: StoreSettings,
@@ -54,6 +59,7 @@
     address_index: AtomicUsize,
     connection: ConnectionSlot,
     counters: StoreCallCounters,
+    era: EraTracker,
 }
 
 impl StoreClient {
@@ -108,9 +114,21 @@
         time_left: Duration,
     ) -> Result<TxnReply, StoreError> {
         let kind = StoreCallKind::Txn;
-        let call = (self.mapping.txn)(txn).map_err(|fault| self.unsent_error(kind, fault))?;
-        self.call(kind, call, time_left, self.mapping.read_txn)
-            .await
+        let sent_at = self.shared.era.newest();
+        if !txn.is_of_era(sent_at.era) {
+            return Err(self.local_error(kind, StoreFault::Restored));
+        }
+        let call = (self.mapping.txn)(txn).map_err(|fault| self.local_error(kind, fault))?;
+        let calling = self.call(kind, call, time_left, self.mapping.read_txn);
+        let (mut reply, era) = calling.await?;
+        reply.set_era(era);
+        if !txn.is_of_era(era) {
+            return Err(self.local_error(kind, StoreFault::Restored));
+        }
+        if reply.is_success {
+            self.check_revision(kind, reply.revision, sent_at)?;
+        }
+        Ok(reply)
     }
 
     /// Grants a lease that expires unless it is kept alive.
@@ -123,13 +141,11 @@
         time_left: Duration,
     ) -> Result<LeaseGrant, StoreError> {
         let call = (self.mapping.grant)(time_to_live);
-        self.call(
-            StoreCallKind::Lease,
-            call,
-            time_left,
-            self.mapping.read_grant,
-        )
-        .await
+        let kind = StoreCallKind::Lease;
+        let calling = self.call(kind, call, time_left, self.mapping.read_grant);
+        let (mut grant, era) = calling.await?;
+        grant.lease.era = era;
+        Ok(grant)
     }
 
     /// Renews a lease for another time to live.
@@ -142,9 +158,14 @@
         lease: LeaseId,
         time_left: Duration,
     ) -> Result<LeaseGrant, StoreError> {
+        self.check_lease(lease, self.shared.era.newest().era)?;
         let call = (self.mapping.keep_alive)(lease);
         let read = |answer: &StoreAnswer| (self.mapping.read_keep_alive)(lease, answer);
-        self.call(StoreCallKind::Lease, call, time_left, read).await
+        let calling = self.call(StoreCallKind::Lease, call, time_left, read);
+        let (mut grant, era) = calling.await?;
+        self.check_lease(lease, era)?;
+        grant.lease = lease;
+        Ok(grant)
     }
 
     /// Revokes a lease and deletes the keys bound to it.
@@ -157,28 +178,27 @@
         lease: LeaseId,
         time_left: Duration,
     ) -> Result<(), StoreError> {
+        self.check_lease(lease, self.shared.era.newest().era)?;
         let call = (self.mapping.revoke)(lease);
-        self.call(
-            StoreCallKind::Lease,
-            call,
-            time_left,
-            self.mapping.read_revoke,
-        )
-        .await
+        let kind = StoreCallKind::Lease;
+        let calling = self.call(kind, call, time_left, self.mapping.read_revoke);
+        calling.await.map(|((), _era)| ())
     }
 
     /// Watches keys for changes from `from_revision` on, over a connection of its own.
     ///
     /// # Errors
-    /// If the watch did not open within `time_left` or the store refused.
+    /// If the watch did not open within `time_left` or the store refused. [`StoreFault::Restored`] if
+    /// the revision is of a former era.
     pub async fn watch(
         &self,
         range: &KeyRange,
-        from_revision: i64,
+        from_revision: StoreRevision,
         time_left: Duration,
     ) -> Result<StoreWatch, StoreError> {
         let peer = self.peer();
-        let opening = StoreWatch::open(peer, &self.mapping.watch, range, from_revision);
+        let tracker = self.shared.era.clone();
+        let opening = StoreWatch::open(peer, &self.mapping, range, from_revision, tracker);
         let opened = tokio::time::timeout(time_left, opening).await;
         let timed_out = || Err(StoreFault::AnswerLost("the watch did not open".into()));
         let opened = opened.unwrap_or_else(|_elapsed| timed_out());
@@ -198,6 +218,7 @@
         let kind = StoreCallKind::Range;
         let mut merged = RangeReply::default();
         loop {
+            let sent_at = self.shared.era.newest();
             let page = RangePage {
                 range,
                 is_stale_allowed,
@@ -205,13 +226,20 @@
             };
             let call = (self.mapping.range)(&page);
             let reading = self.call(kind, call, time_left, self.mapping.read_range);
-            let (reply, has_more) = reading.await?;
+            let ((mut reply, has_more), era) = reading.await?;
+            reply.set_era(era);
+            if !is_stale_allowed {
+                self.check_revision(kind, reply.revision, sent_at)?;
+            }
             let is_empty = reply.values.is_empty();
             // The pages are not one snapshot: a watch has to start at the revision of the first
             // page.
-            if merged.revision == 0 {
+            if merged.revision.number == 0 {
                 merged.revision = reply.revision;
             }
+            if merged.revision.era != era {
+                return Err(self.local_error(kind, StoreFault::Restored));
+            }
             merged.values.extend(reply.values);
             if !has_more || is_empty {
                 return Ok(merged);
@@ -219,15 +247,16 @@
         }
     }
 
-    /// Makes one call and parses its answer.
+    /// Makes one call and parses its answer. Returns the reply with the era of the answer.
     async fn call<T>(
         &self,
         kind: StoreCallKind,
         call: StoreCall,
         time_left: Duration,
         read: impl Fn(&StoreAnswer) -> Result<T, StoreFault>,
-    ) -> Result<T, StoreError> {
+    ) -> Result<(T, StoreEra), StoreError> {
         let peer = self.peer();
+        let sent_at = self.shared.era.newest();
         let calling = self.shared.connection.call(peer, call);
         let answer = tokio::time::timeout(time_left, calling).await;
         let timed_out = || {
@@ -236,11 +265,34 @@
             )))
         };
         let answer = answer.unwrap_or_else(|_elapsed| timed_out());
-        let answer = answer.and_then(|answer| read(&answer));
+        let answer = answer.and_then(|answer| {
+            let named = (self.mapping.read_era)(&answer.headers);
+            let era = self.shared.era.observe_era(named, sent_at)?;
+            Ok((read(&answer)?, era))
+        });
         self.shared.counters.count(kind, answer.is_ok());
         answer.map_err(|fault| self.fail_call(kind, peer, fault))
     }
 
+    /// Checks that the store has not come back from an older copy, by the revision of an answer.
+    fn check_revision(
+        &self,
+        kind: StoreCallKind,
+        found: StoreRevision,
+        sent_at: StoreRevision,
+    ) -> Result<(), StoreError> {
+        let observed = self.shared.era.observe_revision(found, sent_at);
+        observed.map_err(|fault| self.local_error(kind, fault))
+    }
+
+    /// Checks that `lease` is of `era`.
+    fn check_lease(&self, lease: LeaseId, era: StoreEra) -> Result<(), StoreError> {
+        if lease.era == era {
+            return Ok(());
+        }
+        Err(self.local_error(StoreCallKind::Lease, StoreFault::LeaseExpired))
+    }
+
     /// Counts of the calls so far, by kind.
     #[must_use]
     pub fn counts(&self) -> impl IntoIterator<Item = StoreCallCount> + use<> {
@@ -266,8 +318,8 @@
         StoreError { kind, peer, fault }
     }
 
-    /// Creates the error of a call that was not sent.
-    fn unsent_error(&self, kind: StoreCallKind, fault: StoreFault) -> StoreError {
+    /// Creates the error of a call that was not sent, or whose answer is of no use.
+    fn local_error(&self, kind: StoreCallKind, fault: StoreFault) -> StoreError {
         StoreError {
             kind,
             peer: self.peer(),
--- a/crates/fescueway_platform/src/store_connection.rs
+++ b/crates/fescueway_platform/src/store_connection.rs
@@ -71,9 +71,7 @@
     call: StoreCall,
 ) -> Result<StoreAnswer, StoreFault> {
     let response = send(sender, peer, call).await?;
-    let status = response.status();
-    let body = read_answer(response).await?;
-    Ok(StoreAnswer { status, body })
+    read_answer(response).await
 }
 
 /// Makes a streaming call on a new connection. An answer with a status other than 200 is read
@@ -84,12 +82,10 @@
 ) -> Result<Result<Incoming, StoreAnswer>, StoreFault> {
     let mut sender = connect(peer).await?;
     let response = send(&mut sender, peer, call).await?;
-    let status = response.status();
-    if status == StatusCode::OK {
+    if response.status() == StatusCode::OK {
         return Ok(Ok(response.into_body()));
     }
-    let body = read_answer(response).await?;
-    Ok(Err(StoreAnswer { status, body }))
+    Ok(Err(read_answer(response).await?))
 }
 
 /// Opens a connection and spawns a task that drives it until it is closed.
@@ -143,10 +139,14 @@
     answer.map_err(|error| StoreFault::AnswerLost(error.to_string()))
 }
 
-/// Reads an answer's body.
-async fn read_answer(response: Response<Incoming>) -> Result<Bytes, StoreFault> {
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-    let collected = body.collect().await;
+/// Reads a whole answer.
+async fn read_answer(response: Response<Incoming>) -> Result<StoreAnswer, StoreFault> {
+    let (parts, body) = response.into_parts();
+    let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let whole = collected.map_err(|error| StoreFault::AnswerLost(error.to_string()))?;
-    Ok(whole.to_bytes())
+    Ok(StoreAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body: whole.to_bytes(),
+    })
 }
--- a/crates/fescueway_platform/src/store_error.rs
+++ b/crates/fescueway_platform/src/store_error.rs
@@ -47,6 +47,10 @@
     /// The watch asked for a revision that the store no longer holds.
     #[error("revisions before {0} are compacted")]
     Compacted(i64),
+    /// The store came back from an older copy since the call's revisions or lease were given out, or
+    /// while it was made; a write may have taken effect.
+    #[error("the store came back from an older copy")]
+    Restored,
     /// The lease has expired or never existed.
     #[error("the lease has expired")]
     LeaseExpired,
@@ -74,9 +78,15 @@
         matches!(self.fault, StoreFault::LeaseExpired)
     }
 
-    /// Whether a write may have taken effect although its answer was lost.
+    /// Whether the store came back from an older copy. It is healthy then.
     #[must_use]
-    pub fn is_effect_unknown(&self) -> bool {
-        matches!(self.fault, StoreFault::AnswerLost(_))
+    pub const fn is_restored(&self) -> bool {
+        matches!(self.fault, StoreFault::Restored)
+    }
+
+    /// Whether a write may have taken effect although it was not confirmed.
+    #[must_use]
+    pub const fn is_effect_unknown(&self) -> bool {
+        matches!(self.fault, StoreFault::AnswerLost(_) | StoreFault::Restored)
     }
 }
--- a/crates/fescueway_platform/src/store_mapping.rs
+++ b/crates/fescueway_platform/src/store_mapping.rs
@@ -6,10 +6,10 @@
 };
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 
 use crate::{
-    KeyRange, LeaseGrant, LeaseId, RangeReply, StoreFault, StoreTxn, TxnReply, WatchBatch,
+    KeyRange, LeaseGrant, LeaseId, RangeReply, StoreEra, StoreFault, StoreTxn, TxnReply, WatchBatch,
 };
 
 /// One HTTP call to the store.
@@ -28,6 +28,8 @@
 pub struct StoreAnswer {
     /// HTTP status.
     pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -45,8 +47,12 @@
 
 /// Mapping of the client's calls to the protocol of a store: functions that encode typed calls as
 /// HTTP calls and decode HTTP answers into typed replies, without I/O.
+///
+/// Replies are decoded in the default era; the client sets the era of the answer.
 #[derive(Clone, Copy)]
 pub struct StoreMapping {
+    /// The era that an answer names, whatever its status; `None` if the protocol has no eras.
+    pub read_era: fn(&HeaderMap) -> Option<StoreEra>,
     /// Encodes a read of one page.
     pub range: fn(&RangePage<'_>) -> StoreCall,
     /// Decodes the reply to a read, and whether another page follows.
--- a/crates/fescueway_platform/src/store_watch.rs
+++ b/crates/fescueway_platform/src/store_watch.rs
@@ -2,13 +2,15 @@
 
 use std::{net::SocketAddr, pin::Pin, time::Duration};
 
+use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::{
-    KeyRange, StoreAnswer, StoreCall, StoreCallKind, StoreError, StoreFault, WatchBatch,
-    WatchMapping,
+    KeyRange, StoreAnswer, StoreCall, StoreCallKind, StoreEra, StoreError, StoreFault,
+    StoreMapping, StoreRevision, WatchBatch, WatchMapping,
     store_connection::{Sender, connect, exchange, open_stream},
+    store_era::EraTracker,
 };
 
 /// Time that a long poll waits at the store for changes by default. Stores allow at most 30 s; shorter
@@ -30,11 +32,15 @@
 /// An open watch on the store's keys.
 ///
 /// An error ends the watch. To resume, open a new watch at the revision after that of the last
-/// batch; if that revision is compacted, read the keys again first.
+/// batch; if that revision is compacted or of a former era, read the keys again first.
 #[derive(Debug)]
 pub struct StoreWatch {
     /// Address of the store member that serves the watch.
     peer: SocketAddr,
+    /// The revision of the last batch.
+    revision: StoreRevision,
+    /// The era of the store, which other calls may find to have ended.
+    tracker: EraTracker,
     source: WatchSource,
 }
 
@@ -53,14 +59,14 @@
     Poll {
         /// The watched keys.
         range: KeyRange,
-        /// The first revision of the next poll.
-        from_revision: i64,
         /// Time that the next poll waits at the store for changes.
         wait: Duration,
         /// Encodes a poll.
         poll: fn(&KeyRange, i64, Duration) -> StoreCall,
         /// Decodes the answer to a poll.
         read: fn(&StoreAnswer) -> Result<WatchBatch, StoreFault>,
+        /// Reads the era of an answer.
+        read_era: fn(&HeaderMap) -> Option<StoreEra>,
         /// The poll in flight, if any.
         waiting: Option<PollFuture>,
         /// The connection, unless a poll is in flight.
@@ -72,17 +78,22 @@
     /// Opens a watch with the store member at `peer`.
     pub(crate) async fn open(
         peer: SocketAddr,
-        mapping: &WatchMapping,
+        mapping: &StoreMapping,
         range: &KeyRange,
-        from_revision: i64,
+        from_revision: StoreRevision,
+        tracker: EraTracker,
     ) -> Result<Self, StoreFault> {
-        let source = match *mapping {
+        let StoreRevision { era, number } = from_revision;
+        if era != tracker.newest().era {
+            return Err(StoreFault::Restored);
+        }
+        let source = match mapping.watch {
             WatchMapping::Stream {
                 open,
                 read_line,
                 read_refusal,
             } => {
-                let opened = open_stream(peer, open(range, from_revision)).await?;
+                let opened = open_stream(peer, open(range, number)).await?;
                 WatchSource::Stream {
                     stream: opened.map_err(|answer| read_refusal(&answer))?,
                     pending: Vec::new(),
@@ -91,15 +102,24 @@
             }
             WatchMapping::Poll { poll, read } => WatchSource::Poll {
                 range: range.clone(),
-                from_revision,
                 wait: POLL_WAIT,
                 poll,
                 read,
+                read_era: mapping.read_era,
                 waiting: None,
                 sender: Some(connect(peer).await?),
             },
         };
-        Ok(Self { peer, source })
+        let revision = StoreRevision {
+            era,
+            number: number - 1,
+        };
+        Ok(Self {
+            peer,
+            revision,
+            tracker,
+            source,
+        })
     }
 
     /// Sets the time that a poll waits at the store, from the next poll on. A lost answer is noticed
@@ -117,10 +137,15 @@
     ///
     /// # Errors
     /// If the watch ended; [`StoreFault::Compacted`] if it asked for changes that the store no
-    /// longer holds.
+    /// longer holds, [`StoreFault::Restored`] if the store came back from an older copy.
     pub async fn next(&mut self, idle_limit: Duration) -> Result<Option<WatchBatch>, StoreError> {
-        let peer = self.peer;
-        let waiting = self.source.next_batch(peer);
+        let (peer, tracker, era) = (self.peer, self.tracker.clone(), self.revision.era);
+        let waiting = async {
+            tokio::select! {
+                batch = self.next_batch() => batch,
+                () = tracker.wait_for_end(era) => Err(StoreFault::Restored),
+            }
+        };
         match tokio::time::timeout(idle_limit, waiting).await {
             Ok(Ok(batch)) => Ok(Some(batch)),
             Ok(Err(fault)) => Err(StoreError {
@@ -131,20 +156,25 @@
             Err(_elapsed) => Ok(None),
         }
     }
-}
 
-impl WatchSource {
     /// Waits for the next changes.
-    async fn next_batch(&mut self, peer: SocketAddr) -> Result<WatchBatch, StoreFault> {
+    async fn next_batch(&mut self) -> Result<WatchBatch, StoreFault> {
         loop {
-            let batch = match self {
-                Self::Stream {
+            let mut batch = match &mut self.source {
+                WatchSource::Stream {
                     stream,
                     pending,
                     read_line,
                 } => read_line(&next_line(stream, pending).await?)?,
-                Self::Poll { .. } => self.poll_once(peer).await?,
+                WatchSource::Poll { .. } => self.poll_once().await?,
             };
+            batch.set_era(self.revision.era);
+            // A line that only confirms the watch may have no revision.
+            if batch.revision.number > 0 {
+                self.tracker
+                    .observe_revision(batch.revision, self.revision)?;
+                self.revision.number = self.revision.number.max(batch.revision.number);
+            }
             if !batch.events.is_empty() {
                 return Ok(batch);
             }
@@ -152,31 +182,39 @@
     }
 
     /// Waits for the answer to one poll. The batch is empty if the wait of the poll was over.
-    async fn poll_once(&mut self, peer: SocketAddr) -> Result<WatchBatch, StoreFault> {
-        let Self::Poll {
+    async fn poll_once(&mut self) -> Result<WatchBatch, StoreFault> {
+        let WatchSource::Poll {
             range,
-            from_revision,
             wait,
             poll,
             read,
+            read_era,
             waiting,
             sender,
-        } = self
+        } = &mut self.source
         else {
             return Ok(WatchBatch::default());
         };
         let polling = waiting.get_or_insert_with(|| {
-            let call = poll(range, *from_revision, *wait);
-            Box::pin(poll_store(peer, sender.take(), call, *wait + POLL_GRACE))
+            let call = poll(range, self.revision.next().number, *wait);
+            Box::pin(poll_store(
+                self.peer,
+                sender.take(),
+                call,
+                *wait + POLL_GRACE,
+            ))
         });
         let answered = polling.as_mut().await;
         *waiting = None;
         let (connection, answer) = answered?;
         *sender = Some(connection);
+        let named = read_era(&answer.headers);
+        if self.tracker.observe_era(named, self.revision)? != self.revision.era {
+            return Err(StoreFault::Restored);
+        }
         let mut batch = read(&answer)?;
         // A protocol may be able to watch prefixes only.
         batch.events.retain(|event| range.contains(event.key()));
-        *from_revision = batch.revision.max(*from_revision - 1) + 1;
         Ok(batch)
     }
 }
--- a/crates/fescueway_platform/tests/store_calls.rs
+++ b/crates/fescueway_platform/tests/store_calls.rs
@@ -99,7 +99,7 @@
     let range = KeyRange::Prefix("a/".into());
     let start_revision = client.range(&range, TIME_LEFT).await.expect("up").revision;
     let mut watch = client
-        .watch(&range, start_revision + 1, TIME_LEFT)
+        .watch(&range, start_revision.next(), TIME_LEFT)
         .await
         .expect("up");
     client
@@ -124,7 +124,7 @@
         .await
         .expect("up");
     let mut resumed = client
-        .watch(&range, batch.revision + 1, TIME_LEFT)
+        .watch(&range, batch.revision.next(), TIME_LEFT)
         .await
         .expect("up");
     let missed = resumed
@@ -136,7 +136,7 @@
 
     store.compact();
     let mut late = client
-        .watch(&range, start_revision + 1, TIME_LEFT)
+        .watch(&range, start_revision.next(), TIME_LEFT)
         .await
         .expect("up");
     let error = late.next(TIME_LEFT).await.expect_err("compacted");
@@ -196,3 +196,50 @@
         .expect("up");
     assert!(reply.values.is_empty());
 }
+
+#[tokio::test]
+async fn what_was_derived_before_a_revision_fell_is_not_used_any_more() {
+    let (store, client) = start().await;
+    client
+        .commit(&create_txn("k", "one"), TIME_LEFT)
+        .await
+        .expect("up");
+    store.copy();
+    let grant = client
+        .grant_lease(Duration::from_secs(5), TIME_LEFT)
+        .await
+        .expect("up");
+    for count in 0..3 {
+        let txn = StoreTxn {
+            then: vec![put("k", &count.to_string())],
+            ..StoreTxn::default()
+        };
+        client.commit(&txn, TIME_LEFT).await.expect("up");
+    }
+    let key = KeyRange::Key("k".into());
+    let before = client.range(&key, TIME_LEFT).await.expect("up");
+    let mut watch = client
+        .watch(&key, before.revision.next(), TIME_LEFT)
+        .await
+        .expect("open");
+    store.restore();
+    let fallen = client.range(&key, TIME_LEFT).await.expect_err("fallen");
+    assert_eq!(fallen.fault, StoreFault::Restored);
+    let after = client.range(&key, TIME_LEFT).await.expect("up");
+    assert_eq!(after.values[0].value, b"one");
+    assert!(after.revision.era > before.revision.era);
+    let ended = watch.next(TIME_LEFT).await.expect_err("ended");
+    assert_eq!(ended.fault, StoreFault::Restored);
+    let renewal = client.keep_lease_alive(grant.lease, TIME_LEFT).await;
+    assert_eq!(renewal.expect_err("ended").fault, StoreFault::LeaseExpired);
+    let fenced = StoreTxn {
+        compares: vec![Compare::ModRevision(
+            "k".into(),
+            before.values[0].mod_revision,
+        )],
+        then: vec![put("k", "fenced")],
+        ..StoreTxn::default()
+    };
+    let refused = client.commit(&fenced, TIME_LEFT).await.expect_err("unsent");
+    assert_eq!(refused.fault, StoreFault::Restored);
+}
--- a/crates/fescueway_rollout/src/apply_txn.rs
+++ b/crates/fescueway_rollout/src/apply_txn.rs
@@ -6,7 +6,9 @@
 };
 
 use fescueway_core::{ServiceName, SiteName};
-use fescueway_platform::{Compare, KeyRange, StoreOp, StoreTxn, StoreValue, TxnReply};
+use fescueway_platform::{
+    Compare, KeyRange, StoreOp, StoreRevision, StoreTxn, StoreValue, TxnReply,
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{ApplyPlan, ConfigHead, HistoryEntry, SiteDigest, SiteIndex, store_keys};
@@ -37,7 +39,7 @@
     /// The head, `None` before the first configuration.
     pub head: Option<ConfigHead>,
     /// Store revision at which the head was last written.
-    pub mod_revision: i64,
+    pub mod_revision: StoreRevision,
     /// Keys of all values and indexes that the head refers to.
     pub keys: BTreeSet<String>,
     /// Replaced keys whose retention has ended.
--- a/crates/fescueway_rollout/src/lease_holder.rs
+++ b/crates/fescueway_rollout/src/lease_holder.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use fescueway_core::MonoTime;
-use fescueway_platform::{Compare, KeyRange, LeaseGrant, LeaseId, StoreOp, StoreTxn, TxnReply};
+use fescueway_platform::{
+    Compare, KeyRange, LeaseGrant, LeaseId, StoreOp, StoreRevision, StoreTxn, TxnReply,
+};
 use statig::prelude::*;
 
 /// Time to live of a lease without keep-alive.
@@ -210,7 +212,7 @@
                 let holding = epoch.map(|epoch| State::holding(*lease, epoch, *expires_at));
                 Transition(holding.unwrap_or_else(State::campaigning))
             }
-            LeaseEvent::Failed { .. } if *context < *expires_at => {
+            LeaseEvent::Failed { is_lapsed: false } if *context < *expires_at => {
                 self.schedule_next_call(*context);
                 Handled
             }
@@ -226,7 +228,7 @@
     fn holding(
         &mut self,
         lease: &LeaseId,
-        epoch: &i64,
+        epoch: &StoreRevision,
         expires_at: &MonoTime,
         event: &LeaseEvent,
         context: &mut MonoTime,
@@ -268,7 +270,7 @@
 }
 
 /// The key's epoch, which is its mod revision. `None` when the key isn't attached to `lease`.
-fn parse_epoch(reply: &TxnReply, lease: LeaseId) -> Option<i64> {
+fn parse_epoch(reply: &TxnReply, lease: LeaseId) -> Option<StoreRevision> {
     if reply.is_success {
         return Some(reply.revision);
     }
--- a/crates/fescueway_rollout/tests/apply.rs
+++ b/crates/fescueway_rollout/tests/apply.rs
@@ -7,7 +7,7 @@
 use common::{SITE, TIMEOUT, accept, client, config, plan, reply};
 use fescueway_config::ServiceDigest;
 use fescueway_core::{MonoTime, SiteName};
-use fescueway_platform::{KeyRange, StoreClient, StoreOp, StoreTxn};
+use fescueway_platform::{KeyRange, StoreClient, StoreOp, StoreRevision, StoreTxn};
 use fescueway_rollout::{
     ApplyAction, ApplyAttempt, ApplyEvent, ApplyOutcome, DomainReport, RolloutAction, RolloutEvent,
     RolloutState, SiteIndex, driver, store_keys,
@@ -340,7 +340,7 @@
                     let stored = StoreValue {
                         key: key.clone(),
                         value: value.clone(),
-                        mod_revision: self.revision,
+                        mod_revision: StoreRevision::new(self.revision),
                         version: 1,
                         lease: *lease,
                     };
@@ -360,7 +360,7 @@
         }
         TxnReply {
             is_success,
-            revision: self.revision,
+            revision: StoreRevision::new(self.revision),
             reads,
         }
     }
--- a/crates/fescueway_testkit/src/store_server.rs
+++ b/crates/fescueway_testkit/src/store_server.rs
@@ -58,6 +58,8 @@
     pub(crate) data: StoreData,
     /// The snapshot that stale reads return.
     stale: StoreData,
+    /// The copy that the data can be replaced by.
+    copy: StoreData,
     faults: StoreFaults,
     tally: StoreTally,
     second_start: Option<Instant>,
@@ -134,6 +136,18 @@
         self.state.lock().data.compact();
     }
 
+    /// Copies the data, without the leases.
+    pub fn copy(&self) {
+        let mut inner = self.state.lock();
+        inner.copy = inner.data.snapshot();
+    }
+
+    /// Replaces the data by its last copy. Open watches stay open.
+    pub fn restore(&self) {
+        let mut inner = self.state.lock();
+        inner.data = inner.copy.snapshot();
+    }
+
     /// Expires all leases at once.
     pub fn expire_leases(&self) {
         self.state.lock().data.expire_all();
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -181,7 +181,7 @@
         for value in &reply.values {
             self.apply_plain(&value.value);
         }
-        let watch_call = client.watch(&range, reply.revision + 1, CALL_TIMEOUT);
+        let watch_call = client.watch(&range, reply.revision.next(), CALL_TIMEOUT);
         let mut watch = store.call(watch_call).await?;
         let is_first = self.members.is_first_watcher();
         if is_first {
@@ -190,7 +190,8 @@
         while self.members.is_watcher() && self.members.is_first_watcher() == is_first {
             let applied = self.apply_changes(&mut watch).await;
             if let Err(error) = applied {
-                // After a lost answer, the read that follows at once tells whether the store answers.
+                // After a lost answer or another era, the document is read at once. That read tells
+                // whether the store answers.
                 if !error.is_effect_unknown() {
                     store.record_result(Some(&error));
                 }
--- a/crates/fescuewayd/src/store_link.rs
+++ b/crates/fescuewayd/src/store_link.rs
@@ -89,9 +89,9 @@
         result
     }
 
-    /// Records whether the store answered. A lapsed lease counts as an answer.
+    /// Records whether the store answered. A lapsed lease and another era count as an answer.
     pub fn record_result(&self, error: Option<&StoreError>) {
-        let error = error.filter(|error| !error.is_lease_expired());
+        let error = error.filter(|error| !error.is_lease_expired() && !error.is_restored());
         let state = match error {
             None => StoreState::Reachable,
             Some(_) => StoreState::Unreachable,
--- a/crates/fescuewayd/src/watch_task.rs
+++ b/crates/fescuewayd/src/watch_task.rs
@@ -219,7 +219,9 @@
             }
         };
         self.store.record_result(answer.as_ref().err());
-        let is_lapsed = answer.as_ref().is_err_and(StoreError::is_lease_expired);
+        let is_lapsed = answer
+            .as_ref()
+            .is_err_and(|error| error.is_lease_expired() || error.is_restored());
         answer.unwrap_or(LeaseEvent::Failed { is_lapsed })
     }
 
@@ -242,7 +244,7 @@
         let reply = self.store.call(client.range(&range, CALL_TIMEOUT)).await?;
         let values = reply.values.iter();
         send_heads(heads, values.map(|value| &*value.value)).await;
-        let watch = client.watch(&range, reply.revision + 1, CALL_TIMEOUT);
+        let watch = client.watch(&range, reply.revision.next(), CALL_TIMEOUT);
         let mut watch = self.store.call(watch).await?;
         while let Some(batch) = watch.next(WATCH_IDLE_TIMEOUT).await? {
             let values = batch.events.iter().filter_map(|event| match event {
