Skip items of the store that can't be decoded

What callers saw: another operator reported machines that stopped following a list after an odd entry in it. Here nodes that started while the list of published addresses had such an item found no other node, ever.

Cause: the items of a page, and the changes of a poll, were decoded into one result, so one item that isn't base64, has a number out of range or a field of another type failed the whole answer, on each try again. A deeply nested field made the JSON parser refuse the answer as a whole.

Change: each item is parsed by itself from its raw text; what can't be decoded is skipped with one line (E2024).

Looked for elsewhere: records and claims were decoded one by one already; reports of targets carry one target each.

--- a/crates/fescueway_telemetry/src/events/control.rs
+++ b/crates/fescueway_telemetry/src/events/control.rs
@@ -17,6 +17,7 @@
     &STORE_REACHABLE,
     &WATCH_STARTED,
     &WATCH_ENDED,
+    &STORE_ITEM_IGNORED,
 ];
 
 /// Another node is up.
@@ -117,3 +118,12 @@
     fields: &["slot"],
     advice: "Nothing; another node of the failure domain takes over.",
 };
+
+/// An item in an answer of the store can't be decoded. The other items are used.
+pub const STORE_ITEM_IGNORED: EventKind = EventKind {
+    number: 2024,
+    level: Level::Warn,
+    summary: "item of the store ignored",
+    fields: &["error"],
+    advice: "Find the writer of the key, or delete it. The other keys are read as usual.",
+};
