Reopen a watch that has missed a change which a peer told of

Cause: the store was silent at 4.2 s and came back from older copies at 4.0 and 6.3 s; the node's poll, which waits 25 s as that of any watcher but the first, heard nothing since. Changes until 9.2 s reached it from its peers, which hid that its watch was deaf; at 9.2 s all peers were paused, and it had no other source.

Evidence: its log has version 26 at 34.6 s and 29 at 40.0 s (wall clock), when the peers went on.

Change: a watch that reports nothing for a second, while the node has a newer version from a peer than it ever reported, is opened again with a read.

--- a/crates/fescueway_platform/src/store_watch.rs
+++ b/crates/fescueway_platform/src/store_watch.rs
@@ -18,7 +18,7 @@
 const POLL_WAIT: Duration = Duration::from_secs(25);
 
 /// Time that a poll may take in addition to its wait.
-const POLL_GRACE: Duration = Duration::from_millis(750);
+const POLL_GRACE: Duration = Duration::from_millis(500);
 
 /// Maximum length of a line of a stream.
 const MAX_LINE_BYTES: usize = 64 << 20;
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -12,7 +12,7 @@
 
 use fescueway_core::ConfigMark;
 use fescueway_membership::MemberEvent;
-use fescueway_platform::{KeyRange, StoreError, StoreWatch, WatchEvent};
+use fescueway_platform::{KeyRange, StoreError, WatchBatch, WatchEvent};
 use fescueway_proxy::ProxyState;
 use fescueway_telemetry::{emit, events::control};
 use fescueway_wire::ControlKind;
@@ -34,7 +34,7 @@
 
 /// Time that the polls of a failure domain's first watcher wait for changes. With the time that a poll
 /// may take longer, it bounds how long a lost notification goes unnoticed by all watchers.
-const FIRST_POLL_WAIT: Duration = Duration::from_millis(1_500);
+const FIRST_POLL_WAIT: Duration = Duration::from_millis(1_250);
 
 /// Timeout of fetching the document from a peer. Sized for a compressed document of 1,700 routes,
 /// about 40 kB, from a peer on a 10 Mbit/s link that serves ten other nodes at the same time.
@@ -131,8 +131,8 @@
             .await
         {
             Ok(compressed) => {
-                let is_applied = self.apply_compressed(&compressed);
-                is_applied.then_some(()).ok_or(UNREADABLE_RETRY_DELAY)
+                let version = self.apply_compressed(&compressed);
+                version.map(|_| ()).ok_or(UNREADABLE_RETRY_DELAY)
             }
             Err(error) => {
                 emit(&control::CONFIG_FETCH_FAILED, &[&version, &"peer", &error]);
@@ -187,59 +187,65 @@
         if is_first {
             watch.set_poll_wait(FIRST_POLL_WAIT);
         }
+        let mut watched_version = self.held().version();
         while self.members.is_watcher() && self.members.is_first_watcher() == is_first {
-            let applied = self.apply_changes(&mut watch).await;
-            if let Err(error) = applied {
-                // After a lost answer or another era, the document is read at once. That read tells
-                // whether the store answers.
-                if !error.is_effect_unknown() {
-                    store.record_result(Some(&error));
+            let is_behind = self.held().version() > watched_version;
+            match watch.next(WATCHER_CHECK_PERIOD).await {
+                Ok(Some(batch)) => {
+                    let newest = self.apply_batch(batch);
+                    watched_version = newest.unwrap_or_default().max(watched_version);
+                }
+                // A peer told of a change that this watch has missed, so it is broken.
+                Ok(None) if is_behind => return Ok(()),
+                Ok(None) => {}
+                Err(error) => {
+                    // After a lost answer or another era, the document is read at once. That read
+                    // tells whether the store answers.
+                    if !error.is_effect_unknown() {
+                        store.record_result(Some(&error));
+                    }
+                    return Err(error);
                 }
-                return Err(error);
             }
         }
         Ok(())
     }
 
-    /// Applies the changes of one check period.
-    async fn apply_changes(&self, watch: &mut StoreWatch) -> Result<(), StoreError> {
-        let Some(batch) = watch.next(WATCHER_CHECK_PERIOD).await? else {
-            return Ok(());
-        };
-        for event in batch.events {
+    /// Applies the changes that a watch reported. Returns the newest version among them.
+    fn apply_batch(&self, batch: WatchBatch) -> Option<u64> {
+        let versions = batch.events.into_iter().filter_map(|event| match event {
+            WatchEvent::Put(value) => self.apply_plain(&value.value),
             // A deleted document stays in force: an accepted configuration never reverts.
-            if let WatchEvent::Put(value) = event {
-                self.apply_plain(&value.value);
-            }
-        }
-        Ok(())
+            WatchEvent::Delete { .. } => None,
+        });
+        versions.max()
     }
 
-    /// Applies a compressed document from a peer. Returns whether it could be read.
-    fn apply_compressed(&self, bytes: &[u8]) -> bool {
+    /// Applies a compressed document from a peer. Returns its version if it could be read.
+    fn apply_compressed(&self, bytes: &[u8]) -> Option<u64> {
         match decompress(bytes) {
             Ok(plain) => {
                 self.put_in_force(&plain, |held, version| held.set_compressed(version, bytes))
             }
             Err(reason) => {
                 emit(&control::CONFIG_REJECTED, &[&"unknown", &reason]);
-                false
+                None
             }
         }
     }
 
-    /// Applies a plain document from the store. Returns whether it could be read.
-    fn apply_plain(&self, plain: &[u8]) -> bool {
+    /// Applies a plain document from the store. Returns its version if it could be read.
+    fn apply_plain(&self, plain: &[u8]) -> Option<u64> {
         self.put_in_force(plain, |held, version| held.set_plain(version, plain))
     }
 
     /// Puts a document in force unless `replace` reports that it is not newer than the current one.
-    /// Returns whether it could be read.
+    /// Returns its version if it could be read.
     fn put_in_force(
         &self,
         bytes: &[u8],
         replace: impl FnOnce(&mut HeldDocument, u64) -> bool,
-    ) -> bool {
+    ) -> Option<u64> {
         let read = (self.source.read)(&self.proxy.options().site, bytes);
         let PlanDocument { version, plan } = match read {
             Ok(document) => document,
@@ -247,12 +253,12 @@
                 emit(&control::CONFIG_REJECTED, &[&"unknown", &reason]);
                 self.board
                     .change(|facts| facts.config_error = Some(reason.clone()));
-                return false;
+                return None;
             }
         };
         let is_newer = replace(&mut self.held(), version);
         if !is_newer {
-            return true;
+            return Some(version);
         }
         let (services, now) = (plan.services.len(), self.proxy.now());
         self.proxy.apply_plan(Arc::new(plan));
@@ -268,7 +274,7 @@
             facts.in_force_at = now;
             facts.config_error = None;
         });
-        true
+        Some(version)
     }
 
     /// Locks the document in force.
