Let an answer without a revision begin no era

Found while reading the change: a store without eras whose answer to the read of an absent key names no revision would have looked as if its revision had fallen to zero, at each such read. A revision of zero tells nothing now, for reads as for the lines that confirm a watch.

--- a/crates/fescueway_platform/src/store_era.rs
+++ b/crates/fescueway_platform/src/store_era.rs
@@ -91,7 +91,7 @@
     }
 
     /// Records the store revision of an answer that must not be older than what was known when the call
-    /// was sent.
+    /// was sent. Zero stands for an answer without a revision.
     ///
     /// # Errors
     /// If the revision has fallen although the store names no eras: it came back from an older copy.
@@ -100,6 +100,9 @@
         found: StoreRevision,
         sent_at: StoreRevision,
     ) -> Result<(), StoreFault> {
+        if found.number == 0 {
+            return Ok(());
+        }
         let is_lower = found.era == sent_at.era && found.number < sent_at.number;
         let has_ended = self.newest.send_if_modified(|newest| {
             let revision = &mut newest.revision;
--- a/crates/fescueway_platform/src/store_watch.rs
+++ b/crates/fescueway_platform/src/store_watch.rs
@@ -170,11 +170,9 @@
             };
             batch.set_era(self.revision.era);
             // A line that only confirms the watch may have no revision.
-            if batch.revision.number > 0 {
-                self.tracker
-                    .observe_revision(batch.revision, self.revision)?;
-                self.revision.number = self.revision.number.max(batch.revision.number);
-            }
+            self.tracker
+                .observe_revision(batch.revision, self.revision)?;
+            self.revision.number = self.revision.number.max(batch.revision.number);
             if !batch.events.is_empty() {
                 return Ok(batch);
             }
--- a/crates/fescueway_platform/tests/store_calls.rs
+++ b/crates/fescueway_platform/tests/store_calls.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use fescueway_platform::{
-    Compare, KeyRange, StoreClient, StoreFault, StoreOp, StoreSettings, StoreTxn, WatchEvent,
+    Compare, ETCD_MAPPING, KeyRange, StoreClient, StoreFault, StoreMapping, StoreOp, StoreRevision,
+    StoreSettings, StoreTxn, WatchEvent,
 };
 use fescueway_testkit::{StoreFaults, StoreStub};
 
@@ -243,3 +244,27 @@
     let refused = client.commit(&fenced, TIME_LEFT).await.expect_err("unsent");
     assert_eq!(refused.fault, StoreFault::Restored);
 }
+
+#[tokio::test]
+async fn answer_without_a_revision_does_not_begin_an_era() {
+    let (store, _client) = start().await;
+    let settings = StoreSettings::try_from(vec![store.address()]).expect("one address");
+    let mapping = StoreMapping {
+        read_range: |answer| {
+            let (mut reply, has_more) = (ETCD_MAPPING.read_range)(answer)?;
+            if reply.values.is_empty() {
+                reply.revision = StoreRevision::default();
+            }
+            Ok((reply, has_more))
+        },
+        ..ETCD_MAPPING
+    };
+    let client = StoreClient::with_mapping(settings, mapping);
+    let created = client.commit(&create_txn("k", "one"), TIME_LEFT).await;
+    let era = created.expect("up").revision.era;
+    let absent = KeyRange::Key("absent".into());
+    client.range(&absent, TIME_LEFT).await.expect("no key");
+    let key = KeyRange::Key("k".into());
+    let found = client.range(&key, TIME_LEFT).await.expect("up");
+    assert_eq!(found.revision.era, era);
+}
