--- a/review/stand-ins/client.rs
+++ b/review/stand-ins/client.rs
@@ -27,6 +27,11 @@
 impl Client {
     /// Sends a GET and waits for its answer. Returns the status, `None` without a whole answer.
     pub fn get(&self, path: &str, limit_ms: u64) -> Option<u16> {
+        self.send("GET", path, b"", limit_ms)
+    }
+
+    /// Sends a request and waits for its answer. Returns the status, `None` without a whole answer.
+    pub fn send(&self, method: &str, path: &str, body: &[u8], limit_ms: u64) -> Option<u16> {
         let number = self.numbers.fetch_add(1, Ordering::SeqCst);
         let id = format!("{:016x}", 0x9c41_d07b_0000_0000 + number);
         let limit = limit_ms.to_string();
@@ -35,10 +40,11 @@
             ("X-Fescueway-Attempt-Id", id.as_str()),
             ("X-Fescueway-Deadline-Ms", &limit),
         ];
-        self.record.line(&format!("client sends {id} GET {path}"));
-        let start = format!("GET {path} HTTP/1.1");
+        self.record
+            .line(&format!("client sends {id} {method} {path}"));
+        let start = format!("{method} {path} HTTP/1.1");
         let time = Duration::from_millis(limit_ms) + GRACE;
-        let answer = call(self.address, &start, &fields, b"", time).ok();
+        let answer = call(self.address, &start, &fields, body, time).ok();
         let status = answer.map(|answer| answer.status());
         self.record.line(&match status {
             Some(status) => format!("client gets {status} for {id}"),
--- a/review/stand-ins/http.rs
+++ b/review/stand-ins/http.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{self, Read, Write},
     net::{SocketAddr, TcpStream},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// A message with a head and a body.
@@ -43,8 +43,14 @@
 
 /// Reads one message whose body has a length. `None` if the connection ends before its first byte.
 pub fn read_message(stream: &mut TcpStream) -> io::Result<Option<Message>> {
+    read_until(stream, None)
+}
+
+/// Reads one message, at most until `end`.
+fn read_until(stream: &mut TcpStream, end: Option<Instant>) -> io::Result<Option<Message>> {
     let mut head = Vec::new();
     let mut byte = [0];
+    limit_read(stream, end)?;
     while !head.ends_with(b"\r\n\r\n") {
         if stream.read(&mut byte)? == 0 {
             let is_empty = head.is_empty();
@@ -70,10 +76,26 @@
     }
     let length = message.field("content-length").parse().unwrap_or(0);
     message.body = vec![0; length];
-    stream.read_exact(&mut message.body)?;
+    let mut filled = 0;
+    while filled < length {
+        limit_read(stream, end)?;
+        match stream.read(&mut message.body[filled..])? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            count => filled += count,
+        }
+    }
     Ok(Some(message))
 }
 
+/// Limits the next read to the time until `end`.
+fn limit_read(stream: &TcpStream, end: Option<Instant>) -> io::Result<()> {
+    let Some(end) = end else {
+        return Ok(());
+    };
+    let left = end.saturating_duration_since(Instant::now());
+    stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))
+}
+
 /// Writes one message with the length of its body.
 pub fn write_message(
     stream: &mut TcpStream,
@@ -81,14 +103,19 @@
     fields: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
+    let text = head_text(start, fields, body.len());
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes)
+}
+
+/// The head of a message with a body of this length.
+pub fn head_text(start: &str, fields: &[(&str, &str)], length: usize) -> String {
     let mut text = format!("{start}\r\n");
     for (name, value) in fields {
         text += &format!("{name}: {value}\r\n");
     }
-    text += &format!("Content-Length: {}\r\n\r\n", body.len());
-    let mut bytes = text.into_bytes();
-    bytes.extend_from_slice(body);
-    stream.write_all(&bytes)
+    text + &format!("Content-Length: {length}\r\n\r\n")
 }
 
 /// Sends a request on a new connection and waits for its response.
@@ -101,7 +128,7 @@
 ) -> io::Result<Message> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(limit))?;
+    let end = Instant::now() + limit;
     write_message(&mut stream, start, fields, body)?;
-    read_message(&mut stream)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    read_until(&mut stream, Some(end))?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -34,6 +34,8 @@
     ));
     let playing = record.clone();
     let played = panic::catch_unwind(move || match script.as_str() {
+        "silent-bookings" => scripts::silent_bookings::play(&playing, is_troubled),
+        "silent-answers" => scripts::silent_answers::play(&playing, is_troubled),
         "lost-answer" => scripts::lost_answer::play(&playing, is_troubled),
         "clock-step" => scripts::clock_step::play(&playing, is_troubled),
         "same-read" => scripts::same_read::play(&playing, is_troubled),
--- a/review/stand-ins/scripts/same_read.rs
+++ b/review/stand-ins/scripts/same_read.rs
@@ -1,15 +1,12 @@
 //! The targets of a service crash at once while clients read the same path.
 
 use std::{
-    sync::{
-        atomic::{AtomicU64, Ordering},
-        Arc,
-    },
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
 
-use super::{unix_ms, DOCUMENT, HOST};
+use super::{served_share, unix_ms, KindCount, DOCUMENT, HOST};
 use crate::{
     client::Client,
     record::Record,
@@ -29,12 +26,6 @@
 /// Time between two requests of a kind.
 const PERIOD: Duration = Duration::from_millis(33);
 
-#[derive(Default)]
-struct KindCount {
-    asked: AtomicU64,
-    served: AtomicU64,
-}
-
 pub fn play(record: &Record, is_troubled: bool) -> Verdict {
     let mut site = Site::start(DOCUMENT);
     let machines = [
@@ -110,14 +101,8 @@
     for target in &targets {
         target.crash();
     }
-    let share = |counts: &[&KindCount]| {
-        let sum = |count: fn(&KindCount) -> &AtomicU64| {
-            let values = counts.iter().map(|kind| count(kind).load(Ordering::SeqCst));
-            values.sum::<u64>() as f64
-        };
-        sum(|kind| &kind.served) / sum(|kind| &kind.asked).max(1.0)
-    };
-    let (window_share, all_share) = (share(&[&windows]), share(&[&windows, &histories]));
+    let window_share = served_share(&[&windows]);
+    let all_share = served_share(&[&windows, &histories]);
     let text = format!(
         "of shift-window-read {window_share:.2} were served, of all requests {all_share:.2}"
     );
@@ -140,9 +125,7 @@
 ) -> thread::JoinHandle<()> {
     let (client, kind) = (client.clone(), Arc::clone(kind));
     thread::spawn(move || {
-        kind.asked.fetch_add(1, Ordering::SeqCst);
-        if client.get(&path, limit_ms) == Some(200) {
-            kind.served.fetch_add(1, Ordering::SeqCst);
-        }
+        let status = client.get(&path, limit_ms);
+        kind.count(status);
     })
 }
--- a/review/stand-ins/target.rs
+++ b/review/stand-ins/target.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a target beside a node: serves requests, and reports to its node.
 
 use std::{
+    io::Write,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -11,12 +12,15 @@
 };
 
 use crate::{
-    http::{call, read_message, write_message, Message},
+    http::{call, head_text, read_message, write_message, Message},
     record::Record,
 };
 
 const SLOTS: u32 = 9;
 const BEAT_PERIOD: Duration = Duration::from_millis(1_500);
+/// Pieces in which a slow body is sent.
+const PIECES: u64 = 10;
+
 const STEP: Duration = Duration::from_millis(10);
 
 /// What becomes of a request that the target has run.
@@ -25,6 +29,8 @@
     Answer,
     /// The connection closes without an answer.
     CloseConnection,
+    /// No answer ever comes, and the connection stays open.
+    Silence,
 }
 
 /// One request that reached the target and wasn't rejected.
@@ -55,6 +61,9 @@
     running: AtomicU32,
     sequence: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
+    /// Connections with a lower number are silent: nothing passes on them in either direction.
+    silent_below: AtomicU64,
+    last_connection: AtomicU64,
     arrivals: Mutex<Vec<Arrival>>,
 }
 
@@ -90,6 +99,8 @@
             running: AtomicU32::new(0),
             sequence: AtomicU64::new(0),
             connections: Mutex::default(),
+            silent_below: AtomicU64::new(0),
+            last_connection: AtomicU64::new(0),
             arrivals: Mutex::default(),
         }))
     }
@@ -131,6 +142,15 @@
         }
     }
 
+    /// All open connections go silent for good, without a reset. New ones work.
+    pub fn silence_connections(&self) {
+        let state = &self.0;
+        let next = state.last_connection.load(Ordering::SeqCst) + 1;
+        state.silent_below.store(next, Ordering::SeqCst);
+        let text = format!("the connections of target {} go silent", self.id());
+        state.record.line(&text);
+    }
+
     /// Reports that it is leaving. Returns the time of the acknowledgement.
     pub fn drain(&self) -> Option<f64> {
         self.0.is_draining.store(true, Ordering::SeqCst);
@@ -208,8 +228,10 @@
     }
 
     fn serve(&self, mut stream: TcpStream, serial: u64) {
+        let number = self.0.last_connection.fetch_add(1, Ordering::SeqCst) + 1;
         while let Ok(Some(request)) = read_message(&mut stream) {
-            if self.is_over(serial) || !self.answer(&mut stream, &request, serial) {
+            self.wait_while_silent(number, serial);
+            if self.is_over(serial) || !self.answer(&mut stream, &request, serial, number) {
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
             }
@@ -217,7 +239,7 @@
     }
 
     /// Answers one request. Returns whether the connection stays open.
-    fn answer(&self, stream: &mut TcpStream, request: &Message, serial: u64) -> bool {
+    fn answer(&self, stream: &mut TcpStream, request: &Message, serial: u64, number: u64) -> bool {
         let state = &self.0;
         let boot_id = self.id();
         let running = state.running.load(Ordering::SeqCst);
@@ -281,6 +303,12 @@
         match ending {
             Ending::Answer => {}
             Ending::CloseConnection => return false,
+            Ending::Silence => {
+                while !self.is_over(serial) && !is_closed(stream) {
+                    thread::sleep(STEP);
+                }
+                return false;
+            }
         }
         let status = if is_in_time { 200 } else { 504 };
         let seal = format!("seal-{boot_id}-{id}");
@@ -289,16 +317,38 @@
             ("X-Fescueway-Response-Seal", &seal),
             ("X-Fescueway-Server-Load", &load),
         ];
-        let body = format!("the answer to {id}\n");
+        let body = format!("the answer to {id}\n").repeat(PIECES as usize);
         let start = format!("HTTP/1.1 {status} Ran");
-        write_message(stream, &start, &fields, body.as_bytes()).is_ok()
+        let stream_ms: u64 = path_number(&path, 's').unwrap_or(0);
+        if stream_ms == 0 {
+            self.wait_while_silent(number, serial);
+            return write_message(stream, &start, &fields, body.as_bytes()).is_ok();
+        }
+        let head = head_text(&start, &fields, body.len());
+        if stream.write_all(head.as_bytes()).is_err() {
+            return false;
+        }
+        for piece in body.as_bytes().chunks(body.len() / PIECES as usize) {
+            thread::sleep(Duration::from_millis(stream_ms / PIECES));
+            self.wait_while_silent(number, serial);
+            if stream.write_all(piece).is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns once the connection isn't silent, which is when this boot of the target is over.
+    fn wait_while_silent(&self, number: u64, serial: u64) {
+        while number < self.0.silent_below.load(Ordering::SeqCst) && !self.is_over(serial) {
+            thread::sleep(STEP);
+        }
     }
 
     /// Works as long as the path says (`/w160/` is 160 ms), at most until the time limit. Returns
     /// whether it was in time, `None` if the connection closed or the target ended.
     fn work(&self, stream: &TcpStream, path: &str, limit_ms: u64, serial: u64) -> Option<bool> {
-        let mut parts = path.split('/').filter_map(|part| part.strip_prefix('w'));
-        let work_ms = parts.find_map(|part| part.parse().ok()).unwrap_or(0);
+        let work_ms = path_number(path, 'w').unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(work_ms.min(limit_ms));
         while Instant::now() < end {
             if self.is_over(serial) || is_closed(stream) {
@@ -311,6 +361,12 @@
     }
 }
 
+/// The number in a path after `/` and a letter.
+fn path_number(path: &str, letter: char) -> Option<u64> {
+    let mut parts = path.split('/').filter_map(|part| part.strip_prefix(letter));
+    parts.find_map(|part| part.parse().ok())
+}
+
 /// Whether the other side has closed the connection.
 fn is_closed(stream: &TcpStream) -> bool {
     let mut byte = [0];
