--- a/review/stand-ins/scripts/clock_step.rs
+++ b/review/stand-ins/scripts/clock_step.rs
@@ -1,6 +1,10 @@
 //! The time of day jumps back between two boots of a target under the same `Id`.
 
-use std::{sync::Arc, thread, time::Duration};
+use std::{
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
 
 use super::{unix_ms, DOCUMENT, DRAIN_S, HOST};
 use crate::{
@@ -24,10 +28,10 @@
         .into_iter()
         .enumerate()
         .map(|(node, zone)| {
-            site.start_node("history-svc", zone);
+            site.start_node("booking-svc", zone);
             let (address, reports) = (site.target_address(node), site.backends(node));
             let policy = |_: &Target, _: &crate::http::Message| Ending::Answer;
-            Target::new("history-svc", zone, address, reports, record, policy)
+            Target::new("booking-svc", zone, address, reports, record, policy)
         })
         .collect();
     targets[1].start("i-7f3a91c1", unix_ms());
@@ -53,25 +57,25 @@
             numbers: Arc::clone(&numbers),
         })
         .collect();
-    send_reads(&clients, 2.0);
+    finish(send_bookings(&clients, 2.0));
     let Some(acked) = targets[0].drain() else {
         return Verdict::NotPlayed("the leaving target got no acknowledgement".to_owned());
     };
-    // The target serves on for DrainMs and a little longer.
-    send_reads(&clients, 5.0);
+    // The target serves on for DrainMs and a little longer, and ends.
+    let sending = send_bookings(&clients, 5.0);
+    targets[0].crash();
+    let lost = finish(sending);
     let arrivals = targets[0].arrivals();
     let late = arrivals
         .iter()
         .filter(|arrival| arrival.at > acked + DRAIN_S);
     let late: Vec<_> = late.collect();
     let is_running = site.is_running();
-    for target in &targets {
-        target.crash();
-    }
+    targets[1].crash();
     match late.last() {
         Some(last) => Verdict::Broken(format!(
-            "DRAIN: {} requests reached {SAME_ID} later than {DRAIN_S} s after the \
-             acknowledgement, the last one {:.2} s after it",
+            "DRAIN: {} bookings reached {SAME_ID} later than {DRAIN_S} s after the \
+             acknowledgement, the last one {:.2} s after it; {lost} bookings got no success, as it ended",
             late.len(),
             last.at - acked
         )),
@@ -80,18 +84,25 @@
     }
 }
 
-/// Sends 20 reads a second through the clients in turn, for some seconds.
-fn send_reads(clients: &[Client], seconds: f64) {
+/// Sends 20 bookings a second through the clients in turn, for some seconds.
+fn send_bookings(clients: &[Client], seconds: f64) -> Vec<JoinHandle<Option<u16>>> {
     let count = (seconds * 20.0) as usize;
-    let reads: Vec<_> = (0..count)
-        .map(|number| {
-            let client = clients[number % clients.len()].clone();
-            let read = thread::spawn(move || client.get(&format!("/hist/w100/{number}"), 5_000));
-            thread::sleep(Duration::from_millis(50));
-            read
-        })
-        .collect();
-    for read in reads {
-        let _ = read.join();
-    }
+    let bookings = (0..count).map(|number| {
+        let client = clients[number % clients.len()].clone();
+        let booking = thread::spawn(move || {
+            let body = format!("possession {number}");
+            client.send("POST", "/book/w300/possessions", body.as_bytes(), 1_500)
+        });
+        thread::sleep(Duration::from_millis(50));
+        booking
+    });
+    bookings.collect()
+}
+
+/// Waits for the answers. Returns how many bookings got no success.
+fn finish(bookings: Vec<JoinHandle<Option<u16>>>) -> usize {
+    let statuses = bookings.into_iter().map(|booking| booking.join());
+    statuses
+        .filter(|status| !matches!(status, Ok(Some(200))))
+        .count()
 }
