--- a/review/stand-ins/scripts/silent_bookings.rs
+++ b/review/stand-ins/scripts/silent_bookings.rs
@@ -17,7 +17,7 @@
 
 /// Time with traffic, and when the connections go silent in it.
 const LENGTH: Duration = Duration::from_secs(70);
-const SILENT_AT: Duration = Duration::from_secs(8);
+const SILENT_AT: [Duration; 2] = [Duration::from_secs(8), Duration::from_secs(14)];
 
 /// Time after which what was in flight then has ended.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
@@ -71,16 +71,16 @@
     let start = Instant::now();
     let mut sending = Vec::new();
     let mut number = 0;
-    let mut is_silent = false;
+    let mut silences = 0;
     while start.elapsed() < LENGTH {
         let since = start.elapsed();
-        if is_troubled && !is_silent && since >= SILENT_AT {
-            is_silent = true;
+        if is_troubled && SILENT_AT.get(silences).is_some_and(|at| since >= *at) {
+            silences += 1;
             for target in &targets {
                 target.silence_connections();
             }
         }
-        let is_over = since >= SILENT_AT + SETTLE_TIME;
+        let is_over = since >= SILENT_AT[1] + SETTLE_TIME;
         let (client, kind) = (
             clients[number % clients.len()].clone(),
             Arc::clone(&bookings),
@@ -118,7 +118,7 @@
     let all_share = served_share(&[&bookings, &reads]);
     let text = format!(
         "of possession-booking {booking_share:.2} were served ({:.2} of those sent 2 s after the \
-         silence or later), of all requests {all_share:.2}",
+         second silence or later), of all requests {all_share:.2}",
         served_share(&[&after])
     );
     record.line(&text);
