Order the starts of a backend server by more than its wall clock

What callers saw: a target that starts again under its Id after the clock of its machine was set back is acknowledged as draining and goes on getting bookings, 26 to 30 of them later than DrainMs, and 2 or 3 are lost when it ends.

Cause: BackendRegistry ordered two starts of one Id by `born`, a time of day. A lower one counted as a late report for ever, and the answer to an ignored report was the same 200 as to an accepted one.

Change: a start is later if the clock says so and it was not in use before. Where these disagree, the target's own health answer has to confirm the report, or three reports in a row without one of the start in use. This covers a restart under another Id and a clock set forward and back. A report is acknowledged only if it is in force; others get 409 and E1012. A leave may name its start; one that doesn't no longer ends a later start for good.

A late report of a replaced start revives nothing (delayed_reports_of_a_replaced_instance_never_end_a_drain).

--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -113,6 +113,16 @@
     advice: "Nothing. It gets no new requests until another backend server is announced there.",
 };
 
+/// A report of a backend server was not acknowledged. Logged once a second for each backend server.
+pub const REPORT_NOT_ACKNOWLEDGED: EventKind = EventKind {
+    number: 1012,
+    level: Level::Info,
+    summary: "a report of a backend server was not acknowledged",
+    fields: &["identity", "born_ms", "sequence", "draining", "suppressed"],
+    advice: "Nothing, unless it repeats. Another instance is in use: the report was delayed, or the wall clock was \
+             set back between two starts. In the latter case the next reports take effect.",
+};
+
 /// Every event of this area.
 pub const ALL: &[&EventKind] = &[
     &ACCEPT_FAILED,
@@ -126,4 +136,5 @@
     &SERVER_LIMIT_CHANGED,
     &SERVER_STATEMENT_INVALID,
     &SERVER_LEAVING,
+    &REPORT_NOT_ACKNOWLEDGED,
 ];
--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -70,6 +70,8 @@
     read_call: Option<CallReader>,
     /// Limits the log lines about unreadable calls.
     log_limit: Arc<SourceRateLimit<String>>,
+    /// Limits the log lines about reports that are not acknowledged.
+    report_log_limit: Arc<SourceRateLimit<String>>,
     /// The identity that is being verified, and the number of its reports so far.
     unverified: Arc<Mutex<(Option<HeaderValue>, u32)>>,
     /// The registry of backend server instances, fed by their reports.
@@ -95,6 +97,7 @@
             service: settings.caller_service.clone(),
             read_call,
             log_limit: Arc::new(SourceRateLimit::new(&path::BACKEND_CALL_INVALID)),
+            report_log_limit: Arc::new(SourceRateLimit::new(&path::REPORT_NOT_ACKNOWLEDGED)),
             unverified: Arc::default(),
             registry: Arc::default(),
             deadlines: Arc::default(),
--- a/crates/fescuewayd/src/backend_api/reports.rs
+++ b/crates/fescuewayd/src/backend_api/reports.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt::Display,
     net::SocketAddr,
     sync::{Arc, MutexGuard, PoisonError},
     time::Duration,
@@ -52,10 +53,10 @@
                     return Some(self.refuse(request, &reason));
                 }
                 self.handle_report(&report, &announcement);
-                Some(json(&BTreeMap::<&str, &str>::new()))
+                Some(self.acknowledge(&report))
             }
-            Ok(BackendCall::Leave(identity)) => {
-                self.handle_leave(&identity);
+            Ok(BackendCall::Leave { identity, born_ms }) => {
+                self.handle_leave(&identity, born_ms);
                 Some(json(&BTreeMap::<&str, &str>::new()))
             }
             Err(CallError::OtherPath) => None,
@@ -63,6 +64,23 @@
         }
     }
 
+    /// Acknowledges a report if what it states is in force.
+    fn acknowledge(&self, report: &BackendReport) -> LocalAnswer {
+        if self.registry().is_in_force(report) {
+            return json(&BTreeMap::<&str, &str>::new());
+        }
+        let (now, identity) = (self.state.now(), &report.identity);
+        let fields: &[&dyn Display] = &[
+            identity,
+            &report.born_ms,
+            &report.sequence,
+            &report.is_draining,
+        ];
+        self.report_log_limit.emit(now, identity.clone(), fields);
+        let line = "the report is outdated, or not confirmed by the backend server yet";
+        text(StatusCode::CONFLICT, line)
+    }
+
     /// Rejects an invalid call, and logs it.
     fn refuse(&self, request: &LocalRequest, reason: &str) -> LocalAnswer {
         let now = self.state.now();
@@ -94,19 +112,50 @@
     /// before it is acknowledged.
     fn handle_report(&self, report: &BackendReport, announcement: &BackendAnnouncement) {
         let outcome = self.registry().report(report);
-        let service = &announcement.service;
         match outcome {
             ReportOutcome::Serves if self.is_verified(announcement) => self.apply(announcement),
             ReportOutcome::Serves => {
                 let verification = self.clone().verify(announcement.clone());
                 self.state.tasks().spawn(verification);
             }
-            ReportOutcome::Drains if self.state.host_target(service).is_some() => {
-                self.apply(announcement);
-                self.drains.drain_backend(service);
+            ReportOutcome::Drains => self.apply_drain(announcement),
+            ReportOutcome::Unconfirmed => {
+                let confirmation = self.clone().confirm(report.clone(), announcement.clone());
+                self.state.tasks().spawn(confirmation);
+            }
+            ReportOutcome::Stale => {}
+        }
+    }
+
+    /// Drains a backend server at its own request.
+    fn apply_drain(&self, announcement: &BackendAnnouncement) {
+        let service = &announcement.service;
+        // An unknown backend server that is draining was never offered any work.
+        if self.state.host_target(service).is_some() {
+            self.apply(announcement);
+            self.drains.drain_backend(service);
+        }
+    }
+
+    /// Queries the backend server whether it agrees with a report of unknown order, and if so applies
+    /// the report.
+    async fn confirm(self, report: BackendReport, announcement: BackendAnnouncement) {
+        let answer = self.query(&announcement.service, announcement.address);
+        let Some(answer) = answer.await else {
+            return;
+        };
+        let is_sender = self.answer_identity(&answer) == announcement.identity.as_ref();
+        if !is_sender || answer.status.is_success() == report.is_draining {
+            return;
+        }
+        let outcome = self.registry().confirm(&report);
+        match outcome {
+            ReportOutcome::Serves => {
+                self.apply(&announcement);
+                self.learn_statement(&announcement.service, &answer);
             }
-            // An unknown backend server that is draining was never offered any work.
-            ReportOutcome::Drains | ReportOutcome::Stale => {}
+            ReportOutcome::Drains => self.apply_drain(&announcement),
+            ReportOutcome::Unconfirmed | ReportOutcome::Stale => {}
         }
     }
 
@@ -264,8 +313,8 @@
     }
 
     /// Handles the leave call of a backend server.
-    fn handle_leave(&self, identity: &str) {
-        if !self.registry().leave(identity) {
+    fn handle_leave(&self, identity: &str, born_ms: Option<u64>) {
+        if !self.registry().leave(identity, born_ms) {
             return;
         }
         let has_identity = |service: &ServiceName| {
--- a/crates/fescuewayd/src/node_adapter.rs
+++ b/crates/fescuewayd/src/node_adapter.rs
@@ -54,8 +54,13 @@
 pub enum BackendCall {
     /// The backend server reports its state.
     Report(BackendReport, BackendAnnouncement),
-    /// The backend server with this identity has left.
-    Leave(String),
+    /// A backend server has left.
+    Leave {
+        /// Its identity.
+        identity: String,
+        /// When it started, in milliseconds of its VM's wall clock; `None` if it doesn't tell.
+        born_ms: Option<u64>,
+    },
 }
 
 /// Why a call of a backend server is rejected.
