Repeat a request whose answer was lost only by its entry

Cause: BackendPool::send sent a request again on a new connection if a kept one closed without an answer, however long it had run. Nothing asked for drain, slot, rate limit, retry budget, MaxAttempts or time left.

A retry may return to the target that lost the answer if no other is left, on a new connection, so that idle connections that close still lose no request. A retry without a target left takes no token any more.

--- a/crates/fescueway_proxy/src/body/host_body.rs
+++ b/crates/fescueway_proxy/src/body/host_body.rs
@@ -19,19 +19,6 @@
     Peer(Box<PeerBody>),
 }
 
-impl HostBody {
-    /// Copies the body to send it again, `None` if it can be read only once.
-    #[must_use]
-    pub fn replay(&self) -> Option<Self> {
-        match self {
-            Self::Local(RequestBody::Streaming(_)) => None,
-            Self::Local(body) => Some(Self::Local(body.clone())),
-            Self::Peer(body) if body.is_end_stream() => Some(Self::Local(RequestBody::Empty)),
-            Self::Peer(_) => None,
-        }
-    }
-}
-
 impl Body for HostBody {
     type Data = Bytes;
     type Error = BodyError;
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -2,7 +2,7 @@
 
 use std::{pin::pin, time::Duration};
 
-use fescueway_core::{MonoTime, NodeId, Outcome, Refusal, RefusalReason, RequestTerms};
+use fescueway_core::{MonoTime, NodeId, OfferCause, Outcome, Refusal, RefusalReason, RequestTerms};
 use fescueway_routing::{HandedOver, OfferPermit, PickResult};
 use http::{Response, StatusCode};
 use tokio::time::{sleep, timeout_at};
@@ -37,6 +37,8 @@
     objective_deadline: Option<MonoTime>,
     /// Hosts that received an offer, in order.
     tried: Vec<NodeId>,
+    /// The host that lost the answer to the latest offer, if that is how it ended.
+    lost_at: Option<NodeId>,
     /// How the latest offer failed; `None` before the first failure.
     last_offer: Option<LastOffer>,
     /// Offers left, hedges included.
@@ -66,6 +68,7 @@
             request,
             id,
             tried: Vec::new(),
+            lost_at: None,
             last_offer: None,
             hedges: 0,
             refusal: None,
@@ -105,6 +108,7 @@
                 cause: failure_cause(&end),
                 took: self.state.now().since(start),
             });
+            self.lost_at = matches!(end, AttemptEnd::Lost(_)).then_some(target);
             terms = match end {
                 AttemptEnd::Refused(refusal, terms) => {
                     self.refusal = Some(refusal);
@@ -142,7 +146,7 @@
         terms.time_left = self.deadline.since(now);
         terms.objective = self.objective_deadline.map(|end| end.since(now));
         terms.offers_left = terms.offers_left.min(self.offers_left);
-        match self.state.routes().pick(now, terms, &self.tried) {
+        match self.pick_target(now, terms) {
             PickResult::Refuse(refusal) => Err(refusal),
             PickResult::Offer(permit) => {
                 if let Some(last_offer) = &self.last_offer {
@@ -163,6 +167,26 @@
         }
     }
 
+    /// Picks a target that was not tried. Without one, a retry may return to the target that lost the
+    /// answer: it may only have closed an idle connection.
+    fn pick_target(&self, now: MonoTime, terms: RequestTerms) -> PickResult {
+        let routes = self.state.routes();
+        let is_retry = terms.cause == OfferCause::Retried;
+        let last_resort = self.lost_at.filter(|_| is_retry);
+        let last_resort = last_resort.map(|lost_at| (lost_at, terms.clone()));
+        let picked = routes.pick(now, terms, &self.tried);
+        match (&picked, last_resort) {
+            (PickResult::Refuse(refusal), Some((lost_at, terms)))
+                if refusal.reason == RefusalReason::NoTarget =>
+            {
+                let others = self.tried.iter().filter(|node| **node != lost_at);
+                let others: Vec<_> = others.copied().collect();
+                routes.pick(now, terms, &others)
+            }
+            _ => picked,
+        }
+    }
+
     /// Makes an offer, and hedges it with a second one when the first is slow.
     async fn attempt_hedged(&mut self, permit: OfferPermit) -> AttemptEnd {
         let (state, deadline) = (self.state, self.deadline);
--- a/crates/fescueway_proxy/src/host/backend_pool.rs
+++ b/crates/fescueway_proxy/src/host/backend_pool.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use fescueway_core::Idempotency;
+use fescueway_core::{Idempotency, RequestTerms};
 use http::{Request, Response};
 use hyper::{
     body::Incoming,
@@ -118,16 +118,14 @@
     ///
     /// The backend server may close a keep-alive connection while a request is being sent on it,
     /// and then it is unknown whether the request ran. A non-idempotent request therefore always
-    /// gets a new connection.
+    /// gets a new connection, and so does one whose answer was lost before.
     ///
     /// # Errors
     ///
     /// If the backend server can't be reached. Nothing was sent in this case.
-    pub async fn checkout(&self, kind: Idempotency) -> Result<BackendConnection, BackendError> {
-        let reused = match kind {
-            Idempotency::Idempotent => self.take_idle(),
-            Idempotency::NonIdempotent => None,
-        };
+    pub async fn checkout(&self, terms: &RequestTerms) -> Result<BackendConnection, BackendError> {
+        let may_reuse = terms.idempotency == Idempotency::Idempotent && terms.lost_runs == 0;
+        let reused = may_reuse.then(|| self.take_idle()).flatten();
         match reused {
             Some(sender) => Ok(BackendConnection {
                 sender,
@@ -139,8 +137,9 @@
 
     /// Sends `request` on `connection` and waits for the head of the response.
     ///
-    /// Only idempotent requests use keep-alive connections. If one closes before the response, the
-    /// request is retried on a new connection, provided that its body can be sent again.
+    /// If a keep-alive connection closed before any byte was sent, the request is sent on a new
+    /// connection. A request that may have run is never repeated here: that is up to its entry, which
+    /// asks the retry budget and the gate again.
     ///
     /// # Errors
     ///
@@ -150,25 +149,13 @@
         mut connection: BackendConnection,
         request: Request<HostBody>,
     ) -> Result<(Response<Incoming>, BackendConnection), BackendError> {
-        if !connection.is_reused {
-            let response = self.send_once(&mut connection, request).await;
-            return response
-                .map(|response| (response, connection))
-                .map_err(|failure| failure.error);
-        }
-        let replay = replay(&request);
-        let failure = match self.send_once(&mut connection, request).await {
-            Ok(response) => return Ok((response, connection)),
-            Err(failure) => failure,
-        };
-        match (failure.unsent, replay) {
-            (Some(request), _) => self.send_fresh(request).await,
-            // The first attempt may have run, so its error is returned if the second one fails.
-            (None, Some(request)) => self
-                .send_fresh(request)
-                .await
-                .map_err(|_second| failure.error),
-            (None, None) => Err(failure.error),
+        match self.send_once(&mut connection, request).await {
+            Ok(response) => Ok((response, connection)),
+            Err(SendFailure {
+                unsent: Some(request),
+                ..
+            }) if connection.is_reused => self.send_fresh(request).await,
+            Err(failure) => Err(failure.error),
         }
     }
 
@@ -305,12 +292,3 @@
         _ => BackendStep::Receive,
     }
 }
-
-/// Copies the request, `None` if its body can be read only once.
-fn replay(request: &Request<HostBody>) -> Option<Request<HostBody>> {
-    let mut copy = Request::new(request.body().replay()?);
-    request.method().clone_into(copy.method_mut());
-    request.uri().clone_into(copy.uri_mut());
-    request.headers().clone_into(copy.headers_mut());
-    Some(copy)
-}
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -77,7 +77,7 @@
                 return Err(denial);
             }
         }
-        match target.pool().checkout(terms.idempotency).await {
+        match target.pool().checkout(terms).await {
             Ok(connection) => Ok(Self { ticket, connection }),
             Err(_unreachable) => {
                 ticket.finish(RunEnd::Lost);
--- a/crates/fescueway_routing/src/offer_budget.rs
+++ b/crates/fescueway_routing/src/offer_budget.rs
@@ -55,12 +55,13 @@
         self.tokens >= 1.0
     }
 
-    /// Takes one token, within the overdraft. Returns whether there was one.
-    pub(crate) fn try_withdraw(&mut self) -> bool {
-        let is_available = self.tokens + self.max_debt >= 1.0;
-        if is_available {
-            self.tokens -= 1.0;
-        }
-        is_available
+    /// Whether a token is available within the overdraft.
+    pub(crate) fn may_withdraw(&self) -> bool {
+        self.tokens + self.max_debt >= 1.0
+    }
+
+    /// Takes one token. Call [`Self::may_withdraw`] first.
+    pub(crate) fn withdraw(&mut self) {
+        self.tokens -= 1.0;
     }
 }
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -157,9 +157,13 @@
         if terms.cause == OfferCause::Hedged && !self.is_slow(now, tried.last()) {
             return PickResult::Refuse(self.refusal(RefusalReason::BudgetSpent));
         }
-        if terms.offers_left == 0 || !self.charge(terms.cause) {
+        if terms.offers_left == 0 || !self.may_charge(terms.cause) {
             return PickResult::Refuse(self.refusal(RefusalReason::BudgetSpent));
         }
+        if terms.cause == OfferCause::First {
+            self.refusal_budget.deposit(self.plan.refusal_share);
+            self.retry_budget.deposit(self.plan.budget_share);
+        }
         let transfer_us = self.transfer_us(terms.work_kind);
         let context = PickContext {
             now,
@@ -170,6 +174,7 @@
         let Some(choice) = choice else {
             return PickResult::Refuse(self.refusal(RefusalReason::NoTarget));
         };
+        self.charge(terms.cause);
         terms.offers_left -= 1;
         let is_same_domain = self.views[choice.best].is_same_domain;
         let saved_us = if is_same_domain { transfer_us } else { 0.0 };
@@ -248,16 +253,21 @@
         })
     }
 
-    /// Charges an offer to its budget. Returns whether the offer may be made.
-    fn charge(&mut self, cause: OfferCause) -> bool {
+    /// Whether the budget allows an offer.
+    fn may_charge(&self, cause: OfferCause) -> bool {
         match cause {
-            OfferCause::First => {
-                self.refusal_budget.deposit(self.plan.refusal_share);
-                self.retry_budget.deposit(self.plan.budget_share);
-                true
-            }
-            OfferCause::Refused => self.refusal_budget.try_withdraw(),
-            OfferCause::Retried | OfferCause::Hedged => self.retry_budget.try_withdraw(),
+            OfferCause::First => true,
+            OfferCause::Refused => self.refusal_budget.may_withdraw(),
+            OfferCause::Retried | OfferCause::Hedged => self.retry_budget.may_withdraw(),
+        }
+    }
+
+    /// Charges an offer to its budget.
+    fn charge(&mut self, cause: OfferCause) {
+        match cause {
+            OfferCause::First => {}
+            OfferCause::Refused => self.refusal_budget.withdraw(),
+            OfferCause::Retried | OfferCause::Hedged => self.retry_budget.withdraw(),
         }
     }
 
