Hand a backend server only the time that is left after the wait for a slot

What callers saw: nothing, but a target went on with a request after its caller had given up, by up to the wait at the gate.

Cause: the header field and the time limit of the run used the time left at the arrival of the offer, and the deadline that nested calls inherit as well.

Evidence: a read with 1,900 ms that waited some 650 ms for a slot was handed 1,899 ms (time_left_of_a_request_excludes_its_wait_for_a_slot).

Change: the host turns the time left into a deadline when an offer arrives.

--- a/crates/fescueway_proxy/src/host/host_offer.rs
+++ b/crates/fescueway_proxy/src/host/host_offer.rs
@@ -24,7 +24,7 @@
     let Some(target) = state.host_target(&offer.terms.service) else {
         return OfferAnswer::refused(unknown_service(), None);
     };
-    let request = HostRequest::from_offer(offer);
+    let request = HostRequest::from_offer(state.now(), offer);
     learn_notice(state, &target, &request);
     let mut trace = state.log().offer_received(state.now(), &request);
     let run = match HostRun::prepare(state.checks(), &target, &request).await {
@@ -65,7 +65,7 @@
 ) {
     let (host, is_body_held) = (head.host, head.is_body_held);
     state.record_entry(head.entry);
-    let request = HostRequest::from_head(head);
+    let request = HostRequest::from_head(state.now(), head);
     let target = state.host_target(&request.terms.service);
     let target = target.filter(|_| host == state.node());
     let Some(target) = target else {
@@ -113,10 +113,11 @@
 async fn run_within_deadline(
     state: &ProxyState,
     run: HostRun,
-    request: HostRequest,
+    mut request: HostRequest,
     body: HostBody,
 ) -> RunAnswer {
-    let time_left = request.terms.time_left;
+    let time_left = request.deadline.since(state.now());
+    request.terms.time_left = time_left;
     let is_detached = request.terms.idempotency == Idempotency::NonIdempotent;
     let address = run.target().pool().address();
     let running = run.run(state.clone(), request, body);
--- a/crates/fescueway_proxy/src/offer_request.rs
+++ b/crates/fescueway_proxy/src/offer_request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fescueway_core::{NodeId, RequestTerms, ServerNotice};
+use fescueway_core::{MonoTime, NodeId, RequestTerms, ServerNotice};
 use fescueway_wire::{HeaderList, OfferHead};
 use http::{HeaderMap, HeaderValue, Method, uri::PathAndQuery};
 
@@ -54,8 +54,10 @@
 pub struct HostRequest {
     /// The entry.
     pub entry: NodeId,
-    /// The request's terms.
+    /// The request's terms. `time_left` is as of the arrival of the offer.
     pub terms: RequestTerms,
+    /// When the entry stops waiting, on this node's clock.
+    pub deadline: MonoTime,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -69,11 +71,12 @@
 }
 
 impl HostRequest {
-    /// The request of an offer from another node.
+    /// The request of an offer from another node that arrived at `now`.
     #[must_use]
-    pub fn from_head(head: OfferHead) -> Self {
+    pub fn from_head(now: MonoTime, head: OfferHead) -> Self {
         Self {
             entry: head.entry,
+            deadline: now + head.terms.time_left,
             terms: head.terms,
             method: head.method,
             target: head.target,
@@ -83,11 +86,12 @@
         }
     }
 
-    /// The request of an offer from this node.
+    /// The request of an offer from this node that was made at `now`.
     #[must_use]
-    pub fn from_offer(request: &OfferRequest) -> Self {
+    pub fn from_offer(now: MonoTime, request: &OfferRequest) -> Self {
         Self {
             entry: request.entry,
+            deadline: now + request.terms.time_left,
             terms: request.terms.clone(),
             method: request.method.clone(),
             target: request.target.clone(),
