Try a suspect request again instead of refusing it for ten minutes

Cause: two strikes counted as proof. A path that many read is in flight at every crash, so it is struck by each, and a flat refusal leaves no run whose answer could clear it.

Change: strikes of a request that the crashed backend server had answered before count as one, so it gets a trial at once; only a crash in a trial is another. A refused request gets a trial after 1 minute, and at twice the interval after each further crash, up to 10 minutes. A lost answer alone makes no suspect of a request that was answered before. The messages between hosts keep their form.

Requests that do crash targets stay bounded: two crashes, and in an hour of calls each second 11 at most.

--- a/crates/fescueway_admission/src/lib.rs
+++ b/crates/fescueway_admission/src/lib.rs
@@ -4,6 +4,7 @@
 //! A [`TargetGate`] admits the requests of one target. It is given the time and the events and
 //! returns typed messages; it does no I/O and reads no clock.
 
+mod answered_requests;
 mod backend_registry;
 mod concurrency_limit;
 mod gate_plan;
--- a/crates/fescueway_admission/src/suspect_list.rs
+++ b/crates/fescueway_admission/src/suspect_list.rs
@@ -7,14 +7,25 @@
 
 use fescueway_core::{MonoTime, NodeId};
 
-use crate::{CrashId, SuspectDecision, SuspectEnd, SuspectMessage, SuspectReply};
+use crate::{
+    CrashId, SuspectDecision, SuspectEnd, SuspectMessage, SuspectReply,
+    answered_requests::AnsweredRequests,
+};
 
-/// Number of strikes from which a request is refused. A request gets a strike for each crash of a
-/// backend server while it is in flight there.
+/// Number of strikes from which a request is refused for a while. A request gets a strike for each
+/// crash of a backend server while it is in flight there.
 const STRIKE_LIMIT: usize = 2;
 
-/// How long a suspect is kept after its last strike.
-const SUSPECT_EXPIRY: Duration = Duration::from_mins(10);
+/// How long a request that reached [`STRIKE_LIMIT`] is refused before its next trial. Doubles with
+/// each further strike.
+const FIRST_REFUSAL_TIME: Duration = Duration::from_mins(1);
+
+/// Longest time between two trials of a refused request.
+const MAX_REFUSAL_TIME: Duration = Duration::from_mins(10);
+
+/// How long a suspect is kept after its last strike. Longer than [`MAX_REFUSAL_TIME`], so that a
+/// request that keeps crashing backend servers stays refused between its trials.
+const SUSPECT_EXPIRY: Duration = Duration::from_mins(30);
 
 /// Time after which a trial is considered ended although its host hasn't reported it.
 const TRIAL_EXPIRY: Duration = Duration::from_mins(1);
@@ -33,13 +44,28 @@
     trial: Option<(NodeId, MonoTime)>,
 }
 
+/// How a fingerprint may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RunRestriction {
+    /// Without restriction.
+    Free,
+    /// As a trial.
+    Trial,
+    /// Not now.
+    Refused,
+}
+
 /// Requests that were in flight when backend servers of one service crashed, by fingerprint.
 ///
 /// A fingerprint without strikes runs without restriction. With one strike, or after a lost answer,
 /// it runs only as a trial, once at a time in the whole service: its coordinator, one of the hosts,
 /// grants the trials. A host runs one trial at a time, so that a harmless request gets no second
-/// strike beside one that causes crashes. With two strikes it is refused everywhere. An answer of a
-/// backend server clears it.
+/// strike beside one that causes crashes. With two strikes it is refused everywhere, except for a
+/// trial from time to time. An answer of a backend server clears it.
+///
+/// A request that many callers send is in flight at every crash, so being there says little. If the
+/// backend server has answered it before, all its strikes count as one until it crashes a backend
+/// server in a trial.
 #[derive(Clone, Debug)]
 pub struct SuspectList {
     /// Id of this node.
@@ -55,6 +81,8 @@
     unresolved_losses: BTreeSet<u64>,
     /// Fingerprint of the suspect that runs its trial, or waits for permission, on this host.
     local_trial: Option<u64>,
+    /// Requests that the local backend server answered lately.
+    answered: AnsweredRequests,
     /// Number of crashes of the local backend server so far.
     crashes: u64,
 }
@@ -70,6 +98,7 @@
             in_flight: BTreeMap::new(),
             unresolved_losses: BTreeSet::new(),
             local_trial: None,
+            answered: AnsweredRequests::default(),
             crashes: 0,
         }
     }
@@ -101,15 +130,23 @@
     /// runs whose answer was lost: they count like strikes, because the message about a crash may
     /// not have arrived yet.
     pub fn begin(&mut self, now: MonoTime, fingerprint: u64, lost_runs: u8) -> SuspectDecision {
-        let strike_count = self.strike_count(now, fingerprint);
-        match strike_count.max(usize::from(lost_runs)) {
-            0 => {
+        let is_known_harmless = self.answered.contains(fingerprint);
+        let lost_runs = if is_known_harmless { 0 } else { lost_runs };
+        let restriction = match (self.restriction(now, fingerprint), usize::from(lost_runs)) {
+            (RunRestriction::Refused, _) | (_, STRIKE_LIMIT..) => RunRestriction::Refused,
+            (RunRestriction::Free, 1..) => RunRestriction::Trial,
+            (restriction, _) => restriction,
+        };
+        match restriction {
+            RunRestriction::Free => {
                 increment(&mut self.prepared, fingerprint);
                 SuspectDecision::Run
             }
-            strike_count if strike_count >= STRIKE_LIMIT => SuspectDecision::Refuse,
-            _ if self.local_trial.is_some() || self.is_suspect_in_flight() => SuspectDecision::Wait,
-            _ => {
+            RunRestriction::Refused => SuspectDecision::Refuse,
+            RunRestriction::Trial if self.local_trial.is_some() || self.is_suspect_in_flight() => {
+                SuspectDecision::Wait
+            }
+            RunRestriction::Trial => {
                 self.local_trial = Some(fingerprint);
                 let entry = self.entries.get(&fingerprint);
                 let crashes = entry.into_iter().flat_map(|entry| &entry.crashes);
@@ -131,8 +168,8 @@
         reply: Option<&SuspectReply>,
     ) -> bool {
         // A second strike may have arrived while waiting for the coordinator's reply.
-        let is_below_limit = self.strike_count(now, fingerprint) < STRIKE_LIMIT;
-        let is_allowed = is_below_limit && reply == Some(&SuspectReply::Granted);
+        let is_refused = self.restriction(now, fingerprint) == RunRestriction::Refused;
+        let is_allowed = !is_refused && reply == Some(&SuspectReply::Granted);
         if is_allowed {
             increment(&mut self.prepared, fingerprint);
         } else {
@@ -144,9 +181,10 @@
     /// Whether a request that was allowed to run may still be handed over: a crash elsewhere may
     /// have given it a strike while it waited. If not, finish it with [`SuspectEnd::Unused`].
     pub fn may_run(&mut self, now: MonoTime, fingerprint: u64) -> bool {
-        match self.strike_count(now, fingerprint) {
-            0 => true,
-            strike_count => strike_count < STRIKE_LIMIT && self.local_trial == Some(fingerprint),
+        match self.restriction(now, fingerprint) {
+            RunRestriction::Free => true,
+            RunRestriction::Trial => self.local_trial == Some(fingerprint),
+            RunRestriction::Refused => false,
         }
     }
 
@@ -168,6 +206,9 @@
             self.unresolved_losses.insert(fingerprint);
             return None;
         }
+        if end == SuspectEnd::Answered {
+            self.answered.insert(fingerprint);
+        }
         let was_trial = self.end_local_trial(fingerprint);
         let is_suspect = was_trial || self.entries.contains_key(&fingerprint);
         if is_suspect && end == SuspectEnd::Answered {
@@ -182,34 +223,46 @@
     }
 
     /// Resolves lost connections: `is_crash` is false if a new connection could be opened, true if
-    /// the backend server crashed. Returns the message to send, if any. A
-    /// [`SuspectMessage::Strike`] goes to all hosts; for each host that replies that it runs one of
-    /// the fingerprints, send [`SuspectMessage::Running`] to the coordinator of that fingerprint.
-    /// Other messages go to the coordinator.
-    pub fn settle_loss(&mut self, now: MonoTime, is_crash: bool) -> Option<SuspectMessage> {
+    /// the backend server crashed. Returns the messages to send. A [`SuspectMessage::Strike`] goes to
+    /// all hosts; for each host that replies that it runs one of the fingerprints, send
+    /// [`SuspectMessage::Running`] to the coordinator of that fingerprint. Other messages go to the
+    /// coordinator.
+    pub fn settle_loss(&mut self, now: MonoTime, is_crash: bool) -> Vec<SuspectMessage> {
         let mut suspects = std::mem::take(&mut self.unresolved_losses);
         if !is_crash {
-            let trial = self.local_trial.filter(|local| suspects.contains(local))?;
-            self.local_trial = None;
-            return Some(self.trial_ended_message(trial));
+            let trial = self.local_trial.filter(|local| suspects.contains(local));
+            return trial
+                .map(|trial| {
+                    self.local_trial = None;
+                    self.trial_ended_message(trial)
+                })
+                .into_iter()
+                .collect();
         }
         suspects.extend(std::mem::take(&mut self.in_flight).into_keys());
         // A trial that was not handed over yet was not affected and ends through `finish`.
-        self.local_trial = self.local_trial.filter(|local| !suspects.contains(local));
+        let trial = self.local_trial.take_if(|local| suspects.contains(local));
         if suspects.is_empty() {
-            return None;
+            return Vec::new();
         }
         self.crashes += 1;
         let crash = CrashId {
             host: self.node,
             serial: self.crashes,
         };
-        let fingerprints: Vec<_> = suspects.into_iter().collect();
-        self.record_strike(now, crash, &fingerprints);
-        Some(SuspectMessage::Strike {
-            crash,
-            fingerprints,
-        })
+        let is_shared = |suspect: &u64| trial != Some(*suspect) && self.answered.contains(*suspect);
+        let (answered, others): (Vec<_>, Vec<_>) = suspects.into_iter().partition(is_shared);
+        let strikes = [(crash, others), (CrashId::SHARED, answered)];
+        let strikes = strikes.into_iter().filter(|(_, struck)| !struck.is_empty());
+        strikes
+            .map(|(crash, fingerprints)| {
+                self.record_strike(now, crash, &fingerprints);
+                SuspectMessage::Strike {
+                    crash,
+                    fingerprints,
+                }
+            })
+            .collect()
     }
 
     /// Message to the coordinator that the local trial ended without a result.
@@ -280,30 +333,36 @@
             .collect()
     }
 
-    /// As coordinator: grants a trial unless another host has one or the strike limit is reached.
+    /// As coordinator: grants a trial unless another host has one or the request is refused.
     fn grant_trial(&mut self, now: MonoTime, fingerprint: u64, host: NodeId) -> SuspectReply {
-        let strike_count = self.strike_count(now, fingerprint);
+        let is_refused = self.restriction(now, fingerprint) == RunRestriction::Refused;
         let entry = self.entry(now, fingerprint);
         let active_trial = entry
             .trial
             .filter(|(_, since)| now.since(*since) < TRIAL_EXPIRY);
-        if strike_count >= STRIKE_LIMIT || active_trial.is_some_and(|(other, _)| other != host) {
+        if is_refused || active_trial.is_some_and(|(other, _)| other != host) {
             return SuspectReply::Denied;
         }
         entry.trial = Some((host, now));
         SuspectReply::Granted
     }
 
-    /// Number of strikes of a fingerprint. Removes the suspect if they have expired.
-    fn strike_count(&mut self, now: MonoTime, fingerprint: u64) -> usize {
+    /// How a fingerprint may run, by its strikes. Removes the suspect if they have expired.
+    fn restriction(&mut self, now: MonoTime, fingerprint: u64) -> RunRestriction {
         let Some(entry) = self.entries.get(&fingerprint) else {
-            return 0;
+            return RunRestriction::Free;
         };
-        if now.since(entry.last_strike_at) < SUSPECT_EXPIRY {
-            return entry.crashes.len();
+        let age = now.since(entry.last_strike_at);
+        if age >= SUSPECT_EXPIRY {
+            self.entries.remove(&fingerprint);
+            return RunRestriction::Free;
+        }
+        match entry.crashes.len() {
+            0 => RunRestriction::Free,
+            strikes if strikes < STRIKE_LIMIT => RunRestriction::Trial,
+            strikes if age >= refusal_time(strikes) => RunRestriction::Trial,
+            _ => RunRestriction::Refused,
         }
-        self.entries.remove(&fingerprint);
-        0
     }
 
     /// Records a strike for each of `fingerprints`, and evicts suspects above [`MAX_SUSPECTS`].
@@ -383,6 +442,12 @@
     }
 }
 
+/// How long a request with this many strikes is refused before its next trial.
+fn refusal_time(strikes: usize) -> Duration {
+    let doublings = strikes.saturating_sub(STRIKE_LIMIT).min(8) as u32;
+    (FIRST_REFUSAL_TIME * 2_u32.pow(doublings)).min(MAX_REFUSAL_TIME)
+}
+
 /// Whether the trial of a suspect runs at `host`.
 fn is_trial_at(entry: &SuspectEntry, host: NodeId) -> bool {
     entry.trial.is_some_and(|(holder, _)| holder == host)
--- a/crates/fescueway_admission/src/suspect_message.rs
+++ b/crates/fescueway_admission/src/suspect_message.rs
@@ -12,6 +12,15 @@
     pub serial: u64,
 }
 
+impl CrashId {
+    /// Stands for all crashes at which a request was in flight that a backend server had answered
+    /// before, except for those in a trial. They count as one strike.
+    pub const SHARED: Self = Self {
+        host: NodeId(0),
+        serial: 0,
+    };
+}
+
 /// A message between hosts of one service. Each is answered by a [`SuspectReply`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum SuspectMessage {
@@ -63,7 +72,7 @@
     Noted(Vec<u64>),
     /// The suspect may run once.
     Granted,
-    /// The suspect runs elsewhere, or has two strikes.
+    /// The suspect runs elsewhere, or is refused.
     Denied,
     /// The answer to [`SuspectMessage::Recall`]: the known suspects, each with its crashes.
     Struck(Vec<(u64, Vec<CrashId>)>),
--- a/crates/fescueway_admission/tests/suspects.rs
+++ b/crates/fescueway_admission/tests/suspects.rs
@@ -224,8 +224,7 @@
                 }
                 *self.lost.entry(request).or_default() += 1;
                 self.restarts.insert(host, (run + 1, self.now + RESTART_US));
-                let message = self.list(host).settle_loss(now, true);
-                if let Some(message) = message {
+                for message in self.list(host).settle_loss(now, true) {
                     self.send(host, &message);
                 }
             }
@@ -342,8 +341,10 @@
         if end == SuspectEnd::Lost {
             list.hand_over(7);
         }
-        let ended = list.finish(7, end).or_else(|| list.settle_loss(now, false));
-        list.handle(now, &ended.unwrap());
+        let ended = list.finish(7, end).into_iter();
+        let ended: Vec<_> = ended.chain(list.settle_loss(now, false)).collect();
+        assert_eq!(ended.len(), 1);
+        list.handle(now, &ended[0]);
     }
 }
 
@@ -407,11 +408,152 @@
     assert_eq!(list.begin(now, 1, 0), SuspectDecision::Run);
     list.hand_over(100);
     // The other request still waits for its connection when the backend server crashes.
-    let message = list.settle_loss(now, true);
+    let messages = list.settle_loss(now, true);
     assert!(
-        matches!(&message, Some(SuspectMessage::Strike { fingerprints, .. }) if *fingerprints == [100]),
-        "{message:?}"
+        matches!(&messages[..], [SuspectMessage::Strike { fingerprints, .. }] if *fingerprints == [100]),
+        "{messages:?}"
     );
     assert_eq!(list.finish(1, SuspectEnd::Unused), None);
     assert_eq!(list.begin(now, 1, 0), SuspectDecision::Run);
 }
+
+/// Hosts whose messages arrive at once.
+struct Hosts(BTreeMap<NodeId, SuspectList>);
+
+impl Hosts {
+    fn new() -> Self {
+        let hosts = (1..=HOSTS).map(NodeId);
+        Self(hosts.map(|host| (host, SuspectList::new(host))).collect())
+    }
+
+    fn list(&mut self, host: u64) -> &mut SuspectList {
+        self.0.get_mut(&NodeId(host)).unwrap()
+    }
+
+    fn coordinator(&mut self, fingerprint: u64) -> &mut SuspectList {
+        let hosts = self.0.keys().copied();
+        let coordinator = SuspectList::coordinator(fingerprint, hosts).unwrap();
+        self.list(coordinator.0)
+    }
+
+    fn notify_all(&mut self, now: MonoTime, message: &SuspectMessage) {
+        for list in self.0.values_mut() {
+            list.handle(now, message);
+        }
+    }
+
+    /// Starts a request. Returns whether it runs.
+    fn start(&mut self, now: MonoTime, host: u64, fingerprint: u64) -> bool {
+        let is_started = match self.list(host).begin(now, fingerprint, 0) {
+            SuspectDecision::Run => true,
+            SuspectDecision::Wait | SuspectDecision::Refuse => false,
+            SuspectDecision::RequestTrial(message) => {
+                let reply = self.coordinator(fingerprint).handle(now, &message);
+                self.list(host).trial_reply(now, fingerprint, Some(&reply))
+            }
+        };
+        if is_started {
+            self.list(host).hand_over(fingerprint);
+        }
+        is_started
+    }
+
+    fn answer(&mut self, now: MonoTime, host: u64, fingerprint: u64) {
+        let message = self.list(host).finish(fingerprint, SuspectEnd::Answered);
+        if let Some(message) = message {
+            self.notify_all(now, &message);
+        }
+    }
+
+    fn crash(&mut self, now: MonoTime, host: u64) {
+        for message in self.list(host).settle_loss(now, true) {
+            self.notify_all(now, &message);
+        }
+    }
+
+    /// Answers a path at every host, and then crashes all backend servers while they run it.
+    fn crash_all_with_popular_path(&mut self, now: MonoTime, fingerprint: u64) {
+        for host in 1..=HOSTS {
+            assert!(self.start(now, host, fingerprint));
+            self.answer(now, host, fingerprint);
+            assert!(self.start(now, host, fingerprint));
+        }
+        for host in 1..=HOSTS {
+            self.crash(now, host);
+        }
+    }
+}
+
+/// Guards against a path that is refused everywhere although it crashes nothing: review/5.
+#[test]
+fn a_path_that_many_read_is_served_again_after_all_backend_servers_crashed_at_once() {
+    let mut hosts = Hosts::new();
+    let path = 7;
+    hosts.crash_all_with_popular_path(MonoTime::ZERO, path);
+    let later = MonoTime::ZERO + Duration::from_secs(4);
+    assert!(hosts.start(later, 1, path));
+    assert!(!hosts.start(later, 2, path), "one trial at a time");
+    hosts.answer(later, 1, path);
+    for host in 1..=HOSTS {
+        assert!(hosts.start(later, host, path));
+    }
+}
+
+#[test]
+fn a_path_that_begins_to_crash_backend_servers_is_refused_after_one_trial() {
+    let mut hosts = Hosts::new();
+    let path = 7;
+    hosts.crash_all_with_popular_path(MonoTime::ZERO, path);
+    let later = MonoTime::ZERO + Duration::from_secs(4);
+    assert!(hosts.start(later, 1, path));
+    hosts.crash(later, 1);
+    for host in 1..=HOSTS {
+        let soon = later + Duration::from_secs(30);
+        assert!(!hosts.start(soon, host, path));
+    }
+}
+
+#[test]
+fn a_refused_request_gets_trials_at_a_falling_rate() {
+    let mut hosts = Hosts::new();
+    let mut crashes = Vec::new();
+    for second in 0..3_600 {
+        let now = MonoTime::ZERO + Duration::from_secs(second);
+        let host = 1 + second % HOSTS;
+        if hosts.start(now, host, 100) {
+            hosts.crash(now, host);
+            crashes.push(second);
+        }
+    }
+    // One retry within the first minute of refusals, and one for each 10 min in the end.
+    assert_eq!(crashes[..5], [0, 1, 61, 181, 421]);
+    assert!(crashes.len() <= 11, "{crashes:?}");
+}
+
+/// Two crashes of other causes struck it.
+#[test]
+fn a_harmless_request_with_two_strikes_is_served_after_its_next_trial() {
+    let mut hosts = Hosts::new();
+    for second in [0, 1] {
+        let now = MonoTime::ZERO + Duration::from_secs(second);
+        assert!(hosts.start(now, 1, 7));
+        hosts.crash(now, 1);
+    }
+    let refused = MonoTime::ZERO + Duration::from_secs(60);
+    assert!(!hosts.start(refused, 2, 7));
+    let later = MonoTime::ZERO + Duration::from_secs(61);
+    assert!(hosts.start(later, 2, 7));
+    hosts.answer(later, 2, 7);
+    for host in 1..=HOSTS {
+        assert!(hosts.start(later, host, 7));
+    }
+}
+
+#[test]
+fn a_lost_answer_makes_no_suspect_of_a_request_that_was_answered_before() {
+    let mut hosts = Hosts::new();
+    assert!(hosts.start(MonoTime::ZERO, 1, 7));
+    hosts.answer(MonoTime::ZERO, 1, 7);
+    let decision = hosts.list(1).begin(MonoTime::ZERO, 7, 1);
+    assert_eq!(decision, SuspectDecision::Run);
+}
--- a/crates/fescueway_telemetry/src/events/claim.rs
+++ b/crates/fescueway_telemetry/src/events/claim.rs
@@ -48,7 +48,8 @@
     level: Level::Error,
     summary: "a backend server crashed with requests in flight",
     fields: &["service", "fingerprints"],
-    advice: "Find the cause of the crash. A fingerprint with two strikes is refused for 10 min.",
+    advice: "Find the cause of the crash. A fingerprint with two strikes is refused for 1 min, and longer after \
+             each further crash.",
 };
 
 /// A request was refused because it was in flight when backend servers crashed.
--- a/crates/fescuewayd/src/suspect_task.rs
+++ b/crates/fescuewayd/src/suspect_task.rs
@@ -189,15 +189,16 @@
         let (task, service) = (self.clone(), service.clone());
         self.0.proxy.tasks().spawn(async move {
             let is_crash = task.is_crashed(&service).await;
-            let message = {
+            let messages = {
                 let now = task.0.proxy.now();
                 let mut lists = task.lists();
-                lists.get_mut(&service).and_then(|(list, is_settling)| {
+                let list = lists.get_mut(&service);
+                list.map_or_else(Vec::new, |(list, is_settling)| {
                     *is_settling = false;
                     list.settle_loss(now, is_crash)
                 })
             };
-            if let Some(message) = message {
+            for message in messages {
                 task.notify_hosts(&service, &message);
             }
         });
