--- a/crates/fescueway_admission/tests/suspects.rs
+++ b/crates/fescueway_admission/tests/suspects.rs
@@ -410,7 +410,7 @@
     // The other request still waits for its connection when the backend server crashes.
     let messages = list.settle_loss(now, true);
     assert!(
-        matches!(&messages[..], [SuspectMessage::Strike { fingerprints, .. }] if *fingerprints == [100]),
+        matches!(&*messages, [SuspectMessage::Strike { fingerprints, .. }] if *fingerprints == [100]),
         "{messages:?}"
     );
     assert_eq!(list.finish(1, SuspectEnd::Unused), None);
@@ -539,7 +539,7 @@
         assert!(hosts.start(now, 1, 7));
         hosts.crash(now, 1);
     }
-    let refused = MonoTime::ZERO + Duration::from_secs(60);
+    let refused = MonoTime::ZERO + Duration::from_mins(1);
     assert!(!hosts.start(refused, 2, 7));
     let later = MonoTime::ZERO + Duration::from_secs(61);
     assert!(hosts.start(later, 2, 7));
