Read the configuration while a node that should be live doesn't answer

What callers saw: 404 on routes that the operator had added, for as long as 4 s, at a node that ran and reached the store.

Cause: eight nodes of a failure domain watch the store. Any other node depends on them and learns of their loss from the failure detection after 4 s.

Evidence: change_is_in_force_in_time_at_a_node_without_a_watch_after_all_others_crashed and the one after all watchers crashed fail on the former code: not within 2 s.

Change: a node that doesn't watch reads the document once a second while a pinged node hasn't answered two tries within half a second. In a calm fleet nobody reads; the loss of one node costs some eight reads.

--- a/crates/fescueway_membership/src/member_list.rs
+++ b/crates/fescueway_membership/src/member_list.rs
@@ -164,6 +164,13 @@
         self.join.is_done()
     }
 
+    /// Whether a member that is considered live has not answered pings for half a second. It is the
+    /// earliest sign that nodes were lost, and may be wrong.
+    #[must_use]
+    pub fn has_unanswered_ping(&self) -> bool {
+        self.probe.has_unanswered()
+    }
+
     /// Whether every recipient of [`MemberEvent::DeliverRecord`] has acknowledged this node's
     /// record or has used up all its attempts.
     #[must_use]
--- a/crates/fescueway_membership/src/peer_probe.rs
+++ b/crates/fescueway_membership/src/peer_probe.rs
@@ -93,6 +93,12 @@
         self.relayed.clear();
     }
 
+    /// Whether a member has not answered a ping and its first repetition in time.
+    pub fn has_unanswered(&self) -> bool {
+        let mut pending = self.pending.iter();
+        pending.any(|ping| ping.retries_left + 2 <= MAX_RETRIES)
+    }
+
     pub(crate) fn take_sequence(&mut self) -> u32 {
         self.next_sequence = self.next_sequence.wrapping_add(1);
         self.next_sequence
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -12,7 +12,7 @@
 
 use fescueway_core::ConfigMark;
 use fescueway_membership::MemberEvent;
-use fescueway_platform::{KeyRange, StoreError, WatchBatch, WatchEvent};
+use fescueway_platform::{KeyRange, StoreError, StoreRevision, WatchBatch, WatchEvent};
 use fescueway_proxy::ProxyState;
 use fescueway_telemetry::{emit, events::control};
 use fescueway_wire::ControlKind;
@@ -29,6 +29,12 @@
 /// How often a node checks whether it should watch the store.
 const WATCHER_CHECK_PERIOD: Duration = Duration::from_secs(1);
 
+/// How often a node that doesn't watch the store checks whether it should read it.
+const FOLLOWER_CHECK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time between two reads of a node that doesn't watch the store, while other nodes don't answer.
+const SILENCE_READ_PERIOD: Duration = Duration::from_secs(1);
+
 /// How often a node that searches for the fleet after its start checks that.
 const SEARCH_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
@@ -160,12 +166,29 @@
             if is_watching {
                 // The store link has logged the failure, and its call budget limits the retry rate.
                 let _ = self.watch(&store).await;
+            } else if self.members.has_unanswered_ping() {
+                // All watchers may be lost, which the failure detection notices only seconds later.
+                store.set_watcher(true);
+                // As above.
+                let _ = self.read_current(&store).await;
+                sleep(SILENCE_READ_PERIOD).await;
             } else {
-                sleep(WATCHER_CHECK_PERIOD).await;
+                sleep(FOLLOWER_CHECK_PERIOD).await;
             }
         }
     }
 
+    /// Reads the document. Returns the revision of the store at which it was read.
+    async fn read_current(&self, store: &StoreLink) -> Result<StoreRevision, StoreError> {
+        let range = KeyRange::Key(self.source.key.to_string());
+        let reading = store.client.range(&range, CALL_TIMEOUT);
+        let reply = store.call(reading).await?;
+        for value in &reply.values {
+            self.apply_plain(&value.value);
+        }
+        Ok(reply.revision)
+    }
+
     /// Reads the document as it was some seconds ago at most, which the store counts as a tenth of
     /// a read.
     async fn read_stale(&self, store: &StoreLink) -> Result<(), StoreError> {
@@ -181,11 +204,8 @@
     async fn watch(&self, store: &StoreLink) -> Result<(), StoreError> {
         let range = KeyRange::Key(self.source.key.to_string());
         let client = &store.client;
-        let reply = store.call(client.range(&range, CALL_TIMEOUT)).await?;
-        for value in &reply.values {
-            self.apply_plain(&value.value);
-        }
-        let watch_call = client.watch(&range, reply.revision.next(), CALL_TIMEOUT);
+        let revision = self.read_current(store).await?;
+        let watch_call = client.watch(&range, revision.next(), CALL_TIMEOUT);
         let mut watch = store.call(watch_call).await?;
         let is_first = self.members.is_first_watcher();
         if is_first {
--- a/crates/fescuewayd/src/member_link.rs
+++ b/crates/fescuewayd/src/member_link.rs
@@ -30,9 +30,10 @@
 /// only part of the fleet and so take too large a share.
 const RETRY_RESERVE_SHARE: f64 = 0.5;
 
-/// Nodes of a failure domain that watch the store. They replace each other only once the failure
-/// detection has noticed a loss, so a small domain has no node that depends on the others' watches.
-const WATCHERS_PER_DOMAIN: usize = 8;
+/// Nodes of a failure domain that watch the store for a configuration document. They replace each other
+/// only once the failure detection has noticed a loss, so a small domain has no node that depends on
+/// the others' watches.
+pub const DOCUMENT_WATCHERS_PER_DOMAIN: usize = 8;
 
 /// Nodes of a failure domain whose addresses are published.
 const SEEDS_PER_DOMAIN: usize = 2;
@@ -157,6 +158,11 @@
         self.core().list.live_count()
     }
 
+    /// Whether a node that is considered live does not answer.
+    pub fn has_unanswered_ping(&self) -> bool {
+        self.core().list.has_unanswered_ping()
+    }
+
     /// Traffic counts since the start.
     pub fn counts(&self) -> TrafficCounts {
         self.core().list.counts()
@@ -192,7 +198,7 @@
     /// Whether this node is one of the few of its failure domain that watch the store. While views of
     /// the membership differ, more nodes may watch; none does before it has searched for the fleet.
     pub fn is_watcher(&self) -> bool {
-        self.is_among_first(WATCHERS_PER_DOMAIN)
+        self.is_among_first(DOCUMENT_WATCHERS_PER_DOMAIN)
     }
 
     /// Whether this node is the first watcher of its failure domain.
