Refuse unknown routes while the configuration may be seconds old

What callers saw: 404, which nobody repeats, on a route that had been added before the node started.

Cause: a node that starts puts in force a stale read, which may be seconds old, and rejects by it what has no route there.

Change: such a node answers 503 with Retry-After 0.25 s until a current read has returned the version, or a peer has announced the same one or sent a newer one. A node announces a version only once it knows it to be current, so a fleet that starts at once waits for its watchers. No call to the store is added.

--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -146,6 +146,9 @@
     let path = parts.uri.path();
     let found = plan.route_for(head.host_name(), parts.method.as_str(), path);
     let Some(found) = found else {
+        if !state.is_plan_current() {
+            return refuse(state, RefusalReason::NoConfiguration, record);
+        }
         return reject(
             state,
             StatusCode::NOT_FOUND,
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -64,6 +64,8 @@
     plan: Mutex<Arc<SitePlan>>,
     /// Whether a configuration was ever in force.
     is_configured: AtomicBool,
+    /// Whether the configuration in force was the newest when it was read, as far as is known.
+    is_plan_current: AtomicBool,
     /// The local service whose name is sent to backend servers as the caller's.
     caller_service: Mutex<Option<HeaderValue>>,
     /// The entry's state of each route.
@@ -113,6 +115,7 @@
             tasks: tasks.clone(),
             plan: Mutex::new(Arc::new(plan)),
             is_configured: AtomicBool::new(false),
+            is_plan_current: AtomicBool::new(true),
             caller_service: Mutex::default(),
             route_states: RouteStates::default(),
             routes: RouteTable::new(&options),
@@ -261,6 +264,18 @@
         self.0.is_configured.load(Ordering::Relaxed)
     }
 
+    /// Sets whether the configuration in force was the newest when it was read. While it may not have
+    /// been, requests without a route are refused instead of rejected.
+    pub fn set_plan_current(&self, is_current: bool) {
+        self.0.is_plan_current.store(is_current, Ordering::Relaxed);
+    }
+
+    /// Whether a configuration is in force that was the newest when it was read, as far as is known.
+    #[must_use]
+    pub fn is_plan_current(&self) -> bool {
+        self.is_configured() && self.0.is_plan_current.load(Ordering::Relaxed)
+    }
+
     /// Sets the service that backend servers are told as the caller of requests received here.
     pub fn set_caller_service(&self, service: Option<HeaderValue>) {
         *lock(&self.0.caller_service) = service;
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -121,6 +121,11 @@
                     sleep(delay).await;
                 }
             }
+            // Nodes announce only what they know to be current.
+            let held = self.held().version();
+            if held > 0 && newest == held {
+                self.confirm();
+            }
             if marks.changed().await.is_err() {
                 return;
             }
@@ -142,6 +147,7 @@
         {
             Ok(compressed) => {
                 let version = self.apply_compressed(&compressed);
+                self.confirm();
                 version.map(|_| ()).ok_or(UNREADABLE_RETRY_DELAY)
             }
             Err(error) => {
@@ -186,6 +192,9 @@
         for value in &reply.values {
             self.apply_plain(&value.value);
         }
+        if self.held().version() > 0 {
+            self.confirm();
+        }
         Ok(reply.revision)
     }
 
@@ -194,12 +203,32 @@
     async fn read_stale(&self, store: &StoreLink) -> Result<(), StoreError> {
         let range = KeyRange::Key(self.source.key.to_string());
         let reading = store.client.range_stale(&range, CALL_TIMEOUT);
-        for value in &store.call(reading).await?.values {
+        let reply = store.call(reading).await?;
+        for value in &reply.values {
+            // A peer may have sent the current one meanwhile.
+            if self.held().version() == 0 {
+                self.proxy.set_plan_current(false);
+            }
             self.apply_plain(&value.value);
         }
         Ok(())
     }
 
+    /// Records that the document in force is current, and announces it.
+    fn confirm(&self) {
+        self.proxy.set_plan_current(true);
+        self.announce();
+    }
+
+    /// Announces the version in force to the other nodes.
+    fn announce(&self) {
+        let mark = ConfigMark {
+            revision: self.held().version(),
+            ..ConfigMark::default()
+        };
+        self.members.handle(MemberEvent::Mark(mark));
+    }
+
     /// Reads the document and follows its changes until this node's role changes.
     async fn watch(&self, store: &StoreLink) -> Result<(), StoreError> {
         let range = KeyRange::Key(self.source.key.to_string());
@@ -245,7 +274,11 @@
             // A deleted document stays in force: an accepted configuration never reverts.
             WatchEvent::Delete { .. } => None,
         });
-        versions.max()
+        let newest = versions.max();
+        if newest.is_some() {
+            self.confirm();
+        }
+        newest
     }
 
     /// Applies a compressed document from a peer. Returns its version if it could be read.
@@ -289,11 +322,9 @@
         }
         let (services, now) = (plan.services.len(), self.proxy.now());
         self.proxy.apply_plan(Arc::new(plan));
-        let mark = ConfigMark {
-            revision: version,
-            ..ConfigMark::default()
-        };
-        self.members.handle(MemberEvent::Mark(mark));
+        if self.proxy.is_plan_current() {
+            self.announce();
+        }
         emit(&control::CONFIG_IN_FORCE, &[&version, &services]);
         self.board.change(|facts| {
             facts.revision = version;
