Take a version as confirmed only if the document of the peer was readable

No test: a peer with an unreadable document of the same format version can't be made with the stand-ins. The 63 node tests pass (run before this line was moved).

--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -147,8 +147,9 @@
         {
             Ok(compressed) => {
                 let version = self.apply_compressed(&compressed);
+                version.ok_or(UNREADABLE_RETRY_DELAY)?;
                 self.confirm();
-                version.map(|_| ()).ok_or(UNREADABLE_RETRY_DELAY)
+                Ok(())
             }
             Err(error) => {
                 emit(&control::CONFIG_FETCH_FAILED, &[&version, &"peer", &error]);
