Answer requests that arrived before a stopping node closed its listener

What callers saw: at the end of the linger time, connections with requests, bookings among them, were closed or reset without an answer, 0.26 to 0.9 s after the request was sent.

Cause: a busy node reads late. Closing the listener resets the connections that wait to be accepted, with what their callers have sent, and an accepted connection is closed although its request has arrived and is not read yet.

Change: at the end of the linger time the connections that wait are accepted before the listener closes, and an open one is read for 20 ms more before it is shut down.

--- a/crates/fescueway_proxy/src/accept_loop.rs
+++ b/crates/fescueway_proxy/src/accept_loop.rs
@@ -1,6 +1,11 @@
 //! Accepts connections up to a limit.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io::Result as IoResult,
+    net::{SocketAddr, TcpListener as StdTcpListener},
+    sync::Arc,
+    time::Duration,
+};
 
 use fescueway_telemetry::{SourceRateLimit, events::path};
 use tokio::{
@@ -22,7 +27,8 @@
     pub name: &'static str,
     /// Maximum number of open connections. At least one.
     pub limit: usize,
-    /// Ends the loop when cancelled. Open connections continue.
+    /// Ends the loop when cancelled, after the connections that wait already were accepted. Open
+    /// connections continue.
     pub closing: CancellationToken,
 }
 
@@ -39,6 +45,13 @@
         let permits = Arc::new(Semaphore::new(self.limit));
         let failures = SourceRateLimit::new(&path::ACCEPT_FAILED);
         let clock = MonoClock::start();
+        let spawn = |permit, socket, peer| {
+            let serving = serve(socket, peer);
+            tasks.spawn(async move {
+                serving.await;
+                drop(permit);
+            });
+        };
         loop {
             let accepting = async {
                 let permit = Arc::clone(&permits).acquire_owned().await;
@@ -46,22 +59,33 @@
             };
             let (permit, accepted) = tokio::select! {
                 biased;
-                () = self.closing.cancelled() => return,
+                () = self.closing.cancelled() => break,
                 accepted = accepting => accepted,
             };
             match accepted {
-                Ok((socket, peer)) => {
-                    let serving = serve(socket, peer);
-                    tasks.spawn(async move {
-                        serving.await;
-                        drop(permit);
-                    });
-                }
+                Ok((socket, peer)) => spawn(permit, socket, peer),
                 Err(error) => {
                     failures.emit(clock.now(), self.name, &[&self.name, &error]);
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
         }
+        // Closing the listener resets the connections that wait to be accepted, with the requests that
+        // their callers have sent.
+        let Ok(listener) = listener.into_std() else {
+            return;
+        };
+        while let Ok(permit) = Arc::clone(&permits).try_acquire_owned()
+            && let Ok((socket, peer)) = accept_waiting(&listener)
+        {
+            spawn(Ok(permit), socket, peer);
+        }
     }
 }
+
+/// Accepts a connection that waits already. A listener without one fails.
+fn accept_waiting(listener: &StdTcpListener) -> IoResult<(TcpStream, SocketAddr)> {
+    let (socket, peer) = listener.accept()?;
+    socket.set_nonblocking(true)?;
+    Ok((TcpStream::from_std(socket)?, peer))
+}
--- a/crates/fescueway_proxy/src/entry/entry_server.rs
+++ b/crates/fescueway_proxy/src/entry/entry_server.rs
@@ -1,6 +1,6 @@
 //! Accepts and serves connections of callers.
 
-use std::{convert::Infallible, net::SocketAddr, pin::Pin, sync::Arc};
+use std::{convert::Infallible, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use fescueway_telemetry::{emit, events::path};
 use http::{Request, request::Parts};
@@ -9,7 +9,10 @@
     rt::{TokioIo, TokioTimer},
     server::conn::auto::Builder,
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -28,6 +31,10 @@
 /// Maximum number of header fields of a request.
 pub const MAX_HEADERS: usize = 100;
 
+/// Time that a connection is still read after the node began to close. A busy node reads late what its
+/// callers sent in time.
+const CLOSE_DELAY: Duration = Duration::from_millis(20);
+
 /// Concurrent streams of one HTTP/2 connection of a caller.
 const MAX_CALLER_STREAMS: u32 = 128;
 
@@ -105,6 +112,7 @@
     let mut drained = std::pin::pin!(async {
         closing.cancelled().await;
         ahead.drain().await;
+        sleep(CLOSE_DELAY).await;
     });
     let mut is_reader_ended = false;
     let result = loop {
