Take no request that can't end before the stop of its entry

Cause: an entry that stops passes on whatever it reads until the last moment, whatever time is left. A busy node, calls of backend servers and HTTP/2 streams that cross the GOAWAY bring requests after the linger time.

Evidence: booking_that_can_not_end_before_the_stop_is_not_passed_on. Without this change the booking is passed on 1.3 s after the stop began, for a target that works 1.95 s where 1.7 s are left, and its connection is closed without a byte.

Change: after the linger time an entry takes a request only if its time limit ends before the abort, and refuses any other at once with 503 and Retry-After. StopSchedule decides, apart from I/O; its test walks through all times and limits. Requests that a stop aborts are logged with the time since it began (E1106) and no longer as callers that left.

--- a/crates/fescueway_admission/src/lib.rs
+++ b/crates/fescueway_admission/src/lib.rs
@@ -15,6 +15,7 @@
 mod service_estimate;
 mod slow_start;
 mod start_pacer;
+mod stop_schedule;
 mod suspect_decision;
 mod suspect_list;
 mod suspect_message;
@@ -28,6 +29,7 @@
     health_tracker::{HealthStatus, HealthTracker},
     probe_budget::ProbeBudget,
     probe_scheduler::{ProbeEnd, ProbeScheduler},
+    stop_schedule::StopSchedule,
     suspect_decision::{SuspectDecision, SuspectEnd},
     suspect_list::SuspectList,
     suspect_message::{CrashId, SuspectMessage, SuspectReply},
--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -21,8 +21,9 @@
     request_record::RequestRecord,
 };
 
-/// `Retry-After` of an entry that has no configuration, or none for the route's service. A node
-/// that starts gets its configuration by one call to the store or to a peer.
+/// `Retry-After` of an entry that has no configuration or none for the route's service, or that stops.
+/// A node that starts gets its configuration by one call to the store or to a peer; one that stops was
+/// not ready for a while, so that its callers have others to turn to.
 const UNROUTED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Answers a caller's request. The request counts as open on its connection until its answer has
@@ -45,8 +46,8 @@
     response.map(|body| CountedBody { body, open })
 }
 
-/// The record of an open request. Logs that the caller left when it is dropped before the answer
-/// began.
+/// The record of an open request. When it is dropped before the answer began, logs that the caller left,
+/// or that the stop of this node aborted the request.
 struct RecordGuard<'a> {
     /// The node.
     state: &'a ProxyState,
@@ -88,7 +89,13 @@
         if !self.is_ended {
             let now = self.state.now();
             self.record.latency = now.since(self.start);
-            self.state.log().caller_left(now, &self.record);
+            let log = self.state.log();
+            match self.state.stop_schedule() {
+                Some(stop) if stop.is_over(now) => {
+                    log.request_aborted(now, &self.record, stop.elapsed(now));
+                }
+                _ => log.caller_left(now, &self.record),
+            }
         }
     }
 }
@@ -179,6 +186,10 @@
             record,
         );
     }
+    let stop = state.stop_schedule();
+    if stop.is_some_and(|stop| !stop.is_taken(state.now(), terms.time_left)) {
+        return refuse(state, RefusalReason::Draining, record);
+    }
     let limits = state.limits();
     let max_bytes = plan.max_body_bytes.unwrap_or(limits.body_bytes);
     let max_bytes = max_bytes.min(service.limit.max_body_bytes);
@@ -217,7 +228,7 @@
     entry_answer(state.profile(), status, Outcome::NotRun, text)
 }
 
-/// Refuses a request that this entry can't route at the moment.
+/// Refuses a request that this entry can't offer at the moment.
 fn refuse(
     state: &ProxyState,
     reason: RefusalReason,
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -7,11 +7,12 @@
     fmt::Display,
     net::{IpAddr, SocketAddr},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
 };
 
+use fescueway_admission::StopSchedule;
 use fescueway_config::SitePlan;
 use fescueway_core::{MonoTime, NodeId, ServiceName, SiteName, TargetRecord};
 use fescueway_telemetry::{SourceRateLimit, events::path};
@@ -66,6 +67,8 @@
     is_configured: AtomicBool,
     /// Whether the configuration in force was the newest when it was read, as far as is known.
     is_plan_current: AtomicBool,
+    /// When this node ends its work; unset until it is told to stop.
+    stop_schedule: OnceLock<StopSchedule>,
     /// The local service whose name is sent to backend servers as the caller's.
     caller_service: Mutex<Option<HeaderValue>>,
     /// The entry's state of each route.
@@ -116,6 +119,7 @@
             plan: Mutex::new(Arc::new(plan)),
             is_configured: AtomicBool::new(false),
             is_plan_current: AtomicBool::new(true),
+            stop_schedule: OnceLock::new(),
             caller_service: Mutex::default(),
             route_states: RouteStates::default(),
             routes: RouteTable::new(&options),
@@ -276,6 +280,18 @@
         self.is_configured() && self.0.is_plan_current.load(Ordering::Relaxed)
     }
 
+    /// Begins a stop of this node. Only the first call has an effect.
+    pub fn begin_stop(&self, schedule: StopSchedule) {
+        // A second stop doesn't prolong the first one.
+        let _ = self.0.stop_schedule.set(schedule);
+    }
+
+    /// When this node ends its work; `None` until it is told to stop.
+    #[must_use]
+    pub fn stop_schedule(&self) -> Option<&StopSchedule> {
+        self.0.stop_schedule.get()
+    }
+
     /// Sets the service that backend servers are told as the caller of requests received here.
     pub fn set_caller_service(&self, service: Option<HeaderValue>) {
         *lock(&self.0.caller_service) = service;
--- a/crates/fescueway_proxy/src/request_log.rs
+++ b/crates/fescueway_proxy/src/request_log.rs
@@ -34,6 +34,7 @@
     refused: EventRateLimit,
     unrouted: EventRateLimit,
     caller_left: EventRateLimit,
+    aborted: EventRateLimit,
     offer_lost: EventRateLimit,
     offered_again: EventRateLimit,
     hedged: EventRateLimit,
@@ -94,6 +95,7 @@
             refused: budget(&request::REFUSED),
             unrouted: budget(&request::UNROUTED),
             caller_left: budget(&request::CALLER_LEFT),
+            aborted: budget(&request::ABORTED),
             offer_lost: budget(&request::OFFER_LOST),
             offered_again: budget(&request::OFFERED_AGAIN),
             hedged: budget(&request::HEDGED),
@@ -203,6 +205,22 @@
         );
     }
 
+    /// The stop of this node, which began `stopping_for` ago, aborted a request.
+    pub fn request_aborted(&self, now: MonoTime, record: &RequestRecord, stopping_for: Duration) {
+        let service = record.service.as_ref().map_or(UNKNOWN, ServiceName::as_str);
+        self.aborted.emit(
+            now,
+            &[
+                &id_text(&record.id),
+                &self.node,
+                &record.route.as_deref().unwrap_or(UNKNOWN),
+                &service,
+                &record.latency.as_micros(),
+                &stopping_for.as_micros(),
+            ],
+        );
+    }
+
     /// The answer to an offer that was sent `took` ago is lost.
     pub fn offer_lost(
         &self,
--- a/crates/fescueway_telemetry/src/events/request.rs
+++ b/crates/fescueway_telemetry/src/events/request.rs
@@ -98,6 +98,23 @@
     advice: "Nothing, unless callers give up before the route's deadline.",
 };
 
+/// At the entry: the stop of the node aborted a request.
+pub const ABORTED: EventKind = EventKind {
+    number: 1106,
+    level: Level::Warn,
+    summary: "request aborted by the stop of its entry",
+    fields: &[
+        "id",
+        "node",
+        "route",
+        "service",
+        "latency_us",
+        "stopping_for_us",
+        "suppressed",
+    ],
+    advice: "Give the node more time to stop (`stop_grace_ms`, `stop_timeout_ms`). The request may have run.",
+};
+
 /// At the entry: the answer to an offer was lost.
 pub const OFFER_LOST: EventKind = EventKind {
     number: 1111,
@@ -252,6 +269,7 @@
     &REFUSED,
     &UNROUTED,
     &CALLER_LEFT,
+    &ABORTED,
     &OFFER_LOST,
     &OFFERED_AGAIN,
     &HEDGED,
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use fescueway_admission::StopSchedule;
 use fescueway_core::NodeId;
 use fescueway_membership::MemberEvent;
 use fescueway_proxy::{ProxyOptions, ProxyState, TaskGroup, serve_callers, serve_peers};
@@ -179,6 +180,8 @@
         // During the linger time, callers and entries that have not seen yet that the node isn't
         // ready are still served; the backend server becomes unreachable only with the drain.
         self.board.change(|facts| facts.is_stopping = true);
+        let schedule = StopSchedule::new(self.state.now(), self.settings.stop_linger, limit);
+        self.state.begin_stop(schedule);
         sleep(self.settings.stop_linger.min(limit)).await;
         self.drains.drain_node();
         self.closing_callers.cancel();
