Abort requests at a stop by the grace time of the deployment

What callers saw: requests cut off around a SIGTERM.

Cause: the template of the settings had the abort 5.5 s after SIGTERM for every deployment, which is the last sixth of 6 s. On a busy machine all of a stop comes later.

Change: the setting stop_grace_ms names the time after which the process is killed, and requests in flight are aborted when a twelfth of it is left: 5.5 s of 6 s as before, 9.2 s of 10 s.

That this is what the users saw is suspected, not shown: their record names no time.

--- a/crates/fescuewayd/src/raw_settings.rs
+++ b/crates/fescuewayd/src/raw_settings.rs
@@ -40,6 +40,8 @@
     pub limits: RawLimits,
     /// How long a stop waits for requests in flight.
     pub stop_timeout_ms: Option<Number>,
+    /// Time after which a stopping process is killed.
+    pub stop_grace_ms: Option<Number>,
     /// How long an announcement is valid.
     pub announce_timeout_ms: Option<Number>,
     /// How long a stopping node keeps accepting connections.
@@ -154,7 +156,7 @@
             store: addresses("store", &raw.store)?,
             log: LogSettings::try_from(raw.log)?,
             limits: ProxyLimits::try_from(raw.limits)?,
-            stop_timeout: millis(&rules::STOP_TIMEOUT, raw.stop_timeout_ms.as_ref())?,
+            stop_timeout: stop_timeout(raw.stop_timeout_ms.as_ref(), raw.stop_grace_ms.as_ref())?,
             announce_timeout: millis(&rules::ANNOUNCE_TIMEOUT, raw.announce_timeout_ms.as_ref())?,
             stop_linger: millis(&rules::STOP_LINGER, raw.stop_linger_ms.as_ref())?,
             backend_address: optional_address("backend_address", raw.backend_address.as_deref())?,
@@ -215,6 +217,15 @@
     Ok(Duration::from_millis(number(rule, raw)?))
 }
 
+/// How long a stop waits for requests in flight: what the settings allow, but not until the process is
+/// killed.
+fn stop_timeout(timeout: Option<&Number>, grace: Option<&Number>) -> Result<Duration, FieldFault> {
+    let timeout = millis(&rules::STOP_TIMEOUT, timeout)?;
+    let grace = rules::STOP_GRACE.check_optional(rules::STOP_GRACE.field.to_owned(), grace)?;
+    let limit = grace.map(|grace_ms| Duration::from_secs_f64(grace_ms / 1_000.0) * 11 / 12);
+    Ok(limit.map_or(timeout, |limit| timeout.min(limit)))
+}
+
 /// Checks that a name is not empty.
 fn name(field: &str, text: String) -> Result<String, FieldFault> {
     if text.trim().is_empty() {
--- a/crates/fescuewayd/src/settings_rules.rs
+++ b/crates/fescuewayd/src/settings_rules.rs
@@ -14,6 +14,7 @@
     &CONNECTION_IDLE,
     &LOG_LINES,
     &STOP_TIMEOUT,
+    &STOP_GRACE,
     &ANNOUNCE_TIMEOUT,
     &STOP_LINGER,
     &RETRY_SLACK,
@@ -129,6 +130,17 @@
     meaning: "A stop waits this long for requests in flight.",
 };
 
+/// Time after which a stopping process is killed.
+pub const STOP_GRACE: NumberRule = NumberRule {
+    field: "stop_grace_ms",
+    unit: "ms",
+    default: 0.0,
+    min: 1.0,
+    max: 3_600_000.0,
+    is_whole: false,
+    meaning: "Time from SIGTERM until the process is killed. Requests in flight are aborted when a twelfth of it is left, even if `stop_timeout_ms` is longer. Not given: the process is not killed.",
+};
+
 /// Timeout of announcements.
 pub const ANNOUNCE_TIMEOUT: NumberRule = NumberRule {
     field: "announce_timeout_ms",
