--- a/crates/fescueway_admission/src/stop_schedule.rs
+++ b/crates/fescueway_admission/src/stop_schedule.rs
@@ -22,11 +22,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct StopSchedule {
     /// When the stop began.
-    began_at: MonoTime,
+    start: MonoTime,
     /// When the linger time ends.
-    closes_at: MonoTime,
-    /// When requests in flight are aborted. Not before `closes_at`.
-    aborts_at: MonoTime,
+    linger_end: MonoTime,
+    /// When requests in flight are aborted. Not before `linger_end`.
+    deadline: MonoTime,
 }
 
 impl StopSchedule {
@@ -35,27 +35,27 @@
     #[must_use]
     pub fn new(now: MonoTime, linger: Duration, timeout: Duration) -> Self {
         Self {
-            began_at: now,
-            closes_at: now + linger.min(timeout),
-            aborts_at: now + timeout,
+            start: now,
+            linger_end: now + linger.min(timeout),
+            deadline: now + timeout,
         }
     }
 
     /// Whether a request is taken that was received at `now` and ends within `time_left`.
     #[must_use]
     pub fn is_taken(&self, now: MonoTime, time_left: Duration) -> bool {
-        now < self.closes_at || now + time_left <= self.aborts_at
+        now < self.linger_end || now + time_left <= self.deadline
     }
 
     /// Time since the stop began.
     #[must_use]
     pub fn elapsed(&self, now: MonoTime) -> Duration {
-        now.since(self.began_at)
+        now.since(self.start)
     }
 
     /// Whether requests in flight are aborted by now.
     #[must_use]
     pub fn is_over(&self, now: MonoTime) -> bool {
-        now >= self.aborts_at
+        now >= self.deadline
     }
 }
