Notice connections between nodes that went silent

What callers saw: from 8 to 14 s, of some 200 requests in each two seconds 11 to 80 were in time and 120 to 190 failed, most of them without an answer until the caller left.

Cause: only TCP_USER_TIMEOUT, 5 s, noticed that a connection between nodes was silent; until then it got all new requests.

Two of three tests in silent_connections.rs fail on the former code, 504 in place of 200 and of 502.

Change: a connection that has something to answer and gives no sign of life is pinged after 100 ms, gets no new streams 250 ms later, and is closed 1.5 s after the ping if another connection to the peer works. Reads on it are offered once more at once, within the budget; a booking goes on a connection only on which the peer was heard within 200 ms, else after a ping. A peer that is silent on two connections is refused unsent. A lost connection counts neither against the target nor as a suspect. SilenceDetector decides.

--- a/crates/fescueway_proxy/src/entry/hedge.rs
+++ b/crates/fescueway_proxy/src/entry/hedge.rs
@@ -6,7 +6,7 @@
 pub fn is_success(end: &AttemptEnd) -> bool {
     match end {
         AttemptEnd::Answered(answer, _) => !answer.response.status().is_server_error(),
-        AttemptEnd::Refused(..) | AttemptEnd::Lost(_) => false,
+        AttemptEnd::Refused(..) | AttemptEnd::Lost { .. } => false,
     }
 }
 
@@ -16,6 +16,6 @@
 pub fn more_conclusive_end(first: AttemptEnd, second: AttemptEnd) -> AttemptEnd {
     match second {
         AttemptEnd::Refused(..) => first,
-        AttemptEnd::Answered(..) | AttemptEnd::Lost(_) => second,
+        AttemptEnd::Answered(..) | AttemptEnd::Lost { .. } => second,
     }
 }
--- a/crates/fescueway_proxy/src/entry/offer_attempt.rs
+++ b/crates/fescueway_proxy/src/entry/offer_attempt.rs
@@ -4,13 +4,14 @@
 use fescueway_routing::{EjectionChange, HandedOver, OfferEnd, OfferPermit};
 use http::{Response, header::CONTENT_LENGTH};
 use http_body::Body;
+use tokio::sync::Notify;
 
 use crate::{
     body::AnswerBody,
     host::offer_locally,
     offer_answer::{AnswerWithOutcome, OfferAnswer},
     offer_request::OfferRequest,
-    peer::{offer_to_peer, unreachable_host},
+    peer::{PeerCause, PeerError, offer_to_peer, unreachable_host},
     proxy_state::ProxyState,
     request_log::LogId,
 };
@@ -23,7 +24,12 @@
     /// The request did not run and may be offered elsewhere.
     Refused(Refusal, RequestTerms),
     /// The answer was lost.
-    Lost(HandedOver),
+    Lost {
+        /// The permission to offer the request again.
+        handed_over: HandedOver,
+        /// Whether the target may be the cause. If not, the connection to its host was lost.
+        is_target_suspect: bool,
+    },
 }
 
 /// Reports the end of an offer to the router when dropped: as cancelled, unless another end was
@@ -41,13 +47,15 @@
     end: OfferEnd,
 }
 
-/// Offers the request to the permit's host and waits for the head of the answer.
+/// Offers the request to the permit's host and waits for the head of the answer. `on_silence` is notified
+/// when the connection to the host goes silent meanwhile.
 pub async fn attempt(
     state: &ProxyState,
     permit: OfferPermit,
     request: &OfferRequest,
     id: &LogId,
     deadline: MonoTime,
+    on_silence: &Notify,
 ) -> AttemptEnd {
     let mut guard = OfferGuard::begin(state, &permit);
     let mut request = request.clone();
@@ -55,7 +63,7 @@
     request.terms = permit.terms().clone();
     request.terms.time_left = deadline.since(state.now());
     request.notice = state.routes().notice(&request.terms.service, request.host);
-    let answer = send(state, &request).await;
+    let answer = send(state, &request, on_silence).await;
     let is_broken = request.body.failure_status().is_some();
     guard.report(&answer, &request, is_broken);
     let (log, now, host) = (state.log(), state.now(), request.host);
@@ -67,6 +75,7 @@
         }
         OfferAnswer::Answered { answer, .. } => AttemptEnd::Answered(answer, permit.hand_over()),
         OfferAnswer::Lost { error, .. } => {
+            let is_target_suspect = !is_connection_lost(error.as_ref());
             if !is_broken {
                 let error = error.map(|error| error.to_string());
                 let error = error
@@ -74,20 +83,31 @@
                     .unwrap_or("the host reported the answer as lost");
                 log.offer_lost(now, id, host, error, took);
             }
-            AttemptEnd::Lost(permit.hand_over())
+            AttemptEnd::Lost {
+                handed_over: permit.hand_over(),
+                is_target_suspect,
+            }
         }
     }
 }
 
+/// Whether an answer was lost with the connection to its host, which says nothing of the target.
+fn is_connection_lost(error: Option<&PeerError>) -> bool {
+    error.is_some_and(|error| matches!(error.cause, PeerCause::Silent))
+}
+
 /// Offers the request to its host, on this node or another.
-async fn send(state: &ProxyState, request: &OfferRequest) -> OfferAnswer {
+async fn send(state: &ProxyState, request: &OfferRequest, on_silence: &Notify) -> OfferAnswer {
     if request.host == state.node() {
         // Boxed since its future is by far the largest part, which most requests don't need.
         return Box::pin(offer_locally(state, request)).await;
     }
     let address = state.routes().address(&request.terms.service, request.host);
     match address {
-        Some(peer) => offer_to_peer(state.peers(), peer, request, state.limits().body_idle).await,
+        Some(peer) => {
+            let idle = state.limits().body_idle;
+            offer_to_peer(state.peers(), peer, request, idle, on_silence).await
+        }
         None => OfferAnswer::refused(unreachable_host(), None),
     }
 }
@@ -143,7 +163,9 @@
     /// The end that is reported to the router for `answer`.
     fn offer_end(&self, answer: &OfferAnswer, is_broken: bool) -> OfferEnd {
         match answer {
-            OfferAnswer::Lost { .. } if is_broken => OfferEnd::Cancelled,
+            OfferAnswer::Lost { error, .. } if is_broken || is_connection_lost(error.as_ref()) => {
+                OfferEnd::Cancelled
+            }
             OfferAnswer::Refused { refusal, .. } => OfferEnd::Refused(*refusal),
             OfferAnswer::Lost { .. } => OfferEnd::Lost,
             OfferAnswer::Answered { answer, .. } => OfferEnd::Answered {
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -1,11 +1,14 @@
 //! Offers a request to one host after another until it is answered or abandoned.
 
-use std::{pin::pin, time::Duration};
+use std::{future::pending, pin::pin, time::Duration};
 
 use fescueway_core::{MonoTime, NodeId, OfferCause, Outcome, Refusal, RefusalReason, RequestTerms};
 use fescueway_routing::{HandedOver, OfferPermit, PickResult};
 use http::{Response, StatusCode};
-use tokio::time::{sleep, timeout_at};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout_at},
+};
 
 use super::{
     final_answer::{incomplete_body_answer, insert_outcome, lost_answer, refused_answer},
@@ -108,17 +111,21 @@
                 cause: failure_cause(&end),
                 took: self.state.now().since(start),
             });
-            self.lost_at = matches!(end, AttemptEnd::Lost(_)).then_some(target);
+            self.lost_at = matches!(end, AttemptEnd::Lost { .. }).then_some(target);
             terms = match end {
                 AttemptEnd::Refused(refusal, terms) => {
                     self.refusal = Some(refusal);
                     terms
                 }
-                AttemptEnd::Lost(handed_over) => {
+                AttemptEnd::Lost {
+                    handed_over,
+                    is_target_suspect,
+                } => {
                     self.is_answer_lost = true;
                     self.runs_left = self.runs_left.saturating_sub(1);
                     let mut terms = retry_terms(handed_over)?;
-                    terms.lost_runs = terms.lost_runs.saturating_add(1);
+                    let lost_runs = u8::from(is_target_suspect);
+                    terms.lost_runs = terms.lost_runs.saturating_add(lost_runs);
                     terms
                 }
                 AttemptEnd::Answered(answer, handed_over) => {
@@ -187,29 +194,39 @@
         }
     }
 
-    /// Makes an offer, and hedges it with a second one when the first is slow.
+    /// Makes an offer, and hedges it with a second one when the first is slow, or when the connection to
+    /// its host goes silent.
     async fn attempt_hedged(&mut self, permit: OfferPermit) -> AttemptEnd {
         let (state, deadline) = (self.state, self.deadline);
         let request = self.request.clone();
         let hedge = self.hedge_plan(&permit);
-        let (id, late_target) = (self.id.clone(), permit.node());
-        let mut first = pin!(attempt(state, permit, &request, &id, deadline));
-        let Some((delay, terms)) = hedge else {
+        let (id, late_target, start) = (self.id.clone(), permit.node(), state.now());
+        let (on_silence, unused) = (Notify::new(), Notify::new());
+        let mut first = pin!(attempt(state, permit, &request, &id, deadline, &on_silence));
+        let Some((delay, mut terms)) = hedge else {
             return first.await;
         };
+        let late = async {
+            match delay {
+                Some(delay) => sleep(delay).await,
+                None => pending().await,
+            }
+        };
         tokio::select! {
             end = first.as_mut() => return end,
-            () = sleep(delay) => {}
+            () = late => {}
+            // Unlike a hedge, it doesn't wait for a sign that the target is slow.
+            () = on_silence.notified() => terms.cause = OfferCause::Retried,
         }
         let Ok(permit) = self.pick(terms) else {
             return first.await;
         };
-        let log = state.log();
-        log.hedged(state.now(), &id, permit.node(), late_target, delay);
+        let (log, now) = (state.log(), state.now());
+        log.hedged(now, &id, permit.node(), late_target, now.since(start));
         self.hedges += 1;
         self.runs_left = self.runs_left.saturating_sub(1);
         // Boxed since hedges are rare, to keep the future of every other request small.
-        let mut second = Box::pin(attempt(state, permit, &request, &id, deadline));
+        let mut second = Box::pin(attempt(state, permit, &request, &id, deadline, &unused));
         tokio::select! {
             end = first.as_mut() => {
                 if is_success(&end) { end } else { more_conclusive_end(end, second.await) }
@@ -220,15 +237,15 @@
         }
     }
 
-    /// The delay before the offer is hedged, and the terms of the hedge. Only idempotent requests
-    /// without a body are hedged.
-    fn hedge_plan(&self, permit: &OfferPermit) -> Option<(Duration, RequestTerms)> {
+    /// The terms of a hedge, and the delay before the offer is hedged unless its connection goes silent;
+    /// without a delay it is hedged only then. Only idempotent requests without a body are hedged.
+    fn hedge_plan(&self, permit: &OfferPermit) -> Option<(Option<Duration>, RequestTerms)> {
         if !self.request.body.is_empty() || self.runs_left < 2 {
             return None;
         }
         let terms = permit.hedge()?;
         let routes = self.state.routes();
-        let delay = routes.hedge_after(self.state.now(), &terms, permit.node())?;
+        let delay = routes.hedge_after(self.state.now(), &terms, permit.node());
         Some((delay, terms))
     }
 
@@ -305,7 +322,7 @@
     match end {
         AttemptEnd::Answered(..) => "failed answer",
         AttemptEnd::Refused(refusal, _) => refusal.reason.as_str(),
-        AttemptEnd::Lost(_) => "answer lost",
+        AttemptEnd::Lost { .. } => "answer lost",
     }
 }
 
--- a/crates/fescueway_proxy/src/peer/mod.rs
+++ b/crates/fescueway_proxy/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Streams between nodes: connection pool, server and control messages.
 
 mod abort_on_drop;
+mod connection_pulse;
 mod control_table;
 mod frame_reader;
 mod peer_connection;
@@ -13,7 +14,7 @@
 pub use self::{
     abort_on_drop::AbortOnDrop,
     control_table::ControlTable,
-    peer_error::{PeerError, PeerStep},
+    peer_error::{PeerCause, PeerError, PeerStep},
     peer_pool::PeerPool,
     peer_server::serve_peers,
 };
--- a/crates/fescueway_proxy/src/peer/peer_connection.rs
+++ b/crates/fescueway_proxy/src/peer/peer_connection.rs
@@ -4,18 +4,29 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
 
 use bytes::Bytes;
 use fescueway_core::MonoTime;
-use h2::client::{Builder, SendRequest};
+use fescueway_routing::PeerSilence;
+use h2::{
+    PingPong,
+    client::{Builder, SendRequest},
+};
 use tokio::{net::TcpStream, time::timeout};
 
-use super::{PeerError, PeerStep, peer_error::PeerCause};
-use crate::{proxy_limits::ProxyLimits, socket_options::set_socket_options, task_group::TaskGroup};
+use super::{
+    PeerError, PeerStep,
+    connection_pulse::{ConnectionPulse, PulseSocket},
+    peer_error::PeerCause,
+};
+use crate::{
+    mono_clock::MonoClock, proxy_limits::ProxyLimits, socket_options::set_socket_options,
+    task_group::TaskGroup,
+};
 
 /// Flow-control window of a stream, in bytes. Limits the memory that a slow reader uses.
 pub const STREAM_WINDOW_BYTES: u32 = 128 * 1_024;
@@ -35,8 +46,8 @@
 pub struct PeerConnection {
     /// Opens streams.
     sender: SendRequest<Bytes>,
-    /// Number of open streams.
-    streams: Arc<AtomicUsize>,
+    /// Signs of life on the connection, and the number of its streams.
+    pulse: ConnectionPulse,
     /// Whether the connection is closed.
     is_closed: Arc<AtomicBool>,
     /// Time at which the last stream was opened.
@@ -48,68 +59,91 @@
 pub struct StreamPermit {
     /// Opens the stream.
     pub sender: SendRequest<Bytes>,
-    /// Number of open streams of the connection.
-    streams: Arc<AtomicUsize>,
+    /// Signs of life on the connection.
+    pub pulse: ConnectionPulse,
 }
 
 impl PeerConnection {
-    /// Connects to `peer` within the connect timeout.
+    /// Connects to `peer` within the connect timeout. Returns the connection, and what pings the peer on
+    /// it.
     pub async fn connect(
         peer: SocketAddr,
         limits: &ProxyLimits,
         tasks: &TaskGroup,
-        now: MonoTime,
-    ) -> Result<Self, PeerError> {
+        clock: MonoClock,
+    ) -> Result<(Self, PingPong), PeerError> {
         let error = |cause| PeerError::new(PeerStep::Connect, peer, cause);
-        let connecting = timeout(limits.connect_timeout, Self::handshake(peer));
-        let (sender, connection) = match connecting.await {
+        let connecting = timeout(limits.connect_timeout, Self::handshake(peer, clock));
+        let (pulse, sender, mut connection) = match connecting.await {
             Ok(connected) => connected.map_err(error)?,
             Err(_elapsed) => return Err(error(PeerCause::TimedOut)),
         };
+        // A connection has one, which is taken only here.
+        let ping_pong = connection
+            .ping_pong()
+            .ok_or_else(|| error(PeerCause::Malformed))?;
         let is_closed = Arc::new(AtomicBool::new(false));
-        let closed = Arc::clone(&is_closed);
+        let (closed, closing) = (Arc::clone(&is_closed), pulse.clone());
         tasks.spawn(async move {
-            // An error of the connection is reported to its streams.
-            let _ = connection.await;
+            tokio::select! {
+                // An error of the connection is reported to its streams.
+                _ended = connection => {}
+                () = closing.closing() => {}
+            }
             closed.store(true, Ordering::Relaxed);
         });
-        Ok(Self {
+        let connection = Self {
             sender,
-            streams: Arc::default(),
+            pulse,
             is_closed,
-            last_use: now,
-        })
+            last_use: clock.now(),
+        };
+        Ok((connection, ping_pong))
     }
 
     /// Opens the TCP connection and performs the HTTP/2 handshake.
     async fn handshake(
         peer: SocketAddr,
-    ) -> Result<(SendRequest<Bytes>, h2::client::Connection<TcpStream>), PeerCause> {
+        clock: MonoClock,
+    ) -> Result<
+        (
+            ConnectionPulse,
+            SendRequest<Bytes>,
+            h2::client::Connection<PulseSocket>,
+        ),
+        PeerCause,
+    > {
         let socket = TcpStream::connect(peer).await?;
         set_socket_options(&socket, PEER_ACK_TIMEOUT)?;
-        let connected = Builder::new()
+        let pulse = ConnectionPulse::new(clock);
+        let (sender, connection) = Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .enable_push(false)
-            .handshake(socket)
+            .handshake(pulse.watch(socket))
             .await?;
-        Ok(connected)
+        Ok((pulse, sender, connection))
     }
 
-    /// Acquires a permit for a stream, `None` if the connection is closed or at its stream limit.
+    /// Acquires a permit for a stream, `None` if the connection is closed, silent or at its stream limit.
     pub fn try_acquire(&mut self, now: MonoTime) -> Option<StreamPermit> {
-        let count = self.streams.load(Ordering::Relaxed);
-        if self.is_closed() || count >= STREAMS_PER_CONNECTION as usize {
+        let is_full = self.pulse.streams() >= STREAMS_PER_CONNECTION as usize;
+        if self.is_closed() || is_full || self.pulse.silence() != PeerSilence::None {
             return None;
         }
-        self.streams.fetch_add(1, Ordering::Relaxed);
+        self.pulse.stream_opened();
         self.last_use = now;
         Some(StreamPermit {
             sender: self.sender.clone(),
-            streams: Arc::clone(&self.streams),
+            pulse: self.pulse.clone(),
         })
     }
 
+    /// Signs of life on the connection.
+    pub fn pulse(&self) -> &ConnectionPulse {
+        &self.pulse
+    }
+
     /// Whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.is_closed.load(Ordering::Relaxed)
@@ -117,12 +151,12 @@
 
     /// Whether no stream is open and none was opened after `time`.
     pub fn is_idle_since(&self, time: MonoTime) -> bool {
-        self.streams.load(Ordering::Relaxed) == 0 && self.last_use <= time
+        self.pulse.streams() == 0 && self.last_use <= time
     }
 }
 
 impl Drop for StreamPermit {
     fn drop(&mut self) {
-        self.streams.fetch_sub(1, Ordering::Relaxed);
+        self.pulse.stream_ended();
     }
 }
--- a/crates/fescueway_proxy/src/peer/peer_error.rs
+++ b/crates/fescueway_proxy/src/peer/peer_error.rs
@@ -46,6 +46,12 @@
     /// The exchange timed out.
     #[error("timed out")]
     TimedOut,
+    /// The connection went silent, while another one to the peer works.
+    #[error("the connection went silent")]
+    Silent,
+    /// The peer answers on no connection.
+    #[error("the peer doesn't answer")]
+    Unresponsive,
     /// The stream ended before the message did.
     #[error("the stream ended early")]
     Ended,
--- a/crates/fescueway_proxy/src/peer/peer_offer.rs
+++ b/crates/fescueway_proxy/src/peer/peer_offer.rs
@@ -1,17 +1,18 @@
 //! Offers a request to a host on another node.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, pin::pin, time::Duration};
 
 use bytes::Bytes;
-use fescueway_core::{Refusal, RefusalReason};
+use fescueway_core::{Idempotency, Refusal, RefusalReason};
 use fescueway_wire::{AnswerHead, MAX_HEAD_BYTES, StreamHead, encode_frame};
 use h2::Reason;
 use http::{Response, StatusCode};
+use tokio::sync::Notify;
 
 use super::{
     AbortOnDrop, FrameReader, PeerError, PeerPool, PeerStep,
     peer_error::PeerCause,
-    peer_pool::{OpenStream, receive},
+    peer_pool::{ConnectionUse, OpenStream, receive},
 };
 use crate::{
     body::{AnswerBody, RequestBody, send_body},
@@ -22,14 +23,16 @@
 /// Offers `request` to the host at `peer`.
 ///
 /// A streaming body is sent only after the host accepted the offer, so that it is not consumed by a
-/// refused one. `idle` is the idle timeout of both bodies.
+/// refused one. `idle` is the idle timeout of both bodies. `on_silence` is notified when the connection
+/// goes silent before the answer; it may still come.
 pub async fn offer_to_peer(
     pool: &PeerPool,
     peer: SocketAddr,
     request: &OfferRequest,
     idle: Duration,
+    on_silence: &Notify,
 ) -> OfferAnswer {
-    match exchange(pool, peer, request, idle).await {
+    match exchange(pool, peer, request, idle, on_silence).await {
         Ok(answer) => answer,
         Err(error) if is_refusal(&error) => OfferAnswer::refused(unreachable_host(), None),
         Err(error) => OfferAnswer::Lost {
@@ -59,26 +62,46 @@
     peer: SocketAddr,
     request: &OfferRequest,
     idle: Duration,
+    on_silence: &Notify,
 ) -> Result<OfferAnswer, PeerError> {
     let frame = encode_frame(&StreamHead::Offer(Box::new(request.to_head())))
         .map_err(|error| PeerError::new(PeerStep::Open, peer, error))?;
-    let mut stream = pool.open(peer).await?;
+    let connection_use = match request.terms.idempotency {
+        Idempotency::Idempotent => ConnectionUse::Unchecked,
+        Idempotency::NonIdempotent => ConnectionUse::Checked,
+    };
+    let mut stream = pool.open(peer, connection_use).await?;
     send_offer(&mut stream, frame, &request.body)?;
-    let OpenStream {
-        permit,
-        sender,
-        response,
-        ..
-    } = stream;
-    let error = |cause| PeerError::new(PeerStep::Receive, peer, cause);
-    let mut reader = FrameReader::new(receive(response).await.map_err(error)?);
-    let mut head = reader.read(MAX_HEAD_BYTES).await.map_err(error)?;
+    let pulse = stream.permit.pulse.clone();
+    let mut reading = pin!(read_answer(stream, request.body.clone(), idle));
+    let answer = tokio::select! {
+        answer = reading.as_mut() => answer,
+        () = pulse.silent() => {
+            on_silence.notify_one();
+            reading.await
+        }
+    };
+    answer.map_err(|cause| {
+        let is_silent = pulse.is_closing();
+        let cause = if is_silent { PeerCause::Silent } else { cause };
+        PeerError::new(PeerStep::Receive, peer, cause)
+    })
+}
+
+/// Waits for the head of the answer, and sends a streaming body once the host has accepted the offer.
+async fn read_answer(
+    stream: OpenStream,
+    body: RequestBody,
+    idle: Duration,
+) -> Result<OfferAnswer, PeerCause> {
+    let mut reader = FrameReader::new(receive(stream.response).await?);
+    let mut head = reader.read(MAX_HEAD_BYTES).await?;
     let mut body_task = None;
     if matches!(head, AnswerHead::Accepted) {
-        body_task = Some(spawn_send_body(sender, request.body.clone(), idle));
-        head = reader.read(MAX_HEAD_BYTES).await.map_err(error)?;
+        body_task = Some(spawn_send_body(stream.sender, body, idle));
+        head = reader.read(MAX_HEAD_BYTES).await?;
     }
-    to_answer(head, reader, idle, body_task, permit).map_err(error)
+    to_answer(head, reader, idle, body_task, stream.permit)
 }
 
 /// Sends the head of the request, and the body unless it is streaming.
--- a/crates/fescueway_proxy/src/peer/peer_pool.rs
+++ b/crates/fescueway_proxy/src/peer/peer_pool.rs
@@ -12,6 +12,8 @@
 
 use bytes::Bytes;
 use fescueway_core::MonoTime;
+use fescueway_routing::PeerSilence;
+use fescueway_telemetry::{emit, events::path};
 use fescueway_wire::{
     ControlAnswer, ControlKind, ControlRequest, MAX_PAYLOAD_BYTES, StreamHead, encode_frame,
 };
@@ -20,13 +22,20 @@
 use tokio::{sync::Mutex as AsyncMutex, time::timeout};
 
 use super::{
-    FrameReader, PeerError, PeerStep, StreamPermit, peer_connection::PeerConnection,
-    peer_error::PeerCause,
+    FrameReader, PeerError, PeerStep, StreamPermit, connection_pulse::ConnectionPulse,
+    peer_connection::PeerConnection, peer_error::PeerCause,
 };
 use crate::{
     idle_sweep::IdleSweep, mono_clock::MonoClock, proxy_limits::ProxyLimits, task_group::TaskGroup,
 };
 
+/// Silent connections to a peer from which on the peer counts as unresponsive, so that no further one is
+/// opened for a while.
+const MAX_SILENT_CONNECTIONS: usize = 2;
+
+/// Time after which another connection is opened to an unresponsive peer, for each one that it has.
+const UNRESPONSIVE_TIME: Duration = Duration::from_millis(500);
+
 /// URI of every stream. The first frame of a stream states its purpose.
 const STREAM_URI: &str = "http://fescueway/";
 
@@ -61,6 +70,18 @@
     connect_lock: AsyncMutex<()>,
     /// Number of failed attempts to connect.
     failures: AtomicU64,
+    /// When the newest connection was opened, in microseconds of the pool's clock.
+    connected_at: AtomicU64,
+}
+
+/// Whether the connection of a stream is checked for silence before it is used, which takes a round trip
+/// if the peer was not heard lately.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConnectionUse {
+    /// Not checked: the message is sent again if the connection turns out to be silent.
+    Unchecked,
+    /// Checked: the message can't be sent again, or has a short time limit.
+    Checked,
 }
 
 /// Open stream without an answer yet.
@@ -128,7 +149,7 @@
         let message = StreamHead::Control(ControlRequest { kind, body });
         let frame =
             encode_frame(&message).map_err(|error| PeerError::new(PeerStep::Open, peer, error))?;
-        let mut stream = self.open(peer).await?;
+        let mut stream = self.open(peer, ConnectionUse::Unchecked).await?;
         stream
             .sender
             .send_data(frame.into(), true)
@@ -150,8 +171,19 @@
     /// # Errors
     ///
     /// If no stream can be opened. Nothing was sent in this case.
-    pub(crate) async fn open(&self, peer: SocketAddr) -> Result<OpenStream, PeerError> {
+    pub(crate) async fn open(
+        &self,
+        peer: SocketAddr,
+        connection_use: ConnectionUse,
+    ) -> Result<OpenStream, PeerError> {
         let mut permit = self.acquire(peer).await?;
+        if connection_use == ConnectionUse::Checked && !permit.pulse.check().await {
+            permit = self.acquire(peer).await?;
+            if !permit.pulse.check().await {
+                let cause = PeerCause::Unresponsive;
+                return Err(PeerError::new(PeerStep::Open, peer, cause));
+            }
+        }
         let error = |error: h2::Error| PeerError::new(PeerStep::Open, peer, error);
         let mut sender = permit.sender.clone().ready().await.map_err(error)?;
         let mut request = Request::new(());
@@ -173,6 +205,10 @@
         if let Some(permit) = peer_state.try_acquire(self.now()) {
             return Ok(permit);
         }
+        if peer_state.is_unresponsive(self.now()) {
+            let cause = PeerCause::Unresponsive;
+            return Err(PeerError::new(PeerStep::Connect, peer, cause));
+        }
         let failures = peer_state.failures.load(Ordering::Relaxed);
         let _guard = peer_state.connect_lock.lock().await;
         if let Some(permit) = peer_state.try_acquire(self.now()) {
@@ -193,19 +229,59 @@
     async fn connect(
         &self,
         peer: SocketAddr,
-        peer_state: &PeerState,
+        peer_state: &Arc<PeerState>,
     ) -> Result<StreamPermit, PeerError> {
-        let connected =
-            PeerConnection::connect(peer, &self.0.limits, &self.0.tasks, self.now()).await;
-        let mut connection = connected.inspect_err(|_| {
+        let (limits, tasks) = (&self.0.limits, &self.0.tasks);
+        let connected = PeerConnection::connect(peer, limits, tasks, self.0.clock).await;
+        let (mut connection, ping_pong) = connected.inspect_err(|_| {
             peer_state.failures.fetch_add(1, Ordering::Relaxed);
         })?;
-        let permit = connection.try_acquire(self.now());
+        let now = self.now();
+        peer_state
+            .connected_at
+            .store(now.as_micros(), Ordering::Relaxed);
+        let permit = connection.try_acquire(now);
+        let pulse = connection.pulse().clone();
+        let on_dead = self.replacement_of(peer, peer_state, &pulse);
+        tasks.spawn(pulse.supervise(ping_pong, on_dead));
         peer_state.connections().push(connection);
         self.start_sweep();
         permit.ok_or_else(|| PeerError::new(PeerStep::Connect, peer, PeerCause::Ended))
     }
 
+    /// What to do from time to time while a connection is dead: it is closed once another one to the same
+    /// peer works, which is opened if there is none.
+    fn replacement_of(
+        &self,
+        peer: SocketAddr,
+        peer_state: &Arc<PeerState>,
+        pulse: &ConnectionPulse,
+    ) -> impl Fn() + Send + 'static {
+        let (pool, dead) = (self.clone(), pulse.clone());
+        let peer_state = Arc::downgrade(peer_state);
+        move || {
+            let Some(peer_state) = peer_state.upgrade() else {
+                return;
+            };
+            if peer_state.is_heard_after_ping_on(&dead) {
+                emit(&path::PEER_SILENT, &[&peer, &dead.streams()]);
+                dead.close();
+                return;
+            }
+            let (pool, peer_state) = (pool.clone(), Arc::clone(&peer_state));
+            let tasks = pool.0.tasks.clone();
+            tasks.spawn(async move {
+                if peer_state.is_unresponsive(pool.now()) {
+                    return;
+                }
+                if let Ok(permit) = pool.acquire(peer).await {
+                    // The result is read from the connection by the next call.
+                    let _is_heard = permit.pulse.check().await;
+                }
+            });
+        }
+    }
+
     /// Starts the task that closes idle connections. It runs while there are connections.
     fn start_sweep(&self) {
         let idle = self.0.limits.connection_idle;
@@ -240,6 +316,25 @@
 }
 
 impl PeerState {
+    /// Whether all connections are silent, the newest of them for long enough that another one would be
+    /// too.
+    fn is_unresponsive(&self, now: MonoTime) -> bool {
+        let connected_at = MonoTime::from_micros(self.connected_at.load(Ordering::Relaxed));
+        let connections = self.connections();
+        let is_silent =
+            |connection: &PeerConnection| connection.pulse().silence() != PeerSilence::None;
+        connections.len() >= MAX_SILENT_CONNECTIONS
+            && connections.iter().all(is_silent)
+            && now.since(connected_at) < UNRESPONSIVE_TIME * connections.len() as u32
+    }
+
+    /// Whether the peer was heard on another connection after it was pinged on a silent one.
+    fn is_heard_after_ping_on(&self, silent: &ConnectionPulse) -> bool {
+        let connections = self.connections();
+        let mut pulses = connections.iter().map(PeerConnection::pulse);
+        pulses.any(|pulse| pulse.is_heard_after_ping_on(silent))
+    }
+
     /// Acquires a permit on an open connection, `None` if all of them are at their stream limit.
     fn try_acquire(&self, now: MonoTime) -> Option<StreamPermit> {
         let mut connections = self.connections();
--- a/crates/fescueway_routing/src/lib.rs
+++ b/crates/fescueway_routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod route_event;
 mod routing_plan;
 mod service_router;
+mod silence_detector;
 mod target_choice;
 mod target_subset;
 mod target_view;
@@ -26,5 +27,6 @@
     route_event::{EjectionChange, OfferEnd, RouteEvent},
     routing_plan::RoutingPlan,
     service_router::{PickResult, ServiceRouter},
+    silence_detector::{PeerSilence, SilenceDetector, SilenceStep},
     weighted_round_robin::WeightedRoundRobin,
 };
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -123,6 +123,15 @@
              set back between two starts. In the latter case the next reports take effect.",
 };
 
+/// A connection to another node went silent while another one to the same node works.
+pub const PEER_SILENT: EventKind = EventKind {
+    number: 1013,
+    level: Level::Info,
+    summary: "silent connection to a peer closed",
+    fields: &["peer", "streams"],
+    advice: "Nothing, unless there are many: look for a device on the way that drops connections without a reset.",
+};
+
 /// Every event of this area.
 pub const ALL: &[&EventKind] = &[
     &ACCEPT_FAILED,
@@ -137,4 +146,5 @@
     &SERVER_STATEMENT_INVALID,
     &SERVER_LEAVING,
     &REPORT_NOT_ACKNOWLEDGED,
+    &PEER_SILENT,
 ];
--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -14,6 +14,7 @@
 mod process;
 mod queue_limit_update;
 mod shared_routes;
+mod silent_connections;
 mod stopping;
 mod streaming;
 mod two_nodes;
