End a run that its backend server never answers

Cause: the run of a non-idempotent request has a task of its own, and only the wait for that task had a time limit. A run without an answer kept its slot and its connection for ever; as many as the gate has slots, and it started nothing more. It was never reported as lost either.

The test `slots_of_bookings_that_were_never_answered_are_free_after_their_time_limit` failed before (504 in place of 200).

Change: the wait for the head of the response ends 500 ms after the time left that the backend server was told. The slot and the connection are free then, and the run counts as lost.

--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -10,6 +10,7 @@
 };
 use http_body::Body;
 use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use super::{
     BackendBody, BackendError, BackendStep, HostTarget, RunChecks, RunDenial, RunTicket,
@@ -32,6 +33,10 @@
 /// Longest retry delay that a backend server may state.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
+/// How long a run may go on after the time left that its backend server was told. A run that must not be
+/// cancelled ends here if no response comes.
+const RUN_GRACE: Duration = Duration::from_millis(500);
+
 /// Request that holds a slot and a connection and of which no byte was sent yet.
 #[derive(Debug)]
 pub struct HostRun {
@@ -91,7 +96,8 @@
         self.ticket.target()
     }
 
-    /// Sends the request and waits for the head of the response.
+    /// Sends the request and waits for the head of the response, for [`RUN_GRACE`] longer than the time left
+    /// of the request at most.
     pub async fn run(
         mut self,
         state: ProxyState,
@@ -105,10 +111,13 @@
         let id = profile.request_id.as_ref();
         let id = id.and_then(|name| request.headers.get(name)).cloned();
         let is_detached = request.terms.idempotency == Idempotency::NonIdempotent;
+        let time_limit = request.terms.time_left + RUN_GRACE;
         let identity = self.ticket.target().identity().cloned();
         let request = to_backend_request(profile, request, body, &call, identity);
         self.ticket.hand_over();
-        match pool.send(self.connection, request).await {
+        let sent = timeout(time_limit, pool.send(self.connection, request)).await;
+        let sent = sent.unwrap_or_else(|_elapsed| Err(BackendError::timed_out(pool.address())));
+        match sent {
             Ok((response, connection)) => {
                 let mut ticket = self.ticket;
                 if let Some(load) = response.headers().get(&profile.load) {
--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -17,4 +17,5 @@
 mod silent_connections;
 mod stopping;
 mod streaming;
+mod time_limits;
 mod two_nodes;
