Bound the wait for the rest of an answer by its deadline

Cause: the time limit of a request ended with the head of its answer. After it only the idle timeout of bodies applied, 30 s.

Change: a wait for the next byte that isn't over 100 ms after the deadline ends the answer, at the host, where the run is lost, and at the entry. Bytes that keep coming are delivered, however late. An answer that drips within each 100 ms is not bounded by it.

--- a/crates/fescueway_proxy/src/body/answer_body.rs
+++ b/crates/fescueway_proxy/src/body/answer_body.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
+use tokio::time::Instant;
 
 use super::{BodyError, PeerBody};
 use crate::{
@@ -42,6 +43,16 @@
     pub open: [OpenGuard; 2],
 }
 
+impl AnswerBody {
+    /// Limits the wait for the next byte from another node by the deadline of the request. A body from a
+    /// backend server of this node has it from its run.
+    pub fn set_deadline(&mut self, deadline: Instant) {
+        if let Self::Peer { body, .. } = self {
+            body.set_deadline(deadline);
+        }
+    }
+}
+
 impl Body for CountedBody {
     type Data = Bytes;
     type Error = BodyError;
--- a/crates/fescueway_proxy/src/body/idle_timer.rs
+++ b/crates/fescueway_proxy/src/body/idle_timer.rs
@@ -1,4 +1,4 @@
-//! Idle timeout of a body.
+//! Idle timeout of a body, and the time limit of its answer.
 
 use std::{
     pin::Pin,
@@ -6,15 +6,21 @@
     time::Duration,
 };
 
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::BodyError;
 
-/// Idle timeout of a body: limits the wait for the next frame.
+/// Longest wait for a frame after the deadline. What is on its way still arrives.
+const LATE_LIMIT: Duration = Duration::from_millis(100);
+
+/// Idle timeout of a body: limits the wait for the next frame, and more so after the deadline, if one is
+/// set. Frames that keep coming are delivered, however long the body is.
 #[derive(Debug)]
 pub struct IdleTimer {
     /// Longest wait for a frame.
     limit: Duration,
+    /// When the caller stops waiting for an answer of which nothing comes.
+    deadline: Option<Instant>,
     /// Timer of the current wait, created when the wait begins.
     sleep: Option<Pin<Box<Sleep>>>,
 }
@@ -23,17 +29,31 @@
     /// Creates a timer that limits each wait to `limit`.
     #[must_use]
     pub fn new(limit: Duration) -> Self {
-        Self { limit, sleep: None }
+        Self {
+            limit,
+            deadline: None,
+            sleep: None,
+        }
     }
 
-    /// Longest wait for a frame.
+    /// Limits each wait to [`LATE_LIMIT`] after `deadline`.
+    pub fn set_deadline(&mut self, deadline: Instant) {
+        self.deadline = Some(deadline);
+        self.sleep = None;
+    }
+
+    /// A timer with the same limits.
     #[must_use]
-    pub fn limit(&self) -> Duration {
-        self.limit
+    pub fn renewed(&self) -> Self {
+        Self {
+            limit: self.limit,
+            deadline: self.deadline,
+            sleep: None,
+        }
     }
 
     /// Returns `frame`, the result of polling the body, or [`BodyError::Idle`] if the body has been
-    /// pending for longer than the limit.
+    /// pending for longer than the limits.
     pub fn bound<T>(
         &mut self,
         context: &mut Context<'_>,
@@ -43,9 +63,18 @@
             self.sleep = None;
             return frame;
         }
-        let limit = self.limit;
-        let timer = self.sleep.get_or_insert_with(|| Box::pin(sleep(limit)));
+        let (limit, deadline) = (self.limit, self.deadline);
+        let begin_sleep = || Box::pin(sleep_until(wait_end(limit, deadline)));
+        let timer = self.sleep.get_or_insert_with(begin_sleep);
         ready!(timer.as_mut().poll(context));
         Poll::Ready(Some(Err(BodyError::Idle)))
     }
 }
+
+/// When a wait that begins now ends.
+fn wait_end(limit: Duration, deadline: Option<Instant>) -> Instant {
+    let now = Instant::now();
+    let idle_end = now + limit;
+    let late_end = deadline.map(|deadline| deadline.max(now + LATE_LIMIT));
+    late_end.map_or(idle_end, |late_end| late_end.min(idle_end))
+}
--- a/crates/fescueway_proxy/src/body/peer_body.rs
+++ b/crates/fescueway_proxy/src/body/peer_body.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use h2::RecvStream;
 use http_body::{Body, Frame};
+use tokio::time::Instant;
 
 use super::{BodyError, IdleTimer};
 
@@ -40,6 +41,11 @@
         }
     }
 
+    /// Limits the wait for the next byte by the deadline of the answer.
+    pub fn set_deadline(&mut self, deadline: Instant) {
+        self.timer.set_deadline(deadline);
+    }
+
     /// Polls for the next data, `None` after the last.
     fn poll_data(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         if let Some(first) = self.first.take() {
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -81,18 +81,20 @@
     }
 
     /// Offers the request until it is answered, abandoned or past its deadline, and returns the
-    /// answer for the caller.
+    /// answer for the caller, whose body is bounded by the deadline too.
     pub async fn run(mut self, record: &mut RequestRecord) -> Response<AnswerBody> {
         let deadline = self.state.clock().instant(self.deadline);
         let ended = timeout_at(deadline, self.offer_until_answered()).await;
         record.target = self.tried.last().copied();
         record.offers = self.tried.len() as u32;
         record.hedges = self.hedges;
-        match ended {
+        let mut response = match ended {
             Ok(Ok(answer)) => backend_answer(self.state.profile(), answer, record),
             Ok(Err(refusal)) => self.give_up(refusal, record),
             Err(_elapsed) => self.give_up_late(record),
-        }
+        };
+        response.body_mut().set_deadline(deadline);
+        response
     }
 
     /// Offers the request until it is answered or can't be offered again.
--- a/crates/fescueway_proxy/src/host/backend_body.rs
+++ b/crates/fescueway_proxy/src/host/backend_body.rs
@@ -4,7 +4,6 @@
     net::SocketAddr,
     pin::Pin,
     task::{Context, Poll, ready},
-    time::Duration,
 };
 
 use bytes::Bytes;
@@ -52,14 +51,14 @@
 }
 
 impl BackendBody {
-    /// Wraps `incoming`. A complete body ends the run with `end`; a wait for the next byte is
-    /// limited to `idle`.
+    /// Wraps `incoming`. A complete body ends the run with `end`; `timer` limits the wait for the next
+    /// byte.
     pub(super) fn new(
         incoming: Incoming,
         run: RunResources,
         is_detached: bool,
         end: RunEnd,
-        idle: Duration,
+        timer: IdleTimer,
     ) -> Self {
         let mut body = Self {
             address: run.ticket.target().pool().address(),
@@ -67,7 +66,7 @@
             run: Some(run),
             is_detached,
             end,
-            timer: IdleTimer::new(idle),
+            timer,
         };
         body.finish_at_end();
         body
@@ -104,7 +103,7 @@
             run: Some(self.run.take()?),
             is_detached: false,
             end: self.end,
-            timer: IdleTimer::new(self.timer.limit()),
+            timer: self.timer.renewed(),
         })
     }
 }
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -17,7 +17,7 @@
     backend_body::RunResources, backend_pool::BackendConnection,
 };
 use crate::{
-    body::HostBody,
+    body::{HostBody, IdleTimer},
     call_table::CallGuard,
     edge_profile::{AnswerVerdict, EdgeProfile},
     headers,
@@ -111,6 +111,8 @@
         let id = profile.request_id.as_ref();
         let id = id.and_then(|name| request.headers.get(name)).cloned();
         let is_detached = request.terms.idempotency == Idempotency::NonIdempotent;
+        let mut timer = IdleTimer::new(state.limits().body_idle);
+        timer.set_deadline(state.clock().instant(request.deadline));
         let time_limit = request.terms.time_left + RUN_GRACE;
         let identity = self.ticket.target().identity().cloned();
         let request = to_backend_request(profile, request, body, &call, identity);
@@ -154,14 +156,8 @@
                     connection,
                     call,
                 };
-                let idle = state.limits().body_idle;
-                RunAnswer::Answered(Box::new(to_answer(
-                    profile,
-                    response,
-                    run,
-                    is_detached,
-                    idle,
-                )))
+                let answer = to_answer(profile, response, run, is_detached, timer);
+                RunAnswer::Answered(Box::new(answer))
             }
             Err(error) => {
                 // If the request body failed on the caller's side, the backend server is not at
@@ -223,7 +219,7 @@
     response: Response<Incoming>,
     run: RunResources,
     is_detached: bool,
-    idle: Duration,
+    timer: IdleTimer,
 ) -> Response<BackendBody> {
     let is_failure = response.status().is_server_error();
     let end = if is_failure {
@@ -232,7 +228,7 @@
         RunEnd::Answered
     };
     let mut response =
-        response.map(|incoming| BackendBody::new(incoming, run, is_detached, end, idle));
+        response.map(|incoming| BackendBody::new(incoming, run, is_detached, end, timer));
     headers::strip_answer(response.headers_mut(), profile);
     response
 }
