End the supervision of a connection between nodes with the connection

Operators would have seen the memory of a node grow with each connection to a peer that ever was.

Cause: the task that supervises a connection for silence was a task of its own, which waited for streams of a connection that was closed, and held its state. If the connection was dead when it ended, it went on to open connections to that peer four times a second.

Evidence: the test `supervision_of_a_connection_ends_with_it` failed before (three connections, tasks left after 5 s).

Change: the task of the connection supervises it too. One task fewer for each connection, and one wake-up fewer for each stream.

Measured: the test passes; the tests of silent connections pass as before (5 of 5).

--- a/crates/fescueway_proxy/src/peer/connection_pulse.rs
+++ b/crates/fescueway_proxy/src/peer/connection_pulse.rs
@@ -178,13 +178,14 @@
         is_heard
     }
 
-    /// Supervises the connection. Calls `on_dead` from time to time while no answer is expected any more.
-    pub async fn supervise(self, mut ping_pong: PingPong, on_dead: impl Fn()) {
+    /// Supervises the connection for as long as it is polled. Calls `on_dead` from time to time while no
+    /// answer is expected any more.
+    pub async fn supervise(&self, mut ping_pong: PingPong, on_dead: impl Fn(&Self)) {
         loop {
             let step = self.state().detector.step(self.0.clock.now());
             self.publish();
             if self.silence() == PeerSilence::Dead {
-                on_dead();
+                on_dead(self);
             }
             match step {
                 SilenceStep::Rest => self.0.wake.notified().await,
--- a/crates/fescueway_proxy/src/peer/peer_connection.rs
+++ b/crates/fescueway_proxy/src/peer/peer_connection.rs
@@ -12,10 +12,7 @@
 use bytes::Bytes;
 use fescueway_core::MonoTime;
 use fescueway_routing::PeerSilence;
-use h2::{
-    PingPong,
-    client::{Builder, SendRequest},
-};
+use h2::client::{Builder, Connection, SendRequest};
 use tokio::{net::TcpStream, time::timeout};
 
 use super::{
@@ -64,14 +61,15 @@
 }
 
 impl PeerConnection {
-    /// Connects to `peer` within the connect timeout. Returns the connection, and what pings the peer on
-    /// it.
+    /// Connects to `peer` within the connect timeout. While the connection is dead, `on_dead` is called
+    /// from time to time.
     pub async fn connect(
         peer: SocketAddr,
         limits: &ProxyLimits,
         tasks: &TaskGroup,
         clock: MonoClock,
-    ) -> Result<(Self, PingPong), PeerError> {
+        on_dead: impl Fn(&ConnectionPulse) + Send + 'static,
+    ) -> Result<Self, PeerError> {
         let error = |cause| PeerError::new(PeerStep::Connect, peer, cause);
         let connecting = timeout(limits.connect_timeout, Self::handshake(peer, clock));
         let (pulse, sender, mut connection) = match connecting.await {
@@ -83,36 +81,29 @@
             .ping_pong()
             .ok_or_else(|| error(PeerCause::Malformed))?;
         let is_closed = Arc::new(AtomicBool::new(false));
-        let (closed, closing) = (Arc::clone(&is_closed), pulse.clone());
+        let (closed, supervisor) = (Arc::clone(&is_closed), pulse.clone());
         tasks.spawn(async move {
             tokio::select! {
                 // An error of the connection is reported to its streams.
                 _ended = connection => {}
-                () = closing.closing() => {}
+                () = supervisor.closing() => {}
+                () = supervisor.supervise(ping_pong, on_dead) => {}
             }
             closed.store(true, Ordering::Relaxed);
         });
-        let connection = Self {
+        Ok(Self {
             sender,
             pulse,
             is_closed,
             last_use: clock.now(),
-        };
-        Ok((connection, ping_pong))
+        })
     }
 
     /// Opens the TCP connection and performs the HTTP/2 handshake.
     async fn handshake(
         peer: SocketAddr,
         clock: MonoClock,
-    ) -> Result<
-        (
-            ConnectionPulse,
-            SendRequest<Bytes>,
-            h2::client::Connection<PulseSocket>,
-        ),
-        PeerCause,
-    > {
+    ) -> Result<(ConnectionPulse, SendRequest<Bytes>, Connection<PulseSocket>), PeerCause> {
         let socket = TcpStream::connect(peer).await?;
         set_socket_options(&socket, PEER_ACK_TIMEOUT)?;
         let pulse = ConnectionPulse::new(clock);
--- a/crates/fescueway_proxy/src/peer/peer_pool.rs
+++ b/crates/fescueway_proxy/src/peer/peer_pool.rs
@@ -232,8 +232,9 @@
         peer_state: &Arc<PeerState>,
     ) -> Result<StreamPermit, PeerError> {
         let (limits, tasks) = (&self.0.limits, &self.0.tasks);
-        let connected = PeerConnection::connect(peer, limits, tasks, self.0.clock).await;
-        let (mut connection, ping_pong) = connected.inspect_err(|_| {
+        let on_dead = self.replacement_at(peer, peer_state);
+        let connecting = PeerConnection::connect(peer, limits, tasks, self.0.clock, on_dead);
+        let mut connection = connecting.await.inspect_err(|_| {
             peer_state.failures.fetch_add(1, Ordering::Relaxed);
         })?;
         let now = self.now();
@@ -241,29 +242,25 @@
             .connected_at
             .store(now.as_micros(), Ordering::Relaxed);
         let permit = connection.try_acquire(now);
-        let pulse = connection.pulse().clone();
-        let on_dead = self.replacement_of(peer, peer_state, &pulse);
-        tasks.spawn(pulse.supervise(ping_pong, on_dead));
         peer_state.connections().push(connection);
         self.start_sweep();
         permit.ok_or_else(|| PeerError::new(PeerStep::Connect, peer, PeerCause::Ended))
     }
 
-    /// What to do from time to time while a connection is dead: it is closed once another one to the same
-    /// peer works, which is opened if there is none.
-    fn replacement_of(
+    /// What to do from time to time while a connection to `peer` is dead: it is closed once another one
+    /// works, which is opened if there is none.
+    fn replacement_at(
         &self,
         peer: SocketAddr,
         peer_state: &Arc<PeerState>,
-        pulse: &ConnectionPulse,
-    ) -> impl Fn() + Send + 'static {
-        let (pool, dead) = (self.clone(), pulse.clone());
+    ) -> impl Fn(&ConnectionPulse) + Send + 'static {
+        let pool = self.clone();
         let peer_state = Arc::downgrade(peer_state);
-        move || {
+        move |dead| {
             let Some(peer_state) = peer_state.upgrade() else {
                 return;
             };
-            if peer_state.is_heard_after_ping_on(&dead) {
+            if peer_state.is_heard_after_ping_on(dead) {
                 emit(&path::PEER_SILENT, &[&peer, &dead.streams()]);
                 dead.close();
                 return;
--- a/crates/fescueway_proxy/src/task_group.rs
+++ b/crates/fescueway_proxy/src/task_group.rs
@@ -43,6 +43,12 @@
         self.token.is_cancelled()
     }
 
+    /// Number of running tasks.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.tracker.len()
+    }
+
     /// Waits until every task has ended.
     pub async fn finished(&self) {
         self.tracker.close();
--- a/crates/fescuewayd/tests/path/silent_connections.rs
+++ b/crates/fescuewayd/tests/path/silent_connections.rs
@@ -22,7 +22,7 @@
     time::sleep,
 };
 
-use crate::common::{announce, get, plan, request, send, start_node};
+use crate::common::{announce, get, plan, request, send, start_node, start_node_with, wait_until};
 
 const DEADLINE: Duration = Duration::from_secs(6);
 
@@ -214,3 +214,26 @@
     let calling = peers.call(host, ControlKind::Claim, vec![7], Duration::from_secs(1));
     assert_eq!(calling.await.expect("an answer"), [7]);
 }
+
+/// Guards against supervision that outlives its connection, one task for each connection that ever was.
+#[tokio::test]
+async fn supervision_of_a_connection_ends_with_it() {
+    let plan = plan("windows", DEADLINE);
+    let host = start_node(&plan, &[]).await;
+    let controls = host.state().controls();
+    controls.register(ControlKind::Claim, |_peer, body| async move { Ok(body) });
+    let entry = start_node_with(&plan, &[], |settings| {
+        settings.limits.connection_idle = QUIET_TIME;
+    })
+    .await;
+    let (peers, tasks) = (entry.state().peers(), entry.state().tasks());
+    let count = tasks.count();
+    for _ in 0..3 {
+        let address = host.addresses().peers;
+        let calling = peers.call(address, ControlKind::Claim, vec![7], DEADLINE);
+        assert_eq!(calling.await.expect("an answer"), [7]);
+        let is_idle = || peers.connected().is_empty();
+        wait_until("the idle connection is closed", is_idle).await;
+    }
+    wait_until("no task is left", || tasks.count() <= count).await;
+}
