Define the number of leased watchers of a failure domain once

The model of the store's load in `fescueway_bench` had a constant of its own for the two watchers of each domain that the daemon starts. It takes the daemon's now.

No change of behaviour: the model's factor is 2 as before. Also: two durations and a link that the linter and the documentation refused.

--- a/crates/fescueway_bench/src/fleet/store_load.rs
+++ b/crates/fescueway_bench/src/fleet/store_load.rs
@@ -4,13 +4,11 @@
 
 use fescueway_core::MonoTime;
 use fescueway_platform::StorePacer;
+use fescuewayd::WATCHERS_PER_DOMAIN;
 use rand_pcg::Pcg64Mcg;
 
 use super::FleetRequirements;
 
-/// Number of nodes per failure domain that watch the store.
-const WATCHERS_PER_DOMAIN: f64 = 2.0;
-
 /// Interval between the calls that keep a watcher's lease alive, in seconds.
 const LEASE_PERIOD_S: f64 = 5.0;
 
@@ -48,7 +46,7 @@
     /// Computes the steady state and simulates the recovery.
     #[must_use]
     pub fn measure(seed: u64) -> Self {
-        let watchers = FleetRequirements::DOMAINS * WATCHERS_PER_DOMAIN;
+        let watchers = FleetRequirements::DOMAINS * WATCHERS_PER_DOMAIN as f64;
         let changes = FleetRequirements::config_changes_per_s();
         let reads_per_watcher = READS_PER_CHANGE * changes + 2.0 / WATCH_IDLE_S;
         let leases = watchers / LEASE_PERIOD_S;
--- a/crates/fescueway_proxy/src/body/idle_timer.rs
+++ b/crates/fescueway_proxy/src/body/idle_timer.rs
@@ -10,7 +10,7 @@
 
 use super::BodyError;
 
-/// Longest wait for a frame after the deadline. What is on its way still arrives.
+/// Longest wait for a frame after the deadline, in which what is on its way still arrives.
 const LATE_LIMIT: Duration = Duration::from_millis(100);
 
 /// Idle timeout of a body: limits the wait for the next frame, and more so after the deadline, if one is
@@ -36,7 +36,7 @@
         }
     }
 
-    /// Limits each wait to [`LATE_LIMIT`] after `deadline`.
+    /// Limits each wait to 100 ms after `deadline`.
     pub fn set_deadline(&mut self, deadline: Instant) {
         self.deadline = Some(deadline);
         self.sleep = None;
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -52,4 +52,5 @@
     settings_file::{SettingsError, read_settings},
     settings_rules::SETTINGS_RULES,
     status_board::{BoardFacts, StatusBoard},
+    watch_task::WATCHERS_PER_DOMAIN,
 };
--- a/crates/fescuewayd/src/watch_task.rs
+++ b/crates/fescuewayd/src/watch_task.rs
@@ -24,8 +24,8 @@
     store_link::{CALL_TIMEOUT, StoreLink},
 };
 
-/// Nodes of a failure domain that watch the store.
-const WATCHERS_PER_DOMAIN: usize = 2;
+/// Nodes of a failure domain that watch the store, each under a lease.
+pub const WATCHERS_PER_DOMAIN: usize = 2;
 
 /// How often a watcher checks whether its lease is due.
 const LEASE_CHECK_PERIOD: Duration = Duration::from_secs(2);
--- a/crates/fescuewayd/tests/path/time_limits.rs
+++ b/crates/fescuewayd/tests/path/time_limits.rs
@@ -40,7 +40,7 @@
     let target = target.expect("an announced target");
     wait_until("slow start is over", || target.report().limit == SLOTS).await;
     let callers = node.addresses().callers;
-    backend.change(|plan| plan.service_time = Duration::from_secs(3_600));
+    backend.change(|plan| plan.service_time = Duration::from_hours(1));
     let bookings = (0..2 * SLOTS).map(|_index| {
         let booking = request("POST", "/windows", &[], "");
         tokio::spawn(async move { send(callers, booking).await.status() })
@@ -101,7 +101,7 @@
 #[tokio::test]
 async fn answer_that_stops_midway_ends_at_the_time_limit() {
     for is_host_remote in [false, true] {
-        let pause = Duration::from_secs(3_600);
+        let pause = Duration::from_hours(1);
         let (is_complete, took) = read_pausing_answer(pause, is_host_remote).await;
         assert!(!is_complete, "remote: {is_host_remote}");
         assert!(took >= DEADLINE, "remote: {is_host_remote}, {took:?}");
