Trust no reports of a backend server that could not be checked

Callers' requests reached a backend server of which the previous process of its node had passed on that it leaves (two reads in 3 ms).

Cause: a node that was just started asks a backend server before it believes its report, and believes the third report if the server doesn't answer, since its health endpoint may be wrong. Without a configuration it doesn't know that endpoint, asked nothing, and counted the reports all the same. So the server was taken, without what it states of itself, and got requests from the moment at which the configuration came until its next answer.

Change: without a configuration a report is neither counted nor trusted, also not when the node has been up for 20 s. The search for a running backend server, which waits for the configuration, or the next report finds it then.

Not covered: a node that gets its configuration only 20 s after its start or later believes the first report after that without asking.

--- a/crates/fescuewayd/src/backend_api/reports.rs
+++ b/crates/fescuewayd/src/backend_api/reports.rs
@@ -168,7 +168,10 @@
         let known = self.state.host_target(&announcement.service);
         let is_known =
             known.is_some_and(|known| known.identity() == announcement.identity.as_ref());
-        is_known || self.is_startup_over() || self.state.profile().identity.is_none()
+        let is_configured = self.state.is_configured();
+        is_known
+            || (self.is_startup_over() && is_configured)
+            || self.state.profile().identity.is_none()
     }
 
     /// Whether no report that was sent to the previous process can arrive any more.
@@ -178,7 +181,13 @@
 
     /// Queries the backend server itself whether it takes work. One that keeps reporting so is
     /// trusted in the end, as its health endpoint may be wrong.
+    ///
+    /// Without a configuration it can't be queried, and its reports prove nothing. It gets no work then
+    /// either.
     async fn verify(self, announcement: BackendAnnouncement) {
+        if !self.state.is_configured() {
+            return;
+        }
         let identity = announcement.identity.clone();
         let answer = self.serving_answer(&announcement).await;
         let reports = {
