--- a/crates/fescueway_config/src/lib.rs
+++ b/crates/fescueway_config/src/lib.rs
@@ -7,6 +7,8 @@
 //!
 //! This crate does no I/O. The daemon also parses its own settings with [`Document`].
 
+mod account_directory;
+mod account_plan;
 mod config_diff;
 mod config_error;
 mod config_set;
@@ -24,6 +26,8 @@
 mod suggestion;
 
 pub use crate::{
+    account_directory::{AccountDirectory, SharedKeyError},
+    account_plan::{AccountKey, AccountPlan, AllotmentPlan},
     config_diff::ConfigChange,
     config_error::{ConfigError, FieldFault, ValidationStage},
     config_set::ConfigSet,
@@ -36,7 +40,7 @@
     },
     service_plan::{
         ClaimPlan, LimitPlan, LocalityPlan, ObjectivePlan, ProbePlan, RetryPlan, RoutePlan,
-        ServicePlan, WeightedService,
+        ServicePlan, WarmupPlan, WeightedService,
     },
     service_rules::SERVICE_RULES,
     site_plan::{RouteMatch, SitePlan},
--- a/crates/fescueway_config/src/service_check.rs
+++ b/crates/fescueway_config/src/service_check.rs
@@ -40,6 +40,7 @@
             claim: claim(&scope, &raw.claim)?,
             limit: limit(&scope, &raw.limit)?,
             locality: locality(&scope, &raw.locality)?,
+            warmup: None,
         })
     }
 }
@@ -196,6 +197,7 @@
         deadline: Duration::from_millis(deadline as u64),
         objective: None,
         max_runs: None,
+        is_public: false,
         split: Vec::new(),
     })
 }
@@ -269,6 +271,7 @@
         deadline: deadline.unwrap_or(fallback.deadline),
         objective: millis(&rules::OBJECTIVE_LATENCY, "objective_ms", &raw.objective_ms)?,
         max_runs: number(&rules::MAX_OFFERS, "max_runs", &raw.max_runs)?.map(|runs| runs as u8),
+        is_public: false,
         split: split(&path, &raw.weights)?,
     })
 }
--- a/crates/fescueway_config/src/service_plan.rs
+++ b/crates/fescueway_config/src/service_plan.rs
@@ -31,6 +31,8 @@
     pub limit: LimitPlan,
     /// How targets are selected across failure domains.
     pub locality: LocalityPlan,
+    /// The rate that a cold target takes, `None` when it is not limited.
+    pub warmup: Option<WarmupPlan>,
 }
 
 /// The rules for the requests of one route.
@@ -57,6 +59,8 @@
     /// Maximum number of backend servers that one request may be handed to; `None` for as many as
     /// it has offers. At least one.
     pub max_runs: Option<u8>,
+    /// Whether its requests need no key, at a site that has client accounts.
+    pub is_public: bool,
     /// The services that share the route's requests by weight; empty for the service that the route
     /// belongs to.
     pub split: Vec<WeightedService>,
@@ -139,6 +143,15 @@
     pub far_cost_per_kib: Duration,
 }
 
+/// What a service's targets take while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmupPlan {
+    /// How long a target is cold after its start, unless it states another time.
+    pub duration: Duration,
+    /// Requests per second that a cold target takes from all nodes together. Above zero.
+    pub rate_per_s: f64,
+}
+
 impl ServicePlan {
     /// Length of the longest prefix that matches, `None` when the service doesn't match.
     #[must_use]
--- a/crates/fescueway_config/src/site_plan.rs
+++ b/crates/fescueway_config/src/site_plan.rs
@@ -4,7 +4,7 @@
 
 use fescueway_core::{ServiceName, SiteName};
 
-use crate::{RoutePlan, ServicePlan};
+use crate::{AccountDirectory, RoutePlan, ServicePlan};
 
 /// The validated configuration of one site: the base with the site's overlay merged into it.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,6 +16,8 @@
     /// Routes by host, which take precedence over the path prefixes of the services. Each names its
     /// services in `split`. The routes of a host are sorted, the longest prefix first.
     pub host_routes: BTreeMap<Arc<str>, Vec<Arc<RoutePlan>>>,
+    /// The client accounts; `None` at a site without accounts, where requests need no key.
+    pub accounts: Option<Arc<AccountDirectory>>,
     /// The largest request body of any route, in bytes; `None` for the node's own limit.
     pub max_body_bytes: Option<u64>,
 }
@@ -37,6 +39,7 @@
             site,
             services: BTreeMap::new(),
             host_routes: BTreeMap::new(),
+            accounts: None,
             max_body_bytes: None,
         }
     }
--- a/crates/fescueway_core/src/lib.rs
+++ b/crates/fescueway_core/src/lib.rs
@@ -23,7 +23,7 @@
     fnv1a_64::fnv1a_64,
     load_report::LoadReport,
     mono_time::MonoTime,
-    names::{DomainName, ServiceName, SiteName},
+    names::{AccountName, DomainName, ServiceName, SiteName},
     node_id::NodeId,
     outcome::Outcome,
     rate_limit::{RateLimit, RateLimitError},
--- a/crates/fescueway_core/src/names.rs
+++ b/crates/fescueway_core/src/names.rs
@@ -53,6 +53,10 @@
     /// The name of a service, unique in a configuration.
     ServiceName
 );
+shared_name!(
+    /// The name of a client account, unique at a site.
+    AccountName
+);
 shared_name!(
     /// The name of a site, which an overlay describes.
     SiteName
--- a/crates/fescueway_core/src/refusal.rs
+++ b/crates/fescueway_core/src/refusal.rs
@@ -36,6 +36,12 @@
     BetterElsewhere,
     /// The backend server states a limit of requests per second, which is reached.
     RateLimited,
+    /// The client account has used its allotment.
+    AllotmentSpent,
+    /// The configuration may be too old to tell whether the request's key is still valid.
+    KeyUnproven,
+    /// The failure domain of the target is evacuated.
+    DomainEvacuated,
 }
 
 impl RefusalReason {
@@ -57,6 +63,9 @@
             Self::NoConfiguration => "no-configuration",
             Self::BetterElsewhere => "better-elsewhere",
             Self::RateLimited => "rate-limited",
+            Self::AllotmentSpent => "allotment-spent",
+            Self::KeyUnproven => "key-unproven",
+            Self::DomainEvacuated => "domain-evacuated",
         }
     }
 }
--- a/crates/fescueway_proxy/src/edge_profile.rs
+++ b/crates/fescueway_proxy/src/edge_profile.rs
@@ -38,11 +38,18 @@
     pub request_id: Option<HeaderName>,
     /// In a request to a backend server: the service that runs beside the entry node.
     pub caller_service: Option<HeaderName>,
+    /// In a request from a caller: the key of its client account. Not forwarded at a site that has
+    /// accounts.
+    pub api_key: Option<HeaderName>,
+    /// In a request to a backend server: the name of the client account.
+    pub account: Option<HeaderName>,
     /// In a request to a backend server: the identity that it must have, so that another server at
     /// the same address refuses.
     pub expected_target: Option<HeaderName>,
     /// In a backend server's answer: its identity.
     pub identity: Option<HeaderName>,
+    /// In a backend server's answer: for how many milliseconds it stays cold.
+    pub warmup_left: Option<HeaderName>,
     /// In a backend server's answer: present when it did not run the request.
     pub not_run: Option<HeaderName>,
     /// In a backend server's answer: present on every answer that it produced in full.
@@ -79,8 +86,11 @@
             call: Some(headers::CALL),
             request_id: None,
             caller_service: None,
+            api_key: Some(headers::API_KEY),
+            account: Some(headers::ACCOUNT),
             expected_target: None,
             identity: None,
+            warmup_left: Some(headers::WARMUP_LEFT),
             not_run: None,
             seal: None,
             own_prefix: headers::OWN_PREFIX,
--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::{
+    account_check::{AccountCheck, check_account},
     entry_request::{MAX_CALL_DEPTH, RequestHead, host_name, offer_request, request_body},
     final_answer::{entry_answer, refused_answer},
     offer_loop::OfferLoop,
@@ -163,6 +164,17 @@
             record,
         );
     };
+    let is_call = is_call(state, &head);
+    let check = check_account(state, &plan, found.route, &mut parts.headers, is_call);
+    let account = match check {
+        AccountCheck::Anonymous => None,
+        AccountCheck::Known(account) => Some(account),
+        AccountCheck::Unauthorized => {
+            let text = "no client account has this key";
+            return reject(state, StatusCode::UNAUTHORIZED, text, record);
+        }
+        AccountCheck::Refused(reason) => return refuse(state, reason, record),
+    };
     let chosen = state.route_states().next_service(found.route);
     let chosen = chosen.and_then(|name| plan.services.get(&name));
     let Some(service) = chosen.or(found.owner) else {
@@ -172,6 +184,9 @@
     record.route = Some(Arc::clone(&found.route.name));
     record.objective = found.route.objective.unwrap_or(service.objective.latency);
     let mut terms = head.terms(service, found.route);
+    if let Some(priority) = account.and_then(|account| account.priority) {
+        terms.priority = priority;
+    }
     if let Some((objective, time_left)) = terms.objective.zip(head.caller_time) {
         // The objective counts from the caller's first attempt, also when this one is a retry
         // after a refusal.
@@ -208,6 +223,12 @@
         .await
 }
 
+/// Whether a request may be a call of a backend server. Where calls have no token, any request
+/// without a key may be one.
+fn is_call(state: &ProxyState, head: &RequestHead) -> bool {
+    head.parent.is_some() || state.profile().call.is_none()
+}
+
 /// Whether the number of `Host` fields is valid for the HTTP version (RFC 9112, section 3.2).
 fn has_valid_host(parts: &Parts) -> bool {
     let fields = parts.headers.get_all(HOST).iter().count();
--- a/crates/fescueway_proxy/src/entry/final_answer.rs
+++ b/crates/fescueway_proxy/src/entry/final_answer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fescueway_core::{Outcome, Refusal};
+use fescueway_core::{Outcome, Refusal, RefusalReason};
 use http::{
     HeaderMap, HeaderValue, Response, StatusCode,
     header::{CONTENT_TYPE, RETRY_AFTER},
@@ -47,7 +47,10 @@
             format!("refused: {reason}; an earlier request with this key may have run")
         }
     };
-    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let status = match refusal.reason {
+        RefusalReason::AllotmentSpent => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
     let mut response = entry_answer(profile, status, outcome, &text);
     let fields = response.headers_mut();
     if let Some(name) = &profile.reason {
--- a/crates/fescueway_proxy/src/entry/mod.rs
+++ b/crates/fescueway_proxy/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry: accepts requests of callers and offers each one to a host.
 
+mod account_check;
 mod answer_request;
 mod entry_request;
 mod entry_server;
--- a/crates/fescueway_proxy/src/headers.rs
+++ b/crates/fescueway_proxy/src/headers.rs
@@ -27,6 +27,15 @@
 /// In a backend server's answer: whether it is leaving.
 pub const LEAVING: HeaderName = HeaderName::from_static("fescueway-leaving");
 
+/// In a request from a caller: the key of its client account.
+pub const API_KEY: HeaderName = HeaderName::from_static("fescueway-api-key");
+
+/// In a request to a backend server: the name of the client account.
+pub const ACCOUNT: HeaderName = HeaderName::from_static("fescueway-account");
+
+/// In a backend server's answer: for how many milliseconds it stays cold.
+pub const WARMUP_LEFT: HeaderName = HeaderName::from_static("fescueway-warmup-left-ms");
+
 /// A backend server's load as a binary message: removed, but not parsed.
 const LOAD_BINARY: HeaderName = HeaderName::from_static("endpoint-load-metrics-bin");
 
