Demand a key on every route that isn't public, unless a call token shows a call

Cause: where the profile has no call token, every request without a key passed as a call. Change: a missing key is answered as an unknown one.

--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -164,7 +164,7 @@
             record,
         );
     };
-    let is_call = is_call(state, &head);
+    let is_call = head.parent.is_some();
     let check = check_account(state, &plan, found.route, &mut parts.headers, is_call);
     let account = match check {
         AccountCheck::Anonymous => None,
@@ -223,12 +223,6 @@
         .await
 }
 
-/// Whether a request may be a call of a backend server. Where calls have no token, any request
-/// without a key may be one.
-fn is_call(state: &ProxyState, head: &RequestHead) -> bool {
-    head.parent.is_some() || state.profile().call.is_none()
-}
-
 /// Whether the number of `Host` fields is valid for the HTTP version (RFC 9112, section 3.2).
 fn has_valid_host(parts: &Parts) -> bool {
     let fields = parts.headers.get_all(HOST).iter().count();
