Compare service times with the baseline of their own kind of work

Cause: after a burst of uploads (310 ms) beside calls (64 ms) the hosts' limit had fallen from 14 to 4 and stayed there: 13 of 13 hosts told limit 4 in seconds 18 to 25. The mean service time of all kinds was compared with its baseline, so a mix with longer requests counted as a slowdown; with the low limit calls were refused, which kept the mix long. Change: each kind of work has a baseline of its own, and the recent mean is compared with the mean of these over the same requests.

--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -62,6 +62,39 @@
     mean_us: f64,
     /// Number of requests that succeeded.
     count: u32,
+    /// Mean without disturbances.
+    baseline: BaselineMean,
+}
+
+/// Mean service time without disturbances.
+#[derive(Clone, Copy, Debug, Default)]
+struct BaselineMean {
+    /// Long-term mean, in microseconds.
+    long_mean_us: f64,
+    /// The baseline, in microseconds: follows a lower `long_mean_us` much faster than a higher one.
+    baseline_us: f64,
+    /// Number of samples, up to [`MIN_BASELINE_COUNT`].
+    count: u32,
+}
+
+impl BaselineMean {
+    /// Records one sample and returns the baseline.
+    fn learn(&mut self, service_us: f64) -> f64 {
+        self.count = (self.count + 1).min(MIN_BASELINE_COUNT);
+        let weight = LONG_WEIGHT.max(1.0 / f64::from(self.count));
+        self.long_mean_us += (service_us - self.long_mean_us) * weight;
+        if self.count < MIN_BASELINE_COUNT {
+            self.baseline_us = self.long_mean_us;
+            return self.baseline_us;
+        }
+        let rate = if self.long_mean_us < self.baseline_us {
+            BASELINE_FALL
+        } else {
+            BASELINE_RISE
+        };
+        self.baseline_us += (self.long_mean_us - self.baseline_us) * rate;
+        self.baseline_us
+    }
 }
 
 /// A request that released its slot.
@@ -98,17 +131,20 @@
     last_end_at: MonoTime,
     /// Recent mean, in microseconds; zero until the first request succeeded.
     recent_mean_us: f64,
-    /// Long-term mean, in microseconds.
-    long_mean_us: f64,
-    /// Mean without disturbances, in microseconds: follows a lower `long_mean_us` much faster than
-    /// a higher one.
-    baseline_us: f64,
+    /// Mean that the requests of `recent_mean_us` would have without disturbances, in microseconds.
+    /// It follows the mix of kinds as fast as `recent_mean_us`, so that a mix with longer requests is
+    /// not taken for a slowdown.
+    recent_baseline_us: f64,
     /// Short-term mean, in microseconds.
     short_mean_us: f64,
+    /// Mean that the requests of `short_mean_us` would have without disturbances, in microseconds.
+    short_baseline_us: f64,
     /// Number of requests that succeeded, up to [`MIN_BASELINE_COUNT`].
     count: u32,
     /// Recent share of failures, from 0 to 1.
     failure_share: f64,
+    /// Baseline of work of no known kind.
+    other_baseline: BaselineMean,
     /// Mean service time of each kind of work.
     kinds: BTreeMap<u64, KindMean>,
     /// Pace: the duration of work as a multiple of its normal duration.
@@ -123,9 +159,10 @@
             min_stall_runs: (slots as usize).div_ceil(2),
             last_end_at: MonoTime::ZERO,
             recent_mean_us: 0.0,
-            long_mean_us: 0.0,
-            baseline_us: 0.0,
+            recent_baseline_us: 0.0,
             short_mean_us: 0.0,
+            short_baseline_us: 0.0,
+            other_baseline: BaselineMean::default(),
             count: 0,
             failure_share: 0.0,
             kinds: BTreeMap::new(),
@@ -229,23 +266,24 @@
             return;
         }
         let service_us = finished.service_us;
-        self.learn_kind(finished);
+        let baseline_us = self.learn_kind(finished);
         self.count = (self.count + 1).min(MIN_BASELINE_COUNT);
         let weight = RECENT_WEIGHT.max(1.0 / f64::from(self.count));
         self.recent_mean_us += (service_us - self.recent_mean_us) * weight;
-        let long_weight = LONG_WEIGHT.max(1.0 / f64::from(self.count));
-        self.long_mean_us += (service_us - self.long_mean_us) * long_weight;
+        self.recent_baseline_us += (baseline_us - self.recent_baseline_us) * weight;
         self.short_mean_us += (service_us - self.short_mean_us) * SHORT_WEIGHT;
-        self.learn_baseline();
+        self.short_baseline_us += (baseline_us - self.short_baseline_us) * SHORT_WEIGHT;
     }
 
-    /// Updates the mean of a kind of work.
-    fn learn_kind(&mut self, finished: FinishedRun) {
-        if let Some(known) = self.kind_mut(finished.kind) {
-            known.count = known.count.saturating_add(1);
-            let weight = KIND_WEIGHT.max(1.0 / f64::from(known.count));
-            known.mean_us += (finished.service_us - known.mean_us) * weight;
-        }
+    /// Updates the mean of a kind of work, and returns its baseline.
+    fn learn_kind(&mut self, finished: FinishedRun) -> f64 {
+        let Some(known) = self.kind_mut(finished.kind) else {
+            return self.other_baseline.learn(finished.service_us);
+        };
+        known.count = known.count.saturating_add(1);
+        let weight = KIND_WEIGHT.max(1.0 / f64::from(known.count));
+        known.mean_us += (finished.service_us - known.mean_us) * weight;
+        known.baseline.learn(finished.service_us)
     }
 
     /// The mean of a kind of work. `None` for an unnamed kind, and for a new one when there are too
@@ -258,20 +296,6 @@
         Some(self.kinds.entry(kind).or_default())
     }
 
-    /// Moves the baseline towards the long-term mean: fast when it falls, slowly when it rises.
-    fn learn_baseline(&mut self) {
-        if self.count < MIN_BASELINE_COUNT {
-            self.baseline_us = self.long_mean_us;
-            return;
-        }
-        let rate = if self.long_mean_us < self.baseline_us {
-            BASELINE_FALL
-        } else {
-            BASELINE_RISE
-        };
-        self.baseline_us += (self.long_mean_us - self.baseline_us) * rate;
-    }
-
     /// Mean service time at normal pace, in microseconds.
     ///
     /// Includes running requests: when none ends for far longer than expected at the pace at which
@@ -282,7 +306,7 @@
         let is_stalled = self.running.len() >= self.min_stall_runs
             && self.recent_mean_us > 0.0
             && implied_us > STALL_FACTOR * self.recent_mean_us;
-        let mean_us = if self.short_mean_us > JUMP_FACTOR * self.recent_mean_us {
+        let mean_us = if self.has_jumped() {
             self.short_mean_us
         } else {
             self.recent_mean_us
@@ -294,6 +318,20 @@
         }
     }
 
+    /// Whether service times have risen so much that the recent mean is out of date.
+    fn has_jumped(&self) -> bool {
+        self.short_mean_us > JUMP_FACTOR * self.recent_mean_us
+    }
+
+    /// The mean that [`Self::mean_us`] would be without disturbances, in microseconds.
+    fn baseline_us(&self) -> f64 {
+        if self.has_jumped() {
+            self.short_baseline_us
+        } else {
+            self.recent_baseline_us
+        }
+    }
+
     /// When the backend server will be considered stalled if no request ends before. `None` while
     /// too few requests run or no service time is known.
     pub(crate) fn next_stall(&self) -> Option<MonoTime> {
@@ -313,9 +351,9 @@
     /// Mean service time above the baseline, in microseconds, if the target is a straggler; zero
     /// otherwise.
     pub(crate) fn straggler_us(&self, now: MonoTime) -> f64 {
-        let mean_us = self.mean_us(now);
-        if mean_us > STRAGGLER_FACTOR * self.baseline_us {
-            mean_us - self.baseline_us
+        let (mean_us, baseline_us) = (self.mean_us(now), self.baseline_us());
+        if mean_us > STRAGGLER_FACTOR * baseline_us {
+            mean_us - baseline_us
         } else {
             0.0
         }
@@ -328,10 +366,10 @@
 
     /// Recent service time as a multiple of the baseline, at least 1.
     pub(crate) fn slowdown(&self) -> f64 {
-        if self.baseline_us <= 0.0 {
+        if self.recent_baseline_us <= 0.0 {
             return 1.0;
         }
-        (self.recent_mean_us / self.baseline_us).max(1.0)
+        (self.recent_mean_us / self.recent_baseline_us).max(1.0)
     }
 
     /// Whether most of the recent requests failed.
