Keep digests of API keys only, and check keys before fields are stripped

Cause: the key field of the default profile has the prefix of internal fields, so the entry removed it before the check and no key was ever found. Setting the account's name allocated for each request. A malformed account of the operator's document was reported with its value, which may be a key. Where calls have no token, any request without a key passed as one, also from other machines. The entry reads the key before it strips fields. Unnamed calls are taken from addresses of the node's own VM only. Accounts, is_public and their differences are part of base, overlay and stored values.

--- a/crates/fescueway_config/src/account_directory.rs
+++ b/crates/fescueway_config/src/account_directory.rs
@@ -3,29 +3,54 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use fescueway_core::AccountName;
-use sha2::{Digest, Sha256};
+use http::HeaderValue;
 
-use crate::AccountPlan;
+use crate::{AccountKey, AccountPlan};
 
 /// The client accounts of a site, by key and by name.
 ///
-/// Keys are looked up by their digest: the time of a lookup depends on a key's length only, not on how
-/// much of it matches another key.
+/// A lookup neither allocates nor locks, and takes the same steps whether or not a key is known: its
+/// time depends on the length of the key and on the number of keys only.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AccountDirectory {
     /// Accounts by name.
     by_name: BTreeMap<AccountName, Arc<AccountPlan>>,
-    /// Accounts by the SHA-256 of each of their keys.
-    by_key: BTreeMap<[u8; 32], Arc<AccountPlan>>,
+    /// Every key with its account, in the order of the keys' digests. No digest occurs twice.
+    keys: Vec<KeyEntry>,
 }
 
-/// Two accounts that have the same key.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct SharedKeyError {
-    /// One of the accounts.
-    pub first: AccountName,
-    /// The other account.
-    pub second: AccountName,
+/// A key of an account.
+#[derive(Clone, Debug, PartialEq)]
+struct KeyEntry {
+    /// The key.
+    key: AccountKey,
+    /// The account that has it.
+    found: FoundAccount,
+}
+
+/// The account of a key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FoundAccount {
+    /// The account.
+    pub plan: Arc<AccountPlan>,
+    /// Its name as the value of a header field.
+    pub name_value: HeaderValue,
+}
+
+/// Why accounts can't be part of one configuration.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum DirectoryError {
+    /// Two accounts have the same key.
+    #[error("accounts {first:?} and {second:?} have the same key")]
+    SharedKey {
+        /// The account that comes first by name.
+        first: AccountName,
+        /// The other account.
+        second: AccountName,
+    },
+    /// The name of an account can't be sent in a header field.
+    #[error("the name {0:?} can't be sent in a header field")]
+    InvalidName(AccountName),
 }
 
 impl AccountDirectory {
@@ -33,32 +58,46 @@
     ///
     /// # Errors
     ///
-    /// When two accounts have the same key.
+    /// When two accounts have the same key, or a name can't be sent in a header field.
     pub fn try_new(
         accounts: impl IntoIterator<Item = AccountPlan>,
-    ) -> Result<Self, SharedKeyError> {
-        let mut directory = Self::default();
-        for account in accounts {
-            let account = Arc::new(account);
-            for key in &account.keys {
-                let digest = Self::digest(key.secret().as_bytes());
-                let other = directory.by_key.insert(digest, Arc::clone(&account));
-                if let Some(other) = other.filter(|other| other.name != account.name) {
-                    return Err(SharedKeyError {
-                        first: other.name.clone(),
-                        second: account.name.clone(),
-                    });
+    ) -> Result<Self, DirectoryError> {
+        let accounts = accounts.into_iter();
+        let by_name: BTreeMap<_, _> = accounts
+            .map(|account| (account.name.clone(), Arc::new(account)))
+            .collect();
+        let mut owners = BTreeMap::new();
+        for (name, plan) in &by_name {
+            let found = FoundAccount {
+                plan: Arc::clone(plan),
+                name_value: name_value(name)?,
+            };
+            for key in &plan.keys {
+                // The hexadecimal form sorts like the digest.
+                let owner = owners.insert(key.to_hex(), (*key, found.clone()));
+                let owner = owner.map(|(_, owner)| owner.plan.name.clone());
+                if let Some(first) = owner.filter(|owner| owner != name) {
+                    let second = name.clone();
+                    return Err(DirectoryError::SharedKey { first, second });
                 }
             }
-            directory.by_name.insert(account.name.clone(), account);
         }
-        Ok(directory)
+        let keys = owners
+            .into_values()
+            .map(|(key, found)| KeyEntry { key, found });
+        Ok(Self {
+            keys: keys.collect(),
+            by_name,
+        })
     }
 
     /// The account that has `key`.
     #[must_use]
-    pub fn find(&self, key: &[u8]) -> Option<&Arc<AccountPlan>> {
-        self.by_key.get(&Self::digest(key))
+    pub fn find(&self, key: &[u8]) -> Option<&FoundAccount> {
+        let key = AccountKey::of_bytes(key);
+        let position = self.keys.partition_point(|entry| entry.key.is_below(key));
+        let entry = self.keys.get(position)?;
+        entry.key.is_same(key).then_some(&entry.found)
     }
 
     /// Every account by name.
@@ -66,9 +105,12 @@
     pub fn accounts(&self) -> &BTreeMap<AccountName, Arc<AccountPlan>> {
         &self.by_name
     }
+}
 
-    /// The digest by which a key is looked up.
-    fn digest(key: &[u8]) -> [u8; 32] {
-        Sha256::digest(key).into()
-    }
+/// The name of an account as the value of a header field.
+fn name_value(name: &AccountName) -> Result<HeaderValue, DirectoryError> {
+    let value = HeaderValue::from_str(name.as_str()).ok();
+    // A field without a value looks like a request without an account.
+    let value = value.filter(|value| !value.is_empty());
+    value.ok_or_else(|| DirectoryError::InvalidName(name.clone()))
 }
--- a/crates/fescueway_config/src/config_diff.rs
+++ b/crates/fescueway_config/src/config_diff.rs
@@ -1,19 +1,25 @@
 //! Differences between two configurations.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write as _,
+};
 
 use fescueway_core::{ServiceName, SiteName};
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::{ConfigSet, RawService, ServicePlan};
+use crate::{AccountKey, AccountPlan, ConfigSet, RawAccount, RawService, ServicePlan, SitePlan};
+
+/// What changes of client accounts have in place of the service.
+const ACCOUNTS: &str = "(accounts)";
 
 /// One field that differs between two configurations.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct ConfigChange {
     /// The site.
     pub site: SiteName,
-    /// The service.
+    /// The service; `(accounts)` for a client account, whose name begins the field.
     pub service: ServiceName,
     /// Path of the field relative to the service, empty for the service as a whole.
     pub field: String,
@@ -38,10 +44,69 @@
             let new = after.get(&key).unwrap_or(&no_fields);
             changes.extend(changed_fields(&key, old, new));
         }
+        changes.extend(self.account_changes(next));
+        changes.sort_by(|one, other| (&one.site, &one.service).cmp(&(&other.site, &other.service)));
+        changes
+    }
+
+    /// The changes of client accounts. Keys are counted, not shown.
+    fn account_changes(&self, next: &Self) -> Vec<ConfigChange> {
+        let sites: BTreeSet<_> = self.sites().keys().chain(next.sites().keys()).collect();
+        let mut changes = Vec::new();
+        for site in sites {
+            let accounts = [self, next].map(|config| accounts_by_name(config.sites().get(site)));
+            let names: BTreeSet<_> = accounts.iter().flat_map(BTreeMap::keys).collect();
+            let key = (site.clone(), ServiceName::from(ACCOUNTS));
+            for name in names {
+                let [old, new] = accounts
+                    .each_ref()
+                    .map(|accounts| accounts.get(name).copied());
+                let [before, after] = [(old, new), (new, old)].map(|(own, other)| {
+                    own.map_or_else(BTreeMap::new, |own| account_fields(own, other))
+                });
+                changes.extend(changed_fields(&key, &before, &after));
+            }
+        }
         changes
     }
 }
 
+/// The accounts of a site; empty without them.
+fn accounts_by_name(site: Option<&SitePlan>) -> BTreeMap<&str, &AccountPlan> {
+    let directory = site.and_then(|site| site.accounts.as_deref());
+    let accounts = directory
+        .into_iter()
+        .flat_map(|directory| directory.accounts());
+    accounts
+        .map(|(name, plan)| (name.as_str(), &**plan))
+        .collect()
+}
+
+/// The fields of one account by path, as JSON. Its keys are given as their number, and as the number
+/// of those that `other` doesn't have.
+fn account_fields(plan: &AccountPlan, other: Option<&AccountPlan>) -> BTreeMap<String, String> {
+    let raw = RawAccount {
+        key_digests: Value::Null,
+        ..RawAccount::from(plan)
+    };
+    let mut fields = BTreeMap::new();
+    let name = plan.name.as_str();
+    collect_fields(
+        name,
+        &serde_json::to_value(raw).unwrap_or_default(),
+        &mut fields,
+    );
+    let is_only_here = |key: &&AccountKey| other.is_some_and(|other| !other.keys.contains(key));
+    let mut keys = plan.keys.len().to_string();
+    let only_here = plan.keys.iter().filter(is_only_here).count();
+    if only_here > 0 {
+        // Writing to a string can't fail.
+        let _ = write!(keys, " ({only_here} only here)");
+    }
+    fields.insert(format!("{name}.keys"), keys);
+    fields
+}
+
 /// The fields of every service by path.
 fn fields_by_service(
     config: &ConfigSet,
--- a/crates/fescueway_config/src/config_set.rs
+++ b/crates/fescueway_config/src/config_set.rs
@@ -5,7 +5,9 @@
 use fescueway_core::{ServiceName, SiteName};
 
 use crate::{
-    ConfigError, Document, FieldFault, ServicePlan, ServiceValue, SitePlan, site_document,
+    AccountPlan, ConfigError, Document, FieldFault, ServiceValue, SitePlan, account_check,
+    site_document,
+    stored_accounts::{SiteValue, account_values},
 };
 
 /// The checked configuration of all sites: the base with each overlay merged into it.
@@ -65,23 +67,35 @@
         }
     }
 
-    /// Parses a configuration from the canonical forms of its services.
+    /// Parses a configuration from the canonical forms of its services and client accounts.
     ///
     /// # Errors
     ///
-    /// When a value is not a valid service. The field path starts with the site.
+    /// When a value is neither a valid service nor valid accounts, or accounts have the same key. The
+    /// field path starts with the site.
     pub fn from_values<'a>(
         values: impl IntoIterator<Item = (SiteName, &'a [u8])>,
     ) -> Result<Self, FieldFault> {
         let mut sites = BTreeMap::new();
+        let mut accounts: BTreeMap<SiteName, Vec<AccountPlan>> = BTreeMap::new();
         for (site, bytes) in values {
-            let plan = ServicePlan::try_from(bytes).map_err(|mut fault| {
-                fault.field = format!("{site}: {}", fault.field);
-                fault
-            })?;
+            let value = SiteValue::try_from(bytes).map_err(|fault| at_site(&site, fault))?;
             let entry = sites.entry(site.clone());
-            let services: &mut SitePlan = entry.or_insert_with(|| SitePlan::empty(site));
-            services.services.insert(plan.name.clone(), Arc::new(plan));
+            let plan: &mut SitePlan = entry.or_insert_with(|| SitePlan::empty(site.clone()));
+            match value {
+                SiteValue::Service(service) => {
+                    plan.services
+                        .insert(service.name.clone(), Arc::new(service));
+                }
+                SiteValue::Accounts(part) => accounts.entry(site).or_default().extend(part),
+            }
+        }
+        for (site, accounts) in accounts {
+            let directory = account_check::directory(accounts);
+            let directory = directory.map_err(|fault| at_site(&site, fault))?;
+            if let Some(plan) = sites.get_mut(&site) {
+                plan.accounts = Some(Arc::new(directory));
+            }
         }
         Ok(Self { sites })
     }
@@ -92,19 +106,30 @@
         &self.sites
     }
 
-    /// The canonical form of every service, with its digest.
+    /// The canonical form of every service and of each site's client accounts, with its digest.
+    /// Accounts have names that no service can have.
     #[must_use]
     pub fn service_values(&self) -> BTreeMap<(SiteName, ServiceName), ServiceValue> {
         let services = self.sites.values().flat_map(|site| {
             let names = site.services.iter();
             names.map(|(name, plan)| ((site.site.clone(), name.clone()), plan))
         });
-        services
-            .map(|(key, plan)| (key, ServiceValue::from(&**plan)))
-            .collect()
+        let services = services.map(|(key, plan)| (key, ServiceValue::from(&**plan)));
+        let accounts = self.sites.values().flat_map(|site| {
+            let directory = site.accounts.iter();
+            let values = directory.flat_map(|directory| account_values(directory));
+            values.map(|(name, value)| ((site.site.clone(), name), value))
+        });
+        services.chain(accounts).collect()
     }
 }
 
+/// Adds the site to the field path of a fault.
+fn at_site(site: &SiteName, mut fault: FieldFault) -> FieldFault {
+    fault.field = format!("{site}: {}", fault.field);
+    fault
+}
+
 /// Removes duplicates, since an error in the base is found again for every site.
 fn deduplicate(errors: Vec<ConfigError>) -> Vec<ConfigError> {
     let mut unique_errors = Vec::new();
--- a/crates/fescueway_config/src/document.rs
+++ b/crates/fescueway_config/src/document.rs
@@ -1,6 +1,10 @@
 //! A JSON document with comments that records the line of each field.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    fmt::{Debug, Formatter, Result as FormatResult},
+    sync::Arc,
+};
 
 use jsonc_parser::{CollectOptions, ParseOptions, ast, common::Ranged};
 use serde::de::DeserializeOwned;
@@ -27,7 +31,7 @@
 /// assert_eq!(error.suggestion.as_deref(), Some("period_ms"));
 /// # Ok::<(), fescueway_config::ConfigError>(())
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Document {
     /// The file that the text came from.
     file: Arc<str>,
@@ -142,6 +146,15 @@
     }
 }
 
+impl Debug for Document {
+    /// Shows the file only, since the content may hold API keys.
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        f.debug_struct("Document")
+            .field("file", &self.file)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Decodes a value. An error names the invalid field.
 pub(crate) fn decode_value<T: DeserializeOwned>(value: &Value) -> Result<T, FieldFault> {
     serde_path_to_error::deserialize(StrictValue(value)).map_err(|error| {
--- a/crates/fescueway_config/src/field_page.rs
+++ b/crates/fescueway_config/src/field_page.rs
@@ -1,6 +1,6 @@
 //! Field tables of the reference page, generated from the validation rules.
 
-use crate::{FieldRule, SERVICE_RULES};
+use crate::{ACCOUNT_RULES, FieldRule, SERVICE_RULES};
 
 /// The Markdown table of a service's fields for `docs/CONFIGURATION.md`.
 #[must_use]
@@ -8,6 +8,12 @@
     field_table(SERVICE_RULES.iter().copied())
 }
 
+/// The Markdown table of a client account's fields for `docs/CONFIGURATION.md`.
+#[must_use]
+pub fn account_table() -> String {
+    field_table(ACCOUNT_RULES.iter().copied())
+}
+
 /// A Markdown table of fields.
 #[must_use]
 pub fn field_table(rules: impl IntoIterator<Item = FieldRule>) -> String {
--- a/crates/fescueway_config/src/raw_service.rs
+++ b/crates/fescueway_config/src/raw_service.rs
@@ -68,6 +68,9 @@
     /// Maximum number of targets that may run one request.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub max_runs: Option<Number>,
+    /// Whether requests need no key of a client account.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub is_public: Option<bool>,
     /// Weights of the services that share the requests.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub weights: BTreeMap<String, Number>,
--- a/crates/fescueway_config/src/service_check.rs
+++ b/crates/fescueway_config/src/service_check.rs
@@ -113,6 +113,7 @@
             .objective
             .and_then(|objective| millis(&rules::OBJECTIVE_LATENCY, objective)),
         max_runs: route.max_runs.map(Number::from),
+        is_public: route.is_public.then_some(true),
         weights: route.split.iter().map(raw_weight).collect(),
     };
     (route.name.to_string(), raw)
@@ -271,7 +272,7 @@
         deadline: deadline.unwrap_or(fallback.deadline),
         objective: millis(&rules::OBJECTIVE_LATENCY, "objective_ms", &raw.objective_ms)?,
         max_runs: number(&rules::MAX_OFFERS, "max_runs", &raw.max_runs)?.map(|runs| runs as u8),
-        is_public: false,
+        is_public: raw.is_public.unwrap_or(false),
         split: split(&path, &raw.weights)?,
     })
 }
--- a/crates/fescueway_config/src/service_rules.rs
+++ b/crates/fescueway_config/src/service_rules.rs
@@ -91,6 +91,13 @@
     meaning: "Targets that may run one request of the route. Refused offers don't count.",
 };
 
+pub(crate) const ROUTE_PUBLIC: TextRule = TextRule {
+    field: "routes.NAME.is_public",
+    default: "false",
+    allowed: "true or false",
+    meaning: "Whether the route's requests need no API key, at a site that has client accounts.",
+};
+
 pub(crate) const ROUTE_WEIGHTS: TextRule = TextRule {
     field: "routes.NAME.weights.SERVICE",
     default: "none (all to the route's own service)",
@@ -302,6 +309,7 @@
     FieldRule::Text(&ROUTE_DEADLINE),
     FieldRule::Text(&ROUTE_OBJECTIVE),
     FieldRule::Text(&ROUTE_RUNS),
+    FieldRule::Text(&ROUTE_PUBLIC),
     FieldRule::Text(&ROUTE_WEIGHTS),
     FieldRule::Number(&PROBE_BUDGET),
     FieldRule::Text(&PROBE_PATH),
--- a/crates/fescueway_config/src/site_document.rs
+++ b/crates/fescueway_config/src/site_document.rs
@@ -10,12 +10,13 @@
 use serde_json::Value;
 
 use crate::{
-    ConfigError, Document, FieldFault, RawService, ServicePlan, SitePlan, StoredService,
-    ValidationStage, document, service_rules as rules, stored_service::checked_name,
+    AccountDirectory, AccountPlan, ConfigError, Document, FieldFault, RawService, ServicePlan,
+    SitePlan, StoredService, ValidationStage, account_check, account_rules, document,
+    service_rules as rules, stored_service::checked_name,
 };
 
-/// A base or an overlay, merged or not.
-#[derive(Clone, Debug, Deserialize)]
+/// A base or an overlay, merged or not. `Debug` is not derived, since accounts hold keys.
+#[derive(Clone, Deserialize)]
 #[serde(deny_unknown_fields, expecting = "an object")]
 struct RawSite {
     /// The site. Set in overlays only.
@@ -24,6 +25,9 @@
     /// Services by name. They are decoded separately, so that each one reports its own error.
     #[serde(default)]
     services: BTreeMap<String, Value>,
+    /// Client accounts by name, null for none. They are decoded separately as well.
+    #[serde(default)]
+    accounts: Value,
 }
 
 /// The documents of one site, in order of precedence.
@@ -42,6 +46,7 @@
     };
     if let Some(raw) = decode_base(base, errors) {
         sources.services(raw.services, errors);
+        sources.accounts(raw.accounts, errors);
     }
 }
 
@@ -62,8 +67,10 @@
     let raw = raw.map_err(|fault| sources.locate(ValidationStage::Schema, fault));
     let raw = ok_or_collect(raw, errors)?;
     let services = sources.services(raw.services, errors);
+    let accounts = sources.accounts(raw.accounts, errors);
     Some(SitePlan {
         services,
+        accounts: accounts.map(Arc::new),
         ..SitePlan::empty(site)
     })
 }
@@ -133,6 +140,40 @@
         services
     }
 
+    /// Returns the valid client accounts and collects the errors of the others. `None` without
+    /// accounts.
+    fn accounts(&self, raw: Value, errors: &mut Vec<ConfigError>) -> Option<AccountDirectory> {
+        let raw = match raw {
+            Value::Null => return None,
+            Value::Object(map) if !map.is_empty() => map,
+            // An empty object would make requests need no key, which has to be asked for by null.
+            other => {
+                let fault = account_check::hidden_fault(
+                    "accounts".to_owned(),
+                    &other,
+                    account_rules::ACCOUNTS,
+                );
+                errors.push(self.locate(ValidationStage::Value, fault));
+                return None;
+            }
+        };
+        let mut plans = Vec::new();
+        for (name, value) in raw {
+            plans.extend(ok_or_collect(self.account(name, &value), errors));
+        }
+        let directory = account_check::directory(plans);
+        let directory = directory.map_err(|fault| self.locate(ValidationStage::Value, fault));
+        ok_or_collect(directory, errors)
+    }
+
+    /// Validates one client account.
+    fn account(&self, name: String, value: &Value) -> Result<AccountPlan, ConfigError> {
+        let named = account_check::decode_account(name, value);
+        let named = named.map_err(|fault| self.locate(ValidationStage::Schema, fault))?;
+        let plan = AccountPlan::try_from(named);
+        plan.map_err(|fault| self.locate(ValidationStage::Value, fault))
+    }
+
     /// Validates one service.
     fn service(&self, name: String, value: &Value) -> Result<ServicePlan, ConfigError> {
         let plan = document::decode_value::<RawService>(value).map_err(|mut fault| {
--- a/crates/fescueway_proxy/src/entry/account_check.rs
+++ b/crates/fescueway_proxy/src/entry/account_check.rs
@@ -1,12 +1,13 @@
-//! Finds the client account of a request and decides whether the request may be offered.
+//! Decides by the key of a request whether it may be offered, and for which client account.
 
 use std::sync::Arc;
 
 use fescueway_config::{AccountDirectory, AccountPlan, RoutePlan, SitePlan};
 use fescueway_core::RefusalReason;
-use http::{HeaderMap, HeaderValue};
+use http::HeaderMap;
 
-use crate::{edge_profile::EdgeProfile, proxy_state::ProxyState};
+use super::presented_key::PresentedKey;
+use crate::{edge_profile::EdgeProfile, request_record::KeyFault};
 
 /// Whether a request may be offered, and for which client account.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,78 +17,70 @@
     /// The request belongs to this account.
     Known(Arc<AccountPlan>),
     /// No account has the request's key.
-    Unauthorized,
-    /// Whether the request may run can't be told now.
+    Unauthorized(KeyFault),
+    /// Whether the request may run can't be told now. It did not run.
     Refused(RefusalReason),
 }
 
-/// Finds the account of a request on `route` by its key. Removes the key from the header fields and
-/// sets the account's name.
-pub fn check_account(
-    state: &ProxyState,
-    plan: &SitePlan,
-    route: &RoutePlan,
-    headers: &mut HeaderMap,
-    is_call: bool,
-) -> AccountCheck {
-    let Some(accounts) = &plan.accounts else {
-        return AccountCheck::Anonymous;
-    };
-    let profile = state.profile();
-    let check = find_account(accounts, profile, headers);
-    strip_fields(profile, headers);
-    if route.is_public {
-        return AccountCheck::Anonymous;
-    }
-    match check {
-        KeyCheck::None if is_call => AccountCheck::Anonymous,
-        KeyCheck::Account(account) => {
-            if let Some(name) = &profile.account
-                && let Ok(value) = HeaderValue::from_str(account.name.as_str())
-            {
-                headers.insert(name.clone(), value);
-            }
-            AccountCheck::Known(account)
-        }
-        KeyCheck::None | KeyCheck::Unknown if state.is_plan_current() => AccountCheck::Unauthorized,
-        // The key may have been added meanwhile.
-        KeyCheck::None | KeyCheck::Unknown => AccountCheck::Refused(RefusalReason::NoConfiguration),
-    }
+/// What the check of a request depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct AccountRequest<'a> {
+    /// The configuration in force.
+    pub plan: &'a SitePlan,
+    /// The request's route.
+    pub route: &'a RoutePlan,
+    /// The key that its caller sent.
+    pub key: &'a PresentedKey,
+    /// Whether a backend server of this node may have made the request.
+    pub is_call: bool,
+    /// Whether the configuration is the newest one, as far as is known.
+    pub is_plan_current: bool,
 }
 
-/// What the key of a request tells.
-enum KeyCheck {
-    /// There is no key.
-    None,
-    /// No account has the key, or there are several keys.
-    Unknown,
-    /// The account that has the key.
-    Account(Arc<AccountPlan>),
-}
+impl AccountRequest<'_> {
+    /// Checks the request, and sets the header fields for its backend server: at a site with accounts
+    /// the key is removed, and the account's name replaces what the caller sent. Neither allocates nor
+    /// locks.
+    pub fn check(&self, profile: &EdgeProfile, headers: &mut HeaderMap) -> AccountCheck {
+        let Some(accounts) = &self.plan.accounts else {
+            return AccountCheck::Anonymous;
+        };
+        for name in [&profile.api_key, &profile.account].into_iter().flatten() {
+            headers.remove(name);
+        }
+        if self.route.is_public {
+            return AccountCheck::Anonymous;
+        }
+        self.find_account(accounts, profile, headers)
+            .unwrap_or_else(|fault| self.without_account(fault))
+    }
 
-/// Looks up the key of a request.
-fn find_account(
-    accounts: &AccountDirectory,
-    profile: &EdgeProfile,
-    headers: &HeaderMap,
-) -> KeyCheck {
-    let Some(name) = &profile.api_key else {
-        return KeyCheck::None;
-    };
-    let mut values = headers.get_all(name).iter();
-    match (values.next(), values.next()) {
-        (None, _) => KeyCheck::None,
-        (Some(key), None) => match accounts.find(key.as_bytes()) {
-            Some(account) => KeyCheck::Account(Arc::clone(account)),
-            None => KeyCheck::Unknown,
-        },
-        (Some(_), Some(_)) => KeyCheck::Unknown,
+    /// Finds the account and sets its name; fails with the fault of the key.
+    fn find_account(
+        &self,
+        accounts: &AccountDirectory,
+        profile: &EdgeProfile,
+        headers: &mut HeaderMap,
+    ) -> Result<AccountCheck, KeyFault> {
+        let key = match self.key {
+            PresentedKey::One(key) => key,
+            PresentedKey::None => return Err(KeyFault::Missing),
+            PresentedKey::Several => return Err(KeyFault::Unknown),
+        };
+        let found = accounts.find(key.as_bytes()).ok_or(KeyFault::Unknown)?;
+        if let Some(name) = &profile.account {
+            headers.insert(name.clone(), found.name_value.clone());
+        }
+        Ok(AccountCheck::Known(Arc::clone(&found.plan)))
     }
-}
 
-/// Removes the key and any account name that the caller sent.
-fn strip_fields(profile: &EdgeProfile, headers: &mut HeaderMap) {
-    for name in [&profile.api_key, &profile.account].into_iter().flatten() {
-        headers.remove(name);
+    /// The result for a request whose key identifies no account.
+    fn without_account(&self, fault: KeyFault) -> AccountCheck {
+        match fault {
+            KeyFault::Missing if self.is_call => AccountCheck::Anonymous,
+            fault if self.is_plan_current => AccountCheck::Unauthorized(fault),
+            // The key may have been added since.
+            _ => AccountCheck::Refused(RefusalReason::NoConfiguration),
+        }
     }
 }
--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    account_check::{AccountCheck, check_account},
+    account_check::{AccountCheck, AccountRequest},
     entry_request::{MAX_CALL_DEPTH, RequestHead, host_name, offer_request, request_body},
     final_answer::{entry_answer, refused_answer},
     offer_loop::OfferLoop,
@@ -19,7 +19,7 @@
     connection_activity::ConnectionActivity,
     proxy_state::ProxyState,
     request_log::LogId,
-    request_record::RequestRecord,
+    request_record::{KeyFault, RequestRecord},
 };
 
 /// `Retry-After` of an entry that has no configuration or none for the route's service, or that stops.
@@ -164,17 +164,27 @@
             record,
         );
     };
-    let is_call = is_call(state, &head);
-    let check = check_account(state, &plan, found.route, &mut parts.headers, is_call);
-    let account = match check {
+    let account = AccountRequest {
+        plan: &plan,
+        route: found.route,
+        key: &head.api_key,
+        is_call: head.is_call,
+        is_plan_current: state.is_plan_current(),
+    };
+    let account = match account.check(state.profile(), &mut parts.headers) {
         AccountCheck::Anonymous => None,
         AccountCheck::Known(account) => Some(account),
-        AccountCheck::Unauthorized => {
-            let text = "no client account has this key";
-            return reject(state, StatusCode::UNAUTHORIZED, text, record);
+        AccountCheck::Unauthorized(fault) => {
+            record.key_fault = Some(fault);
+            return reject(state, StatusCode::UNAUTHORIZED, fault.text(), record);
+        }
+        AccountCheck::Refused(reason) => {
+            record.key_fault = Some(KeyFault::Unproven);
+            return refuse(state, reason, record);
         }
-        AccountCheck::Refused(reason) => return refuse(state, reason, record),
     };
+    record.account = account.as_ref().map(|account| account.name.clone());
+    // Further checks by account come here, before a slot, a connection or a byte of the body is used.
     let chosen = state.route_states().next_service(found.route);
     let chosen = chosen.and_then(|name| plan.services.get(&name));
     let Some(service) = chosen.or(found.owner) else {
@@ -223,12 +233,6 @@
         .await
 }
 
-/// Whether a request may be a call of a backend server. Where calls have no token, any request
-/// without a key may be one.
-fn is_call(state: &ProxyState, head: &RequestHead) -> bool {
-    head.parent.is_some() || state.profile().call.is_none()
-}
-
 /// Whether the number of `Host` fields is valid for the HTTP version (RFC 9112, section 3.2).
 fn has_valid_host(parts: &Parts) -> bool {
     let fields = parts.headers.get_all(HOST).iter().count();
--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -1,6 +1,10 @@
 //! Converts a caller's request into an offer request.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use fescueway_config::{RoutePlan, ServicePlan};
 use fescueway_core::{Idempotency, RequestTerms};
@@ -14,6 +18,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use super::presented_key::PresentedKey;
 use crate::{
     body::{RequestBody, SharedBody},
     call_table::ParentCall,
@@ -38,6 +43,10 @@
     pub authority: HeaderValue,
     /// The call that made this one.
     pub parent: Option<ParentCall>,
+    /// Whether a backend server of this node may have made the request while it ran another one.
+    pub is_call: bool,
+    /// The key of the caller's account.
+    pub api_key: PresentedKey,
     /// How long the caller waits, when it sends its time left.
     pub caller_time: Option<Duration>,
     /// Whether the caller sends the body only after it received 100 (Continue).
@@ -49,9 +58,12 @@
     /// forwarded.
     pub fn from_parts(state: &ProxyState, parts: &mut Parts, caller: SocketAddr) -> Self {
         let profile = state.profile();
+        let parent = parent_call(state, &parts.headers, caller);
         let head = Self {
             authority: take_authority(&parts.uri, &mut parts.headers),
-            parent: parent_call(state, &parts.headers, caller),
+            parent,
+            is_call: parent.is_some() || is_unnamed_call(state, caller),
+            api_key: PresentedKey::read(&parts.headers, profile.api_key.as_ref()),
             caller_time: caller_time(profile, &parts.headers),
             is_expecting_continue: parts.headers.contains_key(EXPECT),
         };
@@ -174,6 +186,20 @@
     state.calls().find(token, state.now())
 }
 
+/// Whether a request that names no call may be one: where calls have no token, those from an address
+/// of this VM are. Callers have other addresses.
+fn is_unnamed_call(state: &ProxyState, caller: SocketAddr) -> bool {
+    const LOOPBACK: [IpAddr; 2] = [
+        IpAddr::V4(Ipv4Addr::LOCALHOST),
+        IpAddr::V6(Ipv6Addr::LOCALHOST),
+    ];
+    let address = caller.ip().to_canonical();
+    state.profile().call.is_none()
+        && (LOOPBACK.contains(&address)
+            || address == state.options().peer_address.ip().to_canonical()
+            || state.is_local_backend(address))
+}
+
 /// How long the caller waits, when it sends its time left.
 fn caller_time(profile: &EdgeProfile, headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(&profile.time_left)?.to_str().ok()?;
--- a/crates/fescueway_proxy/src/entry/mod.rs
+++ b/crates/fescueway_proxy/src/entry/mod.rs
@@ -8,7 +8,12 @@
 mod hedge;
 mod offer_attempt;
 mod offer_loop;
+mod presented_key;
 mod read_ahead;
 mod request_scanner;
 
-pub use self::entry_server::serve_callers;
+pub use self::{
+    account_check::{AccountCheck, AccountRequest},
+    entry_server::serve_callers,
+    presented_key::PresentedKey,
+};
--- a/crates/fescueway_proxy/src/request_record.rs
+++ b/crates/fescueway_proxy/src/request_record.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fescueway_core::{NodeId, Outcome, RefusalReason, ServiceName};
+use fescueway_core::{AccountName, NodeId, Outcome, RefusalReason, ServiceName};
 use fescueway_telemetry::{RequestEnd, RouteResult};
 use http::HeaderValue;
 
@@ -13,6 +13,10 @@
     pub id: Option<HeaderValue>,
     /// The name of its route, empty for a service's default route; `None` when none was found.
     pub route: Option<Arc<str>>,
+    /// The client account, `None` when the request belongs to none.
+    pub account: Option<AccountName>,
+    /// Why the request got no account, though it needs one.
+    pub key_fault: Option<KeyFault>,
     /// Latency objective: an answer within this time is in time.
     pub objective: Duration,
     /// The host of the latest offer.
@@ -35,6 +39,39 @@
     pub hedges: u32,
 }
 
+/// Why a request got no client account, though it needs one.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum KeyFault {
+    /// The caller sent no key.
+    Missing,
+    /// No account has the key, or the caller sent several.
+    Unknown,
+    /// The configuration may be too old to tell.
+    Unproven,
+}
+
+impl KeyFault {
+    /// The name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Missing => "missing",
+            Self::Unknown => "unknown",
+            Self::Unproven => "unproven",
+        }
+    }
+
+    /// What the caller is told. Does not depend on the key.
+    #[must_use]
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::Missing => "the request has no key of a client account",
+            Self::Unknown => "no client account has this key",
+            Self::Unproven => "whether a client account has this key is not known",
+        }
+    }
+}
+
 impl RequestRecord {
     /// How the request ended, as metrics count it.
     #[must_use]
