--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -12,6 +12,7 @@
     entry_request::{MAX_CALL_DEPTH, RequestHead, host_name, offer_request, request_body},
     final_answer::{entry_answer, refused_answer},
     offer_loop::OfferLoop,
+    presented_key::PresentedKey,
     read_ahead::PipelinedAnswer,
 };
 use crate::{
@@ -164,11 +165,13 @@
             record,
         );
     };
+    let needs_key = plan.accounts.is_some() && head.api_key == PresentedKey::None;
     let account = AccountRequest {
         plan: &plan,
         route: found.route,
         key: &head.api_key,
-        is_call: head.is_call,
+        // Takes a lock, which requests with a key don't wait for.
+        is_call: needs_key && head.is_call(state, caller),
         is_plan_current: state.is_plan_current(),
     };
     let account = match account.check(state.profile(), &mut parts.headers) {
@@ -227,7 +230,7 @@
             }
         }
     };
-    let request = offer_request(state, &head, parts, terms, body);
+    let request = offer_request(state, &head, parts, terms, body, record.account.as_ref());
     OfferLoop::new(state, request, start, record.id.clone())
         .run(record)
         .await
--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -7,7 +7,7 @@
 };
 
 use fescueway_config::{RoutePlan, ServicePlan};
-use fescueway_core::{Idempotency, RequestTerms};
+use fescueway_core::{AccountName, Idempotency, RequestTerms};
 use http::{
     HeaderMap, HeaderValue, StatusCode, Uri,
     header::{EXPECT, HOST},
@@ -43,8 +43,6 @@
     pub authority: HeaderValue,
     /// The call that made this one.
     pub parent: Option<ParentCall>,
-    /// Whether a backend server of this node may have made the request while it ran another one.
-    pub is_call: bool,
     /// The key of the caller's account.
     pub api_key: PresentedKey,
     /// How long the caller waits, when it sends its time left.
@@ -58,11 +56,9 @@
     /// forwarded.
     pub fn from_parts(state: &ProxyState, parts: &mut Parts, caller: SocketAddr) -> Self {
         let profile = state.profile();
-        let parent = parent_call(state, &parts.headers, caller);
         let head = Self {
             authority: take_authority(&parts.uri, &mut parts.headers),
-            parent,
-            is_call: parent.is_some() || is_unnamed_call(state, caller),
+            parent: parent_call(state, &parts.headers, caller),
             api_key: PresentedKey::read(&parts.headers, profile.api_key.as_ref()),
             caller_time: caller_time(profile, &parts.headers),
             is_expecting_continue: parts.headers.contains_key(EXPECT),
@@ -74,6 +70,11 @@
         head
     }
 
+    /// Whether a backend server of this node may have made the request while it ran another one.
+    pub fn is_call(&self, state: &ProxyState, caller: SocketAddr) -> bool {
+        self.parent.is_some() || is_unnamed_call(state, caller)
+    }
+
     /// The host of the authority, without its port.
     pub fn host_name(&self) -> &str {
         host_name(self.authority.to_str().unwrap_or_default())
@@ -107,18 +108,19 @@
     }
 }
 
-/// Builds the offer request. Its host is set anew for each offer.
+/// Builds the offer request of `account`. Its host is set anew for each offer.
 pub fn offer_request(
     state: &ProxyState,
     head: &RequestHead,
     parts: Parts,
     mut terms: RequestTerms,
     body: RequestBody,
+    account: Option<&AccountName>,
 ) -> OfferRequest {
     let target = parts.uri.path_and_query().cloned();
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
     if terms.idempotency == Idempotency::NonIdempotent && state.options().takes_keys {
-        terms.key = key_digest(&terms.service, &parts.headers);
+        terms.key = key_digest(&terms.service, account, &parts.headers);
     }
     terms.fingerprint = fingerprint(&parts.method, target.as_str(), body.buffered_bytes());
     OfferRequest {
--- a/crates/fescueway_proxy/src/request_digest.rs
+++ b/crates/fescueway_proxy/src/request_digest.rs
@@ -1,6 +1,6 @@
 //! Digests that identify a request: of its idempotency key, and of its content.
 
-use fescueway_core::{KeyDigest, ServiceName, fnv1a_64};
+use fescueway_core::{AccountName, KeyDigest, ServiceName, fnv1a_64};
 use http::{HeaderMap, HeaderName, Method};
 use sha2::{Digest, Sha256};
 
@@ -12,12 +12,20 @@
 const FINGERPRINT_BYTES: usize = 1_024;
 
 /// The digest of a request's idempotency key, if it has one. Several field lines count as one
-/// key.
-pub fn key_digest(service: &ServiceName, headers: &HeaderMap) -> Option<KeyDigest> {
+/// key. Accounts have keys of their own, so that none is told of another one's requests.
+pub fn key_digest(
+    service: &ServiceName,
+    account: Option<&AccountName>,
+    headers: &HeaderMap,
+) -> Option<KeyDigest> {
     let mut lines = headers.get_all(IDEMPOTENCY_KEY).iter().peekable();
     lines.peek()?;
     let mut digest = Sha256::new();
     digest.update(service.as_str());
+    if let Some(account) = account {
+        digest.update([1]);
+        digest.update(account.as_str());
+    }
     for line in lines {
         digest.update([0]);
         digest.update(line.as_bytes());
