Test accounts in base, overlay, stored values and differences

Change: differences tell how many keys were removed and added; `check` counts accounts, `render` prints them with digests. docs/CONFIGURATION.md has their table and how they are written.

--- a/crates/fescueway/src/commands/check.rs
+++ b/crates/fescueway/src/commands/check.rs
@@ -19,6 +19,9 @@
     sites: Vec<String>,
     /// Number of services over all sites.
     services: usize,
+    /// Number of client accounts over all sites.
+    #[serde(skip_serializing_if = "is_zero")]
+    accounts: usize,
     /// The errors found.
     errors: Vec<FaultReport>,
 }
@@ -55,10 +58,13 @@
 
 impl From<&ConfigSet> for CheckReport {
     fn from(config: &ConfigSet) -> Self {
+        let sites = config.sites().values();
+        let accounts = sites.clone().filter_map(|site| site.accounts.as_ref());
         Self {
             is_valid: true,
             sites: config.sites().keys().map(ToString::to_string).collect(),
-            services: config.service_values().len(),
+            services: sites.clone().map(|site| site.services.len()).sum(),
+            accounts: accounts.map(|accounts| accounts.accounts().len()).sum(),
             errors: Vec::new(),
         }
     }
@@ -79,6 +85,7 @@
                 is_valid: false,
                 sites: Vec::new(),
                 services: 0,
+                accounts: 0,
                 errors: errors.iter().map(FaultReport::from).collect(),
             };
             Ok(CommandReply {
@@ -90,14 +97,27 @@
     }
 }
 
+/// Whether a count is omitted: reports of documents without accounts stay as they were.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the serializer passes a reference"
+)]
+const fn is_zero(count: &usize) -> bool {
+    *count == 0
+}
+
 /// The report of valid documents in one line.
 fn summary(report: &CheckReport) -> String {
     if report.sites.is_empty() {
         return String::from("valid, but no overlay was given: there is no site yet\n");
     }
     let sites = report.sites.join(", ");
+    let accounts = match report.accounts {
+        0 => String::new(),
+        count => format!(" and {count} client accounts"),
+    };
     format!(
-        "valid: {} services over the sites {sites}\n",
+        "valid: {} services{accounts} over the sites {sites}\n",
         report.services
     )
 }
--- a/crates/fescueway/src/commands/render.rs
+++ b/crates/fescueway/src/commands/render.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use fescueway_config::RawService;
-use fescueway_core::{ServiceName, SiteName};
+use fescueway_config::{RawAccount, RawService};
+use fescueway_core::{AccountName, ServiceName, SiteName};
 use serde::Serialize;
 
 use crate::{
@@ -21,6 +21,9 @@
     site: String,
     /// Its services with every default filled in.
     services: BTreeMap<ServiceName, RawService>,
+    /// Its client accounts, with the digests of their keys.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    accounts: Option<BTreeMap<AccountName, RawAccount>>,
 }
 
 /// Runs the command.
@@ -40,6 +43,12 @@
         services: services
             .map(|(name, plan)| (name.clone(), RawService::from(&**plan)))
             .collect(),
+        accounts: plan.accounts.as_ref().map(|directory| {
+            let accounts = directory.accounts().iter();
+            accounts
+                .map(|(name, plan)| (name.clone(), RawAccount::from(&**plan)))
+                .collect()
+        }),
     };
     Ok(CommandReply::done(json_text(&document)?))
 }
--- a/crates/fescueway_bench/benches/decision_cost.rs
+++ b/crates/fescueway_bench/benches/decision_cost.rs
@@ -1,5 +1,6 @@
-//! Measures the allocations and the time of one pick and one admission, and how the time of a pick
-//! grows with the number of targets.
+//! Measures the allocations and the time of one pick, one admission and one account check, how the
+//! time of a pick grows with the number of targets, and that of an account check with the number of
+//! accounts.
 //!
 //! Times are printed; only allocations and ratios of times are bounded.
 
@@ -9,15 +10,19 @@
 use std::{
     hint::black_box,
     process::ExitCode,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use criterion::Criterion;
 use fescueway_admission::{GatePlan, RunEnd, TargetGate, TicketId};
+use fescueway_config::{AccountDirectory, AccountKey, AccountPlan, ConfigSet, Document, SitePlan};
 use fescueway_core::{
-    DomainName, LoadReport, MonoTime, NodeId, RequestTerms, TargetRecord, TargetState,
+    AccountName, DomainName, LoadReport, MonoTime, NodeId, RequestTerms, TargetRecord, TargetState,
 };
+use fescueway_proxy::{AccountRequest, EdgeProfile, PresentedKey};
 use fescueway_routing::{OfferEnd, PickResult, RouteEvent, RoutingPlan, ServiceRouter};
+use http::{HeaderMap, HeaderValue};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64;
 
@@ -40,6 +45,17 @@
 /// margin allows for noise on a shared machine.
 const MAX_GROWTH_BEYOND_SUBSET: f64 = 1.5;
 
+/// Numbers of accounts of today's largest site and of the required one.
+const ACCOUNTS: [u64; 2] = [76, 10_000];
+
+/// Maximum ratio of an account check's time at 10,000 accounts to that at 76. The key's digest takes the
+/// same time at both.
+const MAX_GROWTH_OF_ACCOUNTS: f64 = 1.5;
+
+/// Maximum ratio between the times of checks with wrong keys of equal length, of which one shares most of
+/// its text with a known key. A lookup that compares texts takes longer for that one.
+const MAX_KEY_DIFFERENCE: f64 = 1.25;
+
 /// Number of rounds. Each round times every kind of decision, so that other load on the machine
 /// slows all of them; the fastest round of each counts.
 const ROUNDS: u64 = 100;
@@ -154,6 +170,56 @@
     }
 }
 
+/// Returns the key of the account with this number.
+fn account_key(number: u64) -> String {
+    format!("key-of-account-{number:016}")
+}
+
+/// Returns a site with `count` accounts.
+fn site_of(count: u64) -> SitePlan {
+    let base = r#"{ "services": { "windows": { "path_prefixes": ["/"] } } }"#;
+    let base = Document::parse("base.json", base).expect("valid JSON");
+    let overlay = Document::parse("site.json", r#"{ "site": "site" }"#).expect("valid JSON");
+    let config = ConfigSet::check(&base, &[overlay]).expect("a valid configuration");
+    let accounts = (0..count).map(|number| AccountPlan {
+        name: AccountName::new(format!("account-{number}")),
+        keys: vec![AccountKey::new(&account_key(number))],
+        priority: None,
+        allotment: None,
+    });
+    let accounts = AccountDirectory::try_new(accounts).expect("distinct keys");
+    SitePlan {
+        accounts: Some(Arc::new(accounts)),
+        ..config.sites()["site"].clone()
+    }
+}
+
+/// Returns a decision that checks a request with `key` at a site with `count` accounts, and sets its
+/// header fields.
+fn account_check(count: u64, key: &str) -> impl FnMut(u64) {
+    let plan = site_of(count);
+    let profile = EdgeProfile::default();
+    let name = profile.api_key.clone().expect("a field for keys");
+    let key = HeaderValue::from_str(key).expect("a header value");
+    let mut headers = HeaderMap::new();
+    headers.insert("accept", HeaderValue::from_static("application/json"));
+    move |_index| {
+        headers.insert(name.clone(), key.clone());
+        let presented = PresentedKey::read(&headers, Some(&name));
+        let request = AccountRequest {
+            plan: &plan,
+            route: plan
+                .route_for("windows", "GET", "/windows/7")
+                .expect("a route")
+                .route,
+            key: &presented,
+            is_call: false,
+            is_plan_current: true,
+        };
+        black_box(request.check(&profile, &mut headers));
+    }
+}
+
 /// Prints one check. Returns whether it holds.
 fn check(name: &str, value: f64, bound: f64) -> bool {
     let is_met = value <= bound;
@@ -172,6 +238,14 @@
     let mut admission = admission();
     let allocations = picks.iter_mut().map(count_allocations).sum::<u64>();
     let allocations = allocations + count_allocations(&mut admission);
+    let mut known = ACCOUNTS.map(|count| account_check(count, &account_key(7)));
+    let [_, most] = ACCOUNTS;
+    let mut wrong =
+        ["key-of-account-000000000000000x", &"x".repeat(31)].map(|key| account_check(most, key));
+    let account_allocations = known.iter_mut().map(count_allocations).sum::<u64>()
+        + wrong.iter_mut().map(count_allocations).sum::<u64>();
+    let [few_accounts, many_accounts] = fastest_nanos(&mut known);
+    let [near_key, far_key] = fastest_nanos(&mut wrong);
     let [small, subset, large] = fastest_nanos(&mut picks);
     for (count, pick) in SIZES.iter().zip(picks) {
         let next = 2 * COUNTED_DECISIONS + ROUNDS * ROUND_DECISIONS;
@@ -184,10 +258,37 @@
         2 * COUNTED_DECISIONS,
         admission,
     );
+    for (count, check) in ACCOUNTS.iter().zip(known) {
+        measure_time(
+            &mut criterion,
+            &format!("account check of {count}"),
+            0,
+            check,
+        );
+    }
     criterion.final_summary();
 
     println!("fastest rounds of picks: {small:.0}, {subset:.0} and {large:.0} ns");
+    println!(
+        "fastest rounds of account checks: {few_accounts:.0} and {many_accounts:.0} ns; wrong keys \
+         {near_key:.0} and {far_key:.0} ns"
+    );
     let checks = [
+        check(
+            "allocations of account checks",
+            account_allocations as f64,
+            MAX_ALLOCATIONS as f64,
+        ),
+        check(
+            "account check at 10000 accounts / at 76",
+            many_accounts / few_accounts,
+            MAX_GROWTH_OF_ACCOUNTS,
+        ),
+        check(
+            "wrong keys of equal length, slower / faster",
+            near_key.max(far_key) / near_key.min(far_key),
+            MAX_KEY_DIFFERENCE,
+        ),
         check("allocations", allocations as f64, MAX_ALLOCATIONS as f64),
         check(
             "pick at 32 targets / at 5",
--- a/crates/fescueway_config/src/config_diff.rs
+++ b/crates/fescueway_config/src/config_diff.rs
@@ -61,9 +61,8 @@
                 let [old, new] = accounts
                     .each_ref()
                     .map(|accounts| accounts.get(name).copied());
-                let [before, after] = [(old, new), (new, old)].map(|(own, other)| {
-                    own.map_or_else(BTreeMap::new, |own| account_fields(own, other))
-                });
+                let before = account_fields(old, new, "removed");
+                let after = account_fields(new, old, "added");
                 changes.extend(changed_fields(&key, &before, &after));
             }
         }
@@ -82,26 +81,30 @@
         .collect()
 }
 
-/// The fields of one account by path, as JSON. Its keys are given as their number, and as the number
-/// of those that `other` doesn't have.
-fn account_fields(plan: &AccountPlan, other: Option<&AccountPlan>) -> BTreeMap<String, String> {
+/// The fields of one account by path, as JSON; empty without an account. Its keys are given as their
+/// number, and as the number of those that `other` doesn't have, with `label`.
+fn account_fields(
+    plan: Option<&AccountPlan>,
+    other: Option<&AccountPlan>,
+    label: &str,
+) -> BTreeMap<String, String> {
+    let mut fields = BTreeMap::new();
+    let Some(plan) = plan else {
+        return fields;
+    };
     let raw = RawAccount {
         key_digests: Value::Null,
         ..RawAccount::from(plan)
     };
-    let mut fields = BTreeMap::new();
     let name = plan.name.as_str();
-    collect_fields(
-        name,
-        &serde_json::to_value(raw).unwrap_or_default(),
-        &mut fields,
-    );
+    let value = serde_json::to_value(raw).unwrap_or_default();
+    collect_fields(name, &value, &mut fields);
     let is_only_here = |key: &&AccountKey| other.is_some_and(|other| !other.keys.contains(key));
     let mut keys = plan.keys.len().to_string();
     let only_here = plan.keys.iter().filter(is_only_here).count();
     if only_here > 0 {
         // Writing to a string can't fail.
-        let _ = write!(keys, " ({only_here} only here)");
+        let _ = write!(keys, " ({only_here} {label})");
     }
     fields.insert(format!("{name}.keys"), keys);
     fields
--- a/crates/fescueway_config/tests/pages.rs
+++ b/crates/fescueway_config/tests/pages.rs
@@ -2,7 +2,9 @@
 
 use std::{fs, path::PathBuf};
 
-use fescueway_config::{ConfigSet, Document, RawService, SERVICE_RULES, StoredService};
+use fescueway_config::{
+    ACCOUNT_RULES, ConfigSet, Document, RawAccount, RawService, SERVICE_RULES, StoredService,
+};
 use fescueway_core::ServiceName;
 use serde_json::Value;
 
@@ -32,7 +34,7 @@
     // Sets the fields that the canonical form omits when they have their default.
     let route = r#"{"name":"a","plan":{"path_prefixes":["/"],"routes":{"NAME":
         {"method":"GET","path_prefix":"/","idempotency":"idempotent","objective_ms":50,"max_runs":2,
-        "weights":{"SERVICE":1}}},
+        "is_public":true,"weights":{"SERVICE":1}}},
         "limit":{"slot_share":0.8},"locality":{"far_cost_us_per_kib":700},"retry":{"refusal_share":0.5}}}"#;
     let stored: StoredService = serde_json::from_str(route).expect("a raw service");
     let mut fields = Vec::new();
@@ -105,3 +107,20 @@
         }
     }
 }
+
+#[test]
+fn every_field_of_an_account_has_a_rule() {
+    let account = r#"{"keys":["k"],"key_digests":["0"],"priority":"low","rate_per_s":1,"burst":2}"#;
+    let raw: RawAccount = serde_json::from_str(account).expect("a raw account");
+    let fields = serde_json::to_value(raw).expect("JSON");
+    let names: Vec<_> = fields.as_object().expect("an object").keys().collect();
+    let table = fescueway_config::account_table();
+    assert!(
+        names
+            .iter()
+            .all(|name| table.contains(&format!("| `{name}` |")))
+    );
+    assert_eq!(names.len(), ACCOUNT_RULES.len(), "rules without a field");
+    let page = repository_file("docs/CONFIGURATION.md");
+    assert!(page.contains(&table), "docs/CONFIGURATION.md is stale");
+}
