--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -172,7 +172,7 @@
         key: &head.api_key,
         // Takes a lock, which requests with a key don't wait for.
         is_call: needs_key && head.is_call(state, caller),
-        is_plan_current: state.is_plan_current(),
+        is_plan_current: state.is_key_check_final(),
     };
     let account = match account.check(state.profile(), &mut parts.headers) {
         AccountCheck::Anonymous => None,
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -67,6 +67,8 @@
     is_configured: AtomicBool,
     /// Whether the configuration in force was the newest when it was read, as far as is known.
     is_plan_current: AtomicBool,
+    /// Whether a newer configuration than the one in force is known to exist.
+    is_plan_behind: AtomicBool,
     /// When this node ends its work; unset until it is told to stop.
     stop_schedule: OnceLock<StopSchedule>,
     /// The local service whose name is sent to backend servers as the caller's.
@@ -119,6 +121,7 @@
             plan: Mutex::new(Arc::new(plan)),
             is_configured: AtomicBool::new(false),
             is_plan_current: AtomicBool::new(true),
+            is_plan_behind: AtomicBool::new(false),
             stop_schedule: OnceLock::new(),
             caller_service: Mutex::default(),
             route_states: RouteStates::default(),
@@ -280,6 +283,19 @@
         self.is_configured() && self.0.is_plan_current.load(Ordering::Relaxed)
     }
 
+    /// Sets whether a newer configuration than the one in force is known to exist, which was not
+    /// received yet or is invalid. Meanwhile requests whose key is unknown are refused instead of
+    /// rejected.
+    pub fn set_plan_behind(&self, is_behind: bool) {
+        self.0.is_plan_behind.store(is_behind, Ordering::Relaxed);
+    }
+
+    /// Whether a key that the configuration in force lacks is invalid, as far as is known.
+    #[must_use]
+    pub fn is_key_check_final(&self) -> bool {
+        self.is_plan_current() && !self.0.is_plan_behind.load(Ordering::Relaxed)
+    }
+
     /// Begins a stop of this node. Only the first call has an effect.
     pub fn begin_stop(&self, schedule: StopSchedule) {
         // A second stop doesn't prolong the first one.
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -117,10 +117,14 @@
         loop {
             let newest = marks.borrow_and_update().revision;
             while newest > self.held().version() {
+                self.proxy.set_plan_behind(true);
                 if let Err(delay) = self.fetch(newest).await {
                     sleep(delay).await;
                 }
             }
+            if self.board.facts().config_error.is_none() {
+                self.proxy.set_plan_behind(false);
+            }
             // Nodes announce only what they know to be current.
             let held = self.held().version();
             if held > 0 && newest == held {
@@ -312,6 +316,7 @@
             Ok(document) => document,
             Err(reason) => {
                 emit(&control::CONFIG_REJECTED, &[&"unknown", &reason]);
+                self.proxy.set_plan_behind(true);
                 self.board
                     .change(|facts| facts.config_error = Some(reason.clone()));
                 return None;
@@ -323,6 +328,7 @@
         }
         let (services, now) = (plan.services.len(), self.proxy.now());
         self.proxy.apply_plan(Arc::new(plan));
+        self.proxy.set_plan_behind(false);
         if self.proxy.is_plan_current() {
             self.announce();
         }
--- a/crates/fescuewayd/src/rollout_task.rs
+++ b/crates/fescuewayd/src/rollout_task.rs
@@ -147,6 +147,8 @@
         for action in actions {
             self.execute(action);
         }
+        let is_behind = status.newest.revision > status.in_force.revision;
+        self.proxy.set_plan_behind(is_behind);
         self.report_due.notify_one();
         let now = self.proxy.now();
         self.board.change(|facts| {
