Name the account in the log, count rejected keys, and bench the account check

Cause: a rejected key was logged as a request without a route, and no record named the account. Change: E1107 names the account of a request, E1108 the fault of a key; fescueway_key_rejections_total counts by fault. Sites without accounts log what they logged before.

--- a/crates/fescueway_bench/benches/decision_cost.rs
+++ b/crates/fescueway_bench/benches/decision_cost.rs
@@ -196,7 +196,7 @@
 
 /// Returns a decision that checks a request with `key` at a site with `count` accounts, and sets its
 /// header fields.
-fn account_check(count: u64, key: &str) -> impl FnMut(u64) {
+fn account_check(count: u64, key: &str) -> impl FnMut(u64) + use<> {
     let plan = site_of(count);
     let profile = EdgeProfile::default();
     let name = profile.api_key.clone().expect("a field for keys");
@@ -240,8 +240,11 @@
     let allocations = allocations + count_allocations(&mut admission);
     let mut known = ACCOUNTS.map(|count| account_check(count, &account_key(7)));
     let [_, most] = ACCOUNTS;
-    let mut wrong =
-        ["key-of-account-000000000000000x", &"x".repeat(31)].map(|key| account_check(most, key));
+    let wrong_keys = [
+        String::from("key-of-account-000000000000000x"),
+        "x".repeat(31),
+    ];
+    let mut wrong = wrong_keys.map(|key| account_check(most, &key));
     let account_allocations = known.iter_mut().map(count_allocations).sum::<u64>()
         + wrong.iter_mut().map(count_allocations).sum::<u64>();
     let [few_accounts, many_accounts] = fastest_nanos(&mut known);
--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -178,10 +178,12 @@
         AccountCheck::Anonymous => None,
         AccountCheck::Known(account) => Some(account),
         AccountCheck::Unauthorized(fault) => {
+            record.route = Some(Arc::clone(&found.route.name));
             record.key_fault = Some(fault);
             return reject(state, StatusCode::UNAUTHORIZED, fault.text(), record);
         }
         AccountCheck::Refused(reason) => {
+            record.route = Some(Arc::clone(&found.route.name));
             record.key_fault = Some(KeyFault::Unproven);
             return refuse(state, reason, record);
         }
--- a/crates/fescueway_proxy/src/request_log.rs
+++ b/crates/fescueway_proxy/src/request_log.rs
@@ -1,6 +1,6 @@
 //! Logs events of single requests.
 
-use std::time::Duration;
+use std::{fmt::Display, time::Duration};
 
 use fescueway_core::{
     LoadReport, MonoTime, NodeId, Refusal, RefusalReason, RequestTerms, ServiceName,
@@ -35,6 +35,8 @@
     unrouted: EventRateLimit,
     caller_left: EventRateLimit,
     aborted: EventRateLimit,
+    account_known: EventRateLimit,
+    key_rejected: EventRateLimit,
     offer_lost: EventRateLimit,
     offered_again: EventRateLimit,
     hedged: EventRateLimit,
@@ -96,6 +98,8 @@
             unrouted: budget(&request::UNROUTED),
             caller_left: budget(&request::CALLER_LEFT),
             aborted: budget(&request::ABORTED),
+            account_known: budget(&request::ACCOUNT_KNOWN),
+            key_rejected: budget(&request::KEY_REJECTED),
             offer_lost: budget(&request::OFFER_LOST),
             offered_again: budget(&request::OFFERED_AGAIN),
             hedged: budget(&request::HEDGED),
@@ -126,6 +130,16 @@
         let id = id_text(&record.id);
         let route = record.route.as_deref().unwrap_or(UNKNOWN);
         let latency_us = record.latency.as_micros();
+        let status = &record.status;
+        if let Some(fault) = record.key_fault {
+            let fault = fault.as_str();
+            let fields: [&dyn Display; 5] = [&id, &self.node, &route, &fault, status];
+            return self.key_rejected.emit(now, &fields);
+        }
+        if let Some(account) = &record.account {
+            let fields: [&dyn Display; 5] = [&id, &self.node, account, &route, status];
+            self.account_known.emit(now, &fields);
+        }
         let Some(service) = &record.service else {
             return self.unrouted.emit(now, &[&id, &self.node, &record.status]);
         };
--- a/crates/fescueway_telemetry/src/events/request.rs
+++ b/crates/fescueway_telemetry/src/events/request.rs
@@ -115,6 +115,24 @@
     advice: "Give the node more time to stop (`stop_grace_ms`, `stop_timeout_ms`). The request may have run.",
 };
 
+/// At the entry: the client account of a request that has ended.
+pub const ACCOUNT_KNOWN: EventKind = EventKind {
+    number: 1107,
+    level: Level::Info,
+    summary: "request of a client account",
+    fields: &["id", "node", "account", "route", "status", "suppressed"],
+    advice: "Nothing. E1100 to E1106 with its id tell how it ended.",
+};
+
+/// At the entry: a request needs the key of a client account and has none that is known.
+pub const KEY_REJECTED: EventKind = EventKind {
+    number: 1108,
+    level: Level::Info,
+    summary: "request without a known key",
+    fields: &["id", "node", "route", "fault", "status", "suppressed"],
+    advice: "`fault` is `missing`, `unknown` or, with status 503, `unproven`: a newer configuration may have the key. See `A caller gets 401` in docs/OPERATIONS.md.",
+};
+
 /// At the entry: the answer to an offer was lost.
 pub const OFFER_LOST: EventKind = EventKind {
     number: 1111,
@@ -270,6 +288,8 @@
     &UNROUTED,
     &CALLER_LEFT,
     &ABORTED,
+    &ACCOUNT_KNOWN,
+    &KEY_REJECTED,
     &OFFER_LOST,
     &OFFERED_AGAIN,
     &HEDGED,
--- a/crates/fescueway_telemetry/src/metric_set.rs
+++ b/crates/fescueway_telemetry/src/metric_set.rs
@@ -9,7 +9,7 @@
 use fescueway_core::ServiceName;
 use opentelemetry::{
     KeyValue,
-    metrics::{Gauge, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -78,6 +78,8 @@
     services: Mutex<BTreeMap<ServiceName, Arc<ServiceMetrics>>>,
     /// Totals that are counted elsewhere, read when the metrics are rendered.
     totals: SharedTotals,
+    /// Requests without a known key.
+    key_rejections: Counter<u64>,
     /// Revision of the configuration in force.
     config_revision: Gauge<u64>,
     /// Time since it came into force, in seconds.
@@ -120,6 +122,10 @@
             instruments: ServiceInstruments::new(&meter),
             services: Mutex::default(),
             totals,
+            key_rejections: meter
+                .u64_counter("fescueway.key.rejections")
+                .with_description("Requests that need a key and have none that is known, by fault.")
+                .build(),
             config_revision: gauge(
                 &meter,
                 "fescueway.config.revision",
@@ -146,6 +152,11 @@
         Arc::clone(metrics)
     }
 
+    /// Counts a request that needs a key and has none that is known. `fault` is one of a few names.
+    pub fn key_rejected(&self, fault: &'static str) {
+        self.key_rejections.add(1, &[KeyValue::new("fault", fault)]);
+    }
+
     /// Sets the totals that are counted elsewhere.
     pub fn set_totals(&self, totals: NodeTotals) {
         *self.totals.lock().unwrap_or_else(PoisonError::into_inner) = totals;
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -23,6 +23,7 @@
     set.service(&ServiceName::new("bands")).request_ended(&end);
     bands.objective_counted(false);
     bands.refused(RefusalReason::QueueFull);
+    set.key_rejected("unknown");
     bands.probed(Duration::from_millis(5));
     bands.set_probe_budget(10.0);
     let route = "look".into();
@@ -73,6 +74,7 @@
         r#"fescueway_probe_spent_seconds_total{service="bands"} 0.005"#,
         r#"fescueway_probe_budget{service="bands"} 0.01"#,
         r#"fescueway_target_queued{service="bands"} 4"#,
+        r#"fescueway_key_rejections_total{fault="unknown"} 1"#,
         "fescueway_config_revision 7",
         r#"fescueway_gossip_bytes_total{direction="sent"} 1200"#,
         r#"fescueway_store_calls_total{answered="true",kind="lease"} 1"#,
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -155,6 +155,9 @@
 
     /// Counts a request.
     fn count(&self, state: &ProxyState, record: &RequestRecord) {
+        if let Some(fault) = record.key_fault {
+            self.metrics.key_rejected(fault.as_str());
+        }
         let Some(service) = &record.service else {
             return;
         };
--- a/crates/fescuewayd/tests/claims/bookings.rs
+++ b/crates/fescuewayd/tests/claims/bookings.rs
@@ -1,7 +1,9 @@
 //! A booking that is sent again with its idempotency key runs once.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
+use fescueway_config::{AccountDirectory, AccountKey, AccountPlan, SitePlan};
+use fescueway_core::AccountName;
 use fescueway_testkit::{BackendFault, BackendPlan, StoreFaults};
 use fescuewayd::Daemon;
 use tokio::time::sleep;
@@ -96,3 +98,33 @@
         assert_eq!(fleet.book((number + 1) % 3, &key).await.status, 409);
     }
 }
+
+/// Guards against an account that is told of the booking of another one with the same idempotency key.
+#[tokio::test]
+async fn bookings_of_two_accounts_with_the_same_key_both_run() {
+    let fleet = Fleet::start(BackendPlan::default()).await;
+    let accounts = ["mill", "quarry"].map(|name| AccountPlan {
+        name: AccountName::from(name),
+        keys: vec![AccountKey::new(&format!("key-of-{name}"))],
+        priority: None,
+        allotment: None,
+    });
+    let accounts = AccountDirectory::try_new(accounts).expect("distinct keys");
+    let accounts = Some(Arc::new(accounts));
+    for node in &fleet.nodes {
+        let plan = (*node.state().plan()).clone();
+        let accounts = accounts.clone();
+        let plan = Arc::new(SitePlan { accounts, ..plan });
+        node.state().apply_plan(plan);
+    }
+    let book = |node, account_key| fleet.book_as(node, "order-1", account_key);
+    assert_eq!(book(0, "key-of-mill").await.status, 200);
+    assert_eq!(book(1, "key-of-quarry").await.status, 200);
+    assert_eq!(fleet.runs("order-1"), 2);
+    for key in ["key-of-mill", "key-of-quarry"] {
+        let repeated = book(2, key).await;
+        assert_eq!((repeated.status, &*repeated.outcome), (409, "ran"));
+    }
+    assert_eq!(book(0, "unknown").await.status, 401);
+    assert_eq!(fleet.runs("order-1"), 2);
+}
--- a/crates/fescuewayd/tests/claims/fleet.rs
+++ b/crates/fescuewayd/tests/claims/fleet.rs
@@ -133,8 +133,14 @@
 
     /// Sends a booking with an idempotency key through a node.
     pub async fn book(&self, node: usize, key: &str) -> CallerResponse {
+        self.book_as(node, key, "none").await
+    }
+
+    /// As [`Fleet::book`], with the key of a client account.
+    pub async fn book_as(&self, node: usize, key: &str, account_key: &str) -> CallerResponse {
         let request = Request::post("/book")
             .header("host", "test")
+            .header("fescueway-api-key", account_key)
             .header("idempotency-key", key)
             .header("x-run-key", key);
         let request = request.body(Full::default()).expect("a valid request");
--- a/crates/fescuewayd/tests/path/decision_logs.rs
+++ b/crates/fescuewayd/tests/path/decision_logs.rs
@@ -16,7 +16,10 @@
 use serde_json::Value;
 use tokio::time::sleep;
 
-use crate::common::{TwoNodes, plan, request, send, start_hosts, start_node, text, wait_until};
+use crate::{
+    accounts::account_plan,
+    common::{TwoNodes, plan, request, send, start_hosts, start_node, text, wait_until},
+};
 
 const DEADLINE: Duration = Duration::from_secs(5);
 
@@ -97,6 +100,7 @@
     check_refused_and_unrouted_requests(&log).await;
     check_repeated_offers(&log).await;
     check_hedged_requests(&log).await;
+    check_client_accounts(&log).await;
 }
 
 /// Sends a request with this ID to a node, reads the response and returns its status.
@@ -113,6 +117,41 @@
     status
 }
 
+/// Lines name the account of a request and the fault of a key, and never a key.
+async fn check_client_accounts(log: &SharedLog) {
+    let node = start_node(&account_plan(DEADLINE), &[]).await;
+    let callers = node.addresses().callers;
+    for (id, key) in [("known", "key-of-mill"), ("wrong", "key-of-nobody")] {
+        let fields = [("x-request-id", id), ("fescueway-api-key", key)];
+        text(send(callers, request("GET", "/windows", &fields, "")).await).await;
+    }
+    assert_eq!(send_with_id(&node, "GET", "keyless").await, 401);
+    let known = log.wait_for_line("known", 1107).await;
+    assert_eq!(known["fields"]["account"], "mill");
+    assert_eq!(known["fields"]["route"], "read");
+    for (id, fault) in [("wrong", "unknown"), ("keyless", "missing")] {
+        let line = log.wait_for_line(id, 1108).await;
+        assert_eq!(line["fields"]["fault"], fault);
+        assert_eq!(line["fields"]["status"], "401");
+        assert_eq!(log.request_lines(id).len(), 1);
+    }
+    let lines = log.lines();
+    assert!(
+        lines
+            .iter()
+            .all(|line| !line.to_string().contains("key-of-"))
+    );
+    let metrics = node.metrics().render().expect("metrics");
+    for fault in ["missing", "unknown"] {
+        let line = format!("fescueway_key_rejections_total{{fault=\"{fault}\"}} 1");
+        assert!(metrics.contains(&line), "{metrics}");
+    }
+    assert!(
+        !metrics.contains("mill") && !metrics.contains("key-of-"),
+        "{metrics}"
+    );
+}
+
 async fn check_success_logs_two_lines(log: &SharedLog) {
     let nodes = TwoNodes::start(DEADLINE, BackendPlan::default()).await;
     assert_eq!(send_with_id(&nodes.entry, "GET", "well").await, 200);
--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -1,5 +1,6 @@
 //! Requests through real nodes on loopback.
 
+mod accounts;
 mod caller_disconnects;
 mod caller_limits;
 mod common;
