--- a/crates/fescueway_platform/src/store_types.rs
+++ b/crates/fescueway_platform/src/store_types.rs
@@ -1,6 +1,9 @@
 //! Requests to the store and its replies.
 
-use std::time::Duration;
+use std::{
+    fmt::{Debug, Formatter, Result as FormatResult},
+    time::Duration,
+};
 
 use crate::{StoreEra, StoreRevision};
 
@@ -44,8 +47,9 @@
     }
 }
 
-/// A key and its value in the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+/// A key and its value in the store. `Debug` shows the length of the value only, since an
+/// installation's own configuration may hold API keys.
+#[derive(Clone, Eq, PartialEq)]
 pub struct StoreValue {
     /// The key.
     pub key: String,
@@ -59,6 +63,18 @@
     pub lease: Option<LeaseId>,
 }
 
+impl Debug for StoreValue {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        f.debug_struct("StoreValue")
+            .field("key", &self.key)
+            .field("value_bytes", &self.value.len())
+            .field("mod_revision", &self.mod_revision)
+            .field("version", &self.version)
+            .field("lease", &self.lease)
+            .finish()
+    }
+}
+
 impl StoreValue {
     /// Sets the era of the answer that it came in.
     pub(crate) fn set_era(&mut self, era: StoreEra) {
--- a/crates/fescueway_proxy/src/entry/read_ahead.rs
+++ b/crates/fescueway_proxy/src/entry/read_ahead.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt::{Debug, Formatter, Result as FormatResult},
     io::Result as IoResult,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -55,7 +56,6 @@
 }
 
 /// Pending bytes and pipelined requests of one connection.
-#[derive(Debug)]
 struct ReadAheadState {
     /// Bytes that the HTTP library has not read yet.
     pending: BytesMut,
@@ -206,6 +206,16 @@
     }
 }
 
+impl Debug for ReadAheadState {
+    /// Shows counts only, since requests hold API keys.
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        f.debug_struct("ReadAheadState")
+            .field("parsed_count", &self.parsed_count)
+            .field("taken_count", &self.taken_count)
+            .finish_non_exhaustive()
+    }
+}
+
 impl AsyncRead for ReadAheadReader {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/fescuewayd/src/held_document.rs
+++ b/crates/fescuewayd/src/held_document.rs
@@ -1,6 +1,9 @@
 //! The configuration document in force, kept in the form that peers receive.
 
-use std::sync::Arc;
+use std::{
+    fmt::{Debug, Formatter, Result as FormatResult},
+    sync::Arc,
+};
 
 use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
 
@@ -21,7 +24,7 @@
 }
 
 /// The bytes of a document, either plain or compressed.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 enum DocumentForm {
     /// As stored in the store.
     Plain(Arc<[u8]>),
@@ -29,6 +32,14 @@
     Compressed(Arc<[u8]>),
 }
 
+impl Debug for DocumentForm {
+    /// Shows the length only, since the document may hold API keys.
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        let (Self::Plain(bytes) | Self::Compressed(bytes)) = self;
+        write!(f, "{} bytes", bytes.len())
+    }
+}
+
 impl Default for DocumentForm {
     fn default() -> Self {
         Self::Plain(Arc::default())
