--- a/crates/fescueway_config/src/account_check.rs
+++ b/crates/fescueway_config/src/account_check.rs
@@ -111,7 +111,7 @@
         let allotment = plan.allotment;
         Self {
             keys: Value::Null,
-            key_digests: Value::from_iter(digests),
+            key_digests: digests.collect(),
             priority: plan.priority,
             rate_per_s: allotment.and_then(|allotment| rules::RATE.raw(allotment.rate_per_s)),
             burst: allotment.and_then(|allotment| rules::BURST.raw(allotment.burst)),
--- a/crates/fescueway_config/src/config_diff.rs
+++ b/crates/fescueway_config/src/config_diff.rs
@@ -9,7 +9,10 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::{AccountKey, AccountPlan, ConfigSet, RawAccount, RawService, ServicePlan, SitePlan};
+use crate::{
+    AccountDirectory, AccountKey, AccountPlan, ConfigSet, RawAccount, RawService, ServicePlan,
+    SitePlan,
+};
 
 /// What changes of client accounts have in place of the service.
 const ACCOUNTS: &str = "(accounts)";
@@ -73,9 +76,7 @@
 /// The accounts of a site; empty without them.
 fn accounts_by_name(site: Option<&SitePlan>) -> BTreeMap<&str, &AccountPlan> {
     let directory = site.and_then(|site| site.accounts.as_deref());
-    let accounts = directory
-        .into_iter()
-        .flat_map(|directory| directory.accounts());
+    let accounts = directory.into_iter().flat_map(AccountDirectory::accounts);
     accounts
         .map(|(name, plan)| (name.as_str(), &**plan))
         .collect()
--- a/crates/fescueway_config/src/config_set.rs
+++ b/crates/fescueway_config/src/config_set.rs
@@ -85,7 +85,7 @@
             match value {
                 SiteValue::Service(service) => {
                     plan.services
-                        .insert(service.name.clone(), Arc::new(service));
+                        .insert(service.name.clone(), Arc::from(service));
                 }
                 SiteValue::Accounts(part) => accounts.entry(site).or_default().extend(part),
             }
--- a/crates/fescueway_config/src/stored_accounts.rs
+++ b/crates/fescueway_config/src/stored_accounts.rs
@@ -30,7 +30,7 @@
 /// A value of a site in the platform's store.
 pub(crate) enum SiteValue {
     /// A service.
-    Service(ServicePlan),
+    Service(Box<ServicePlan>),
     /// A part of the site's client accounts.
     Accounts(Vec<AccountPlan>),
 }
@@ -43,7 +43,7 @@
         let value: Option<Value> = serde_json::from_slice(bytes).ok();
         let value = value.filter(|value| value.get("accounts").is_some());
         let Some(value) = value else {
-            return ServicePlan::try_from(bytes).map(Self::Service);
+            return ServicePlan::try_from(bytes).map(|plan| Self::Service(Box::new(plan)));
         };
         let stored: StoredAccounts = document::decode_value(&value)?;
         let plans = stored.accounts.into_iter().map(|(name, value)| {
