--- a/crates/fescueway_admission/tests/mixed_work.rs
+++ b/crates/fescueway_admission/tests/mixed_work.rs
@@ -67,10 +67,10 @@
 
     /// Offers `calls_per_s` calls and `uploads_per_s` uploads a second, evenly spaced.
     fn offer_until(&mut self, end_s: u64, calls_per_s: u64, uploads_per_s: u64) {
-        let (start_us, end_us) = (self.now_us, end_s * 1_000_000);
+        let (from_us, until_us) = (self.now_us, end_s * 1_000_000);
         let arrivals = |kind: WorkKind, per_s: u64| {
             let gap_us = 1_000_000 / per_s;
-            (0..(end_us - start_us) / gap_us).map(move |index| (start_us + index * gap_us, kind))
+            (0..(until_us - from_us) / gap_us).map(move |index| (from_us + index * gap_us, kind))
         };
         let mut due: Vec<_> = arrivals(CALL, calls_per_s)
             .chain(arrivals(UPLOAD, uploads_per_s))
@@ -80,7 +80,7 @@
             self.advance(time_us);
             self.offer(kind);
         }
-        self.advance(end_us);
+        self.advance(until_us);
     }
 
     /// Ends the runs that are due by `time_us`.
--- a/crates/fescueway_proxy/src/entry/entry_request.rs
+++ b/crates/fescueway_proxy/src/entry/entry_request.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use fescueway_config::{RoutePlan, ServicePlan};
-use fescueway_core::{Idempotency, RequestTerms};
+use fescueway_core::{AccountName, Idempotency, RequestTerms};
 use http::{
     HeaderMap, HeaderValue, StatusCode, Uri,
     header::{EXPECT, HOST},
@@ -14,6 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use super::presented_key::PresentedKey;
 use crate::{
     body::{RequestBody, SharedBody},
     call_table::ParentCall,
@@ -38,6 +39,8 @@
     pub authority: HeaderValue,
     /// The call that made this one.
     pub parent: Option<ParentCall>,
+    /// The key of the caller's account.
+    pub api_key: PresentedKey,
     /// How long the caller waits, when it sends its time left.
     pub caller_time: Option<Duration>,
     /// Whether the caller sends the body only after it received 100 (Continue).
@@ -52,6 +55,7 @@
         let head = Self {
             authority: take_authority(&parts.uri, &mut parts.headers),
             parent: parent_call(state, &parts.headers, caller),
+            api_key: PresentedKey::read(&parts.headers, profile.api_key.as_ref()),
             caller_time: caller_time(profile, &parts.headers),
             is_expecting_continue: parts.headers.contains_key(EXPECT),
         };
@@ -95,18 +99,19 @@
     }
 }
 
-/// Builds the offer request. Its host is set anew for each offer.
+/// Builds the offer request of `account`. Its host is set anew for each offer.
 pub fn offer_request(
     state: &ProxyState,
     head: &RequestHead,
     parts: Parts,
     mut terms: RequestTerms,
     body: RequestBody,
+    account: Option<&AccountName>,
 ) -> OfferRequest {
     let target = parts.uri.path_and_query().cloned();
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
     if terms.idempotency == Idempotency::NonIdempotent && state.options().takes_keys {
-        terms.key = key_digest(&terms.service, &parts.headers);
+        terms.key = key_digest(&terms.service, account, &parts.headers);
     }
     terms.body_bytes = body.size_hint().lower();
     terms.fingerprint = fingerprint(&parts.method, target.as_str(), body.buffered_bytes());
