Decide how old a configuration may be, and which evacuations are the latest

Cause: a withdrawn key works on at a node that hears neither of the store nor of other nodes, since nothing tells how old its configuration may be. Change: FreshnessProof holds the time, on a clock that counts suspensions, at which the configuration was last known to be the latest; ProofSchedule decides when to ask a peer or the store; EvacuationSet never goes back to a lower revision of its era.

--- a/crates/fescueway_core/src/lib.rs
+++ b/crates/fescueway_core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock. Crates that make decisions take a [`MonoTime`] as an
 //! argument, so that tests and benches can run them in virtual time.
 
+mod boot_time;
 mod config_mark;
 mod fnv1a_64;
 mod load_report;
@@ -19,6 +20,7 @@
 mod token_bucket;
 
 pub use crate::{
+    boot_time::BootTime,
     config_mark::ConfigMark,
     fnv1a_64::fnv1a_64,
     load_report::LoadReport,
--- a/crates/fescueway_rollout/src/lib.rs
+++ b/crates/fescueway_rollout/src/lib.rs
@@ -7,6 +7,9 @@
 //!   revision.
 //! - [`ReportTree`] aggregates which nodes lag behind, in each failure domain.
 //! - [`LeaseHolder`] holds a lease of the store and fences the transactions that depend on it.
+//! - [`FreshnessProof`] tells how old the configuration in force may be, and [`ProofSchedule`] when a node
+//!   asks for the next proof.
+//! - [`EvacuationSet`] holds the failure domains that operators evacuate.
 //!
 //! These types do no I/O. The module [`driver`] runs attempts against a store.
 
@@ -16,8 +19,12 @@
 mod config_message;
 mod domain_report;
 pub mod driver;
+mod evacuation_set;
+mod freshness_proof;
 mod held_config;
 mod lease_holder;
+mod proof_schedule;
+mod proof_times;
 mod report_tree;
 mod rollout_state;
 pub mod store_keys;
@@ -27,7 +34,11 @@
     config_head::{ConfigHead, HistoryEntry, SiteDigest, SiteIndex},
     config_message::{ConfigReply, ConfigRequest, MessageError},
     domain_report::{DomainReport, Laggard},
+    evacuation_set::EvacuationSet,
+    freshness_proof::{FreshnessProof, ProofReply},
     lease_holder::{LeaseAction, LeaseEvent, LeaseHolder},
+    proof_schedule::{ProofAnswer, ProofRole, ProofSchedule, ProofStep, first_asked},
+    proof_times::ProofTimes,
     report_tree::{ReportAction, ReportTree},
     rollout_state::{FetchSource, RolloutAction, RolloutEvent, RolloutState, RolloutStatus},
 };
