Refuse keys without a young proof of the configuration, and follow evacuations

Change: the entry refuses known and unknown keys as key-unproven once the latest proof is as old as the bound of the settings; CLOCK_BOOTTIME is read by nix, through the C library. The first watcher of a failure domain reads the store every tenth of the bound, the others ask it or each other by a new control message, and any node reads the store itself if nobody answers. Reads and watches cover the prefix of the operator's keys where evacuations are enabled. Events E2030, E2031, E2040, E2041.

--- a/crates/fescueway_membership/src/member_list.rs
+++ b/crates/fescueway_membership/src/member_list.rs
@@ -189,6 +189,15 @@
         in_domain.map(|(node, _)| node).collect()
     }
 
+    /// The live nodes of this node's failure domain with the addresses for streams, itself included,
+    /// sorted.
+    #[must_use]
+    pub fn domain_addresses(&self) -> Vec<(NodeId, SocketAddr)> {
+        let nodes = self.domain_nodes().into_iter();
+        let address = |node| Some((node, self.table.get(node)?.record.as_ref()?.peer_address));
+        nodes.filter_map(address).collect()
+    }
+
     /// A random live node of this node's site that has reported at least `revision` in force.
     pub fn node_with_revision(
         &self,
--- a/crates/fescueway_platform/src/store_watch.rs
+++ b/crates/fescueway_platform/src/store_watch.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, pin::Pin, time::Duration};
 
+use fescueway_core::BootTime;
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -42,6 +43,12 @@
     /// The era of the store, which other calls may find to have ended.
     tracker: EraTracker,
     source: WatchSource,
+    /// The clock of the times at which polls are sent; without it, polls prove nothing.
+    clock: Option<fn() -> BootTime>,
+    /// When the poll in flight, or the last one, was sent.
+    sent_at: Option<BootTime>,
+    /// When the latest poll was sent that was answered without changes.
+    proven_at: Option<BootTime>,
 }
 
 /// How a watch receives changes.
@@ -119,6 +126,9 @@
             revision,
             tracker,
             source,
+            clock: None,
+            sent_at: None,
+            proven_at: None,
         })
     }
 
@@ -131,6 +141,19 @@
         }
     }
 
+    /// Sets the clock by which the next polls prove that nothing had changed.
+    pub fn set_clock(&mut self, clock: fn() -> BootTime) {
+        self.clock = Some(clock);
+    }
+
+    /// The latest time known at which all changes had been returned by [`StoreWatch::next`]: when a
+    /// poll was sent that was answered without changes. `None` without such a poll or without a clock,
+    /// and for streams.
+    #[must_use]
+    pub fn proven_at(&self) -> Option<BootTime> {
+        self.proven_at
+    }
+
     /// Waits for the next changes; returns `None` if there were none within `idle_limit`.
     ///
     /// Cancel safe: dropping the future loses no changes.
@@ -194,6 +217,8 @@
             return Ok(WatchBatch::default());
         };
         let polling = waiting.get_or_insert_with(|| {
+            // Taken before anything is sent, so that it is at most too early.
+            self.sent_at = self.clock.map(|clock| clock());
             let call = poll(range, self.revision.next().number, *wait);
             Box::pin(poll_store(
                 self.peer,
@@ -211,6 +236,9 @@
             return Err(StoreFault::Restored);
         }
         let mut batch = read(&answer)?;
+        if batch.events.is_empty() {
+            self.proven_at = self.sent_at;
+        }
         // A protocol may be able to watch prefixes only.
         batch.events.retain(|event| range.contains(event.key()));
         Ok(batch)
--- a/crates/fescueway_proxy/src/entry/account_check.rs
+++ b/crates/fescueway_proxy/src/entry/account_check.rs
@@ -41,6 +41,10 @@
     }
     match check {
         KeyCheck::None if is_call => AccountCheck::Anonymous,
+        // The account may have lost the key, or got it, since the last proof.
+        KeyCheck::Account(_) | KeyCheck::Unknown if !state.is_key_proven(plan) => {
+            AccountCheck::Refused(RefusalReason::KeyUnproven)
+        }
         KeyCheck::Account(account) => {
             if let Some(name) = &profile.account
                 && let Ok(value) = HeaderValue::from_str(account.name.as_str())
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -9,6 +9,7 @@
 mod accept_loop;
 mod backend_announcement;
 pub mod body;
+mod boot_clock;
 mod call_table;
 mod connection_activity;
 mod duplicate_answer;
@@ -42,6 +43,7 @@
 pub use crate::{
     accept_loop::AcceptLoop,
     backend_announcement::BackendAnnouncement,
+    boot_clock::BootClock,
     edge_profile::{AnswerVerdict, EdgeProfile, LoadReader},
     entry::serve_callers,
     host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunDenial, RunPermit},
--- a/crates/fescueway_proxy/src/proxy_options.rs
+++ b/crates/fescueway_proxy/src/proxy_options.rs
@@ -1,6 +1,6 @@
 //! The options that a node's proxy is started with.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use fescueway_core::{DomainName, NodeId, SiteName};
 
@@ -23,6 +23,9 @@
     pub profile: EdgeProfile,
     /// Whether idempotency keys of non-idempotent requests are used to detect duplicates.
     pub takes_keys: bool,
+    /// Age of a proof of the configuration up to which the keys of client accounts are accepted; `None`
+    /// for no bound.
+    pub key_proof: Option<Duration>,
     /// Maximum number of log lines per second for each kind of event of single requests. Above
     /// zero.
     pub log_lines_per_s: f64,
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -1,5 +1,7 @@
 //! The shared state of a node's proxy.
 
+mod evacuated_domains;
+mod key_proof;
 mod local_backends;
 mod server_statements;
 
@@ -18,6 +20,7 @@
 use fescueway_telemetry::{SourceRateLimit, events::path};
 use http::HeaderValue;
 
+use self::{evacuated_domains::EvacuatedDomains, key_proof::KeyProof};
 use crate::{
     call_table::CallTable,
     edge_profile::EdgeProfile,
@@ -67,6 +70,10 @@
     is_configured: AtomicBool,
     /// Whether the configuration in force was the newest when it was read, as far as is known.
     is_plan_current: AtomicBool,
+    /// When the configuration in force was last known to be the latest one.
+    key_proof: KeyProof,
+    /// Failure domains whose targets should get no requests.
+    evacuated: EvacuatedDomains,
     /// When this node ends its work; unset until it is told to stop.
     stop_schedule: OnceLock<StopSchedule>,
     /// The local service whose name is sent to backend servers as the caller's.
@@ -119,6 +126,8 @@
             plan: Mutex::new(Arc::new(plan)),
             is_configured: AtomicBool::new(false),
             is_plan_current: AtomicBool::new(true),
+            key_proof: KeyProof::default(),
+            evacuated: EvacuatedDomains::default(),
             stop_schedule: OnceLock::new(),
             caller_service: Mutex::default(),
             route_states: RouteStates::default(),
--- a/crates/fescueway_telemetry/src/events/control.rs
+++ b/crates/fescueway_telemetry/src/events/control.rs
@@ -18,6 +18,10 @@
     &WATCH_STARTED,
     &WATCH_ENDED,
     &STORE_ITEM_IGNORED,
+    &KEY_PROOF_LOST,
+    &KEY_PROOF_REGAINED,
+    &EVACUATION_BEGAN,
+    &EVACUATION_ENDED,
 ];
 
 /// Another node is up.
@@ -127,3 +131,39 @@
     fields: &["error"],
     advice: "Find the writer of the key, or delete it. The other keys are read as usual.",
 };
+
+/// The node has no proof that its configuration is the latest one; it refuses requests with keys.
+pub const KEY_PROOF_LOST: EventKind = EventKind {
+    number: 2030,
+    level: Level::Warn,
+    summary: "configuration not proven current, requests with keys are refused",
+    fields: &["age_ms"],
+    advice: "Restore the node's way to the store or to a node that has one. Requests without keys are served.",
+};
+
+/// The node has a proof again that its configuration is the latest one.
+pub const KEY_PROOF_REGAINED: EventKind = EventKind {
+    number: 2031,
+    level: Level::Info,
+    summary: "configuration proven current again",
+    fields: &["unproven_ms"],
+    advice: "Nothing.",
+};
+
+/// Operators evacuate a failure domain.
+pub const EVACUATION_BEGAN: EventKind = EventKind {
+    number: 2040,
+    level: Level::Info,
+    summary: "evacuation of a failure domain began",
+    fields: &["domain"],
+    advice: "Nothing, if it was asked for. Otherwise delete its key in the store.",
+};
+
+/// The evacuation of a failure domain has ended.
+pub const EVACUATION_ENDED: EventKind = EventKind {
+    number: 2041,
+    level: Level::Info,
+    summary: "evacuation of a failure domain ended",
+    fields: &["domain"],
+    advice: "Nothing.",
+};
--- a/crates/fescueway_telemetry/src/metric_set.rs
+++ b/crates/fescueway_telemetry/src/metric_set.rs
@@ -35,6 +35,8 @@
     pub gossip_received_bytes: u64,
     /// Calls of the store by kind.
     pub store_calls: Vec<StoreCalls>,
+    /// Times that a node came to be without a proof that its configuration is the latest one.
+    pub key_proof_losses: u64,
     /// Log lines dropped because the log was not read in time.
     pub log_lines_lost: u64,
 }
@@ -61,6 +63,10 @@
     pub nodes: u64,
     /// Number of known targets.
     pub targets: u64,
+    /// Age of the proof that the configuration is the latest one, in seconds; `None` if there is none.
+    pub key_proof_age_s: Option<f64>,
+    /// Number of failure domains that are evacuated.
+    pub evacuated_domains: u64,
 }
 
 /// Totals that the callbacks of the observable counters read.
@@ -86,6 +92,10 @@
     known_nodes: Gauge<u64>,
     /// Number of known targets.
     known_targets: Gauge<u64>,
+    /// Age of the proof that the configuration is the latest one, in seconds.
+    key_proof_age: Gauge<f64>,
+    /// Number of failure domains that are evacuated.
+    evacuated_domains: Gauge<u64>,
 }
 
 impl Debug for MetricSet {
@@ -132,6 +142,16 @@
                 .build(),
             known_nodes: gauge(&meter, "fescueway.nodes", "Nodes known to be up."),
             known_targets: gauge(&meter, "fescueway.targets", "Targets known."),
+            key_proof_age: meter
+                .f64_gauge("fescueway.key.proof.age")
+                .with_description("Age of the proof that the configuration is the latest one.")
+                .with_unit("s")
+                .build(),
+            evacuated_domains: gauge(
+                &meter,
+                "fescueway.evacuated.domains",
+                "Failure domains that are evacuated.",
+            ),
             _provider: provider,
         })
     }
@@ -157,6 +177,10 @@
         self.config_age.record(gauges.config_age_s, &[]);
         self.known_nodes.record(gauges.nodes, &[]);
         self.known_targets.record(gauges.targets, &[]);
+        if let Some(age_s) = gauges.key_proof_age_s {
+            self.key_proof_age.record(age_s, &[]);
+        }
+        self.evacuated_domains.record(gauges.evacuated_domains, &[]);
     }
 
     /// Renders all metrics in the Prometheus text format.
@@ -209,6 +233,15 @@
         })
         .build();
     let shared = Arc::clone(totals);
+    meter
+        .u64_observable_counter("fescueway.key.proof.losses")
+        .with_description("Times that the node came to be without a proof of its configuration.")
+        .with_callback(move |observer| {
+            let totals = shared.lock().unwrap_or_else(PoisonError::into_inner);
+            observer.observe(totals.key_proof_losses, &[]);
+        })
+        .build();
+    let shared = Arc::clone(totals);
     meter
         .u64_observable_counter("fescueway.log.lines.lost")
         .with_description("Log lines that were left out because nobody read the log in time.")
--- a/crates/fescueway_telemetry/src/node_status.rs
+++ b/crates/fescueway_telemetry/src/node_status.rs
@@ -52,6 +52,9 @@
     pub in_flight: u32,
     /// Number of targets that it knows.
     pub targets: u32,
+    /// Age of the proof that its configuration is the latest one, in milliseconds; `None` if it has none.
+    #[serde(default)]
+    pub key_proof_age_ms: Option<u64>,
     /// Whether it reaches the store.
     pub store: StoreState,
     /// Number of other nodes that it knows to be up.
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -48,6 +48,8 @@
         config_age_s: 1.5,
         nodes: 3,
         targets: 5,
+        key_proof_age_s: Some(0.75),
+        evacuated_domains: 1,
     });
     set.set_totals(NodeTotals {
         gossip_sent_bytes: 1_200,
@@ -56,6 +58,7 @@
             answered: 1,
             failed: 2,
         }],
+        key_proof_losses: 2,
         log_lines_lost: 6,
         ..NodeTotals::default()
     });
@@ -88,6 +91,9 @@
         "fescueway_config_age_seconds 1.5",
         "fescueway_nodes 3",
         "fescueway_targets 5",
+        "fescueway_key_proof_age_seconds 0.75",
+        "fescueway_key_proof_losses_total 2",
+        "fescueway_evacuated_domains 1",
         "fescueway_log_lines_lost_total 6",
     ] {
         assert!(
--- a/crates/fescueway_wire/src/control_message.rs
+++ b/crates/fescueway_wire/src/control_message.rs
@@ -14,6 +14,8 @@
     Claim,
     /// Reports fingerprints of requests that crashed backend servers.
     Suspect,
+    /// Asks for a proof that the configuration is the latest one.
+    Freshness,
 }
 
 /// A request to a peer's handler of `kind`.
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -10,6 +10,7 @@
 use fescueway_core::NodeId;
 use fescueway_membership::MemberEvent;
 use fescueway_proxy::{ProxyOptions, ProxyState, TaskGroup, serve_callers, serve_peers};
+use fescueway_rollout::ProofTimes;
 use fescueway_telemetry::{LogQueue, MetricSet, emit, events::operator};
 use tokio::{
     net::UdpSocket,
@@ -98,6 +99,9 @@
         settings: DaemonSettings,
         adapter: NodeAdapter,
     ) -> Result<Self, DaemonError> {
+        if settings.key_proof.is_some() && adapter.document.is_none() {
+            return Err(DaemonError::KeyProof);
+        }
         let sockets = DaemonSockets::bind(&settings).await?;
         let addresses = sockets.addresses(&settings);
         let tasks = TaskGroup::default();
@@ -296,7 +300,8 @@
                 if let Some(store) = store.clone() {
                     SeedTask::start(state, &link, store);
                 }
-                DocumentTask::start(state, &link, board, store.clone(), source);
+                let settings = &self.settings;
+                DocumentTask::start(state, &link, board, settings, store.clone(), source);
             }
         }
         self.run_rules(store);
@@ -375,6 +380,9 @@
         limits: settings.limits.clone(),
         profile: adapter.profile.clone(),
         takes_keys: settings.takes_keys,
+        key_proof: settings
+            .key_proof
+            .map(|bound| ProofTimes::for_bound(bound).limit),
         log_lines_per_s: settings.log.lines_per_s,
         seed: random()?,
         secret: u128::from(random()?) << 64 | u128::from(random()?),
--- a/crates/fescuewayd/src/daemon_error.rs
+++ b/crates/fescuewayd/src/daemon_error.rs
@@ -39,6 +39,9 @@
     /// The metrics can't be set up.
     #[error(transparent)]
     Metric(#[from] MetricError),
+    /// `key_proof_ms` is set, but the configuration is not a single document, whose age can't be proven.
+    #[error("key_proof_ms needs a configuration that is stored as a single document")]
+    KeyProof,
     /// The operating system provides no random numbers.
     #[error("cannot generate the node's identity: {0}")]
     Random(getrandom::Error),
--- a/crates/fescuewayd/src/daemon_settings.rs
+++ b/crates/fescuewayd/src/daemon_settings.rs
@@ -1,6 +1,7 @@
 //! Checked settings of one daemon.
 
 use std::{
+    collections::BTreeSet,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
@@ -57,6 +58,14 @@
     pub retry_slack: Option<f64>,
     /// Whether requests are deduplicated by their idempotency keys.
     pub takes_keys: bool,
+    /// Maximum age of a proof that the configuration is the latest one, up to which the keys of client
+    /// accounts are accepted; `None` for no bound.
+    pub key_proof: Option<Duration>,
+    /// Whether operators evacuate failure domains by keys in the store.
+    pub evacuations: bool,
+    /// Optional interfaces of the installation that the deployment uses. One may enable evacuations, as
+    /// the adapter says.
+    pub interfaces: BTreeSet<String>,
     /// The initial configuration, in force until the store or a peer has a newer one.
     pub plan: Option<Arc<SitePlan>>,
 }
@@ -104,6 +113,9 @@
             caller_service: None,
             retry_slack: None,
             takes_keys: true,
+            key_proof: None,
+            evacuations: false,
+            interfaces: BTreeSet::new(),
             plan: None,
         }
     }
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -6,23 +6,26 @@
 //! not hand it on.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use fescueway_core::ConfigMark;
+use fescueway_core::{BootTime, ConfigMark};
 use fescueway_membership::MemberEvent;
-use fescueway_platform::{KeyRange, StoreError, StoreRevision, WatchBatch, WatchEvent};
-use fescueway_proxy::ProxyState;
+use fescueway_platform::{KeyRange, RangeReply, StoreError, StoreRevision, WatchBatch, WatchEvent};
+use fescueway_proxy::{BootClock, ProxyState};
 use fescueway_telemetry::{emit, events::control};
 use fescueway_wire::ControlKind;
 use tokio::time::sleep;
 
 use crate::{
-    StatusBoard,
+    DaemonSettings, StatusBoard,
+    document_proof::DocumentProof,
     held_document::{HeldDocument, decompress},
     member_link::MemberLink,
     node_adapter::{DocumentSource, PlanDocument},
+    proof_task::ProofTask,
     store_link::{CALL_TIMEOUT, StoreLink},
 };
 
@@ -68,6 +71,8 @@
     board: StatusBoard,
     /// The document's key and its decoder.
     source: DocumentSource,
+    /// What is proven of the document in force.
+    proof: DocumentProof,
     /// The document in force.
     held: Arc<Mutex<HeldDocument>>,
 }
@@ -78,14 +83,17 @@
         proxy: &ProxyState,
         members: &MemberLink,
         board: &StatusBoard,
+        settings: &DaemonSettings,
         store: Option<StoreLink>,
         source: DocumentSource,
     ) {
+        let proof = DocumentProof::new(proxy, members, board, settings, &source);
         let task = Self {
             proxy: proxy.clone(),
             members: members.clone(),
             board: board.clone(),
             source,
+            proof,
             held: Arc::default(),
         };
         let handler = task.clone();
@@ -96,6 +104,9 @@
                 async move { answer }
             });
         proxy.tasks().spawn(task.clone().follow_peers());
+        if task.proof.is_enabled() {
+            ProofTask::start(proxy, members, &task, &task.proof, store.clone());
+        }
         if let Some(store) = store {
             proxy.tasks().spawn(task.follow_store(store));
         }
@@ -139,6 +150,12 @@
             .members
             .node_with_revision(version)
             .ok_or(PEER_RETRY_DELAY)?;
+        self.fetch_from(address, version).await
+    }
+
+    /// Fetches the document from the peer at `address`, which has `version`. The error is the delay
+    /// before the next try.
+    pub async fn fetch_from(&self, address: SocketAddr, version: u64) -> Result<(), Duration> {
         let body = self.held().version().to_le_bytes().to_vec();
         let peers = self.proxy.peers();
         match peers
@@ -187,31 +204,69 @@
 
     /// Reads the document. Returns the revision of the store at which it was read.
     async fn read_current(&self, store: &StoreLink) -> Result<StoreRevision, StoreError> {
-        let range = KeyRange::Key(self.source.key.to_string());
-        let reading = store.client.range(&range, CALL_TIMEOUT);
-        let reply = store.call(reading).await?;
-        for value in &reply.values {
-            self.apply_plain(&value.value);
+        let range = self.range();
+        let reading = async {
+            // Taken when the call is made, so that a wait for the call budget doesn't count.
+            let sent_at = BootClock::now();
+            let reply = store.client.range(&range, CALL_TIMEOUT).await?;
+            Ok((sent_at, reply))
+        };
+        let (sent_at, reply) = store.call(reading).await?;
+        self.apply_current(sent_at, &reply);
+        Ok(reply.revision)
+    }
+
+    /// Reads the document to prove that it is the latest one. The caller limits the rate, which has to
+    /// be higher than the store's call budget allows after failures.
+    pub async fn read_for_proof(&self, store: &StoreLink, time_left: Duration) {
+        let sent_at = BootClock::now();
+        let result = store.client.range(&self.range(), time_left).await;
+        store.record_state(result.as_ref().err());
+        if let Ok(reply) = result {
+            self.apply_current(sent_at, &reply);
         }
+    }
+
+    /// Applies a read that was sent at `sent_at` and returned what the store held then or later.
+    fn apply_current(&self, sent_at: BootTime, reply: &RangeReply) {
+        let found = self.apply_values(reply);
+        self.proof.read_evacuations(reply, true);
         if self.held().version() > 0 {
             self.confirm();
         }
-        Ok(reply.revision)
+        // A document that is absent or can't be read leaves the accepted one in force.
+        let found = found.unwrap_or_default();
+        self.proof.prove(sent_at, found, self.version());
+    }
+
+    /// Applies the document among the values of a read. Returns its version if it could be read.
+    fn apply_values(&self, reply: &RangeReply) -> Option<u64> {
+        let mut values = reply.values.iter();
+        let value = values.find(|value| *value.key == *self.source.key)?;
+        self.apply_plain(&value.value)
+    }
+
+    /// The keys to read and to watch.
+    fn range(&self) -> KeyRange {
+        if self.proof.has_evacuations() {
+            KeyRange::Prefix(self.source.prefix.to_string())
+        } else {
+            KeyRange::Key(self.source.key.to_string())
+        }
     }
 
     /// Reads the document as it was some seconds ago at most, which the store counts as a tenth of
     /// a read.
     async fn read_stale(&self, store: &StoreLink) -> Result<(), StoreError> {
-        let range = KeyRange::Key(self.source.key.to_string());
+        let range = self.range();
         let reading = store.client.range_stale(&range, CALL_TIMEOUT);
         let reply = store.call(reading).await?;
-        for value in &reply.values {
-            // A peer may have sent the current one meanwhile.
-            if self.held().version() == 0 {
-                self.proxy.set_plan_current(false);
-            }
-            self.apply_plain(&value.value);
+        self.proof.read_evacuations(&reply, false);
+        // A peer may have sent the current one meanwhile.
+        if self.held().version() == 0 && !reply.values.is_empty() {
+            self.proxy.set_plan_current(false);
         }
+        self.apply_values(&reply);
         Ok(())
     }
 
@@ -221,6 +276,18 @@
         self.announce();
     }
 
+    /// Records that the document in force is current if that isn't known yet.
+    pub fn confirm_if_unknown(&self) {
+        if !self.proxy.is_plan_current() {
+            self.confirm();
+        }
+    }
+
+    /// The version in force; zero while there is none.
+    pub fn version(&self) -> u64 {
+        self.held().version()
+    }
+
     /// Announces the version in force to the other nodes.
     fn announce(&self) {
         let mark = ConfigMark {
@@ -232,15 +299,19 @@
 
     /// Reads the document and follows its changes until this node's role changes.
     async fn watch(&self, store: &StoreLink) -> Result<(), StoreError> {
-        let range = KeyRange::Key(self.source.key.to_string());
+        let range = self.range();
         let client = &store.client;
         let revision = self.read_current(store).await?;
         let watch_call = client.watch(&range, revision.next(), CALL_TIMEOUT);
         let mut watch = store.call(watch_call).await?;
         let is_first = self.members.is_first_watcher();
-        if is_first {
+        // The reads that prove the document current also bring a change whose notification was lost.
+        if is_first && !self.proof.has_keys() {
             watch.set_poll_wait(FIRST_POLL_WAIT);
         }
+        if self.proof.is_enabled() {
+            watch.set_clock(BootClock::now);
+        }
         let mut watched_version = self.held().version();
         while self.members.is_watcher() && self.members.is_first_watcher() == is_first {
             let is_behind = self.held().version() > watched_version;
@@ -254,7 +325,11 @@
                 }
                 // A peer told of a change that this watch has missed, so it is broken.
                 Ok(None) if is_behind => return Ok(()),
-                Ok(None) => {}
+                Ok(None) => {
+                    if let Some(proven_at) = watch.proven_at() {
+                        self.proof.prove(proven_at, watched_version, self.version());
+                    }
+                }
                 Err(error) => {
                     // After a lost answer or another era, the document is read at once. That read
                     // tells whether the store answers.
@@ -270,10 +345,13 @@
 
     /// Applies the changes that a watch reported. Returns the newest version among them.
     fn apply_batch(&self, batch: WatchBatch) -> Option<u64> {
+        self.proof.watch_evacuations(&batch);
         let versions = batch.events.into_iter().filter_map(|event| match event {
-            WatchEvent::Put(value) => self.apply_plain(&value.value),
+            WatchEvent::Put(value) if *value.key == *self.source.key => {
+                self.apply_plain(&value.value)
+            }
             // A deleted document stays in force: an accepted configuration never reverts.
-            WatchEvent::Delete { .. } => None,
+            WatchEvent::Put(_) | WatchEvent::Delete { .. } => None,
         });
         let newest = versions.max();
         if newest.is_some() {
--- a/crates/fescuewayd/src/member_link.rs
+++ b/crates/fescuewayd/src/member_link.rs
@@ -228,6 +228,11 @@
         self.core().list.domain_nodes()
     }
 
+    /// The live nodes of this node's failure domain with their peer addresses, itself included, sorted.
+    pub fn domain_addresses(&self) -> Vec<(NodeId, SocketAddr)> {
+        self.core().list.domain_addresses()
+    }
+
     /// The peer address of a node that has at least `revision` of this site in force.
     pub fn node_with_revision(&self, revision: u64) -> Option<SocketAddr> {
         let mut core = self.core();
--- a/crates/fescuewayd/src/node_adapter.rs
+++ b/crates/fescuewayd/src/node_adapter.rs
@@ -36,6 +36,12 @@
 pub struct DocumentSource {
     /// Its key.
     pub key: Arc<str>,
+    /// Prefix of the keys that operators put to evacuate a failure domain, whose name follows.
+    pub evacuation_prefix: Arc<str>,
+    /// The optional interface of the installation that enables evacuations.
+    pub evacuation_interface: Arc<str>,
+    /// A prefix of both, which is read and watched where evacuations are enabled.
+    pub prefix: Arc<str>,
     /// Parses the document.
     pub read: DocumentReader,
 }
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -137,6 +137,8 @@
             config_age_s: state.now().since(facts.in_force_at).as_secs_f64(),
             nodes: facts.peers.into(),
             targets: state.routes().target_count() as u64,
+            key_proof_age_s: state.key_proof_age().map(|age| age.as_secs_f64()),
+            evacuated_domains: state.evacuated().len() as u64,
         });
         let calls = self.sources.store.get().map(StoreClient::counts);
         let calls = calls.into_iter().flatten().map(|count| StoreCalls {
@@ -148,6 +150,7 @@
             gossip_sent_bytes: facts.traffic.sent_bytes,
             gossip_received_bytes: facts.traffic.received_bytes,
             store_calls: calls.collect(),
+            key_proof_losses: facts.key_proof_losses,
             log_lines_lost: self.sources.log.get().map_or(0, LogQueue::lost),
         });
         self.metrics.render()
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -95,6 +95,10 @@
         if !self.state.is_configured() {
             return text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
         }
+        if facts.is_awaiting_proof {
+            let reason = "not proven yet that the configuration is the latest one";
+            return text(StatusCode::SERVICE_UNAVAILABLE, reason);
+        }
         text(StatusCode::OK, "ready")
     }
 
@@ -112,6 +116,7 @@
             is_draining: facts.is_draining,
             in_flight: self.in_flight(),
             targets: self.state.routes().target_count() as u32,
+            key_proof_age_ms: self.state.key_proof_age().map(|age| age.as_millis() as u64),
             store: facts.store,
             peers: facts.peers,
             uptime_ms: self.state.now().as_micros() / 1_000,
--- a/crates/fescuewayd/src/raw_settings.rs
+++ b/crates/fescuewayd/src/raw_settings.rs
@@ -1,6 +1,6 @@
 //! Settings as read from the file, and their validation.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, path::PathBuf, time::Duration};
 
 use fescueway_config::{FieldFault, NumberRule};
 use fescueway_core::{DomainName, ServiceName, SiteName};
@@ -55,6 +55,13 @@
     pub retry_slack: Option<Number>,
     /// Whether requests are deduplicated by their idempotency keys.
     pub takes_keys: Option<bool>,
+    /// Maximum age of a proof that the configuration is the latest one.
+    pub key_proof_ms: Option<Number>,
+    /// Whether operators evacuate failure domains by keys in the store.
+    pub evacuations: Option<bool>,
+    /// Optional interfaces of the installation that the deployment uses.
+    #[serde(default)]
+    pub interfaces: BTreeSet<String>,
 }
 
 /// The node's own addresses, each an IP address and a port.
@@ -166,6 +173,11 @@
                 raw.retry_slack.as_ref(),
             )?,
             takes_keys: raw.takes_keys.unwrap_or(true),
+            key_proof: rules::KEY_PROOF
+                .check_optional(rules::KEY_PROOF.field.to_owned(), raw.key_proof_ms.as_ref())?
+                .map(|bound_ms| Duration::from_secs_f64(bound_ms / 1_000.0)),
+            evacuations: raw.evacuations.unwrap_or(false),
+            interfaces: raw.interfaces,
             plan: None,
         })
     }
--- a/crates/fescuewayd/src/settings_rules.rs
+++ b/crates/fescuewayd/src/settings_rules.rs
@@ -18,6 +18,7 @@
     &ANNOUNCE_TIMEOUT,
     &STOP_LINGER,
     &RETRY_SLACK,
+    &KEY_PROOF,
 ];
 
 /// Maximum number of open connections of callers.
@@ -173,3 +174,14 @@
     is_whole: false,
     meaning: "Retries and hedges beyond their share that all entries together may make for a service. Not given: 10 for each entry.",
 };
+
+/// Maximum age of a proof that the configuration is the latest one.
+pub const KEY_PROOF: NumberRule = NumberRule {
+    field: "key_proof_ms",
+    unit: "ms",
+    default: 0.0,
+    min: 1_000.0,
+    max: 600_000.0,
+    is_whole: false,
+    meaning: "The keys of client accounts are accepted only while the configuration is proven to have been the latest one at most this long ago. Needs a configuration that is stored as a single document. Not given: no bound.",
+};
--- a/crates/fescuewayd/src/status_board.rs
+++ b/crates/fescuewayd/src/status_board.rs
@@ -21,6 +21,10 @@
     pub in_force_at: MonoTime,
     /// Why the highest revision can't be applied.
     pub config_error: Option<String>,
+    /// Whether the node waits, after its start, for the first proof that its configuration is the latest.
+    pub is_awaiting_proof: bool,
+    /// Number of times that the node came to be without such a proof.
+    pub key_proof_losses: u64,
     /// Whether the store is reachable.
     pub store: StoreState,
     /// Number of other nodes known to be up.
