--- a/crates/fescueway_rollout/src/lib.rs
+++ b/crates/fescueway_rollout/src/lib.rs
@@ -37,7 +37,7 @@
     evacuation_set::EvacuationSet,
     freshness_proof::{FreshnessProof, ProofReply},
     lease_holder::{LeaseAction, LeaseEvent, LeaseHolder},
-    proof_schedule::{ProofAnswer, ProofRole, ProofSchedule, ProofStep, first_asked},
+    proof_schedule::{ProofAnswer, ProofRole, ProofSchedule, ProofStep, asked_rank},
     proof_times::ProofTimes,
     report_tree::{ReportAction, ReportTree},
     rollout_state::{FetchSource, RolloutAction, RolloutEvent, RolloutState, RolloutStatus},
--- a/crates/fescueway_rollout/src/proof_schedule.rs
+++ b/crates/fescueway_rollout/src/proof_schedule.rs
@@ -10,10 +10,14 @@
 /// hops it is enough for 600 nodes in a failure domain.
 const MAX_FOLLOWERS: usize = 24;
 
+/// Young proofs from another peer after which the usual one is asked again.
+const MAX_DETOURS: u32 = 3;
+
 /// The next step towards a proof.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProofStep {
-    /// Ask a peer. The number rises with each question in turn that yielded no young proof.
+    /// Ask a peer. The number rises with each question that yields no young proof, and selects the peer by
+    /// [`asked_rank`].
     Ask(u32),
     /// Read the store.
     Read,
@@ -55,6 +59,11 @@
     started_at: BootTime,
     /// Questions in turn that yielded no young proof.
     misses: u32,
+    /// Number of the next question. Stays after a young proof, so that a node whose usual peer is lost
+    /// doesn't ask it in vain each time.
+    number: u32,
+    /// Young proofs in turn from a peer that isn't the usual one.
+    detours: u32,
     /// When a peer last answered that it has no young proof.
     old_answer_at: Option<BootTime>,
     /// No question before this time.
@@ -72,6 +81,8 @@
             jitter,
             started_at: now,
             misses: 0,
+            number: 0,
+            detours: 0,
             old_answer_at: None,
             next_ask: now,
             next_read: now,
@@ -86,7 +97,9 @@
         role: ProofRole,
     ) -> ProofStep {
         let read_due = self.read_due(now, proven_at, role);
-        if read_due.is_some_and(|due| due <= now) {
+        let ask_due = self.ask_due(proven_at, role);
+        // The one that has been due for longer goes first, so that neither keeps the other from its turn.
+        if read_due.is_some_and(|due| due <= now && due <= ask_due) {
             let is_first = role.rank == Some(0);
             let pause = match role.rank {
                 Some(rank) if rank < role.watchers && !is_first => self.times.retry_period * 4,
@@ -99,16 +112,9 @@
             self.next_read = now + pause;
             return ProofStep::Read;
         }
-        let ask_due = match proven_at {
-            // The first watcher asks only when its reads fail.
-            Some(proven_at) if role.rank == Some(0) => {
-                self.next_ask.max(proven_at + self.times.read_age * 2)
-            }
-            _ => self.next_ask,
-        };
         if ask_due <= now {
             self.next_ask = now + self.times.retry_period;
-            return ProofStep::Ask(self.misses);
+            return ProofStep::Ask(self.number);
         }
         let due = read_due.map_or(ask_due, |read_due| read_due.min(ask_due));
         ProofStep::Wait(due.since(now).min(self.times.retry_period))
@@ -121,12 +127,29 @@
                 self.misses = 0;
                 self.old_answer_at = None;
                 self.next_ask = asked_at + self.times.ask_period;
+                self.detours += u32::from(self.number > 0);
+                if self.detours >= MAX_DETOURS {
+                    (self.number, self.detours) = (0, 0);
+                }
                 return;
             }
             ProofAnswer::Age(_) | ProofAnswer::None => self.old_answer_at = Some(asked_at),
             ProofAnswer::Silence => {}
         }
         self.misses = self.misses.saturating_add(1);
+        self.number = self.number.wrapping_add(1);
+        self.detours = 0;
+    }
+
+    /// When the node should ask a peer.
+    fn ask_due(&self, proven_at: Option<BootTime>, role: ProofRole) -> BootTime {
+        match proven_at {
+            // The first watcher asks only when its reads fail.
+            Some(proven_at) if role.rank == Some(0) => {
+                self.next_ask.max(proven_at + self.times.read_age * 2)
+            }
+            _ => self.next_ask,
+        }
     }
 
     /// When the node should read the store; `None` if it should not.
@@ -163,12 +186,23 @@
     }
 }
 
-/// The rank of the node that a node asks first.
+/// The rank of the peer to ask, in a failure domain of `count` nodes, by the number of the question that
+/// [`ProofStep::Ask`] gives; `None` for a random node of the fleet.
+///
+/// The usual peer, another watcher of the domain and a random node of the fleet take turns.
 #[must_use]
-pub fn first_asked(rank: usize) -> usize {
-    if rank == 0 {
-        1
-    } else {
-        (rank - 1) / MAX_FOLLOWERS
-    }
+pub fn asked_rank(number: u32, own_rank: usize, count: usize, watchers: usize) -> Option<usize> {
+    let others = count.checked_sub(1)?.min(watchers);
+    let turn = (number / 3) as usize;
+    let index = match number % 3 {
+        // The first watcher asks the second one.
+        0 if own_rank == 0 => 0,
+        0 => (own_rank - 1) / MAX_FOLLOWERS,
+        // Begins at another watcher at each rank, so that those share the load.
+        1 if others > 0 => (own_rank + turn) % others,
+        _ => return None,
+    };
+    // The nodes are counted without this one.
+    let rank = index + usize::from(index >= own_rank);
+    (rank < count).then_some(rank)
 }
--- a/crates/fescueway_rollout/src/proof_times.rs
+++ b/crates/fescueway_rollout/src/proof_times.rs
@@ -48,8 +48,8 @@
             retry_period: bound / 20,
             timeout: bound / 16,
             young_age: bound * 2 / 5,
-            watcher_read_age: bound * 9 / 25,
-            watcher_step: bound / 50,
+            watcher_read_age: bound * 7 / 25,
+            watcher_step: bound / 40,
             silent_read_age: bound / 2,
             silent_read_period: bound / 8,
         }
--- a/crates/fescuewayd/src/proof_task.rs
+++ b/crates/fescuewayd/src/proof_task.rs
@@ -5,7 +5,7 @@
 use fescueway_core::{BootTime, NodeId};
 use fescueway_proxy::{BootClock, ProxyState};
 use fescueway_rollout::{
-    ProofAnswer, ProofReply, ProofRole, ProofSchedule, ProofStep, ProofTimes, first_asked,
+    ProofAnswer, ProofReply, ProofRole, ProofSchedule, ProofStep, ProofTimes, asked_rank,
 };
 use fescueway_wire::ControlKind;
 use tokio::time::sleep;
@@ -170,26 +170,14 @@
         ProofAnswer::Age(Duration::from_micros(age_us) + BootClock::now().since(asked_at))
     }
 
-    /// The address of the peer to ask; the number rises with each question in turn that yielded no young
-    /// proof. After the usual one, the watchers of the failure domain and random nodes of the fleet take
-    /// turns.
+    /// The address of the peer to ask.
     fn asked_address(&self, number: u32) -> Option<SocketAddr> {
         let domain = self.members.domain_addresses();
         let own = self.proxy.node();
-        let rank = domain.iter().filter(|(node, _)| *node < own).count();
-        let others: Vec<_> = domain.iter().filter(|(node, _)| *node != own).collect();
-        let turn = (number / 2) as usize;
-        let chosen = match number {
-            // Without this node, the rank of those above it is one less.
-            0 if rank == 0 => others.first(),
-            0 => others.get(first_asked(rank)),
-            _ if number % 2 == 1 => {
-                let watchers = others.len().clamp(1, DOCUMENT_WATCHERS_PER_DOMAIN);
-                others.get(turn % watchers)
-            }
-            _ => None,
-        };
-        let chosen = chosen.map(|(_, address)| *address);
-        chosen.or_else(|| self.members.node_with_revision(1))
+        let own_rank = domain.iter().filter(|(node, _)| *node < own).count();
+        let rank = asked_rank(number, own_rank, domain.len(), DOCUMENT_WATCHERS_PER_DOMAIN);
+        let asked = rank.and_then(|rank| domain.get(rank));
+        let address = asked.map(|(_, address)| *address);
+        address.or_else(|| self.members.node_with_revision(1))
     }
 }
