--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -220,9 +220,9 @@
     /// be higher than the store's call budget allows after failures.
     pub async fn read_for_proof(&self, store: &StoreLink, time_left: Duration) {
         let sent_at = BootClock::now();
-        let result = store.client.range(&self.range(), time_left).await;
-        store.record_state(result.as_ref().err());
-        if let Ok(reply) = result {
+        // The time is short, so a failure says little of the store, and mustn't delay other calls.
+        if let Ok(reply) = store.client.range(&self.range(), time_left).await {
+            store.record_result(None);
             self.apply_current(sent_at, &reply);
         }
     }
--- a/crates/fescuewayd/src/store_link.rs
+++ b/crates/fescuewayd/src/store_link.rs
@@ -91,18 +91,6 @@
 
     /// Records whether the store answered. A lapsed lease and another era count as an answer.
     pub fn record_result(&self, error: Option<&StoreError>) {
-        let now = self.proxy.now();
-        let mut pace = self.pace();
-        let StorePace { pacer, random } = &mut *pace;
-        match self.record_state(error) {
-            StoreState::Unreachable => pacer.on_failure(now, random),
-            StoreState::Reachable | StoreState::None => pacer.on_success(),
-        }
-    }
-
-    /// Records whether the store answered, as [`StoreLink::record_result`] does, but leaves the call
-    /// budget as it is.
-    pub fn record_state(&self, error: Option<&StoreError>) -> StoreState {
         let error = error.filter(|error| !error.is_lease_expired() && !error.is_restored());
         let state = match error {
             None => StoreState::Reachable,
@@ -110,14 +98,20 @@
         };
         let before = self.board.facts().store;
         self.board.change(|facts| facts.store = state);
-        match error {
-            Some(error) if before != StoreState::Unreachable => {
+        if let Some(error) = error {
+            let now = self.proxy.now();
+            let mut pace = self.pace();
+            let StorePace { pacer, random } = &mut *pace;
+            pacer.on_failure(now, random);
+            if before != StoreState::Unreachable {
                 emit(&control::STORE_UNREACHABLE, &[error]);
             }
-            None if before == StoreState::Unreachable => emit(&control::STORE_REACHABLE, &[]),
-            None | Some(_) => {}
+            return;
+        }
+        self.pace().pacer.on_success();
+        if before == StoreState::Unreachable {
+            emit(&control::STORE_REACHABLE, &[]);
         }
-        state
     }
 
     fn pace(&self) -> MutexGuard<'_, StorePace> {
