--- a/crates/fescueway_bench/benches/decision_cost.rs
+++ b/crates/fescueway_bench/benches/decision_cost.rs
@@ -215,6 +215,7 @@
             key: &presented,
             is_call: false,
             is_plan_current: true,
+            is_key_proven: true,
         };
         black_box(request.check(&profile, &mut headers));
     }
--- a/crates/fescueway_proxy/src/entry/account_check.rs
+++ b/crates/fescueway_proxy/src/entry/account_check.rs
@@ -35,6 +35,8 @@
     pub is_call: bool,
     /// Whether the configuration is the newest one, as far as is known.
     pub is_plan_current: bool,
+    /// Whether a young proof shows that the configuration is the newest one, where one is required.
+    pub is_key_proven: bool,
 }
 
 impl AccountRequest<'_> {
@@ -51,6 +53,10 @@
         if self.route.is_public {
             return AccountCheck::Anonymous;
         }
+        // The account may have lost the key, or got it, since the last proof.
+        if !self.is_key_proven && *self.key != PresentedKey::None {
+            return AccountCheck::Refused(RefusalReason::KeyUnproven);
+        }
         self.find_account(accounts, profile, headers)
             .unwrap_or_else(|fault| self.without_account(fault))
     }
--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -12,6 +12,7 @@
     entry_request::{MAX_CALL_DEPTH, RequestHead, host_name, offer_request, request_body},
     final_answer::{entry_answer, refused_answer},
     offer_loop::OfferLoop,
+    presented_key::PresentedKey,
     read_ahead::PipelinedAnswer,
 };
 use crate::{
@@ -170,6 +171,8 @@
         key: &head.api_key,
         is_call: head.parent.is_some(),
         is_plan_current: state.is_key_check_final(),
+        // Reads a clock, which requests without a key don't need.
+        is_key_proven: head.api_key == PresentedKey::None || state.is_key_proven(&plan),
     };
     let account = match account.check(state.profile(), &mut parts.headers) {
         AccountCheck::Anonymous => None,
--- a/crates/fescueway_proxy/tests/account_check.rs
+++ b/crates/fescueway_proxy/tests/account_check.rs
@@ -38,6 +38,7 @@
     path: &'static str,
     is_call: bool,
     is_plan_current: bool,
+    is_key_proven: bool,
 }
 
 impl CheckCase {
@@ -47,6 +48,7 @@
             path: "/orders/1",
             is_call: false,
             is_plan_current: true,
+            is_key_proven: true,
         }
     }
 
@@ -68,6 +70,7 @@
             key: &key,
             is_call: self.is_call,
             is_plan_current: self.is_plan_current,
+            is_key_proven: self.is_key_proven,
         };
         let check = request.check(&profile, &mut headers);
         (check, headers)
@@ -125,6 +128,26 @@
     assert_eq!(case.check(&[]).0, refused);
 }
 
+/// Guards against a key that runs after it was withdrawn, and against the rejection of one that was
+/// added, on a node without a young proof of its configuration.
+#[test]
+fn keys_are_refused_without_a_proof_of_the_configuration() {
+    let case = CheckCase {
+        is_key_proven: false,
+        ..CheckCase::new()
+    };
+    for key in ["mill-key", "unknown"] {
+        let (check, headers) = case.check(&[(KEY_FIELD, key)]);
+        assert_eq!(check, AccountCheck::Refused(RefusalReason::KeyUnproven));
+        assert!(headers.is_empty(), "{key}");
+    }
+    let public = CheckCase {
+        path: "/health/1",
+        ..case
+    };
+    assert_eq!(public.check(&[]).0, AccountCheck::Anonymous);
+}
+
 #[test]
 fn public_route_needs_no_key_and_belongs_to_no_account() {
     let case = CheckCase {
