Begin the decisions on accounts' allotments

First version of the crate: buckets of owners, prefetching entries, fixed shares and the view of the fleet.

--- /dev/null
+++ b/crates/fescueway_allotment/src/allotment_entry.rs
@@ -0,0 +1,577 @@
+//! An entry's decisions on the requests of accounts with an allotment.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use fescueway_config::AllotmentPlan;
+use fescueway_core::{AccountName, MonoTime, NodeId, Priority};
+
+use crate::{
+    AccountAnswer, AllotmentTotals, EntryDecision, FallbackShare, FleetView, OwnerQuestion,
+    TOKEN_LIFETIME, WaitEnd, WaitId,
+    entry_account::{EntryAccount, WaitingRequest},
+    fleet_view::mix,
+    owner_link::OwnerLink,
+    priority_class::class_of,
+};
+
+/// Time without requests after which an account's state is dropped.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
+/// Time without messages after which the state of an owner is dropped.
+const OWNER_IDLE_TIME: Duration = Duration::from_secs(10);
+
+/// Shortest time between two messages that only fetch tokens in advance.
+const TOP_UP_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time for which an owner that another node has named is preferred. By then the view of the fleet
+/// names it too.
+const MOVED_TIME: Duration = Duration::from_secs(2);
+
+/// Time until an owner that may not grant is asked again.
+const DENIED_TIME: Duration = Duration::from_millis(200);
+
+/// Longest time after which a request refused for lack of an owner is told to come again. There is
+/// mostly another owner by then.
+const MAX_SHARE_WAIT: Duration = Duration::from_secs(3);
+
+/// Shortest part of the time after which requests come again that is spread at random.
+const MIN_SPREAD: Duration = Duration::from_millis(100);
+
+/// An entry's decisions on the requests of accounts with an allotment.
+///
+/// After each call, [`Self::next_questions`] returns the messages to send now. The answer of each, or its
+/// failure, is given back with [`Self::answered`] or [`Self::failed`].
+#[derive(Clone, Debug)]
+pub struct AllotmentEntry {
+    /// Accounts in use.
+    accounts: BTreeMap<AccountName, EntryAccount>,
+    /// Owners in use.
+    owners: BTreeMap<NodeId, OwnerLink>,
+    /// Owners to which a message is due.
+    ready: BTreeSet<NodeId>,
+    /// The next identity of a waiting request.
+    next_id: WaitId,
+    /// Counts of decisions.
+    totals: AllotmentTotals,
+    /// State of the pseudorandom numbers that spread retries.
+    random: u64,
+}
+
+impl AllotmentEntry {
+    /// Creates an entry without accounts in use. `seed` is to differ between nodes.
+    #[must_use]
+    pub const fn new(seed: u64) -> Self {
+        Self {
+            accounts: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            next_id: 0,
+            totals: AllotmentTotals {
+                admitted: 0,
+                refused: 0,
+                admitted_by_share: 0,
+                refused_by_share: 0,
+                questions: 0,
+            },
+            random: seed,
+        }
+    }
+
+    /// Decides on a request that has arrived.
+    pub fn request(
+        &mut self,
+        now: MonoTime,
+        view: &FleetView,
+        (name, plan): (&AccountName, &AllotmentPlan),
+        priority: Priority,
+    ) -> EntryDecision {
+        let class = class_of(priority);
+        let account = self.accounts.entry(name.clone()).or_default();
+        account.used_at = now;
+        account.demand.record(now, 1);
+        account.expire_tokens(now);
+        let owner = owner_of(account, now, view, name);
+        let is_failed = owner
+            .and_then(|owner| self.owners.get(&owner))
+            .is_some_and(|link| link.failed_since.is_some());
+        if account.is_blocked(now, class) {
+            account.refused[class] = account.refused[class].saturating_add(1);
+            return self.refuse(now, name, plan);
+        }
+        if account.tokens.try_take() {
+            let is_low = account.tokens.count() < account.wanted(now) / 2;
+            if let Some(owner) = owner.filter(|_owner| is_low) {
+                self.top_up(now, owner, name);
+            }
+            self.totals.admitted += 1;
+            return EntryDecision::Admitted;
+        }
+        let Some(owner) = owner else {
+            return self.decide_by_share(now, view, (name, plan), None);
+        };
+        if is_failed || now < account.denied_until {
+            self.set_due(owner, name);
+            return self.decide_by_share(now, view, (name, plan), Some(owner));
+        }
+        let id = self.next_id;
+        self.next_id += 1;
+        account.waits.push(WaitingRequest {
+            id,
+            class: class as u8,
+            is_asked: false,
+        });
+        self.set_due(owner, name);
+        EntryDecision::Wait(id, owner)
+    }
+
+    /// The messages to send now, each with the owner to which it goes, which may be this node.
+    pub fn next_questions(
+        &mut self,
+        now: MonoTime,
+        view: &FleetView,
+    ) -> Vec<(NodeId, OwnerQuestion)> {
+        let mut questions = Vec::new();
+        let ready: Vec<_> = self.ready.iter().copied().collect();
+        for owner in ready {
+            let Some(link) = self.owners.get_mut(&owner).filter(|link| link.may_ask(now)) else {
+                continue;
+            };
+            self.ready.remove(&owner);
+            link.is_asked = true;
+            link.sent_at = Some(now);
+            let is_remote = owner != view.own();
+            let due = std::mem::take(&mut link.due);
+            let asked = due.iter().filter_map(|name| {
+                let account = self.accounts.get_mut(name)?;
+                Some(account.question(now, name, is_remote))
+            });
+            let question = OwnerQuestion {
+                sent_at: now,
+                accounts: asked.collect(),
+            };
+            self.totals.questions += u64::from(is_remote);
+            questions.push((owner, question));
+        }
+        questions
+    }
+
+    /// Handles the answers of an owner to `question`, in the same order. Returns the decisions on
+    /// waiting requests. `plan_of` returns the limit of an account.
+    pub fn answered(
+        &mut self,
+        now: MonoTime,
+        view: &FleetView,
+        (owner, question): (NodeId, &OwnerQuestion),
+        answers: &[AccountAnswer],
+        plan_of: impl Fn(&AccountName) -> Option<AllotmentPlan>,
+    ) -> Vec<WaitEnd> {
+        let is_late = now.since(question.sent_at) >= TOKEN_LIFETIME;
+        if is_late || answers.len() != question.accounts.len() {
+            return self.failed(now, view, (owner, question), plan_of);
+        }
+        if let Some(link) = self.owners.get_mut(&owner) {
+            link.is_asked = false;
+            link.failed_since = None;
+            if !link.due.is_empty() {
+                self.ready.insert(owner);
+            }
+        }
+        let mut ends = Vec::new();
+        for (asked, answer) in question.accounts.iter().zip(answers) {
+            let name = &asked.account;
+            let Some(plan) = plan_of(name) else {
+                // The account no longer has a limit.
+                let waits = self.accounts.remove(name).map(|account| account.waits);
+                let waits = waits.into_iter().flatten();
+                ends.extend(waits.map(|wait| WaitEnd {
+                    id: wait.id,
+                    result: Ok(()),
+                }));
+                continue;
+            };
+            match answer {
+                AccountAnswer::Decided { .. } => {
+                    self.decided(now, (name, &plan), owner, question, answer, &mut ends);
+                }
+                AccountAnswer::Moved(node) => {
+                    self.moved(now, view, (name, &plan), (owner, *node), &mut ends);
+                }
+                AccountAnswer::NotGranting => {
+                    self.denied(now, view, (name, &plan), owner, &mut ends);
+                }
+            }
+        }
+        ends
+    }
+
+    /// Handles that an owner didn't answer `question`. Returns the decisions on waiting requests.
+    /// Unused tokens that the message gave back are lost.
+    pub fn failed(
+        &mut self,
+        now: MonoTime,
+        view: &FleetView,
+        (owner, question): (NodeId, &OwnerQuestion),
+        plan_of: impl Fn(&AccountName) -> Option<AllotmentPlan>,
+    ) -> Vec<WaitEnd> {
+        let mut names: BTreeSet<_> = question
+            .accounts
+            .iter()
+            .map(|asked| asked.account.clone())
+            .collect();
+        if let Some(link) = self.owners.get_mut(&owner) {
+            link.is_asked = false;
+            link.failed_since.get_or_insert(now);
+            names.extend(link.due.iter().cloned());
+        }
+        let mut ends = Vec::new();
+        for name in &names {
+            match plan_of(name) {
+                Some(plan) => self.end_waits_by_share(now, view, (name, &plan), owner, &mut ends),
+                None => {
+                    self.accounts.remove(name);
+                }
+            }
+        }
+        ends
+    }
+
+    /// Ends the wait of a request that has waited for too long. `None` if it has ended already.
+    pub fn give_up(
+        &mut self,
+        now: MonoTime,
+        view: &FleetView,
+        (name, plan): (&AccountName, &AllotmentPlan),
+        (id, owner): (WaitId, NodeId),
+    ) -> Option<EntryDecision> {
+        if !self.cancel(name, id) {
+            return None;
+        }
+        Some(self.decide_by_share(now, view, (name, plan), Some(owner)))
+    }
+
+    /// Removes a waiting request whose caller has left. Returns whether it waited. A token that arrives
+    /// for it later is used for another request or given back.
+    pub fn cancel(&mut self, name: &AccountName, id: WaitId) -> bool {
+        let Some(account) = self.accounts.get_mut(name) else {
+            return false;
+        };
+        let before = account.waits.len();
+        account.waits.retain(|wait| wait.id != id);
+        account.waits.len() < before
+    }
+
+    /// Gives back the token of a request that was admitted at `admitted_at` and did not run. Tokens of
+    /// fixed shares are not given back.
+    pub fn give_back(&mut self, now: MonoTime, name: &AccountName, admitted_at: MonoTime) {
+        if now.since(admitted_at) >= TOKEN_LIFETIME {
+            return;
+        }
+        if let Some(account) = self.accounts.get_mut(name)
+            && account.share.is_none()
+        {
+            account.returned = account.returned.saturating_add(1);
+        }
+    }
+
+    /// Gives back expired tokens, and drops what is not in use. To be called about once a second.
+    pub fn sweep(&mut self, now: MonoTime, view: &FleetView) {
+        let mut returns = Vec::new();
+        self.accounts.retain(|name, account| {
+            account.expire_tokens(now);
+            if account.returned > 0
+                && let Some(owner) = owner_of(account, now, view, name)
+            {
+                returns.push((owner, name.clone()));
+            }
+            !account.is_idle(now, IDLE_TIME)
+        });
+        for (owner, name) in returns {
+            self.set_due(owner, &name);
+        }
+        self.owners.retain(|_, link| {
+            let idle = link.sent_at.map_or(Duration::ZERO, |at| now.since(at));
+            !(link.is_idle() && idle >= OWNER_IDLE_TIME)
+        });
+    }
+
+    /// Counts of decisions since the start.
+    #[must_use]
+    pub const fn totals(&self) -> AllotmentTotals {
+        self.totals
+    }
+
+    /// Number of accounts in use.
+    #[must_use]
+    pub fn account_count(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Whether an owner has not answered the last message.
+    #[must_use]
+    pub fn is_failed(&self, owner: NodeId) -> bool {
+        let link = self.owners.get(&owner);
+        link.is_some_and(|link| link.failed_since.is_some())
+    }
+
+    /// Number of accounts that use a fixed share at present.
+    #[must_use]
+    pub fn share_count(&self) -> usize {
+        let accounts = self.accounts.values();
+        accounts.filter(|account| account.share.is_some()).count()
+    }
+
+    /// Handles an owner's decision.
+    fn decided(
+        &mut self,
+        now: MonoTime,
+        (name, plan): (&AccountName, &AllotmentPlan),
+        owner: NodeId,
+        question: &OwnerQuestion,
+        answer: &AccountAnswer,
+        ends: &mut Vec<WaitEnd>,
+    ) {
+        let AccountAnswer::Decided {
+            granted,
+            prefetched,
+            open_classes,
+            pause_ms,
+            room_after_ms,
+        } = answer
+        else {
+            return;
+        };
+        // Not present if all its requests have left and it was idle for long.
+        let account = self.accounts.entry(name.clone()).or_default();
+        account.end_share();
+        account.tokens.add(question.sent_at, *prefetched);
+        if usize::from(*open_classes) < crate::CLASSES {
+            account.open_classes = *open_classes;
+            account.blocked_until = now + Duration::from_millis((*pause_ms).into());
+            account.room_at = now + Duration::from_millis((*room_after_ms).into());
+        }
+        let mut left: u32 = granted.iter().map(|count| u32::from(*count)).sum();
+        let mut waits = std::mem::take(&mut account.waits);
+        waits.sort_by_key(|wait| (wait.class, wait.id));
+        let mut refused = Vec::new();
+        let mut remaining = Vec::new();
+        let mut admitted = 0;
+        for wait in waits {
+            let is_admitted = if wait.is_asked {
+                let has_token = left > 0;
+                left = left.saturating_sub(1);
+                has_token
+            } else {
+                let class = usize::from(wait.class);
+                let is_blocked = account.is_blocked(now, class);
+                if is_blocked {
+                    account.refused[class] = account.refused[class].saturating_add(1);
+                }
+                let has_token = !is_blocked && account.tokens.try_take();
+                if !is_blocked && !has_token {
+                    remaining.push(wait);
+                    continue;
+                }
+                has_token
+            };
+            if is_admitted {
+                admitted += 1;
+                ends.push(WaitEnd {
+                    id: wait.id,
+                    result: Ok(()),
+                });
+            } else {
+                refused.push(wait.id);
+            }
+        }
+        let has_remaining = !remaining.is_empty();
+        account.waits = remaining;
+        // Tokens of requests whose callers have left.
+        let unused = u16::try_from(left).unwrap_or(u16::MAX);
+        account.tokens.add(question.sent_at, unused);
+        self.totals.admitted += admitted;
+        if has_remaining {
+            self.set_due(owner, name);
+        }
+        for id in refused {
+            if let EntryDecision::Refused(retry_after) = self.refuse(now, name, plan) {
+                ends.push(WaitEnd {
+                    id,
+                    result: Err(retry_after),
+                });
+            }
+        }
+    }
+
+    /// Handles that another node owns the account.
+    fn moved(
+        &mut self,
+        now: MonoTime,
+        view: &FleetView,
+        (name, plan): (&AccountName, &AllotmentPlan),
+        (owner, to): (NodeId, NodeId),
+        ends: &mut Vec<WaitEnd>,
+    ) {
+        let Some(account) = self.accounts.get_mut(name) else {
+            return;
+        };
+        if account.is_redirected || to == owner {
+            account.moved = None;
+            self.denied(now, view, (name, plan), owner, ends);
+            return;
+        }
+        account.is_redirected = true;
+        account.moved = Some((to, now + MOVED_TIME));
+        for wait in &mut account.waits {
+            wait.is_asked = false;
+        }
+        if !account.waits.is_empty() {
+            self.set_due(to, name);
+        }
+    }
+
+    /// Handles that the owner may not grant.
+    fn denied(
+        &mut self,
+        now: MonoTime,
+        view: &FleetView,
+        (name, plan): (&AccountName, &AllotmentPlan),
+        owner: NodeId,
+        ends: &mut Vec<WaitEnd>,
+    ) {
+        if let Some(account) = self.accounts.get_mut(name) {
+            account.is_redirected = false;
+            account.denied_since.get_or_insert(now);
+            account.denied_until = now + DENIED_TIME;
+        }
+        self.end_waits_by_share(now, view, (name, plan), owner, ends);
+    }
+
+    /// Decides on all waiting requests of an account by the fixed share, the most urgent first.
+    fn end_waits_by_share(
+        &mut self,
+        now: MonoTime,
+        view: &FleetView,
+        (name, plan): (&AccountName, &AllotmentPlan),
+        owner: NodeId,
+        ends: &mut Vec<WaitEnd>,
+    ) {
+        let account = self.accounts.get_mut(name);
+        let mut waits = account.map_or_else(Vec::new, |account| std::mem::take(&mut account.waits));
+        waits.sort_by_key(|wait| (wait.class, wait.id));
+        for wait in waits {
+            let decision = self.decide_by_share(now, view, (name, plan), Some(owner));
+            let result = match decision {
+                EntryDecision::Refused(retry_after) => Err(retry_after),
+                EntryDecision::Admitted | EntryDecision::Wait(..) => Ok(()),
+            };
+            let id = wait.id;
+            ends.push(WaitEnd { id, result });
+        }
+    }
+
+    /// Decides on a request by the fixed share.
+    fn decide_by_share(
+        &mut self,
+        now: MonoTime,
+        view: &FleetView,
+        (name, plan): (&AccountName, &AllotmentPlan),
+        owner: Option<NodeId>,
+    ) -> EntryDecision {
+        let phase = self.fraction();
+        let spread = self.fraction();
+        let link = owner.and_then(|owner| self.owners.get(&owner));
+        let failed_since = link.and_then(|link| link.failed_since);
+        let account = self.accounts.entry(name.clone()).or_default();
+        let since = [failed_since, account.denied_since];
+        let since = since.into_iter().flatten().min().unwrap_or(now);
+        let rate_per_s = plan.rate_per_s * view.share(now, now.since(since));
+        let share = account
+            .share
+            .get_or_insert_with(|| FallbackShare::new(now, rate_per_s, phase));
+        share.set_rate(now, rate_per_s);
+        match share.try_take(now) {
+            Ok(()) => {
+                self.totals.admitted_by_share += 1;
+                EntryDecision::Admitted
+            }
+            Err(wait) => {
+                self.totals.refused_by_share += 1;
+                EntryDecision::Refused(spread_wait(wait.min(MAX_SHARE_WAIT), spread))
+            }
+        }
+    }
+
+    /// Refuses a request since the account has used its allotment.
+    fn refuse(
+        &mut self,
+        now: MonoTime,
+        name: &AccountName,
+        plan: &AllotmentPlan,
+    ) -> EntryDecision {
+        let spread = self.fraction();
+        self.totals.refused += 1;
+        let Some(account) = self.accounts.get_mut(name) else {
+            return EntryDecision::Refused(MIN_SPREAD);
+        };
+        let wait = account.room_at.since(now);
+        // The next request waits behind this one.
+        let queued = Duration::try_from_secs_f64(1.0 / plan.rate_per_s).unwrap_or_default();
+        account.room_at = account.room_at.max(now) + queued;
+        EntryDecision::Refused(spread_wait(wait, spread))
+    }
+
+    /// Has the next message to an owner fetch tokens in advance, unless the last one was just sent.
+    fn top_up(&mut self, now: MonoTime, owner: NodeId, name: &AccountName) {
+        let link = self.owners.get(&owner);
+        let sent_at = link.and_then(|link| link.sent_at);
+        if sent_at.is_none_or(|sent_at| now.since(sent_at) >= TOP_UP_PERIOD) {
+            self.set_due(owner, name);
+        }
+    }
+
+    /// Includes an account in the next message to an owner.
+    fn set_due(&mut self, owner: NodeId, name: &AccountName) {
+        let link = self.owners.entry(owner).or_default();
+        link.due.insert(name.clone());
+        if !link.is_asked {
+            self.ready.insert(owner);
+        }
+    }
+
+    /// A pseudorandom number from 0 to below 1.
+    fn fraction(&mut self) -> f64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        (mix(self.random) >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+/// The owner of an account.
+fn owner_of(
+    account: &mut EntryAccount,
+    now: MonoTime,
+    view: &FleetView,
+    name: &AccountName,
+) -> Option<NodeId> {
+    if let Some((node, until)) = account.moved {
+        if now < until {
+            return Some(node);
+        }
+        account.moved = None;
+    }
+    match account.owner {
+        Some((generation, owner)) if generation == view.generation() => owner,
+        _ => {
+            let owner = view.owner(name);
+            account.owner = Some((view.generation(), owner));
+            owner
+        }
+    }
+}
+
+/// Adds a random part to the time after which a request comes again.
+fn spread_wait(wait: Duration, spread: f64) -> Duration {
+    wait + (MIN_SPREAD + wait / 2).mul_f64(spread)
+}
--- /dev/null
+++ b/crates/fescueway_allotment/tests/allotments/parts.rs
@@ -0,0 +1,1 @@
+//! The parts of the decisions.
