--- a/crates/fescueway_allotment/src/account_answer.rs
+++ b/crates/fescueway_allotment/src/account_answer.rs
@@ -23,7 +23,12 @@
         room_after_ms: u16,
     },
     /// Another node owns the account.
-    Moved(NodeId),
+    Moved {
+        /// The owner.
+        to: NodeId,
+        /// Tokens that were left, if the node that answers was the owner before and grants no more.
+        released: Option<u16>,
+    },
     /// The node may not grant tokens now.
     NotGranting,
 }
--- a/crates/fescueway_allotment/src/allotment_entry.rs
+++ b/crates/fescueway_allotment/src/allotment_entry.rs
@@ -9,7 +9,7 @@
 use fescueway_core::{AccountName, MonoTime, NodeId, Priority};
 
 use crate::{
-    AccountAnswer, AllotmentTotals, EntryDecision, FallbackShare, FleetView, OwnerQuestion,
+    AccountAnswer, AllotmentTotals, ReleasedBucket, EntryDecision, FallbackShare, FleetView, OwnerQuestion,
     TOKEN_LIFETIME, WaitEnd, WaitId,
     entry_account::{EntryAccount, WaitingRequest},
     fleet_view::mix,
@@ -30,6 +30,10 @@
 /// names it too.
 const MOVED_TIME: Duration = Duration::from_secs(2);
 
+/// How often a waiting request is sent on: to the former owner, if the entry learned of the new one
+/// first, and from there to the new one.
+const MAX_REDIRECTS: u8 = 2;
+
 /// Time until an owner that may not grant is asked again.
 const DENIED_TIME: Duration = Duration::from_millis(200);
 
@@ -196,8 +200,10 @@
                 AccountAnswer::Decided { .. } => {
                     self.decided(now, (name, &plan), owner, question, answer, &mut ends);
                 }
-                AccountAnswer::Moved(node) => {
-                    self.moved(now, view, (name, &plan), (owner, *node), &mut ends);
+                AccountAnswer::Moved { to, released } => {
+                    let released = released.map(|tokens| ReleasedBucket { by: owner, tokens });
+                    let step = (owner, *to, released);
+                    self.moved(now, view, (name, &plan), step, &mut ends);
                 }
                 AccountAnswer::NotGranting => {
                     self.denied(now, view, (name, &plan), owner, &mut ends);
@@ -411,23 +417,24 @@
         now: MonoTime,
         view: &FleetView,
         (name, plan): (&AccountName, &AllotmentPlan),
-        (owner, to): (NodeId, NodeId),
+        (owner, to, released): (NodeId, NodeId, Option<ReleasedBucket>),
         ends: &mut Vec<WaitEnd>,
     ) {
         let Some(account) = self.accounts.get_mut(name) else {
             return;
         };
-        if account.is_redirected || to == owner {
+        if account.redirects >= MAX_REDIRECTS || to == owner {
             account.moved = None;
             self.denied(now, view, (name, plan), owner, ends);
             return;
         }
-        account.is_redirected = true;
+        account.redirects += 1;
         account.moved = Some((to, now + MOVED_TIME));
+        account.released = released;
         for wait in &mut account.waits {
             wait.is_asked = false;
         }
-        if !account.waits.is_empty() {
+        if !account.waits.is_empty() || released.is_some() {
             self.set_due(to, name);
         }
     }
@@ -442,7 +449,7 @@
         ends: &mut Vec<WaitEnd>,
     ) {
         if let Some(account) = self.accounts.get_mut(name) {
-            account.is_redirected = false;
+            account.redirects = 0;
             account.denied_since.get_or_insert(now);
             account.denied_until = now + DENIED_TIME;
         }
@@ -490,7 +497,7 @@
         let rate_per_s = plan.rate_per_s * view.share(now, now.since(since));
         let share = account
             .share
-            .get_or_insert_with(|| FallbackShare::new(now, rate_per_s, phase));
+            .get_or_insert_with(|| FallbackShare::new(now, plan.rate_per_s, rate_per_s, phase));
         share.set_rate(now, rate_per_s);
         match share.try_take(now) {
             Ok(()) => {
--- a/crates/fescueway_allotment/src/entry_account.rs
+++ b/crates/fescueway_allotment/src/entry_account.rs
@@ -5,7 +5,7 @@
 use fescueway_core::{AccountName, MonoTime, NodeId};
 
 use crate::{
-    AccountQuestion, CLASSES, DemandMeter, FallbackShare, PrefetchedTokens, WaitId,
+    AccountQuestion, CLASSES, DemandMeter, FallbackShare, PrefetchedTokens, ReleasedBucket, WaitId,
 };
 
 /// Time for whose expected requests tokens are fetched in advance.
@@ -22,8 +22,10 @@
     pub owner: Option<(u32, Option<NodeId>)>,
     /// The owner that another node has named, and until when it is preferred.
     pub moved: Option<(NodeId, MonoTime)>,
-    /// Whether waiting requests were sent on to another owner already.
-    pub is_redirected: bool,
+    /// How often waiting requests were sent on to another owner.
+    pub redirects: u8,
+    /// What a former owner has released, to be passed to its successor.
+    pub released: Option<ReleasedBucket>,
     /// Requests that arrived.
     pub demand: DemandMeter,
     /// Tokens for requests that have not arrived yet.
@@ -103,6 +105,7 @@
             prefetch: wanted.saturating_sub(self.tokens.count()),
             returned: std::mem::take(&mut self.returned),
             refused: std::mem::take(&mut self.refused),
+            released: self.released.take(),
         }
     }
 
@@ -110,7 +113,7 @@
     pub fn end_share(&mut self) {
         self.share = None;
         self.denied_since = None;
-        self.is_redirected = false;
+        self.redirects = 0;
     }
 
     /// Whether nothing would be lost if the state were dropped.
--- a/crates/fescueway_allotment/src/fallback_share.rs
+++ b/crates/fescueway_allotment/src/fallback_share.rs
@@ -5,8 +5,11 @@
 use fescueway_core::MonoTime;
 
 /// Time in which a token of the share has to be used. If tokens were kept, those of all entries together
-/// could be used at once.
-const SHARE_TOKEN_LIFETIME: Duration = Duration::from_millis(500);
+/// could be used at once. With `KEPT_TOKENS` at all entries together it is longer for an account of a few
+/// requests a second, of which most entries would otherwise use none.
+const MIN_LIFETIME_S: f64 = 0.4;
+const KEPT_TOKENS: f64 = 10.0;
+const MAX_LIFETIME_S: f64 = 5.0;
 
 /// The fixed share of an account's rate that an entry uses without an owner.
 ///
@@ -14,6 +17,8 @@
 /// their owner at the same time, don't get their tokens at the same time.
 #[derive(Clone, Copy, Debug)]
 pub struct FallbackShare {
+    /// Time in which a token has to be used.
+    lifetime: Duration,
     /// Tokens per second.
     rate_per_s: f64,
     /// Start of the current rate.
@@ -25,10 +30,13 @@
 }
 
 impl FallbackShare {
-    /// Creates a share without a token. `phase` is a random number from 0 to below 1.
+    /// Creates a share without a token of an account that may use `account_per_s` requests a second.
+    /// `phase` is a random number from 0 to below 1.
     #[must_use]
-    pub const fn new(now: MonoTime, rate_per_s: f64, phase: f64) -> Self {
+    pub fn new(now: MonoTime, account_per_s: f64, rate_per_s: f64, phase: f64) -> Self {
+        let lifetime_s = MIN_LIFETIME_S + KEPT_TOKENS / account_per_s;
         Self {
+            lifetime: Duration::from_secs_f64(lifetime_s.min(MAX_LIFETIME_S)),
             rate_per_s,
             since: now,
             phase,
@@ -44,7 +52,13 @@
         self.expire(now);
         // Available whole tokens are dropped, since the share may have become smaller.
         let arrived = self.arrived(now);
-        *self = Self::new(now, rate_per_s, arrived.fract());
+        *self = Self {
+            lifetime: self.lifetime,
+            rate_per_s,
+            since: now,
+            phase: arrived.fract(),
+            used: 0,
+        };
     }
 
     /// Takes a token.
@@ -66,7 +80,7 @@
 
     /// Drops tokens that were not used in time.
     fn expire(&mut self, now: MonoTime) {
-        let elapsed = now.since(self.since).saturating_sub(SHARE_TOKEN_LIFETIME);
+        let elapsed = now.since(self.since).saturating_sub(self.lifetime);
         let expired = self.phase + elapsed.as_secs_f64() * self.rate_per_s;
         self.used = self.used.max(expired.floor() as u64);
     }
--- a/crates/fescueway_allotment/src/fleet_view.rs
+++ b/crates/fescueway_allotment/src/fleet_view.rs
@@ -11,6 +11,18 @@
 /// entries ask the previous owner at the same time.
 const OWNER_AGE: Duration = Duration::from_secs(5);
 
+/// Time after which a node may own accounts by its own view. Longer than [`OWNER_AGE`], so that the
+/// previous owner knows of it first and releases the accounts.
+const OWN_OWNER_AGE: Duration = Duration::from_millis(6_500);
+
+/// Time after which a node that was gone and is back may own accounts again.
+const RETURN_AGE: Duration = Duration::from_millis(1_500);
+
+/// Time for which a node has to see a majority again before it grants tokens of accounts that were not
+/// released to it. Longer than [`RETURN_AGE`], so that the owner in the other part of a
+/// partitioned fleet has learned by then that it is no longer the owner.
+const REGAIN_TIME: Duration = Duration::from_millis(2_500);
+
 /// Time after which a node that found no other one may own accounts.
 const LONE_OWNER_AGE: Duration = Duration::from_secs(1);
 
@@ -39,6 +51,9 @@
 /// accounts meanwhile.
 const MAX_UPDATE_GAP: Duration = Duration::from_millis(1_200);
 
+/// Time for which a node tells that it was an account's owner before another one.
+const TAKEOVER_TIME: Duration = Duration::from_secs(10);
+
 /// Time for which departed nodes are remembered, to tell how long a node has owned an account.
 const DEPARTED_MEMORY: Duration = Duration::from_mins(1);
 
@@ -66,10 +81,14 @@
     seen: usize,
     /// Numbers of live nodes in the last 30 s, decreasing, with the last time of each.
     counts: VecDeque<(MonoTime, usize)>,
-    /// When the search for the fleet ended; reset after a pause of this node.
+    /// When the search for the fleet ended.
     settled_at: Option<MonoTime>,
+    /// When this node went on after its last pause.
+    resumed_at: Option<MonoTime>,
     /// The last update.
     updated_at: Option<MonoTime>,
+    /// Since when this node has seen more than half of the nodes; `None` while it doesn't.
+    majority_since: Option<MonoTime>,
     /// Since when this node has seen less than half of the nodes.
     minority_since: Option<MonoTime>,
 }
@@ -87,7 +106,9 @@
             seen: 0,
             counts: VecDeque::new(),
             settled_at: None,
+            resumed_at: None,
             updated_at: None,
+            majority_since: Some(MonoTime::ZERO),
             minority_since: None,
         }
     }
@@ -103,9 +124,12 @@
     ) {
         let was_paused = !self.is_fresh(now) && self.updated_at.is_some();
         let is_settling = has_searched && self.settled_at.is_none();
-        if is_settling || (was_paused && self.settled_at.is_some()) {
+        if is_settling {
             self.settled_at = Some(now);
         }
+        if was_paused {
+            self.resumed_at = Some(now);
+        }
         self.updated_at = Some(now);
         let mut nodes = BTreeMap::new();
         self.seen = 0;
@@ -114,6 +138,8 @@
             // The others of the first view have been there before this node.
             let new_since = if self.settled_at.is_none() || is_settling {
                 MonoTime::ZERO
+            } else if self.departed.iter().any(|(_, gone)| *gone == node) {
+                now + RETURN_AGE
             } else {
                 now + OWNER_AGE
             };
@@ -121,11 +147,13 @@
             nodes.insert(node, since);
         }
         if let Some(since) = nodes.get_mut(&self.own) {
-            *since = match self.settled_at {
+            let resumed_since = self.resumed_at.map(|resumed| resumed + REGAIN_TIME);
+            let settled_since = match self.settled_at {
                 None => MonoTime::NEVER,
                 Some(settled) if self.seen <= 1 => settled + LONE_OWNER_AGE,
-                Some(settled) => settled + OWNER_AGE,
+                Some(settled) => settled + OWN_OWNER_AGE,
             };
+            *since = settled_since.max(resumed_since.unwrap_or_default());
         }
         let gone = self.nodes.keys().filter(|node| !nodes.contains_key(node));
         self.departed.extend(gone.map(|node| (now, *node)));
@@ -169,20 +197,60 @@
         if self.owner(account) != Some(self.own) {
             return None;
         }
+        Some(self.held_since(account))
+    }
+
+    /// When this node may own accounts by its own view.
+    #[must_use]
+    pub fn own_since(&self) -> MonoTime {
+        let since = self.nodes.get(&self.own);
+        since.copied().unwrap_or(MonoTime::NEVER)
+    }
+
+    /// The owner of an account if `without` were not there, and this node may own accounts.
+    #[must_use]
+    pub fn owner_without(&self, account: &AccountName, without: NodeId) -> Option<NodeId> {
         let weigh = weight_of(account);
-        let own = (weigh(self.own), self.own);
-        let above = |node: &NodeId| (weigh(*node), *node) > own;
-        let departed = self.departed.iter().filter(|(_, node)| above(node));
-        let freed_at = departed.map(|(at, _)| *at).max().unwrap_or_default();
-        let since = self.nodes.get(&self.own).copied().unwrap_or(MonoTime::NEVER);
-        Some(since.max(freed_at))
+        let own = self.nodes.contains_key(&self.own).then_some(self.own);
+        let nodes = self.eligible.iter().copied().chain(own);
+        let nodes = nodes.filter(|node| *node != without);
+        nodes.max_by_key(|node| (weigh(*node), *node))
+    }
+
+    /// Whether this node may own accounts.
+    #[must_use]
+    pub fn may_own(&self) -> bool {
+        self.eligible.binary_search(&self.own).is_ok()
     }
 
-    /// Whether this node may grant tokens: it sees more than half of the nodes, and its view is up to
-    /// date.
+    /// Since when this node has owned an account until `owner` recently took it over; `None` if it has
+    /// not owned it.
+    #[must_use]
+    pub fn owned_before(
+        &self,
+        now: MonoTime,
+        account: &AccountName,
+        owner: NodeId,
+    ) -> Option<MonoTime> {
+        let since = self.nodes.get(&owner).copied().unwrap_or_default();
+        let is_new = since != MonoTime::ZERO && now.since(since) < TAKEOVER_TIME;
+        let was_owner = self.owner_without(account, owner) == Some(self.own);
+        (self.may_own() && is_new && was_owner).then(|| self.held_since(account))
+    }
+
+    /// Whether this node may grant tokens of an account that it owns: it has seen more than half of the
+    /// nodes for a while.
     #[must_use]
     pub fn may_grant(&self, now: MonoTime) -> bool {
-        self.is_fresh(now) && self.seen * 2 > self.max_count()
+        let regained = self.majority_since.map(|since| (since, now.since(since)));
+        let is_settled = |(since, age)| since == MonoTime::ZERO || age >= REGAIN_TIME;
+        self.has_majority(now) && regained.is_some_and(is_settled)
+    }
+
+    /// Whether this node sees more than half of the nodes, and its view is up to date.
+    #[must_use]
+    pub fn has_majority(&self, now: MonoTime) -> bool {
+        self.is_fresh(now) && self.majority_since.is_some() && self.settled_at.is_some()
     }
 
     /// The part of an account's rate that an owner may grant. The rest is what nodes that it doesn't
@@ -220,6 +288,17 @@
         self.counts.front().map_or(0, |(_, count)| *count)
     }
 
+    /// Since when no other node has owned an account that this node owns or has just lost.
+    fn held_since(&self, account: &AccountName) -> MonoTime {
+        let weigh = weight_of(account);
+        let own = (weigh(self.own), self.own);
+        let above = |node: &NodeId| (weigh(*node), *node) > own;
+        let departed = self.departed.iter().filter(|(_, node)| above(node));
+        let freed_at = departed.map(|(at, _)| *at).max().unwrap_or_default();
+        let majority_since = self.majority_since.unwrap_or_default();
+        self.own_since().max(freed_at).max(majority_since)
+    }
+
     /// Records the number of live nodes.
     fn update_counts(&mut self, now: MonoTime) {
         let live = self.nodes.len();
@@ -233,6 +312,10 @@
             _ => is_minority.then_some(now),
         };
         let has_majority = self.seen * 2 > self.max_count();
+        self.majority_since = match self.majority_since {
+            Some(since) if has_majority => Some(since),
+            _ => has_majority.then_some(now),
+        };
         let memory = if has_majority {
             COUNT_MEMORY
         } else {
--- a/crates/fescueway_allotment/src/lib.rs
+++ b/crates/fescueway_allotment/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use crate::{
     account_answer::AccountAnswer,
-    account_question::AccountQuestion,
+    account_question::{AccountQuestion, ReleasedBucket},
     allotment_entry::AllotmentEntry,
     allotment_owner::AllotmentOwner,
     allotment_totals::AllotmentTotals,
--- a/crates/fescueway_allotment/src/owned_account.rs
+++ b/crates/fescueway_allotment/src/owned_account.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fescueway_config::AllotmentPlan;
-use fescueway_core::{MonoTime, TokenBucket};
+use fescueway_core::{MonoTime, NodeId, TokenBucket};
 
 use crate::{AccountAnswer, AccountQuestion, CLASSES, DemandMeter};
 
@@ -50,6 +50,11 @@
     bucket: TokenBucket,
     /// Since when this node has owned the account.
     owned_since: MonoTime,
+    /// The former owner that has released the account to this node, if this node's view may still name
+    /// it as the owner.
+    pub released_by: Option<NodeId>,
+    /// Until when that matters.
+    accepted_until: MonoTime,
     /// Requests that asked for a token, by priority.
     demand: [DemandMeter; CLASSES],
     /// Questions of which a request was refused.
@@ -70,6 +75,8 @@
         let mut account = Self {
             bucket: bucket_of(now, plan, 1.0),
             owned_since,
+            released_by: None,
+            accepted_until: MonoTime::ZERO,
             demand: [DemandMeter::default(); CLASSES],
             refusals: DemandMeter::default(),
             prefetched: [0; SLOTS],
@@ -81,6 +88,18 @@
         account
     }
 
+    /// This account, after the former owner `by` has released it.
+    pub fn accepted(mut self, by: Option<NodeId>, until: MonoTime) -> Self {
+        self.released_by = by;
+        self.accepted_until = until;
+        self
+    }
+
+    /// Whether a former owner has released the account to this node recently.
+    pub fn is_accepted(&self, now: MonoTime) -> bool {
+        now < self.accepted_until
+    }
+
     /// Takes over the limit in force, of which `factor` may be granted, and since when this node has
     /// owned the account.
     pub fn refresh(
@@ -97,7 +116,9 @@
         if owned_since > self.owned_since {
             // Another node owned the account meanwhile.
             self.owned_since = owned_since;
-            self.limit_start(now, plan);
+            if !self.is_accepted(now) {
+                self.limit_start(now, plan);
+            }
         }
     }
 
@@ -109,7 +130,9 @@
         question: &AccountQuestion,
     ) -> AccountAnswer {
         self.used_at = now;
+        let released = question.released.map_or(0, |released| released.tokens);
         self.bucket.charge(-f64::from(question.returned));
+        self.bucket.charge(-f64::from(released));
         let mut level = self.bucket.available(now);
         let mut granted = [0; CLASSES];
         let mut open_classes = CLASSES;
@@ -146,6 +169,11 @@
         }
     }
 
+    /// The whole tokens that are left.
+    pub fn tokens_left(&self, now: MonoTime) -> u16 {
+        self.bucket.peek(now).max(0.0) as u16
+    }
+
     /// Whether the bucket can be made anew without a difference.
     pub fn is_full(&self, now: MonoTime, plan: &AllotmentPlan) -> bool {
         self.bucket.peek(now) >= plan.burst + EXTRA_TOKENS - 1e-6 && self.room_at <= now
