Ask the owner of an account for tokens before a request is offered

The entry checks requests of accounts with an allotment after the key and before a service is chosen; excess is answered with 429. The daemon carries questions to the owners as control messages, batched by owner, and answers them. Adds counters without account names and the events E2040 to E2042.

Nodes may own accounts 2.75 s after their search of a fleet of 68, was 6.5 s: a fleet that starts as a whole grants no tokens before.

--- a/crates/fescueway_allotment/src/allotment_entry.rs
+++ b/crates/fescueway_allotment/src/allotment_entry.rs
@@ -9,8 +9,8 @@
 use fescueway_core::{AccountName, MonoTime, NodeId, Priority};
 
 use crate::{
-    AccountAnswer, AllotmentTotals, ReleasedBucket, EntryDecision, FallbackShare, FleetView, OwnerQuestion,
-    TOKEN_LIFETIME, WaitEnd, WaitId,
+    AccountAnswer, AllotmentTotals, EntryDecision, FallbackShare, FleetView, OwnerQuestion,
+    ReleasedBucket, TOKEN_LIFETIME, WaitEnd, WaitId,
     entry_account::{EntryAccount, WaitingRequest},
     fleet_view::mix,
     owner_link::OwnerLink,
@@ -512,12 +512,7 @@
     }
 
     /// Refuses a request since the account has used its allotment.
-    fn refuse(
-        &mut self,
-        now: MonoTime,
-        name: &AccountName,
-        plan: &AllotmentPlan,
-    ) -> EntryDecision {
+    fn refuse(&mut self, now: MonoTime, name: &AccountName, plan: &AllotmentPlan) -> EntryDecision {
         let spread = self.fraction();
         self.totals.refused += 1;
         let Some(account) = self.accounts.get_mut(name) else {
--- a/crates/fescueway_allotment/src/fleet_view.rs
+++ b/crates/fescueway_allotment/src/fleet_view.rs
@@ -7,13 +7,16 @@
 
 use fescueway_core::{AccountName, MonoTime, NodeId, fnv1a_64};
 
-/// Time after which a node that joined may own accounts. By then every node knows it, so that few
-/// entries ask the previous owner at the same time.
-const OWNER_AGE: Duration = Duration::from_secs(5);
+/// Time after which a node that joined may own accounts. By then its search for the fleet has ended, and
+/// most nodes know it, so that entries can be sent on to it.
+const OWNER_AGE: Duration = Duration::from_secs(2);
 
-/// Time after which a node may own accounts by its own view. Longer than [`OWNER_AGE`], so that the
-/// previous owner knows of it first and releases the accounts.
-const OWN_OWNER_AGE: Duration = Duration::from_millis(6_500);
+/// Time from the end of its search after which a node may own accounts by its own view, and the addition
+/// for each doubling of the number of nodes, since news spread by gossip. It ends later than
+/// [`OWNER_AGE`], so that the previous owner knows of the node first and releases the accounts. After a start of the whole fleet, no tokens are granted
+/// before.
+const OWN_OWNER_AGE: Duration = Duration::from_millis(1_250);
+const OWN_OWNER_AGE_STEP: Duration = Duration::from_millis(250);
 
 /// Time after which a node that was gone and is back may own accounts again.
 const RETURN_AGE: Duration = Duration::from_millis(1_500);
@@ -60,8 +63,8 @@
 /// Number of nodes that a node assumes at least which has not searched for the fleet.
 const UNKNOWN_FLEET_NODES: usize = 1_000;
 
-/// Number of nodes that a node assumes at least in its first seconds after that search, when many
-/// nodes may be starting.
+/// Number of nodes that a node assumes at least until it may own accounts, when many nodes may be
+/// starting.
 const YOUNG_FLEET_NODES: usize = 100;
 
 /// Who owns an account, and whether this node may grant tokens, from the nodes that it sees.
@@ -146,12 +149,13 @@
             let since = self.nodes.get(&node).copied().unwrap_or(new_since);
             nodes.insert(node, since);
         }
+        let own_age = OWN_OWNER_AGE + OWN_OWNER_AGE_STEP * nodes.len().max(1).ilog2();
         if let Some(since) = nodes.get_mut(&self.own) {
             let resumed_since = self.resumed_at.map(|resumed| resumed + REGAIN_TIME);
             let settled_since = match self.settled_at {
                 None => MonoTime::NEVER,
                 Some(settled) if self.seen <= 1 => settled + LONE_OWNER_AGE,
-                Some(settled) => settled + OWN_OWNER_AGE,
+                Some(settled) => settled + own_age,
             };
             *since = settled_since.max(resumed_since.unwrap_or_default());
         }
@@ -264,17 +268,17 @@
     /// `failed_for`.
     #[must_use]
     pub fn share(&self, now: MonoTime, failed_for: Duration) -> f64 {
-        let settled_for = self.settled_at.map(|settled| now.since(settled));
         let known = self.max_count().max(1);
-        let nodes = match settled_for {
+        let is_young = self.own_since() > now;
+        let nodes = match self.settled_at {
             None => known.max(UNKNOWN_FLEET_NODES),
-            Some(age) if age < OWNER_AGE => known.max(YOUNG_FLEET_NODES),
+            Some(_) if is_young => known.max(YOUNG_FLEET_NODES),
             Some(_) => known,
         };
         let minority_for = self.minority_since.map(|since| now.since(since));
         let factor = if minority_for.is_some_and(|time| time >= MINORITY_SHARE_TIME) {
             MINORITY_FACTOR
-        } else if failed_for < DETECTION_TIME {
+        } else if failed_for < DETECTION_TIME && !is_young {
             DETECTION_FACTOR
         } else {
             1.0
--- a/crates/fescueway_allotment/src/owned_account.rs
+++ b/crates/fescueway_allotment/src/owned_account.rs
@@ -134,17 +134,17 @@
         self.bucket.charge(-f64::from(question.returned));
         self.bucket.charge(-f64::from(released));
         let mut level = self.bucket.available(now);
-        let mut granted = [0; CLASSES];
+        let mut granted = [0_u16; CLASSES];
         let mut open_classes = CLASSES;
         let mut refused = 0_u32;
         let mut urgent_per_s = 0.0;
         let max_reserve = (plan.burst + EXTRA_TOKENS) * MAX_RESERVE;
         let mut reserve = 0.0;
-        for class in 0..CLASSES {
+        for (class, grant) in granted.iter_mut().enumerate() {
             let waiting = question.waiting[class];
             reserve = f64::min(urgent_per_s * RESERVE_TIME_S, max_reserve);
             let count = waiting.min((level - reserve).max(0.0) as u16);
-            granted[class] = count;
+            *grant = count;
             level -= f64::from(count);
             if count < waiting {
                 open_classes = open_classes.min(class);
--- a/crates/fescueway_allotment/tests/allotments/fleet.rs
+++ b/crates/fescueway_allotment/tests/allotments/fleet.rs
@@ -6,8 +6,8 @@
 };
 
 use fescueway_allotment::{
-    AccountAnswer, AllotmentEntry, AllotmentOwner, EntryDecision, FleetView, OwnerQuestion, WaitEnd,
-    WaitId,
+    AccountAnswer, AllotmentEntry, AllotmentOwner, EntryDecision, FleetView, OwnerQuestion,
+    WaitEnd, WaitId,
 };
 use fescueway_config::AllotmentPlan;
 use fescueway_core::{AccountName, MonoTime, NodeId, Priority};
@@ -230,7 +230,10 @@
                 first += 1;
             }
             let ran = last + 1 - first;
-            assert!(ran as f64 <= limit, "{account}: {ran} ran within 5 s before {at} s, {limit} may");
+            assert!(
+                ran as f64 <= limit,
+                "{account}: {ran} ran within 5 s before {at} s, {limit} may"
+            );
         }
     }
 
@@ -250,14 +253,20 @@
 
     /// The times in seconds at which requests ran.
     pub fn runs(&self, account: &AccountName, from_s: f64, to_s: f64) -> Vec<f64> {
-        let runs = self.decided.iter().filter(|one| one.account == *account && one.result.is_ok());
+        let runs = self
+            .decided
+            .iter()
+            .filter(|one| one.account == *account && one.result.is_ok());
         let times = runs.map(|one| one.at.as_micros() as f64 / 1e6);
         times.filter(|at| *at >= from_s && *at < to_s).collect()
     }
 
     /// Number of refused requests.
     pub fn refused(&self) -> usize {
-        self.decided.iter().filter(|one| one.result.is_err()).count()
+        self.decided
+            .iter()
+            .filter(|one| one.result.is_err())
+            .count()
     }
 
     /// A random number from 0 to below 1.
@@ -301,9 +310,17 @@
         let is_frozen = other.frozen_until > self.now;
         let lost_at = lost_at.or_else(|| is_frozen.then_some(other.frozen_at));
         let was_gone = other.frozen_until.since(other.frozen_at) >= Duration::from_millis(3_500);
-        let thawed_at = if was_gone { other.frozen_until } else { MonoTime::ZERO };
+        let thawed_at = if was_gone {
+            other.frozen_until
+        } else {
+            MonoTime::ZERO
+        };
         let Some(lost_at) = lost_at else {
-            let since = other.started_at.max(grouped_at).max(own.started_at).max(thawed_at);
+            let since = other
+                .started_at
+                .max(grouped_at)
+                .max(own.started_at)
+                .max(thawed_at);
             let is_first = since == MonoTime::ZERO;
             let known_at = since + Duration::from_millis(200) + spread.mul_f64(0.8);
             return (is_first || self.now >= known_at).then_some(false);
@@ -404,12 +421,15 @@
     fn arrive(&mut self, index: usize, account: AccountName, priority: Priority) {
         let (now, plan) = (self.now, self.plans[&account]);
         let node = &mut self.nodes[index];
-        let decision = node.entry.request(now, &node.view, (&account, &plan), priority);
+        let decision = node
+            .entry
+            .request(now, &node.view, (&account, &plan), priority);
         let result = match decision {
             EntryDecision::Admitted => Ok(()),
             EntryDecision::Refused(retry_after) => Err(retry_after),
             EntryDecision::Wait(id, owner) => {
-                self.waits.insert((index, id), (now, account.clone(), priority));
+                self.waits
+                    .insert((index, id), (now, account.clone(), priority));
                 self.push(now + TIME_LIMIT, Event::GiveUp(index, account, id, owner));
                 return;
             }
@@ -444,7 +464,9 @@
         let node = &mut self.nodes[index];
         let plan_of = |name: &AccountName| plans.get(name).copied();
         let asked = (owner, question);
-        let ends = node.entry.answered(now, &node.view, asked, answers, plan_of);
+        let ends = node
+            .entry
+            .answered(now, &node.view, asked, answers, plan_of);
         self.end_waits(index, ends);
     }
 
--- a/crates/fescueway_allotment/tests/allotments/loads.rs
+++ b/crates/fescueway_allotment/tests/allotments/loads.rs
@@ -71,7 +71,10 @@
         let messages: u64 = fleet.received.values().sum();
         let per_s = messages as f64 / 40.0;
         // Without pauses each refused request would be asked for.
-        assert!(per_s < 400.0 + rate_per_s, "{per_s} messages/s at {rate_per_s}/s");
+        assert!(
+            per_s < 400.0 + rate_per_s,
+            "{per_s} messages/s at {rate_per_s}/s"
+        );
     }
 }
 
@@ -88,14 +91,20 @@
         seconds: (100.0, 110.0),
     });
     fleet.run_until(111.0);
-    let late = fleet.decided.iter().filter(|one| one.at.as_micros() > 105_000_000);
+    let late = fleet
+        .decided
+        .iter()
+        .filter(|one| one.at.as_micros() > 105_000_000);
     let times: Vec<_> = late.filter_map(|one| one.result.err()).collect();
     assert!(times.len() > 500);
     assert!(distinct(times.iter().copied()) > times.len() / 2);
     let longest = times.iter().max().copied();
     assert!(longest <= Some(Duration::from_secs(8)), "{longest:?}");
     // More than a second's worth waits already.
-    let short = times.iter().filter(|time| **time < Duration::from_millis(500)).count();
+    let short = times
+        .iter()
+        .filter(|time| **time < Duration::from_millis(500))
+        .count();
     assert!(short < times.len() / 10, "{short} of {}", times.len());
 }
 
@@ -115,10 +124,17 @@
     }
     fleet.run_until(131.0);
     fleet.assert_bound(&account, &fleet.plans[&account]);
-    let late = fleet.decided.iter().filter(|one| one.at.as_micros() > 105_000_000);
+    let late = fleet
+        .decided
+        .iter()
+        .filter(|one| one.at.as_micros() > 105_000_000);
     let urgent: Vec<_> = late.filter(|one| one.priority == Priority::High).collect();
     let refused = urgent.iter().filter(|one| one.result.is_err()).count();
-    assert!(refused * 100 <= urgent.len(), "{refused} of {} urgent refused", urgent.len());
+    assert!(
+        refused * 100 <= urgent.len(),
+        "{refused} of {} urgent refused",
+        urgent.len()
+    );
     let used = fleet.runs(&account, 105.0, 130.0).len();
     assert!(used > 2_250, "{used} of 2500 tokens used");
 }
@@ -162,7 +178,9 @@
         });
     }
     fleet.run_until(115.0);
-    let most = (0..12).map(|index| fleet.entry(index).account_count()).max();
+    let most = (0..12)
+        .map(|index| fleet.entry(index).account_count())
+        .max();
     assert!(most < Some(4_000), "{most:?} accounts at an entry");
     fleet.run_until(160.0);
     for index in 0..12 {
--- a/crates/fescueway_allotment/tests/allotments/losses.rs
+++ b/crates/fescueway_allotment/tests/allotments/losses.rs
@@ -55,7 +55,10 @@
     fleet.kill(owner);
     fleet.run_until(141.0);
     let refused = fleet.decided.iter().filter(|one| one.result.is_err());
-    let last = refused.map(|one| one.at.as_micros()).max().unwrap_or_default();
+    let last = refused
+        .map(|one| one.at.as_micros())
+        .max()
+        .unwrap_or_default();
     assert!(last < 116_000_000, "refused at {last}");
     let waited = fleet.decided.iter().map(|one| one.waited).max();
     assert!(waited <= Some(Duration::from_millis(250)), "{waited:?}");
@@ -77,7 +80,10 @@
             fleet.assert_bound(&account, &fleet.plans[&account]);
             if cut < 34 {
                 let used = fleet.runs(&account, 150.0, 155.0).len() as f64;
-                assert!(used > 0.8 * rate_per_s * 5.0, "{used} at {rate_per_s}/s, {cut} cut off");
+                assert!(
+                    used > 0.8 * rate_per_s * 5.0,
+                    "{used} at {rate_per_s}/s, {cut} cut off"
+                );
             }
         }
     }
--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -9,6 +9,7 @@
 
 use super::{
     account_check::{AccountCheck, check_account},
+    allotment_check::AllotmentPermit,
     entry_request::{MAX_CALL_DEPTH, RequestHead, host_name, offer_request, request_body},
     final_answer::{entry_answer, refused_answer},
     offer_loop::OfferLoop,
@@ -41,8 +42,14 @@
     let id = state.log().id_of(&parts.headers);
     let mut record_guard = RecordGuard::new(state, start, id);
     let record = &mut record_guard.record;
-    let answering = route_request(state, parts, incoming, caller, start, record);
+    let mut permit = None;
+    let answering = route_request(state, parts, incoming, caller, (start, record, &mut permit));
     let response = answering.await;
+    if record_guard.record.outcome == Some(Outcome::NotRun)
+        && let Some(permit) = permit
+    {
+        permit.give_back();
+    }
     record_guard.end(response.status().as_u16());
     response.map(|body| CountedBody { body, open })
 }
@@ -139,8 +146,7 @@
     mut parts: Parts,
     incoming: Option<Incoming>,
     caller: SocketAddr,
-    start: MonoTime,
-    record: &mut RequestRecord,
+    (start, record, permit): (MonoTime, &mut RequestRecord, &mut Option<AllotmentPermit>),
 ) -> Response<AnswerBody> {
     if !has_valid_host(&parts) {
         let text = "a request names its host once";
@@ -175,6 +181,13 @@
         }
         AccountCheck::Refused(reason) => return refuse(state, reason, record),
     };
+    if let Some(account) = &account {
+        let priority = account.priority.unwrap_or(found.route.priority);
+        match state.allotments().decide(account, priority).await {
+            Ok(allotted) => *permit = Some(allotted),
+            Err(retry_after) => return refuse_excess(state, retry_after, record),
+        }
+    }
     let chosen = state.route_states().next_service(found.route);
     let chosen = chosen.and_then(|name| plan.services.get(&name));
     let Some(service) = chosen.or(found.owner) else {
@@ -249,6 +262,22 @@
     entry_answer(state.profile(), status, Outcome::NotRun, text)
 }
 
+/// Refuses a request of an account that has used its allotment.
+fn refuse_excess(
+    state: &ProxyState,
+    retry_after: Duration,
+    record: &mut RequestRecord,
+) -> Response<AnswerBody> {
+    let reason = RefusalReason::AllotmentSpent;
+    record.outcome = Some(Outcome::NotRun);
+    record.reason = Some(reason);
+    let refusal = Refusal {
+        reason,
+        retry_after,
+    };
+    refused_answer(state.profile(), &refusal, Outcome::NotRun)
+}
+
 /// Refuses a request that this entry can't offer at the moment.
 fn refuse(
     state: &ProxyState,
--- a/crates/fescueway_proxy/src/entry/mod.rs
+++ b/crates/fescueway_proxy/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry: accepts requests of callers and offers each one to a host.
 
 mod account_check;
+mod allotment_check;
 mod answer_request;
 mod entry_request;
 mod entry_server;
@@ -11,4 +12,7 @@
 mod read_ahead;
 mod request_scanner;
 
-pub use self::entry_server::serve_callers;
+pub use self::{
+    allotment_check::{AllotmentCheck, AllotmentPermit},
+    entry_server::serve_callers,
+};
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -43,7 +43,7 @@
     accept_loop::AcceptLoop,
     backend_announcement::BackendAnnouncement,
     edge_profile::{AnswerVerdict, EdgeProfile, LoadReader},
-    entry::serve_callers,
+    entry::{AllotmentCheck, AllotmentPermit, serve_callers},
     host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunDenial, RunPermit},
     mono_clock::MonoClock,
     peer::{ControlTable, PeerError, PeerPool, PeerStep, serve_peers},
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -21,6 +21,7 @@
 use crate::{
     call_table::CallTable,
     edge_profile::EdgeProfile,
+    entry::AllotmentCheck,
     host::RunChecks,
     local_targets::LocalTargets,
     mono_clock::MonoClock,
@@ -83,6 +84,8 @@
     calls: CallTable,
     /// Checks that are made before a request is handed over.
     checks: RunChecks,
+    /// Decides whether requests are within their accounts' allotments.
+    allotments: AllotmentCheck,
     /// Targets of this node.
     targets: LocalTargets,
     /// Entries that sent offers to this node recently.
@@ -127,6 +130,7 @@
             controls: ControlTable::default(),
             calls: CallTable::new(options.secret),
             checks: RunChecks::default(),
+            allotments: AllotmentCheck::default(),
             targets: LocalTargets::default(),
             recent_entries: RecentEntries::default(),
             open_counts: OpenCounts::default(),
@@ -239,6 +243,12 @@
         &self.0.checks
     }
 
+    /// Decides whether requests are within the allotments of their accounts.
+    #[must_use]
+    pub fn allotments(&self) -> &AllotmentCheck {
+        &self.0.allotments
+    }
+
     /// Calls that run at the backend servers of this node.
     pub(crate) fn calls(&self) -> &CallTable {
         &self.0.calls
--- a/crates/fescueway_telemetry/src/events/control.rs
+++ b/crates/fescueway_telemetry/src/events/control.rs
@@ -18,6 +18,9 @@
     &WATCH_STARTED,
     &WATCH_ENDED,
     &STORE_ITEM_IGNORED,
+    &ALLOTMENT_SPENT,
+    &ALLOTMENT_SHARES_BEGAN,
+    &ALLOTMENT_SHARES_ENDED,
 ];
 
 /// Another node is up.
@@ -127,3 +130,32 @@
     fields: &["error"],
     advice: "Find the writer of the key, or delete it. The other keys are read as usual.",
 };
+
+/// A client account has used its allotment. Logged once a second for each account.
+pub const ALLOTMENT_SPENT: EventKind = EventKind {
+    number: 2040,
+    level: Level::Info,
+    summary: "request of a client account refused, since its allotment is used up",
+    fields: &["account", "rate_per_s", "retry_after_ms", "suppressed"],
+    advice: "Nothing, if the account sends more than its rate. Otherwise see E2041 and \"429 though below the \
+             limit\" in docs/OPERATIONS.md.",
+};
+
+/// Accounts use fixed shares of their allotments.
+pub const ALLOTMENT_SHARES_BEGAN: EventKind = EventKind {
+    number: 2041,
+    level: Level::Warn,
+    summary: "owners of client accounts don't grant tokens; this node uses its share of the allotments",
+    fields: &["accounts", "nodes_known"],
+    advice: "Nothing for some seconds after a node was lost or after a start. If it lasts, find out why this node \
+             or the owners see less than half of the nodes: a network fault, or the loss of most nodes.",
+};
+
+/// All accounts in use have an owner again.
+pub const ALLOTMENT_SHARES_ENDED: EventKind = EventKind {
+    number: 2042,
+    level: Level::Info,
+    summary: "owners of client accounts grant tokens again",
+    fields: &[],
+    advice: "Nothing.",
+};
--- a/crates/fescueway_telemetry/src/lib.rs
+++ b/crates/fescueway_telemetry/src/lib.rs
@@ -35,7 +35,7 @@
     event_rate_limit::EventRateLimit,
     log_config::{LogConfig, LogFormat},
     log_queue::LogQueue,
-    metric_set::{MetricError, MetricSet, NodeGauges, NodeTotals, StoreCalls},
+    metric_set::{AllotmentCounts, MetricError, MetricSet, NodeGauges, NodeTotals, StoreCalls},
     node_status::{NodeStatus, StoreState, TargetList, TargetStatus},
     request_end::{RequestEnd, RouteResult},
     service_metrics::{ServiceLoad, ServiceMetrics},
--- a/crates/fescueway_telemetry/src/metric_set.rs
+++ b/crates/fescueway_telemetry/src/metric_set.rs
@@ -35,10 +35,29 @@
     pub gossip_received_bytes: u64,
     /// Calls of the store by kind.
     pub store_calls: Vec<StoreCalls>,
+    /// Decisions on requests of client accounts with an allotment.
+    pub allotments: AllotmentCounts,
     /// Log lines dropped because the log was not read in time.
     pub log_lines_lost: u64,
 }
 
+/// Decisions on requests of client accounts with an allotment.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct AllotmentCounts {
+    /// Requests admitted with a token of the account's owner.
+    pub admitted: u64,
+    /// Requests refused because the account had used its allotment.
+    pub refused: u64,
+    /// Requests admitted from the fixed share of this node, for lack of an owner.
+    pub admitted_by_share: u64,
+    /// Requests refused because that share was used up.
+    pub refused_by_share: u64,
+    /// Messages sent to owners on other nodes.
+    pub questions: u64,
+    /// Accounts that use a fixed share at present.
+    pub shares: u64,
+}
+
 /// Number of store calls of one kind.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreCalls {
@@ -208,6 +227,7 @@
             }
         })
         .build();
+    observe_allotments(meter, totals);
     let shared = Arc::clone(totals);
     meter
         .u64_observable_counter("fescueway.log.lines.lost")
@@ -219,6 +239,52 @@
         .build();
 }
 
+/// Registers the instruments of accounts' allotments. They have no label for the account, of which there
+/// may be thousands.
+fn observe_allotments(meter: &Meter, totals: &SharedTotals) {
+    let shared = Arc::clone(totals);
+    meter
+        .u64_observable_counter("fescueway.allotment.requests")
+        .with_description("Requests of accounts with an allotment, by decision and by who decided.")
+        .with_callback(move |observer| {
+            let counts = shared
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .allotments;
+            for (decision, source, count) in [
+                ("admitted", "owner", counts.admitted),
+                ("refused", "owner", counts.refused),
+                ("admitted", "share", counts.admitted_by_share),
+                ("refused", "share", counts.refused_by_share),
+            ] {
+                let labels = [
+                    KeyValue::new("decision", decision),
+                    KeyValue::new("source", source),
+                ];
+                observer.observe(count, &labels);
+            }
+        })
+        .build();
+    let shared = Arc::clone(totals);
+    meter
+        .u64_observable_counter("fescueway.allotment.messages")
+        .with_description("Messages sent to the owners of accounts with an allotment.")
+        .with_callback(move |observer| {
+            let totals = shared.lock().unwrap_or_else(PoisonError::into_inner);
+            observer.observe(totals.allotments.questions, &[]);
+        })
+        .build();
+    let shared = Arc::clone(totals);
+    meter
+        .u64_observable_gauge("fescueway.allotment.shares")
+        .with_description("Accounts that use a fixed share at present, for lack of an owner.")
+        .with_callback(move |observer| {
+            let totals = shared.lock().unwrap_or_else(PoisonError::into_inner);
+            observer.observe(totals.allotments.shares, &[]);
+        })
+        .build();
+}
+
 fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
     meter.u64_gauge(name).with_description(description).build()
 }
--- a/crates/fescueway_wire/src/control_message.rs
+++ b/crates/fescueway_wire/src/control_message.rs
@@ -1,4 +1,4 @@
-//! Requests between nodes other than offers: configuration, claims and crash fingerprints.
+//! Requests between nodes other than offers: configuration, claims, crash fingerprints and allotments.
 
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +14,8 @@
     Claim,
     /// Reports fingerprints of requests that crashed backend servers.
     Suspect,
+    /// Asks the owner of client accounts for tokens of their allotments.
+    Allotment,
 }
 
 /// A request to a peer's handler of `kind`.
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     DaemonError, DaemonSettings,
+    allotment_task::AllotmentTask,
     backend_api::BackendApi,
     claim_task::ClaimTask,
     daemon_sockets::{DaemonAddresses, DaemonSockets},
@@ -71,6 +72,8 @@
     drains: DrainRequests,
     /// The claims of idempotency keys; set once the tasks run.
     claims: OnceLock<ClaimTask>,
+    /// The allotments of client accounts; set once the tasks run.
+    allotments: OnceLock<AllotmentTask>,
     /// The membership; set once the tasks run.
     members: OnceLock<MemberLink>,
     /// Stops accepting connections of callers.
@@ -113,6 +116,7 @@
             drains: DrainRequests::new(state.clone(), board.clone()),
             board,
             claims: OnceLock::new(),
+            allotments: OnceLock::new(),
             members: OnceLock::new(),
             state,
             addresses,
@@ -182,6 +186,9 @@
         self.board.change(|facts| facts.is_stopping = true);
         let schedule = StopSchedule::new(self.state.now(), self.settings.stop_linger, limit);
         self.state.begin_stop(schedule);
+        if let Some(allotments) = self.allotments.get() {
+            allotments.leave();
+        }
         sleep(self.settings.stop_linger.min(limit)).await;
         self.drains.drain_node();
         self.closing_callers.cancel();
@@ -299,6 +306,11 @@
                 DocumentTask::start(state, &link, board, store.clone(), source);
             }
         }
+        let is_searching = store.is_some() && self.adapter.document.is_some();
+        let allotments = AllotmentTask::start(state, &link, is_searching);
+        self.meter.watch_allotments(allotments.clone());
+        // Can't fail: the allotments are started only here.
+        let _ = self.allotments.set(allotments);
         self.run_rules(store);
         // Can't fail: the membership is started only here.
         let _ = self.members.set(link);
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Daemon::start`] binds the addresses of its [`DaemonSettings`] and runs on the caller's
 //! runtime; several daemons can share one. There is no global state besides the logger.
 
+mod allotment_task;
 mod backend_api;
 mod backend_load;
 mod backend_query;
--- a/crates/fescuewayd/src/member_link.rs
+++ b/crates/fescuewayd/src/member_link.rs
@@ -11,7 +11,8 @@
 
 use fescueway_core::{ConfigMark, MonoTime, NodeId};
 use fescueway_membership::{
-    FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings, TrafficCounts, jittered,
+    FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings, MemberStatus,
+    TrafficCounts, jittered,
 };
 use fescueway_proxy::ProxyState;
 use fescueway_telemetry::{emit, events::control};
@@ -228,6 +229,22 @@
         self.core().list.domain_nodes()
     }
 
+    /// The live nodes of this node's site, itself included, with their peer addresses and whether each
+    /// is suspected to be down.
+    pub fn site_nodes(&self) -> Vec<(NodeId, SocketAddr, bool)> {
+        let core = self.core();
+        let site = &self.0.proxy.options().site;
+        let nodes = core.list.members().filter_map(|(node, state)| {
+            let record = state
+                .record
+                .as_ref()
+                .filter(|_record| state.is_reachable())?;
+            let is_suspect = state.status == MemberStatus::Suspect;
+            (record.site == *site).then_some((node, record.peer_address, is_suspect))
+        });
+        nodes.collect()
+    }
+
     /// The peer address of a node that has at least `revision` of this site in force.
     pub fn node_with_revision(&self, revision: u64) -> Option<SocketAddr> {
         let mut core = self.core();
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -16,7 +16,7 @@
 };
 use tokio::time::sleep;
 
-use crate::status_board::BoardFacts;
+use crate::{allotment_task::AllotmentTask, status_board::BoardFacts};
 
 /// How often the alarms are checked.
 const ALARM_PERIOD: Duration = Duration::from_mins(1);
@@ -37,6 +37,8 @@
 struct MeterSources {
     /// Calls of the store.
     store: OnceLock<StoreClient>,
+    /// Decisions on accounts' allotments.
+    allotments: OnceLock<AllotmentTask>,
     /// Log lines.
     log: OnceLock<LogQueue>,
 }
@@ -82,6 +84,13 @@
         let _ = self.sources.store.set(store);
     }
 
+    /// Includes the decisions on accounts' allotments in the metrics. Later calls of this method have
+    /// no effect.
+    pub fn watch_allotments(&self, allotments: AllotmentTask) {
+        // A node has one task for them.
+        let _ = self.sources.allotments.set(allotments);
+    }
+
     /// Includes the lost lines of this queue in the metrics. Later calls of this method have no
     /// effect.
     pub fn watch_log(&self, log: LogQueue) {
@@ -148,6 +157,12 @@
             gossip_sent_bytes: facts.traffic.sent_bytes,
             gossip_received_bytes: facts.traffic.received_bytes,
             store_calls: calls.collect(),
+            allotments: self
+                .sources
+                .allotments
+                .get()
+                .map(AllotmentTask::counts)
+                .unwrap_or_default(),
             log_lines_lost: self.sources.log.get().map_or(0, LogQueue::lost),
         });
         self.metrics.render()
