--- a/crates/fescueway_allotment/src/allotment_entry.rs
+++ b/crates/fescueway_allotment/src/allotment_entry.rs
@@ -138,27 +138,50 @@
         view: &FleetView,
     ) -> Vec<(NodeId, OwnerQuestion)> {
         let mut questions = Vec::new();
+        let mut others = Vec::new();
         let ready: Vec<_> = self.ready.iter().copied().collect();
         for owner in ready {
             let Some(link) = self.owners.get_mut(&owner).filter(|link| link.may_ask(now)) else {
                 continue;
             };
             self.ready.remove(&owner);
-            link.is_asked = true;
-            link.sent_at = Some(now);
             let is_remote = owner != view.own();
             let due = std::mem::take(&mut link.due);
-            let asked = due.iter().filter_map(|name| {
-                let account = self.accounts.get_mut(name)?;
-                Some(account.question(now, name, is_remote))
-            });
+            let mut asked = Vec::with_capacity(due.len());
+            for name in due {
+                let Some(account) = self.accounts.get_mut(&name) else {
+                    continue;
+                };
+                match owner_of(account, now, view, &name) {
+                    Some(current) if current == owner => {
+                        asked.push(account.question(now, &name, is_remote));
+                    }
+                    Some(current) => others.push((current, name)),
+                    None => {}
+                }
+            }
+            if asked.is_empty() {
+                continue;
+            }
+            if let Some(link) = self.owners.get_mut(&owner) {
+                link.is_asked = true;
+                link.sent_at = Some(now);
+            }
+            self.totals.questions += u64::from(is_remote);
             let question = OwnerQuestion {
                 sent_at: now,
-                accounts: asked.collect(),
+                accounts: asked,
             };
-            self.totals.questions += u64::from(is_remote);
             questions.push((owner, question));
         }
+        if others.is_empty() {
+            return questions;
+        }
+        // Another node has become the owner since they were due.
+        for (owner, name) in others {
+            self.set_due(owner, &name);
+        }
+        questions.extend(self.next_questions(now, view));
         questions
     }
 
--- a/crates/fescueway_allotment/src/allotment_owner.rs
+++ b/crates/fescueway_allotment/src/allotment_owner.rs
@@ -115,6 +115,10 @@
         (name, plan): (&AccountName, &AllotmentPlan),
         to: NodeId,
     ) -> Option<u16> {
+        if self.is_leaving {
+            // All tokens have been released.
+            return Some(0);
+        }
         // A node that may not own accounts for a while, after a pause, is asked again later.
         let may_release = view.may_grant(now) && view.may_own();
         let owned = self.accounts.remove(name).filter(|_owned| may_release);
@@ -126,7 +130,7 @@
         // A full bucket was dropped, or never made, since the account was idle.
         let is_first = self.released.insert(name.clone(), now).is_none();
         let idle = is_first.then(|| OwnedAccount::new(now, plan, held_since));
-        let idle = idle.filter(|_owned| view.may_grant(now) && !self.is_leaving);
+        let idle = idle.filter(|_owned| view.may_grant(now));
         Some(idle.map_or(0, |owned| owned.tokens_left(now)))
     }
 
--- a/crates/fescueway_allotment/src/entry_account.rs
+++ b/crates/fescueway_allotment/src/entry_account.rs
@@ -15,6 +15,9 @@
 /// mostly expire unused while another entry needs them.
 const MIN_PREFETCH_PER_S: f32 = 10.0;
 
+// An entry may see thousands of accounts in use.
+const _: () = assert!(size_of::<EntryAccount>() <= 320);
+
 /// An entry's state of one account.
 #[derive(Clone, Debug, Default)]
 pub struct EntryAccount {
--- a/crates/fescueway_allotment/src/owned_account.rs
+++ b/crates/fescueway_allotment/src/owned_account.rs
@@ -43,6 +43,9 @@
 /// Longest time after which a refused request is told to come again, without its spread.
 const MAX_ROOM_TIME: Duration = Duration::from_secs(5);
 
+// A node may own thousands of accounts in use.
+const _: () = assert!(size_of::<OwnedAccount>() <= 256);
+
 /// The token bucket of an account at its owner.
 #[derive(Clone, Debug)]
 pub struct OwnedAccount {
