--- a/crates/fescueway_proxy/src/entry/mod.rs
+++ b/crates/fescueway_proxy/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry: accepts requests of callers and offers each one to a host.
 
 mod account_check;
+mod allotment_check;
 mod answer_request;
 mod entry_request;
 mod entry_server;
@@ -14,6 +15,7 @@
 
 pub use self::{
     account_check::{AccountCheck, AccountRequest},
+    allotment_check::{AllotmentCheck, AllotmentPermit},
     entry_server::serve_callers,
     presented_key::PresentedKey,
 };
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -45,7 +45,9 @@
     backend_announcement::BackendAnnouncement,
     boot_clock::BootClock,
     edge_profile::{AnswerVerdict, EdgeProfile, LoadReader},
-    entry::{AccountCheck, AccountRequest, PresentedKey, serve_callers},
+    entry::{
+        AccountCheck, AccountRequest, AllotmentCheck, AllotmentPermit, PresentedKey, serve_callers,
+    },
     host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunDenial, RunPermit},
     mono_clock::MonoClock,
     peer::{ControlTable, PeerError, PeerPool, PeerStep, serve_peers},
--- a/crates/fescueway_telemetry/src/events/control.rs
+++ b/crates/fescueway_telemetry/src/events/control.rs
@@ -22,6 +22,9 @@
     &KEY_PROOF_REGAINED,
     &EVACUATION_BEGAN,
     &EVACUATION_ENDED,
+    &ALLOTMENT_SPENT,
+    &ALLOTMENT_SHARES_BEGAN,
+    &ALLOTMENT_SHARES_ENDED,
 ];
 
 /// Another node is up.
@@ -167,3 +170,32 @@
     fields: &["domain"],
     advice: "Nothing.",
 };
+
+/// A client account has used its allotment. Logged once a second for each account.
+pub const ALLOTMENT_SPENT: EventKind = EventKind {
+    number: 2050,
+    level: Level::Info,
+    summary: "request of a client account refused, since its allotment is used up",
+    fields: &["account", "rate_per_s", "retry_after_ms", "suppressed"],
+    advice: "Nothing, if the account sends more than its rate. Otherwise see E2051 and \"429 though below the \
+             limit\" in docs/OPERATIONS.md.",
+};
+
+/// Accounts use fixed shares of their allotments.
+pub const ALLOTMENT_SHARES_BEGAN: EventKind = EventKind {
+    number: 2051,
+    level: Level::Warn,
+    summary: "owners of client accounts don't grant tokens; this node uses its share of the allotments",
+    fields: &["accounts", "nodes_known"],
+    advice: "Nothing for some seconds after a node was lost or after a start. If it lasts, find out why this node \
+             or the owners see less than half of the nodes: a network fault, or the loss of most nodes.",
+};
+
+/// All accounts in use have an owner again.
+pub const ALLOTMENT_SHARES_ENDED: EventKind = EventKind {
+    number: 2052,
+    level: Level::Info,
+    summary: "owners of client accounts grant tokens again",
+    fields: &[],
+    advice: "Nothing.",
+};
--- a/crates/fescueway_wire/src/control_message.rs
+++ b/crates/fescueway_wire/src/control_message.rs
@@ -1,4 +1,4 @@
-//! Requests between nodes other than offers: configuration, claims and crash fingerprints.
+//! Requests between nodes other than offers: configuration, claims, crash fingerprints and allotments.
 
 use serde::{Deserialize, Serialize};
 
@@ -16,6 +16,8 @@
     Suspect,
     /// Asks for a proof that the configuration is the latest one.
     Freshness,
+    /// Asks the owner of client accounts for tokens of their allotments.
+    Allotment,
 }
 
 /// A request to a peer's handler of `kind`.
