Add decisions for cold targets and evacuated failure domains

Cause: a target is cold after its start, or again at any time, and crashes well above its warm-up rate; operators have no way to stop traffic to a failure domain.

Change: WarmupPacer spaces the starts at a gate while its target is cold or may be, from answers to queries, other answers and reports. TargetGate and ServiceRouter take evacuated domains; ProxyState::set_evacuated applies them.

--- a/crates/fescueway_admission/src/gate_plan.rs
+++ b/crates/fescueway_admission/src/gate_plan.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::WarmupPace;
+
 /// Settings of one target's gate.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatePlan {
@@ -14,6 +16,8 @@
     pub queue_per_slot: f64,
     /// Duration of the slow-start ramp, until a newly started target may use all of its slots.
     pub ramp_time: Duration,
+    /// What the target takes while it is cold; `None` when its starts are not paced then.
+    pub warmup: Option<WarmupPace>,
 }
 
 impl GatePlan {
@@ -31,6 +35,7 @@
             slot_share: 1.0,
             queue_per_slot: 0.5,
             ramp_time: Duration::from_secs(2),
+            warmup: None,
         }
     }
 }
--- a/crates/fescueway_admission/src/lib.rs
+++ b/crates/fescueway_admission/src/lib.rs
@@ -21,6 +21,8 @@
 mod suspect_message;
 mod target_gate;
 mod wait_queue;
+mod warmup_pace;
+mod warmup_pacer;
 mod work_pace;
 
 pub use crate::{
@@ -34,4 +36,5 @@
     suspect_list::SuspectList,
     suspect_message::{CrashId, SuspectMessage, SuspectReply},
     target_gate::{GateAction, GateCounts, GateResult, RunEnd, TargetGate, TicketId},
+    warmup_pace::WarmupPace,
 };
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -1,7 +1,9 @@
 //! Admission gate of one target.
 
+mod evacuation;
 mod statements;
 mod waiting;
+mod warmup;
 
 use std::time::Duration;
 
@@ -15,6 +17,7 @@
     slow_start::SlowStart,
     start_pacer::StartPacer,
     wait_queue::WaitQueue,
+    warmup_pacer::WarmupPacer,
     work_pace::{Disturbance, PACE_VALIDITY},
 };
 
@@ -74,8 +77,13 @@
 pub struct GateCounts {
     /// Requests that the gate started.
     pub starts: u64,
-    /// Offers that it refused because the backend server's rate limit was reached.
+    /// Offers that it refused because the backend server's rate limit was reached, or the rate of a
+    /// cold one.
     pub rate_limited: u64,
+    /// The offers of `rate_limited` that were refused while the backend server was cold.
+    pub cold_limited: u64,
+    /// Offers that it refused because the failure domain is evacuated.
+    pub evacuated: u64,
 }
 
 /// Admission gate of one target: decides which offers run now, which wait and which are refused.
@@ -117,6 +125,10 @@
     notices: NoticeTracker,
     /// Spaces the starts as the backend server's rate limit demands.
     pacer: StartPacer,
+    /// Spaces the starts while the backend server is cold.
+    warmup: WarmupPacer,
+    /// Whether the failure domain is evacuated.
+    is_evacuated: bool,
     /// Decisions so far.
     counts: GateCounts,
 }
@@ -136,6 +148,8 @@
             is_draining: false,
             notices: NoticeTracker::default(),
             pacer: StartPacer::default(),
+            warmup: WarmupPacer::new(now, plan.warmup),
+            is_evacuated: false,
             counts: GateCounts::default(),
             plan,
         }
@@ -146,6 +160,11 @@
         if self.is_draining() {
             return GateResult::Refuse(Self::draining_refusal());
         }
+        if self.is_evacuated {
+            self.counts.evacuated += 1;
+            return GateResult::Refuse(Self::evacuation_refusal());
+        }
+        self.warmup.update(now);
         if let Some(objective) = terms.objective {
             self.service.assume_kind(terms.work_kind, objective);
         }
@@ -175,7 +194,12 @@
         };
         match end {
             RunEnd::Answered => self.service.learn(ended, false),
-            RunEnd::Failed | RunEnd::Lost => self.service.learn(ended, true),
+            RunEnd::Failed => self.service.learn(ended, true),
+            RunEnd::Lost => {
+                self.service.learn(ended, true);
+                // The backend server may have been restarted.
+                self.warmup.doubt(now);
+            }
             RunEnd::Cancelled | RunEnd::Released => {}
         }
         self.limit.learn(self.service.slowdown());
@@ -208,6 +232,8 @@
                 .map(|(_, reported)| reported + PACE_VALIDITY),
             pace.report_deadline(),
             self.pacer.next_start(),
+            self.warmup.next_start(),
+            self.warmup.cold_end(),
         ];
         let candidates = candidates.into_iter().flatten();
         let earliest = candidates.filter(|time| *time > self.last_tick).min();
@@ -215,31 +241,34 @@
     }
 
     /// When to query the backend server for its load, `None` while no offer waits for a report and
-    /// no limit may have ended.
+    /// no limit may have ended and it is known whether the backend server is cold.
     #[must_use]
     pub fn next_load_query(&self, now: MonoTime) -> Option<MonoTime> {
         let is_awaited = self.queue.len() > 0 && self.can_start(now);
         let pace_query = is_awaited.then(|| self.service.pace_ref().next_load_query());
         let limit_query = self.notices.next_query();
-        pace_query.flatten().into_iter().chain(limit_query).min()
+        let warmup_query = self.warmup.next_query(now);
+        let queries = pace_query.flatten().into_iter().chain(limit_query);
+        queries.chain(warmup_query).min()
     }
 
     /// Records that a load query begins.
     pub fn begin_load_query(&mut self, now: MonoTime) {
         self.notices.begin_query(now);
+        self.warmup.begin_query(now);
     }
 
     /// Starts draining: refuses waiting and new offers and lets the running requests finish.
     pub fn drain(&mut self, _now: MonoTime) -> Vec<GateAction> {
         self.is_draining = true;
-        self.refuse_waiting()
+        self.refuse_waiting(Self::draining_refusal())
     }
 
-    /// Refuses all waiting offers because the target is draining.
-    fn refuse_waiting(&mut self) -> Vec<GateAction> {
+    /// Refuses all waiting offers.
+    fn refuse_waiting(&mut self, refusal: Refusal) -> Vec<GateAction> {
         let mut actions = Vec::with_capacity(self.queue.len());
         while let Some(offer) = self.queue.pop() {
-            actions.push(GateAction::Refuse(offer.ticket, Self::draining_refusal()));
+            actions.push(GateAction::Refuse(offer.ticket, refusal));
         }
         actions
     }
@@ -310,7 +339,7 @@
                 .current_pace(now)
                 .map_or(0, |pace| (pace * 1_000.0) as u32),
             is_draining: self.is_draining(),
-            offer_pause_us: self.pacer.offer_pause().as_micros() as u32,
+            offer_pause_us: self.offer_pause(now).as_micros() as u32,
             notice: self.notices.notice(),
         }
     }
@@ -346,12 +375,13 @@
     fn begin_run(&mut self, now: MonoTime, ticket: TicketId, work_kind: u64) {
         self.counts.starts += 1;
         self.pacer.record_start(now);
+        self.warmup.record_start(now);
         self.service.start(now, ticket, work_kind);
     }
 
-    /// Whether another request may start: a slot is free and the rate limit is not reached.
+    /// Whether another request may start: a slot is free and no rate limit is reached.
     fn can_start(&self, now: MonoTime) -> bool {
-        self.has_slot(now) && self.pacer.has_token(now)
+        self.has_slot(now) && self.pacer.has_token(now) && self.warmup.has_token(now)
     }
 
     /// Whether a slot is free.
--- a/crates/fescueway_admission/src/target_gate/statements.rs
+++ b/crates/fescueway_admission/src/target_gate/statements.rs
@@ -48,7 +48,7 @@
     /// Records that the backend server stated that it is leaving.
     pub fn learn_leaving(&mut self, _now: MonoTime) -> Vec<GateAction> {
         self.notices.learn_leaving();
-        self.refuse_waiting()
+        self.refuse_waiting(Self::draining_refusal())
     }
 
     /// Records what an entry knows of the backend server from this node's predecessor.
@@ -83,6 +83,9 @@
     /// Takes over what the backend server stated to a gate that this one replaces, if both are of
     /// the same start of it.
     pub fn inherit(&mut self, now: MonoTime, replaced: &Self) {
+        if self.server().is_same(replaced.server()) {
+            self.warmup.inherit(now, &replaced.warmup);
+        }
         if let Some(notice) = replaced.notice() {
             // Nothing waits at a new gate.
             let _no_actions = self.adopt_notice(now, &notice);
--- a/crates/fescueway_admission/src/target_gate/waiting.rs
+++ b/crates/fescueway_admission/src/target_gate/waiting.rs
@@ -64,7 +64,7 @@
         }
         if wait + self.wait_margin(now, terms) > terms.time_left {
             let reason = self.wait_reason(now, wait, RefusalReason::DeadlineTooShort);
-            return self.refuse(reason, wait);
+            return self.refuse(now, reason, wait);
         }
         let is_full = if will_be_late {
             late_count < self.queue.len() || late_count >= self.late_capacity()
@@ -73,7 +73,7 @@
         };
         if is_full || wait > terms.wait_limit {
             let reason = self.wait_reason(now, wait, RefusalReason::QueueFull);
-            return self.refuse(reason, wait);
+            return self.refuse(now, reason, wait);
         }
         self.queue.push(offer);
         GateResult::Wait
@@ -81,6 +81,7 @@
 
     /// Refuses offers that are too late and starts waiting ones in the free slots.
     pub(super) fn fill_slots(&mut self, now: MonoTime) -> Vec<GateAction> {
+        self.warmup.update(now);
         let refusal = Self::refusal(RefusalReason::DeadlineTooShort, Duration::ZERO);
         let expired = self.queue.expire(now + self.start_margin());
         let mut actions: Vec<_> = expired
@@ -125,14 +126,14 @@
         };
         let queue_us = ahead * self.service.mean_us(now) * pace / f64::from(limit);
         let slot_wait = Duration::from_micros(delay_us.max(queue_us) as u64);
-        slot_wait.max(self.pacer.wait(now, offers_ahead))
+        slot_wait.max(self.pace_wait(now, offers_ahead))
     }
 
     /// The reason for a refusal after an expected wait of `wait`: the rate limit if it causes that
     /// wait, else `reason`.
     fn wait_reason(&self, now: MonoTime, wait: Duration, reason: RefusalReason) -> RefusalReason {
-        let is_paced = !self.pacer.has_token(now) && self.pacer.wait(now, self.queue.len()) >= wait;
-        if is_paced {
+        let has_token = self.pacer.has_token(now) && self.warmup.has_token(now);
+        if !has_token && self.pace_wait(now, self.queue.len()) >= wait {
             RefusalReason::RateLimited
         } else {
             reason
@@ -140,10 +141,12 @@
     }
 
     /// Refuses an offer after an expected wait of `wait`.
-    fn refuse(&mut self, reason: RefusalReason, wait: Duration) -> GateResult {
+    fn refuse(&mut self, now: MonoTime, reason: RefusalReason, wait: Duration) -> GateResult {
         if reason == RefusalReason::RateLimited {
             self.counts.rate_limited += 1;
+            self.counts.cold_limited += u64::from(self.warmup.is_cold(now));
             self.pacer.record_refusal();
+            self.warmup.record_refusal();
         }
         GateResult::Refuse(Self::refusal(reason, wait))
     }
--- a/crates/fescueway_bench/src/mesh/mesh_run/mod.rs
+++ b/crates/fescueway_bench/src/mesh/mesh_run/mod.rs
@@ -283,6 +283,7 @@
             slot_share: SLOT_SHARE,
             queue_per_slot: QUEUE_PER_SLOT,
             ramp_time,
+            warmup: None,
         };
         TargetGate::new(plan, now)
     }
--- a/crates/fescueway_proxy/src/backend_announcement.rs
+++ b/crates/fescueway_proxy/src/backend_announcement.rs
@@ -21,8 +21,10 @@
     pub identity: Option<HeaderValue>,
     /// When it started, in milliseconds of its VM's wall clock. Zero if it isn't announced.
     pub born_ms: u64,
-    /// Time until the backend server has warmed up, if announced.
+    /// Duration of the slow start of its slots, if announced.
     pub warmup_left: Option<Duration>,
+    /// How long it stays cold, if announced. Meanwhile the service's warm-up rate applies.
+    pub cold_left: Option<Duration>,
 }
 
 impl BackendAnnouncement {
@@ -47,6 +49,7 @@
             identity: None,
             born_ms: 0,
             warmup_left: None,
+            cold_left: None,
         }
     }
 }
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -156,7 +156,13 @@
         terms.objective = self.objective_deadline.map(|end| end.since(now));
         terms.offers_left = terms.offers_left.min(self.offers_left);
         match self.pick_target(now, terms) {
-            PickResult::Refuse(refusal) => Err(refusal),
+            PickResult::Refuse(refusal) => {
+                if refusal.reason == RefusalReason::DomainEvacuated {
+                    let service = &self.request.terms.service;
+                    self.state.log_evacuated_service(service);
+                }
+                Err(refusal)
+            }
             PickResult::Offer(permit) => {
                 if let Some(last_offer) = &self.last_offer {
                     let (log, terms) = (self.state.log(), permit.terms());
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fescueway_admission::RunEnd;
+use fescueway_admission::{RunEnd, TargetGate};
 use fescueway_core::{Idempotency, Refusal, RefusalReason, StatementSource};
 use http::{
     HeaderMap, HeaderValue, Request, Response, Uri,
@@ -83,6 +83,11 @@
             }
         }
         match target.pool().checkout(terms).await {
+            // The evacuation began after the gate admitted the request.
+            Ok(_connection) if target.is_evacuated() => {
+                ticket.finish(RunEnd::Released);
+                Err(RunDenial::Refused(TargetGate::evacuation_refusal()))
+            }
             Ok(connection) => Ok(Self { ticket, connection }),
             Err(_unreachable) => {
                 ticket.finish(RunEnd::Lost);
@@ -104,6 +109,10 @@
         request: HostRequest,
         body: HostBody,
     ) -> RunAnswer {
+        if self.ticket.target().is_evacuated() {
+            self.ticket.set_end(RunEnd::Released);
+            return RunAnswer::Refused(TargetGate::evacuation_refusal());
+        }
         let pool = self.ticket.target().pool().clone();
         let service = request.terms.service.clone();
         let call = state.calls().register(&request.terms, state.now());
@@ -117,6 +126,7 @@
         let identity = self.ticket.target().identity().cloned();
         let request = to_backend_request(profile, request, body, &call, identity);
         self.ticket.hand_over();
+        let asked_at = state.now();
         let sent = timeout(time_limit, pool.send(self.connection, request)).await;
         let sent = sent.unwrap_or_else(|_elapsed| Err(BackendError::timed_out(pool.address())));
         match sent {
@@ -134,7 +144,8 @@
                 if !matches!(verdict, AnswerVerdict::Invalid(_)) {
                     let (status, fields) = (response.status(), response.headers());
                     let source = StatementSource::Request;
-                    state.learn_statement(&service, ticket.target(), source, status, fields);
+                    let target = ticket.target();
+                    state.learn_statement(&service, target, asked_at, source, status, fields);
                 }
                 match verdict {
                     AnswerVerdict::Ran => {}
--- a/crates/fescueway_proxy/src/host/host_target.rs
+++ b/crates/fescueway_proxy/src/host/host_target.rs
@@ -1,6 +1,7 @@
 //! Target on this node: admission gate, waiting offers and backend server.
 
 mod notices;
+mod warmup;
 
 use std::{
     collections::BTreeMap,
@@ -86,6 +87,9 @@
         let slots = plan.slots;
         let mut gate = TargetGate::new(plan, clock.now());
         gate.set_server(announcement.server_start());
+        if let Some(left) = announcement.cold_left {
+            gate.set_cold_left(clock.now(), left);
+        }
         Self {
             pool: BackendPool::new(address, connections, slots, limits, tasks.clone()),
             identity: announcement.identity.clone(),
@@ -240,7 +244,12 @@
         let ticket = TicketId(state.last_ticket);
         match state.gate.offer(self.clock.now(), ticket, terms) {
             GateResult::Refuse(refusal) => Err(refusal),
-            GateResult::Run => Ok((ticket, None)),
+            GateResult::Run => {
+                if state.gate.is_warmup_paced() {
+                    self.load_query_change.notify_one();
+                }
+                Ok((ticket, None))
+            }
             GateResult::Wait => {
                 let (sender, receiver) = oneshot::channel();
                 state.waiters.insert(ticket, sender);
--- a/crates/fescueway_proxy/src/host/host_target/notices.rs
+++ b/crates/fescueway_proxy/src/host/host_target/notices.rs
@@ -1,5 +1,7 @@
 //! What is known of the backend server of a target from its own statements.
 
+use std::time::Duration;
+
 use fescueway_admission::{GateAction, TargetGate};
 use fescueway_core::{MonoTime, RateLimit, ServerNotice, ServerStart, StatementSource};
 
@@ -15,12 +17,16 @@
     pub(crate) is_leaving_new: bool,
     /// An invalid field that was not the last one reported.
     pub(crate) invalid_field: Option<InvalidField>,
+    /// Time until the backend server is warm, if it became cold.
+    pub(crate) became_cold: Option<Duration>,
 }
 
 impl HostTarget {
-    /// Records what an answer of the backend server states about it. Returns what changed by that.
+    /// Records what an answer of the backend server, asked for at `asked_at`, states about it. Returns
+    /// what changed by that.
     pub(crate) fn learn_statement(
         &self,
+        asked_at: MonoTime,
         source: StatementSource,
         statement: &ServerStatement,
     ) -> NoticeChange {
@@ -33,6 +39,9 @@
             if statement.is_leaving == Ok(true) {
                 actions.extend(gate.learn_leaving(now));
             }
+            if let Ok(warmup_left) = statement.warmup_left {
+                actions.extend(gate.learn_warmup(now, asked_at, source, warmup_left));
+            }
             actions
         });
         NoticeChange {
@@ -75,11 +84,14 @@
         let now = self.clock.now();
         let mut state = self.state();
         let before = state.gate.notice().unwrap_or_default();
+        let was_cold = !state.gate.cold_left(now).is_zero();
         let actions = change(&mut state.gate, now);
         let after = state.gate.notice().unwrap_or_default();
+        let cold_left = state.gate.cold_left(now);
+        let is_cold = !cold_left.is_zero();
         state.apply(now, actions);
         drop(state);
-        if before != after {
+        if before != after || was_cold != is_cold {
             self.wake.notify_one();
             self.load_query_change.notify_one();
         }
@@ -88,6 +100,7 @@
                 .then_some((before.rate_limit, after.rate_limit)),
             is_leaving_new: after.is_leaving && !before.is_leaving,
             invalid_field: None,
+            became_cold: (is_cold && !was_cold).then_some(cold_left),
         }
     }
 
--- a/crates/fescueway_proxy/src/local_targets.rs
+++ b/crates/fescueway_proxy/src/local_targets.rs
@@ -6,9 +6,9 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use fescueway_admission::GatePlan;
+use fescueway_admission::{GatePlan, WarmupPace};
 use fescueway_config::SitePlan;
-use fescueway_core::{ServiceName, TargetRecord};
+use fescueway_core::{RateLimit, ServiceName, TargetRecord};
 use tokio::sync::watch;
 
 use crate::host::HostTarget;
@@ -86,11 +86,19 @@
         self.targets().remove(service)
     }
 
+    /// Begins or ends the evacuation of the failure domain for all targets.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        for target in self.targets().values() {
+            target.set_evacuated(is_evacuated);
+        }
+    }
+
     /// Applies a configuration to the existing targets.
     pub fn apply_plan(&self, plan: &SitePlan) {
         for (service, target) in &*self.targets() {
             target.set_queue_per_slot(queue_per_slot(plan, service));
             target.set_slot_share(slot_share(plan, service));
+            target.set_warmup(warmup(plan, service));
         }
     }
 
@@ -113,3 +121,14 @@
     let configured = service.map(|plan| plan.limit.slot_share);
     configured.unwrap_or(GatePlan::default().slot_share)
 }
+
+/// What a service's target takes while it is cold; `None` when its starts are not paced then.
+pub fn warmup(plan: &SitePlan, service: &ServiceName) -> Option<WarmupPace> {
+    let warmup = plan.services.get(service)?.warmup?;
+    let rate = RateLimit::try_from(warmup.rate_per_s).ok();
+    rate.filter(|rate| rate.per_s() > 0.0)
+        .map(|rate| WarmupPace {
+            rate,
+            duration: warmup.duration,
+        })
+}
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -1,5 +1,7 @@
 //! The shared state of a node's proxy.
 
+mod evacuation_effects;
+mod evacuations;
 mod local_backends;
 mod server_statements;
 
@@ -18,6 +20,7 @@
 use fescueway_telemetry::{SourceRateLimit, events::path};
 use http::HeaderValue;
 
+use self::evacuations::Evacuations;
 use crate::{
     call_table::CallTable,
     edge_profile::EdgeProfile,
@@ -95,6 +98,12 @@
     refused_peers: SourceRateLimit<IpAddr>,
     /// Limits the log lines about changed limits of backend servers.
     limit_changes: SourceRateLimit<ServiceName>,
+    /// Limits the log lines about backend servers that became cold.
+    cold_targets: SourceRateLimit<ServiceName>,
+    /// The evacuated failure domains.
+    evacuations: Evacuations,
+    /// Limits the log lines about services that have targets only in evacuated failure domains.
+    evacuated_services: SourceRateLimit<ServiceName>,
     /// Limits the log lines about invalid statements of backend servers.
     invalid_statements: SourceRateLimit<ServiceName>,
     /// Called for each request.
@@ -138,6 +147,9 @@
             refused_peers: SourceRateLimit::new(&path::PEER_REFUSED),
             limit_changes: SourceRateLimit::new(&path::SERVER_LIMIT_CHANGED),
             invalid_statements: SourceRateLimit::new(&path::SERVER_STATEMENT_INVALID),
+            cold_targets: SourceRateLimit::new(&path::TARGET_COLD),
+            evacuations: Evacuations::default(),
+            evacuated_services: SourceRateLimit::new(&path::SERVICE_EVACUATED),
             request_observer: ObserverSlot::default(),
             load_observer: ObserverSlot::default(),
             leaving_observer: ObserverSlot::default(),
--- a/crates/fescueway_proxy/src/proxy_state/local_backends.rs
+++ b/crates/fescueway_proxy/src/proxy_state/local_backends.rs
@@ -10,7 +10,7 @@
 use crate::{
     backend_announcement::BackendAnnouncement,
     host::HostTarget,
-    local_targets::{queue_per_slot, slot_share},
+    local_targets::{queue_per_slot, slot_share, warmup},
 };
 
 /// The local backend servers.
@@ -46,6 +46,9 @@
             if server.is_named() {
                 known.set_server(server);
             }
+            if let Some(left) = announcement.cold_left {
+                known.learn_cold_report(left);
+            }
             return;
         }
         let service = announcement.service.clone();
@@ -158,14 +161,17 @@
             slot_share: slot_share(&self.plan(), &announcement.service),
             queue_per_slot: queue_per_slot(&self.plan(), &announcement.service),
             ramp_time: ramp_time(announcement),
+            warmup: warmup(&self.plan(), &announcement.service),
         };
-        HostTarget::new(
+        let target = HostTarget::new(
             announcement,
             plan,
             Arc::clone(&self.0.limits),
             self.0.tasks.clone(),
             self.0.clock,
-        )
+        );
+        target.set_evacuated(self.is_evacuated(&self.0.options.domain));
+        target
     }
 
     /// Changes the state in the record of `service`.
@@ -191,7 +197,7 @@
         && (!server.is_named() || known.server().is_same(server))
 }
 
-/// Duration of the target's slow-start ramp: its announced rest of the warm-up, or the default.
+/// Duration of the target's slow-start ramp: the announced one, or the default.
 fn ramp_time(announcement: &BackendAnnouncement) -> Duration {
     let warmup_left = announcement.warmup_left;
     warmup_left.unwrap_or(GatePlan::default().ramp_time)
--- a/crates/fescueway_proxy/src/proxy_state/server_statements.rs
+++ b/crates/fescueway_proxy/src/proxy_state/server_statements.rs
@@ -2,7 +2,9 @@
 
 use std::fmt::Display;
 
-use fescueway_core::{RateLimit, ServerNotice, ServiceName, StatementSource, TargetState};
+use fescueway_core::{
+    MonoTime, RateLimit, ServerNotice, ServiceName, StatementSource, TargetState,
+};
 use fescueway_telemetry::{emit, events::path};
 use http::{HeaderMap, StatusCode};
 
@@ -17,11 +19,12 @@
 
 impl ProxyState {
     /// Applies and logs what an answer of a local backend server, with `status` and `fields`, states
-    /// about the server itself.
+    /// about the server itself. The answer was asked for at `asked_at`.
     pub fn learn_statement(
         &self,
         service: &ServiceName,
         target: &HostTarget,
+        asked_at: MonoTime,
         source: StatementSource,
         status: StatusCode,
         fields: &HeaderMap,
@@ -32,8 +35,11 @@
             // Another backend server is at this address now.
             return;
         }
-        if let Some(statement) = ServerStatement::read(self.profile(), status, fields) {
-            let change = target.learn_statement(source, &statement);
+        if let Some(mut statement) = ServerStatement::read(self.profile(), status, fields) {
+            if !target.is_warmup_paced() {
+                statement.warmup_left = Ok(None);
+            }
+            let change = target.learn_statement(asked_at, source, &statement);
             self.apply_notice_change(service, target, &change);
         }
     }
@@ -66,6 +72,11 @@
             let log_limit = &self.0.invalid_statements;
             log_limit.emit(now, service.clone(), &[service, &address, invalid_field]);
         }
+        if let Some(left) = change.became_cold {
+            let left_ms = left.as_millis();
+            let log_limit = &self.0.cold_targets;
+            log_limit.emit(now, service.clone(), &[service, &address, &left_ms]);
+        }
         if change.is_leaving_new {
             emit(&path::SERVER_LEAVING, &[service, &address]);
             let current = self.host_target(service);
--- a/crates/fescueway_proxy/src/route_table.rs
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -1,7 +1,7 @@
 //! The targets of all services that this entry knows, and their routers.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -43,6 +43,21 @@
     max_retry_tokens: f64,
     /// What the entry knows of backend servers that restrict the requests they get.
     notices: NoticeBoard,
+    /// The evacuated failure domains.
+    evacuated: BTreeSet<DomainName>,
+}
+
+/// What evacuations leave of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EvacuatedCapacity {
+    /// The service.
+    pub service: ServiceName,
+    /// Targets outside the evacuated failure domains.
+    pub targets_left: usize,
+    /// Slots of these targets.
+    pub slots_left: u32,
+    /// Slots of the targets in the evacuated failure domains. Above zero.
+    pub slots_evacuated: u32,
 }
 
 /// One service's router and targets.
@@ -78,6 +93,7 @@
             plans: BTreeMap::new(),
             max_retry_tokens: RoutingPlan::default().max_retry_tokens,
             notices: NoticeBoard::default(),
+            evacuated: BTreeSet::new(),
         }))
     }
 
@@ -92,6 +108,34 @@
         state.apply_plans();
     }
 
+    /// Sets the evacuated failure domains. Their targets are no longer picked.
+    pub fn set_evacuated(&self, now: MonoTime, evacuated: &BTreeSet<DomainName>) {
+        let mut state = self.state();
+        state.evacuated.clone_from(evacuated);
+        for routes in state.services.values_mut() {
+            routes.router.set_evacuated(now, evacuated);
+        }
+    }
+
+    /// What evacuations leave of the services that have targets in evacuated failure domains.
+    #[must_use]
+    pub fn evacuated_capacities(&self) -> Vec<EvacuatedCapacity> {
+        let state = self.state();
+        let services = state.services.iter();
+        let capacities = services.map(|(service, routes)| {
+            let (left, evacuated) = routes.router.split_evacuated();
+            EvacuatedCapacity {
+                service: service.clone(),
+                targets_left: left.len(),
+                slots_left: left.iter().map(|record| record.slots).sum(),
+                slots_evacuated: evacuated.iter().map(|record| record.slots).sum(),
+            }
+        });
+        capacities
+            .filter(|capacity| capacity.slots_evacuated > 0)
+            .collect()
+    }
+
     /// Sets the maximum number of tokens for retries and hedges that each service can save.
     pub fn set_max_retry_tokens(&self, max_retry_tokens: f64) {
         let mut state = self.state();
@@ -283,12 +327,15 @@
             plans,
             domain,
             node,
+            evacuated,
             ..
         } = self;
         services.entry(service.clone()).or_insert_with(|| {
             let plan = plans.get(service).cloned().unwrap_or_default();
+            let mut router = ServiceRouter::new(plan, domain.clone()).with_seed(*node);
+            router.set_evacuated(MonoTime::ZERO, evacuated);
             ServiceRoutes {
-                router: ServiceRouter::new(plan, domain.clone()).with_seed(*node),
+                router,
                 targets: BTreeMap::new(),
             }
         })
--- a/crates/fescueway_proxy/src/server_statement.rs
+++ b/crates/fescueway_proxy/src/server_statement.rs
@@ -1,6 +1,9 @@
 //! What one answer of a backend server states about the server itself.
 
-use std::fmt::{Display, Formatter, Result as FormatResult};
+use std::{
+    fmt::{Display, Formatter, Result as FormatResult},
+    time::Duration,
+};
 
 use fescueway_core::RateLimit;
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -10,6 +13,10 @@
 /// Most characters of an invalid value that are logged.
 const MAX_SHOWN_CHARS: usize = 64;
 
+/// Longest cold time that a backend server may state; a longer one is reduced to it, so that a wrong unit
+/// doesn't slow a target down for hours.
+const MAX_WARMUP_LEFT: Duration = Duration::from_mins(10);
+
 /// What one answer of a backend server states about the server itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerStatement {
@@ -17,6 +24,8 @@
     pub rate_limit: Result<Option<RateLimit>, InvalidField>,
     /// Whether it is leaving.
     pub is_leaving: Result<bool, InvalidField>,
+    /// How long it stays cold, `None` if the answer doesn't state it.
+    pub warmup_left: Result<Option<Duration>, InvalidField>,
 }
 
 /// A header field whose value is not allowed. It states nothing: the server's earlier statement
@@ -34,7 +43,8 @@
     /// expected one, or no field is in use.
     #[must_use]
     pub fn read(profile: &EdgeProfile, status: StatusCode, fields: &HeaderMap) -> Option<Self> {
-        let is_unused = profile.rate_limit.is_none() && profile.leaving.is_none();
+        let names = [&profile.rate_limit, &profile.leaving, &profile.warmup_left];
+        let is_unused = names.iter().all(|name| name.is_none());
         if is_unused || status == StatusCode::MISDIRECTED_REQUEST {
             return None;
         }
@@ -48,6 +58,10 @@
                 .leaving
                 .as_ref()
                 .map_or(Ok(false), |name| read_leaving(values(name))),
+            warmup_left: profile
+                .warmup_left
+                .as_ref()
+                .map_or(Ok(None), |name| read_warmup_left(values(name))),
         })
     }
 
@@ -55,7 +69,9 @@
     #[must_use]
     pub fn invalid_field(&self) -> Option<&InvalidField> {
         let invalid_limit = self.rate_limit.as_ref().err();
-        invalid_limit.or(self.is_leaving.as_ref().err())
+        let invalid_leaving = self.is_leaving.as_ref().err();
+        let invalid_warmup = self.warmup_left.as_ref().err();
+        invalid_limit.or(invalid_leaving).or(invalid_warmup)
     }
 }
 
@@ -116,3 +132,29 @@
     }
     invalid.map_or(Ok(false), Err)
 }
+
+/// The longest of the valid times in milliseconds, `None` without a value.
+///
+/// # Errors
+///
+/// If there are values but none is valid.
+fn read_warmup_left<'a>(
+    values: impl Iterator<Item = &'a HeaderValue>,
+) -> Result<Option<Duration>, InvalidField> {
+    let mut longest: Option<Duration> = None;
+    let mut invalid = None;
+    for value in values {
+        let text = value.to_str().unwrap_or_default().trim();
+        match text.parse::<f64>() {
+            Ok(millis) if millis.is_finite() && millis >= 0.0 => {
+                let seconds = (millis / 1_000.0).min(MAX_WARMUP_LEFT.as_secs_f64());
+                longest = longest.max(Some(Duration::from_secs_f64(seconds)));
+            }
+            _ => invalid = Some(InvalidField::new(value, "not a number of milliseconds")),
+        }
+    }
+    match (longest, invalid) {
+        (None, Some(invalid)) => Err(invalid),
+        (longest, _) => Ok(longest),
+    }
+}
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -1,6 +1,11 @@
 //! Routes the requests of one service from one entry.
 
-use std::{collections::BTreeMap, time::Duration};
+mod evacuation;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use fescueway_core::{
     DomainName, Idempotency, MonoTime, NodeId, OfferCause, Refusal, RefusalReason, RequestTerms,
@@ -65,6 +70,8 @@
     seed: u64,
     /// All targets by host node, including those outside the subset.
     targets: BTreeMap<NodeId, TargetRecord>,
+    /// The evacuated failure domains. Their targets get no offers.
+    evacuated: BTreeSet<DomainName>,
     /// State of the subset's targets. At most `plan.subset_size` entries.
     views: Vec<TargetView>,
     /// Aggregate load of the targets.
@@ -88,6 +95,7 @@
             domain,
             seed: 0,
             targets: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             views: Vec::with_capacity(capacity),
             pool: PoolView::default(),
             refusal_budget: OfferBudget::new(MAX_REFUSAL_TOKENS).with_max_debt(MAX_REFUSAL_DEBT),
@@ -118,16 +126,16 @@
     pub fn set_target(&mut self, now: MonoTime, record: &TargetRecord) {
         self.targets.insert(record.node, record.clone());
         let is_same_domain = record.domain == self.domain;
+        let is_evacuated = self.evacuated.contains(&record.domain);
         if let Some(view) = self.view_mut(record.node) {
             view.set_record(record, is_same_domain);
+            view.is_evacuated = is_evacuated;
             return;
         }
-        if self.views.len() >= self.plan.subset_size && !self.evict_for(record.node, is_same_domain)
-        {
+        if self.views.len() >= self.plan.subset_size && !self.evict_for(record) {
             return;
         }
-        let view = TargetView::new(now, record, is_same_domain, &self.pool);
-        self.views.push(view);
+        self.add_view(now, record);
     }
 
     /// Removes a target. Offers to it that are in flight may end later.
@@ -172,7 +180,8 @@
         };
         let choice = choose_target(&mut self.views, &context, tried, random);
         let Some(choice) = choice else {
-            return PickResult::Refuse(self.refusal(RefusalReason::NoTarget));
+            let reason = self.no_target_reason(now);
+            return PickResult::Refuse(self.refusal(reason));
         };
         self.charge(terms.cause);
         terms.offers_left -= 1;
@@ -236,6 +245,11 @@
 
     /// Records the end of an offer.
     fn end_offer(&mut self, now: MonoTime, node: NodeId, end: OfferEnd) -> Option<EjectionChange> {
+        if let OfferEnd::Refused(refusal) = end
+            && refusal.reason == RefusalReason::DomainEvacuated
+        {
+            self.avoid_domain(now, node);
+        }
         if let OfferEnd::Answered {
             latency,
             is_failure: false,
@@ -311,11 +325,14 @@
         self.views.iter_mut().find(|view| view.node == node)
     }
 
-    /// Evicts the target of highest rank from a full subset if `node` ranks lower. Returns whether
-    /// it did.
-    fn evict_for(&mut self, node: NodeId, is_same_domain: bool) -> bool {
-        let rank = subset_rank(self.seed, node, is_same_domain);
-        let rank_of = |view: &TargetView| subset_rank(self.seed, view.node, view.is_same_domain);
+    /// Evicts the target of highest rank from a full subset if that of `record` ranks lower. Returns
+    /// whether it did.
+    fn evict_for(&mut self, record: &TargetRecord) -> bool {
+        let rank = self.rank(record);
+        let rank_of = |view: &TargetView| {
+            let rank = subset_rank(self.seed, view.node, view.is_same_domain);
+            (view.is_evacuated, rank)
+        };
         let worst = self
             .views
             .iter()
@@ -339,18 +356,29 @@
                 .targets
                 .values()
                 .filter(|record| !views.iter().any(|view| view.node == record.node));
-            let rank_of = |record: &&TargetRecord| {
-                subset_rank(self.seed, record.node, record.domain == self.domain)
-            };
-            let Some(record) = outside.min_by_key(rank_of) else {
+            let Some(record) = outside.min_by_key(|record| self.rank(record)).cloned() else {
                 return;
             };
-            let is_same_domain = record.domain == self.domain;
-            let view = TargetView::new(now, record, is_same_domain, &self.pool);
-            self.views.push(view);
+            self.add_view(now, &record);
         }
     }
 
+    /// Rank of a target for the subset: the lowest ones are in it. Those of evacuated failure domains
+    /// come last.
+    fn rank(&self, record: &TargetRecord) -> (bool, u64) {
+        let is_same_domain = record.domain == self.domain;
+        let rank = subset_rank(self.seed, record.node, is_same_domain);
+        (self.evacuated.contains(&record.domain), rank)
+    }
+
+    /// Adds the view of a target to the subset.
+    fn add_view(&mut self, now: MonoTime, record: &TargetRecord) {
+        let is_same_domain = record.domain == self.domain;
+        let mut view = TargetView::new(now, record, is_same_domain, &self.pool);
+        view.is_evacuated = self.evacuated.contains(&record.domain);
+        self.views.push(view);
+    }
+
     /// A refusal by this entry.
     fn refusal(&self, reason: RefusalReason) -> Refusal {
         Refusal {
--- a/crates/fescueway_routing/src/target_choice.rs
+++ b/crates/fescueway_routing/src/target_choice.rs
@@ -28,7 +28,7 @@
     pub(crate) runner_up_score_us: Option<f64>,
 }
 
-/// Compares the targets that are neither draining nor in `tried`. Ejected targets are candidates
+/// Compares the targets that are neither draining, in an evacuated failure domain, nor in `tried`. Ejected targets are candidates
 /// only when most are ejected or none is reachable.
 pub(crate) fn choose_target(
     views: &mut [TargetView],
@@ -38,7 +38,9 @@
 ) -> Option<TargetChoice> {
     let mut reachable = 0_usize;
     let mut eligible = 0_usize;
-    for view in views.iter_mut().filter(|view| !view.is_draining) {
+    let now = context.now;
+    let is_open = |view: &TargetView| !view.is_draining && !view.is_excluded(now);
+    for view in views.iter_mut().filter(|view| is_open(view)) {
         if !view.is_eligible() {
             view.tick(context.now);
         }
@@ -49,7 +51,7 @@
     let is_candidate = |view: &TargetView| {
         // Unreachable targets are used only if no target is reachable.
         let is_allowed = view.is_eligible() || (is_panic && view.is_reachable()) || reachable == 0;
-        !view.is_draining && !tried.contains(&view.node) && is_allowed
+        is_open(view) && !tried.contains(&view.node) && is_allowed
     };
     let start = random.next_u32() as usize % views.len().max(1);
     // A random starting point breaks ties at random and samples large subsets.
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -132,6 +132,45 @@
     advice: "Nothing, unless there are many: look for a device on the way that drops connections without a reset.",
 };
 
+/// A backend server became cold. Logged once a second for each service.
+pub const TARGET_COLD: EventKind = EventKind {
+    number: 1030,
+    level: Level::Info,
+    summary: "a backend server became cold; its requests are paced",
+    fields: &["service", "address", "left_ms", "suppressed"],
+    advice: "Nothing, unless it repeats: then find out why it restarts or loses its caches. Requests above the warm-up \
+             rate go to other targets; E1121 with the reason `rate-limited` tells which offers were refused for it.",
+};
+
+/// The set of evacuated failure domains changed.
+pub const EVACUATION_CHANGED: EventKind = EventKind {
+    number: 1031,
+    level: Level::Warn,
+    summary: "the evacuated failure domains changed; nothing is sent to their targets",
+    fields: &["domains"],
+    advice: "Nothing if operators requested it; an empty list ends the evacuation. `fescueway status` shows the list, \
+             and docs/OPERATIONS.md how to end an evacuation.",
+};
+
+/// How much of a service remains beside the evacuated failure domains. Logged for each service when the
+/// domains change.
+pub const EVACUATION_CAPACITY: EventKind = EventKind {
+    number: 1032,
+    level: Level::Warn,
+    summary: "capacity of a service that an evacuation leaves",
+    fields: &["service", "targets_left", "slots_left", "slots_evacuated"],
+    advice: "Compare the slots left with those in use. What they can't serve is refused at once, as not run.",
+};
+
+/// All targets of a service are in evacuated failure domains. Logged once a second for each service.
+pub const SERVICE_EVACUATED: EventKind = EventKind {
+    number: 1033,
+    level: Level::Error,
+    summary: "an evacuation leaves a service without a target; its requests are refused",
+    fields: &["service", "suppressed"],
+    advice: "End the evacuation of one of the failure domains, or start targets of the service in another one.",
+};
+
 /// Every event of this area.
 pub const ALL: &[&EventKind] = &[
     &ACCEPT_FAILED,
@@ -147,4 +186,8 @@
     &SERVER_LEAVING,
     &REPORT_NOT_ACKNOWLEDGED,
     &PEER_SILENT,
+    &TARGET_COLD,
+    &EVACUATION_CHANGED,
+    &EVACUATION_CAPACITY,
+    &SERVICE_EVACUATED,
 ];
--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -243,6 +243,7 @@
             identity: None,
             born_ms: 0,
             warmup_left: None,
+            cold_left: None,
         })
     }
 }
--- a/crates/fescuewayd/src/backend_query.rs
+++ b/crates/fescuewayd/src/backend_query.rs
@@ -1,9 +1,9 @@
 //! Queries a backend server for its health and load.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Instant};
 
 use eyre::Result;
-use fescueway_core::{ServiceName, StatementSource};
+use fescueway_core::{MonoTime, ServiceName, StatementSource};
 use fescueway_proxy::{HostTarget, ProxyState};
 use http::{HeaderMap, Request, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Empty};
@@ -21,13 +21,19 @@
     pub status: StatusCode,
     /// Header fields.
     pub headers: HeaderMap,
+    /// When the query was sent.
+    pub asked_at: Instant,
 }
 
 impl QueryAnswer {
     /// Applies what the backend server of `target` states about itself in this response.
     pub fn apply_statement(&self, proxy: &ProxyState, service: &ServiceName, target: &HostTarget) {
         let source = StatementSource::Query;
-        proxy.learn_statement(service, target, source, self.status, &self.headers);
+        let age_us = self.asked_at.elapsed().as_micros() as u64;
+        let asked_us = proxy.now().as_micros().saturating_sub(age_us);
+        let asked_at = MonoTime::from_micros(asked_us);
+        let (status, fields) = (self.status, &self.headers);
+        proxy.learn_statement(service, target, asked_at, source, status, fields);
     }
 }
 
@@ -62,6 +68,7 @@
         let request = Request::get(path)
             .header(HOST, self.address.to_string())
             .body(Empty::<Bytes>::new())?;
+        let asked_at = Instant::now();
         let response = sender.send_request(request).await?;
         let (parts, body) = response.into_parts();
         body.collect().await?;
@@ -69,6 +76,7 @@
         Ok(QueryAnswer {
             status: parts.status,
             headers: parts.headers,
+            asked_at,
         })
     }
 
