--- a/crates/fescueway/src/commands/status.rs
+++ b/crates/fescueway/src/commands/status.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, fmt::Write, net::SocketAddr};
 
+use fescueway_core::DomainName;
 use fescueway_rollout::{ConfigHead, driver};
 use fescueway_telemetry::NodeStatus;
 use serde::Serialize;
@@ -156,10 +157,35 @@
             // Writing to a string can't fail.
             let _ = writeln!(text, "{}: {error}", answer.address);
         }
+        for note in answer.status.iter().flat_map(target_notes) {
+            // Writing to a string can't fail.
+            let _ = writeln!(text, "{}: {note}", answer.address);
+        }
     }
     text
 }
 
+/// What restricts the requests that targets get, as the node knows it: cold targets beside it and
+/// evacuated failure domains.
+fn target_notes(status: &NodeStatus) -> Vec<String> {
+    let cold_targets = status.cold_targets.iter();
+    let mut notes: Vec<_> = cold_targets
+        .map(|target| {
+            let (service, left_ms) = (&target.service, target.left_ms);
+            format!("the target of {service} is cold for {left_ms} ms more")
+        })
+        .collect();
+    if !status.evacuated.is_empty() {
+        let domains = status.evacuated.iter();
+        let domains: Vec<_> = domains.map(DomainName::as_str).collect();
+        notes.push(format!(
+            "nothing is sent to targets of the evacuated domains {}",
+            domains.join(", ")
+        ));
+    }
+    notes
+}
+
 /// The table row of one node.
 fn node_row(answer: &NodeAnswer) -> Vec<String> {
     let address = answer.address.to_string();
@@ -180,6 +206,10 @@
     };
     let state = if status.is_draining {
         "draining"
+    } else if status.evacuated.contains(&status.domain) {
+        "evacuated"
+    } else if !status.cold_targets.is_empty() {
+        "cold"
     } else {
         "serving"
     };
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -77,10 +77,9 @@
 pub struct GateCounts {
     /// Requests that the gate started.
     pub starts: u64,
-    /// Offers that it refused because the backend server's rate limit was reached, or the rate of a
-    /// cold one.
+    /// Offers that it refused because the backend server's rate limit was reached.
     pub rate_limited: u64,
-    /// The offers of `rate_limited` that were refused while the backend server was cold.
+    /// Offers that it refused because the warm-up rate of a cold backend server was reached.
     pub cold_limited: u64,
     /// Offers that it refused because the failure domain is evacuated.
     pub evacuated: u64,
--- a/crates/fescueway_admission/src/target_gate/waiting.rs
+++ b/crates/fescueway_admission/src/target_gate/waiting.rs
@@ -64,7 +64,7 @@
         }
         if wait + self.wait_margin(now, terms) > terms.time_left {
             let reason = self.wait_reason(now, wait, RefusalReason::DeadlineTooShort);
-            return self.refuse(now, reason, wait);
+            return self.refuse(reason, wait);
         }
         let is_full = if will_be_late {
             late_count < self.queue.len() || late_count >= self.late_capacity()
@@ -73,7 +73,7 @@
         };
         if is_full || wait > terms.wait_limit {
             let reason = self.wait_reason(now, wait, RefusalReason::QueueFull);
-            return self.refuse(now, reason, wait);
+            return self.refuse(reason, wait);
         }
         self.queue.push(offer);
         GateResult::Wait
@@ -129,11 +129,15 @@
         slot_wait.max(self.pace_wait(now, offers_ahead))
     }
 
-    /// The reason for a refusal after an expected wait of `wait`: the rate limit if it causes that
-    /// wait, else `reason`.
+    /// The reason for a refusal after an expected wait of `wait`: the rate limit or the cold time if it
+    /// causes that wait, else `reason`.
     fn wait_reason(&self, now: MonoTime, wait: Duration, reason: RefusalReason) -> RefusalReason {
-        let has_token = self.pacer.has_token(now) && self.warmup.has_token(now);
-        if !has_token && self.pace_wait(now, self.queue.len()) >= wait {
+        let ahead = self.queue.len();
+        let limit_wait = self.pacer.wait(now, ahead);
+        let cold_wait = self.warmup.wait(now, ahead);
+        if !self.warmup.has_token(now) && cold_wait >= wait.max(limit_wait) {
+            RefusalReason::TargetCold
+        } else if !self.pacer.has_token(now) && limit_wait >= wait {
             RefusalReason::RateLimited
         } else {
             reason
@@ -141,12 +145,17 @@
     }
 
     /// Refuses an offer after an expected wait of `wait`.
-    fn refuse(&mut self, now: MonoTime, reason: RefusalReason, wait: Duration) -> GateResult {
-        if reason == RefusalReason::RateLimited {
-            self.counts.rate_limited += 1;
-            self.counts.cold_limited += u64::from(self.warmup.is_cold(now));
-            self.pacer.record_refusal();
-            self.warmup.record_refusal();
+    fn refuse(&mut self, reason: RefusalReason, wait: Duration) -> GateResult {
+        match reason {
+            RefusalReason::RateLimited => {
+                self.counts.rate_limited += 1;
+                self.pacer.record_refusal();
+            }
+            RefusalReason::TargetCold => {
+                self.counts.cold_limited += 1;
+                self.warmup.record_refusal();
+            }
+            _ => {}
         }
         GateResult::Refuse(Self::refusal(reason, wait))
     }
--- a/crates/fescueway_admission/tests/cold_target.rs
+++ b/crates/fescueway_admission/tests/cold_target.rs
@@ -237,10 +237,12 @@
     assert!((40..=50).contains(&cold), "{cold} starts in 3 s at 15/s");
     let warm = replay.starts_between(at(5_000), at(8_000));
     assert!(warm >= 175, "{warm} starts in 3 s after the cold time");
-    let limited = |reason: &&RefusalReason| **reason == RefusalReason::RateLimited;
-    assert!(replay.refusals.iter().filter(limited).count() > 60);
+    let refused = replay.refusals.iter();
+    let refused = refused.filter(|reason| **reason == RefusalReason::TargetCold);
     let counts = replay.gate.counts();
-    assert!(counts.cold_limited > 60 && counts.cold_limited <= counts.rate_limited);
+    assert_eq!(counts.cold_limited, refused.count() as u64);
+    assert!(counts.cold_limited > 60, "{counts:?}");
+    assert_eq!(counts.rate_limited, 0);
 }
 
 /// Guards against a pace that is only set by an announcement: targets become cold at any time.
--- a/crates/fescueway_core/src/refusal.rs
+++ b/crates/fescueway_core/src/refusal.rs
@@ -42,6 +42,8 @@
     KeyUnproven,
     /// The failure domain of the target is evacuated.
     DomainEvacuated,
+    /// The target is cold, or may be, and its warm-up rate is reached.
+    TargetCold,
 }
 
 impl RefusalReason {
@@ -66,6 +68,7 @@
             Self::AllotmentSpent => "allotment-spent",
             Self::KeyUnproven => "key-unproven",
             Self::DomainEvacuated => "domain-evacuated",
+            Self::TargetCold => "target-cold",
         }
     }
 }
--- a/crates/fescueway_proxy/src/host/host_target/notices.rs
+++ b/crates/fescueway_proxy/src/host/host_target/notices.rs
@@ -77,7 +77,7 @@
     }
 
     /// Applies `change` to the gate and returns how it changed what is known of the backend server.
-    fn change_notice(
+    pub(super) fn change_notice(
         &self,
         change: impl FnOnce(&mut TargetGate, MonoTime) -> Vec<GateAction>,
     ) -> NoticeChange {
--- a/crates/fescueway_proxy/src/host/host_target/warmup.rs
+++ b/crates/fescueway_proxy/src/host/host_target/warmup.rs
@@ -4,7 +4,7 @@
 
 use fescueway_admission::WarmupPace;
 
-use super::HostTarget;
+use super::{HostTarget, NoticeChange};
 
 impl HostTarget {
     /// Changes what the target takes while it is cold; `None` when its starts are not paced then.
@@ -18,11 +18,12 @@
         self.state().gate.is_warmup_paced()
     }
 
-    /// Records the cold time that a report of the backend server states.
-    pub(crate) fn learn_cold_report(&self, left: Duration) {
-        self.state().gate.learn_cold_report(self.clock.now(), left);
-        self.wake.notify_one();
-        self.load_query_change.notify_one();
+    /// Records the cold time that a report of the backend server states. Returns what changed by that.
+    pub(crate) fn learn_cold_report(&self, left: Duration) -> NoticeChange {
+        self.change_notice(|gate, now| {
+            gate.learn_cold_report(now, left);
+            Vec::new()
+        })
     }
 
     /// Time until the backend server is warm, as far as is known; zero when its starts are not paced.
--- a/crates/fescueway_proxy/src/proxy_state/evacuation_effects.rs
+++ b/crates/fescueway_proxy/src/proxy_state/evacuation_effects.rs
@@ -15,7 +15,7 @@
         self.0.targets.set_evacuated(is_evacuated);
         self.0.routes.set_evacuated(self.now(), domains);
         let names: Vec<_> = domains.iter().map(ToString::to_string).collect();
-        emit(&path::EVACUATION_CHANGED, &[&names.join(",")]);
+        emit(&path::EVACUATION_CHANGED, &[&self.node(), &names.join(",")]);
         for capacity in self.0.routes.evacuated_capacities() {
             emit(
                 &path::EVACUATION_CAPACITY,
@@ -35,6 +35,6 @@
     /// Logs that all targets of a service are in evacuated failure domains.
     pub(crate) fn log_evacuated_service(&self, service: &ServiceName) {
         let log_limit = &self.0.evacuated_services;
-        log_limit.emit(self.now(), service.clone(), &[service]);
+        log_limit.emit(self.now(), service.clone(), &[&self.node(), service]);
     }
 }
--- a/crates/fescueway_proxy/src/proxy_state/local_backends.rs
+++ b/crates/fescueway_proxy/src/proxy_state/local_backends.rs
@@ -47,7 +47,8 @@
                 known.set_server(server);
             }
             if let Some(left) = announcement.cold_left {
-                known.learn_cold_report(left);
+                let change = known.learn_cold_report(left);
+                self.apply_notice_change(&announcement.service, known, &change);
             }
             return;
         }
--- a/crates/fescueway_proxy/src/proxy_state/server_statements.rs
+++ b/crates/fescueway_proxy/src/proxy_state/server_statements.rs
@@ -56,7 +56,7 @@
     }
 
     /// Logs what changed, and announces that a backend server is leaving.
-    fn apply_notice_change(
+    pub(super) fn apply_notice_change(
         &self,
         service: &ServiceName,
         target: &HostTarget,
@@ -74,8 +74,8 @@
         }
         if let Some(left) = change.became_cold {
             let left_ms = left.as_millis();
-            let log_limit = &self.0.cold_targets;
-            log_limit.emit(now, service.clone(), &[service, &address, &left_ms]);
+            let values: [&dyn Display; 4] = [&self.node(), service, &address, &left_ms];
+            self.0.cold_targets.emit(now, service.clone(), &values);
         }
         if change.is_leaving_new {
             emit(&path::SERVER_LEAVING, &[service, &address]);
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -137,9 +137,9 @@
     number: 1030,
     level: Level::Info,
     summary: "a backend server became cold; its requests are paced",
-    fields: &["service", "address", "left_ms", "suppressed"],
+    fields: &["node", "service", "address", "left_ms", "suppressed"],
     advice: "Nothing, unless it repeats: then find out why it restarts or loses its caches. Requests above the warm-up \
-             rate go to other targets; E1121 with the reason `rate-limited` tells which offers were refused for it.",
+             rate go to other targets; E1121 with the reason `target-cold` tells which offers were refused for it.",
 };
 
 /// The set of evacuated failure domains changed.
@@ -147,7 +147,7 @@
     number: 1031,
     level: Level::Warn,
     summary: "the evacuated failure domains changed; nothing is sent to their targets",
-    fields: &["domains"],
+    fields: &["node", "domains"],
     advice: "Nothing if operators requested it; an empty list ends the evacuation. `fescueway status` shows the list, \
              and docs/OPERATIONS.md how to end an evacuation.",
 };
@@ -167,7 +167,7 @@
     number: 1033,
     level: Level::Error,
     summary: "an evacuation leaves a service without a target; its requests are refused",
-    fields: &["service", "suppressed"],
+    fields: &["node", "service", "suppressed"],
     advice: "End the evacuation of one of the failure domains, or start targets of the service in another one.",
 };
 
--- a/crates/fescueway_telemetry/src/lib.rs
+++ b/crates/fescueway_telemetry/src/lib.rs
@@ -36,7 +36,7 @@
     log_config::{LogConfig, LogFormat},
     log_queue::LogQueue,
     metric_set::{MetricError, MetricSet, NodeGauges, NodeTotals, StoreCalls},
-    node_status::{NodeStatus, StoreState, TargetList, TargetStatus},
+    node_status::{ColdTarget, NodeStatus, StoreState, TargetList, TargetStatus},
     request_end::{RequestEnd, RouteResult},
     service_metrics::{ServiceLoad, ServiceMetrics},
     source_rate_limit::SourceRateLimit,
--- a/crates/fescueway_telemetry/src/metric_set.rs
+++ b/crates/fescueway_telemetry/src/metric_set.rs
@@ -61,6 +61,8 @@
     pub nodes: u64,
     /// Number of known targets.
     pub targets: u64,
+    /// Number of evacuated failure domains.
+    pub evacuated_domains: u64,
 }
 
 /// Totals that the callbacks of the observable counters read.
@@ -84,6 +86,8 @@
     config_age: Gauge<f64>,
     /// Number of nodes known to be up.
     known_nodes: Gauge<u64>,
+    /// Evacuated failure domains.
+    evacuated_domains: Gauge<u64>,
     /// Number of known targets.
     known_targets: Gauge<u64>,
 }
@@ -131,6 +135,11 @@
                 .with_unit("s")
                 .build(),
             known_nodes: gauge(&meter, "fescueway.nodes", "Nodes known to be up."),
+            evacuated_domains: gauge(
+                &meter,
+                "fescueway.evacuated.domains",
+                "Failure domains to whose targets nothing is sent.",
+            ),
             known_targets: gauge(&meter, "fescueway.targets", "Targets known."),
             _provider: provider,
         })
@@ -156,6 +165,7 @@
         self.config_revision.record(gauges.config_revision, &[]);
         self.config_age.record(gauges.config_age_s, &[]);
         self.known_nodes.record(gauges.nodes, &[]);
+        self.evacuated_domains.record(gauges.evacuated_domains, &[]);
         self.known_targets.record(gauges.targets, &[]);
     }
 
--- a/crates/fescueway_telemetry/src/node_status.rs
+++ b/crates/fescueway_telemetry/src/node_status.rs
@@ -1,6 +1,6 @@
 //! Status of a node for operators, as JSON over HTTP.
 
-use fescueway_core::{DomainName, LoadReport, SiteName, TargetRecord};
+use fescueway_core::{DomainName, LoadReport, ServiceName, SiteName, TargetRecord};
 use serde::{Deserialize, Serialize};
 
 /// Whether a node reaches the platform's store.
@@ -62,6 +62,21 @@
     /// there now. Nodes of earlier versions don't report it.
     #[serde(default)]
     pub unsettled_partitions: u32,
+    /// The targets beside the node that are cold, as far as it knows.
+    #[serde(default)]
+    pub cold_targets: Vec<ColdTarget>,
+    /// The failure domains that it knows to be evacuated.
+    #[serde(default)]
+    pub evacuated: Vec<DomainName>,
+}
+
+/// A target that is cold. Its host paces its requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ColdTarget {
+    /// The service.
+    pub service: ServiceName,
+    /// Time until it is warm, in milliseconds.
+    pub left_ms: u64,
 }
 
 /// One target as a node sees it.
--- a/crates/fescueway_telemetry/src/service_metrics.rs
+++ b/crates/fescueway_telemetry/src/service_metrics.rs
@@ -56,6 +56,9 @@
     leaving: Gauge<u64>,
     starts: Counter<u64>,
     rate_limited: Counter<u64>,
+    cold_limited: Counter<u64>,
+    evacuation_refused: Counter<u64>,
+    cold_left: Gauge<f64>,
 }
 
 /// Load and token gauges of a service at a node.
@@ -69,6 +72,12 @@
     pub starts: u64,
     /// Offers that the host refused since then because of the backend server's rate limit.
     pub rate_limited: u64,
+    /// Offers that the host refused since then because the backend server is cold.
+    pub cold_limited: u64,
+    /// Offers that the host refused since then because its failure domain is evacuated.
+    pub evacuated: u64,
+    /// Time until the backend server is warm; `None` if the service has no warm-up rate.
+    pub cold_left: Option<Duration>,
     /// Retries and hedges that the retry budget of this entry allows now.
     pub retry_tokens: f64,
     /// Further offers after refusals that the budget of this entry allows now; below zero when overdrawn.
@@ -160,6 +169,18 @@
                 .u64_counter("fescueway.target.rate.limited")
                 .with_description("Offers refused here for the rate limit of the backend server.")
                 .build(),
+            cold_limited: meter
+                .u64_counter("fescueway.target.cold.limited")
+                .with_description("Offers refused here since the backend server is cold.")
+                .build(),
+            evacuation_refused: meter
+                .u64_counter("fescueway.target.evacuation.refused")
+                .with_description("Offers refused here since the failure domain is evacuated.")
+                .build(),
+            cold_left: float_gauge(
+                "fescueway.target.cold.left",
+                "Seconds until the backend server is warm; zero when it is.",
+            ),
             leaving: gauge(
                 "fescueway.target.leaving",
                 "Whether the backend server stated that it is leaving.",
@@ -206,8 +227,13 @@
     notice: OnceLock<NoticeGauges>,
     starts: BoundCounter<u64>,
     rate_limited: BoundCounter<u64>,
-    /// The counts that were last added, of starts and of offers refused for a rate limit.
-    counted: Mutex<(u64, u64)>,
+    cold_limited: BoundCounter<u64>,
+    evacuation_refused: BoundCounter<u64>,
+    /// Bound when first recorded, so that a service without a warm-up rate has no such metric.
+    cold_left: OnceLock<BoundGauge<f64>>,
+    /// The counts that were last added: those of `starts`, `rate_limited`, `cold_limited` and
+    /// `evacuation_refused`.
+    counted: Mutex<[u64; 4]>,
 }
 
 /// Gauges of what a backend server states about itself.
@@ -255,6 +281,9 @@
             notice: OnceLock::new(),
             starts: instruments.starts.bind(&labels),
             rate_limited: instruments.rate_limited.bind(&labels),
+            cold_limited: instruments.cold_limited.bind(&labels),
+            evacuation_refused: instruments.evacuation_refused.bind(&labels),
+            cold_left: OnceLock::new(),
             counted: Mutex::default(),
             label,
             instruments,
@@ -346,12 +375,24 @@
     }
 
     /// Adds what was counted since the last call. Counts begin at zero with each target.
-    fn add_counts(&self, starts: u64, rate_limited: u64) {
+    fn add_counts(&self, load: &ServiceLoad) {
+        let counts = [
+            load.starts,
+            load.rate_limited,
+            load.cold_limited,
+            load.evacuated,
+        ];
+        let counters = [
+            &self.starts,
+            &self.rate_limited,
+            &self.cold_limited,
+            &self.evacuation_refused,
+        ];
         let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
-        let added = |count: u64, before: u64| count.checked_sub(before).unwrap_or(count);
-        self.starts.add(added(starts, counted.0));
-        self.rate_limited.add(added(rate_limited, counted.1));
-        *counted = (starts, rate_limited);
+        for (counter, (count, before)) in counters.iter().zip(counts.iter().zip(*counted)) {
+            counter.add(count.checked_sub(before).unwrap_or(*count));
+        }
+        *counted = counts;
     }
 
     /// Sets the gauges of what the backend server states about itself.
@@ -376,7 +417,13 @@
             if let Some(notice) = report.notice {
                 self.set_notice(&notice);
             }
-            self.add_counts(load.starts, load.rate_limited);
+            if let Some(cold_left) = load.cold_left {
+                let labels = [self.label.clone()];
+                let bind = || self.instruments.cold_left.bind(&labels);
+                let gauge = self.cold_left.get_or_init(bind);
+                gauge.record(cold_left.as_secs_f64());
+            }
+            self.add_counts(load);
         }
         self.retry_tokens.record(load.retry_tokens);
         self.refusal_tokens.record(load.refusal_tokens);
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -40,6 +40,9 @@
         slots: 9,
         starts: 12,
         rate_limited: 3,
+        cold_limited: 8,
+        evacuated: 2,
+        cold_left: Some(Duration::from_millis(1_500)),
         retry_tokens: 2.5,
         refusal_tokens: -1.0,
     });
@@ -48,6 +51,7 @@
         config_age_s: 1.5,
         nodes: 3,
         targets: 5,
+        evacuated_domains: 1,
     });
     set.set_totals(NodeTotals {
         gossip_sent_bytes: 1_200,
@@ -83,6 +87,10 @@
         r#"fescueway_target_leaving{service="bands"} 1"#,
         r#"fescueway_target_starts_total{service="bands"} 12"#,
         r#"fescueway_target_rate_limited_total{service="bands"} 3"#,
+        r#"fescueway_target_cold_limited_total{service="bands"} 8"#,
+        r#"fescueway_target_evacuation_refused_total{service="bands"} 2"#,
+        r#"fescueway_target_cold_left{service="bands"} 1.5"#,
+        "fescueway_evacuated_domains 1",
         r#"fescueway_retry_tokens{service="bands"} 2.5"#,
         r#"fescueway_refusal_tokens{service="bands"} -1"#,
         "fescueway_config_age_seconds 1.5",
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -123,11 +123,19 @@
             let (retry_tokens, refusal_tokens) = state.routes().tokens(service).unwrap_or_default();
             let counts = target.as_ref().map(|target| target.counts());
             let counts = counts.unwrap_or_default();
+            let has_warmup = plan
+                .services
+                .get(service)
+                .is_some_and(|plan| plan.warmup.is_some());
+            let cold_left = target.as_ref().filter(|_| has_warmup);
             metrics.set_load(&ServiceLoad {
-                report: target.map(|target| target.report()),
+                report: target.as_ref().map(|target| target.report()),
                 slots: state.announced_slots(service),
                 starts: counts.starts,
                 rate_limited: counts.rate_limited,
+                cold_limited: counts.cold_limited,
+                evacuated: counts.evacuated,
+                cold_left: cold_left.map(|target| target.cold_left()),
                 retry_tokens,
                 refusal_tokens,
             });
@@ -137,6 +145,7 @@
             config_age_s: state.now().since(facts.in_force_at).as_secs_f64(),
             nodes: facts.peers.into(),
             targets: state.routes().target_count() as u64,
+            evacuated_domains: state.evacuated().len() as u64,
         });
         let calls = self.sources.store.get().map(StoreClient::counts);
         let calls = calls.into_iter().flatten().map(|count| StoreCalls {
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use fescueway_proxy::ProxyState;
-use fescueway_telemetry::{NodeStatus, TargetList, TargetStatus, emit, events::operator};
+use fescueway_telemetry::{
+    ColdTarget, NodeStatus, TargetList, TargetStatus, emit, events::operator,
+};
 use http::{Method, StatusCode};
 use tokio::time::{Instant, sleep};
 
@@ -119,9 +121,22 @@
                 .claims
                 .as_ref()
                 .map_or(0, ClaimTask::unsettled_partitions),
+            cold_targets: self.cold_targets(),
+            evacuated: self.state.evacuated().into_iter().collect(),
         }
     }
 
+    /// The cold targets beside the node.
+    fn cold_targets(&self) -> Vec<ColdTarget> {
+        let services = self.state.local_services().into_iter();
+        let targets = services.filter_map(|service| {
+            let left = self.state.host_target(&service)?.cold_left();
+            let left_ms = left.as_millis() as u64;
+            (left_ms > 0).then_some(ColdTarget { service, left_ms })
+        });
+        targets.collect()
+    }
+
     /// All targets that the node knows.
     fn targets(&self) -> TargetList {
         let views = self.state.routes().targets().into_iter();
