--- a/crates/fescueway/src/command_spec.rs
+++ b/crates/fescueway/src/command_spec.rs
@@ -103,7 +103,8 @@
         name: "status",
         arguments: "",
         summary: "Show what is in force, and the nodes that lag",
-        details: "With --store for the fleet, with --node for single nodes, or both.",
+        details: "With --store for the fleet, with --node for single nodes, or both. Below the nodes it names\n\
+                  cold targets and evacuated failure domains.",
         options: &[CliOption::Store, CliOption::Node, CliOption::Json],
     },
     CommandSpec {
