--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -1,5 +1,6 @@
 //! Admission gate of one target.
 
+mod draining;
 mod evacuation;
 mod statements;
 mod waiting;
@@ -30,9 +31,6 @@
 /// Longest retry delay given to a refused caller.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
-/// Retry delay given by a draining target.
-const DRAIN_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Identifies one offer at one gate.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct TicketId(pub u64);
@@ -257,37 +255,6 @@
         self.warmup.begin_query(now);
     }
 
-    /// Starts draining: refuses waiting and new offers and lets the running requests finish.
-    pub fn drain(&mut self, _now: MonoTime) -> Vec<GateAction> {
-        self.is_draining = true;
-        self.refuse_waiting(Self::draining_refusal())
-    }
-
-    /// Refuses all waiting offers.
-    fn refuse_waiting(&mut self, refusal: Refusal) -> Vec<GateAction> {
-        let mut actions = Vec::with_capacity(self.queue.len());
-        while let Some(offer) = self.queue.pop() {
-            actions.push(GateAction::Refuse(offer.ticket, refusal));
-        }
-        actions
-    }
-
-    /// Ends draining, so that offers are accepted again. A named backend server can't revoke that it
-    /// is leaving; one without a name can't be told from its successor, so the call speaks for the
-    /// current one.
-    pub fn undrain(&mut self, _now: MonoTime) {
-        self.is_draining = false;
-        if !self.notices.server().is_named() {
-            self.notices.forget_leaving();
-        }
-    }
-
-    /// Whether the target is draining or its backend server stated that it is leaving.
-    #[must_use]
-    pub fn is_draining(&self) -> bool {
-        self.is_draining || self.notices.is_leaving()
-    }
-
     /// Records a load report of the backend server.
     pub fn learn_load(&mut self, now: MonoTime, load: &ServerLoad) -> Vec<GateAction> {
         if let Some(permille) = load.work_permille {
@@ -398,14 +365,6 @@
         (f64::from(plan.slots) * plan.queue_per_slot).ceil() as usize
     }
 
-    /// Refusal given while the target drains.
-    fn draining_refusal() -> Refusal {
-        Refusal {
-            reason: RefusalReason::Draining,
-            retry_after: DRAIN_RETRY_AFTER,
-        }
-    }
-
     /// Refusal with a retry delay of twice the expected wait, from [`MIN_RETRY_AFTER`] to
     /// [`MAX_RETRY_AFTER`].
     fn refusal(reason: RefusalReason, wait: Duration) -> Refusal {
--- a/crates/fescueway_proxy/src/proxy_state/evacuations.rs
+++ b/crates/fescueway_proxy/src/proxy_state/evacuations.rs
@@ -35,9 +35,9 @@
             return;
         }
         let is_any = !domains.is_empty();
-        evacuations.set(domains.clone());
+        evacuations.set(domains);
         evacuations.is_any.store(is_any, Ordering::Relaxed);
-        self.apply_evacuations(&domains);
+        self.apply_evacuations(&self.evacuated());
     }
 
     /// Whether a failure domain is evacuated.
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -127,9 +127,14 @@
         self.targets.insert(record.node, record.clone());
         let is_same_domain = record.domain == self.domain;
         let is_evacuated = self.evacuated.contains(&record.domain);
-        if let Some(view) = self.view_mut(record.node) {
+        let mut views = self.views.iter_mut();
+        if let Some(view) = views.find(|view| view.node == record.node) {
             view.set_record(record, is_same_domain);
-            view.is_evacuated = is_evacuated;
+            if is_evacuated {
+                view.begin_evacuation();
+            } else if view.is_evacuated() {
+                view.end_evacuation(now, record.slots, &self.pool);
+            }
             return;
         }
         if self.views.len() >= self.plan.subset_size && !self.evict_for(record) {
@@ -331,7 +336,7 @@
         let rank = self.rank(record);
         let rank_of = |view: &TargetView| {
             let rank = subset_rank(self.seed, view.node, view.is_same_domain);
-            (view.is_evacuated, rank)
+            (view.is_evacuated(), rank)
         };
         let worst = self
             .views
@@ -375,7 +380,9 @@
     fn add_view(&mut self, now: MonoTime, record: &TargetRecord) {
         let is_same_domain = record.domain == self.domain;
         let mut view = TargetView::new(now, record, is_same_domain, &self.pool);
-        view.is_evacuated = self.evacuated.contains(&record.domain);
+        if self.evacuated.contains(&record.domain) {
+            view.begin_evacuation();
+        }
         self.views.push(view);
     }
 
--- a/crates/fescueway_routing/src/service_router/evacuation.rs
+++ b/crates/fescueway_routing/src/service_router/evacuation.rs
@@ -25,8 +25,8 @@
                 continue;
             };
             if evacuated.contains(&record.domain) {
-                view.is_evacuated = true;
-            } else if view.is_evacuated {
+                view.begin_evacuation();
+            } else if view.is_evacuated() {
                 view.end_evacuation(now, record.slots, pool);
             }
         }
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -77,10 +77,9 @@
     pub(crate) is_same_domain: bool,
     /// Whether the target is known to be draining.
     pub(crate) is_draining: bool,
-    /// Whether its failure domain is evacuated.
-    pub(crate) is_evacuated: bool,
-    /// Until when it gets no offers because a host of its failure domain refused one as evacuated.
-    avoided_until: MonoTime,
+    /// Until when it gets no offers: [`MonoTime::NEVER`] while its failure domain is evacuated, or a
+    /// moment after a host of that domain refused an offer as evacuated.
+    excluded_until: MonoTime,
     /// Offers of this entry in flight at the target.
     pub(crate) open_offers: u32,
     /// When this entry last made an offer.
@@ -132,8 +131,7 @@
             node: record.node,
             is_same_domain,
             is_draining: record.state == TargetState::Draining,
-            is_evacuated: false,
-            avoided_until: MonoTime::ZERO,
+            excluded_until: MonoTime::ZERO,
             open_offers: 0,
             offered_at: MonoTime::ZERO,
             offer_pause: Duration::ZERO,
@@ -157,11 +155,21 @@
         self.is_draining = record.state == TargetState::Draining;
     }
 
-    /// Forgets what was reported before an evacuation. The target is assumed to offer as much as one that
-    /// starts, so that entries with old views don't all choose it at once.
+    /// Whether the failure domain of the target is evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.excluded_until == MonoTime::NEVER
+    }
+
+    /// Begins the evacuation of the target's failure domain.
+    pub(crate) fn begin_evacuation(&mut self) {
+        self.excluded_until = MonoTime::NEVER;
+    }
+
+    /// Ends the evacuation of the target's failure domain, and forgets what was reported before. The
+    /// target is assumed to offer as much as one that starts, so that entries with old views don't all
+    /// choose it at once.
     pub(crate) fn end_evacuation(&mut self, now: MonoTime, slots: u32, pool: &PoolView) {
-        self.is_evacuated = false;
-        self.avoided_until = MonoTime::ZERO;
+        self.excluded_until = MonoTime::ZERO;
         self.limit = f64::from(slots.max(1)) * COLD_SHARE;
         let load = pool.load_share() * self.limit;
         self.others_load = load;
@@ -170,14 +178,14 @@
         self.reported_at = now;
     }
 
-    /// Makes no offers to the target until `time`.
+    /// Makes no offers to the target until `time` at least.
     pub(crate) fn avoid_until(&mut self, time: MonoTime) {
-        self.avoided_until = time;
+        self.excluded_until = self.excluded_until.max(time);
     }
 
-    /// Whether the failure domain of the target is evacuated, as far as is known.
+    /// Whether the target gets no offers because of an evacuation.
     pub(crate) fn is_excluded(&self, now: MonoTime) -> bool {
-        self.is_evacuated || now < self.avoided_until
+        now < self.excluded_until
     }
 
     /// Counts an offer as in flight.
--- a/crates/fescueway_routing/tests/evacuation.rs
+++ b/crates/fescueway_routing/tests/evacuation.rs
@@ -134,7 +134,8 @@
     entry.evacuate(&["a", "b", "c"]);
     assert_eq!(entry.pick(&[]), Err(RefusalReason::DomainEvacuated));
     entry.evacuate(&["a", "b"]);
-    assert!(entry.pick(&[]).is_ok());
+    let node = entry.pick(&[]).expect("an offer");
+    assert_eq!(record(node.0).domain, DomainName::from("c"));
     // Those left were tried; the evacuation is not the reason then.
     let tried: Vec<_> = (2 * TARGETS..3 * TARGETS).map(NodeId).collect();
     assert_eq!(entry.pick(&tried), Err(RefusalReason::NoTarget));
