--- a/crates/fescueway_proxy/src/server_statement.rs
+++ b/crates/fescueway_proxy/src/server_statement.rs
@@ -133,7 +133,8 @@
     invalid.map_or(Ok(false), Err)
 }
 
-/// The longest of the valid times in milliseconds, `None` without a value.
+/// The longest of the valid times in milliseconds, in several fields or separated by commas in one;
+/// `None` without a value.
 ///
 /// # Errors
 ///
@@ -144,13 +145,14 @@
     let mut longest: Option<Duration> = None;
     let mut invalid = None;
     for value in values {
-        let text = value.to_str().unwrap_or_default().trim();
-        match text.parse::<f64>() {
-            Ok(millis) if millis.is_finite() && millis >= 0.0 => {
-                let seconds = (millis / 1_000.0).min(MAX_WARMUP_LEFT.as_secs_f64());
-                longest = longest.max(Some(Duration::from_secs_f64(seconds)));
+        for part in value.to_str().unwrap_or_default().split(',') {
+            match part.trim().parse::<f64>() {
+                Ok(millis) if millis.is_finite() && millis >= 0.0 => {
+                    let seconds = (millis / 1_000.0).min(MAX_WARMUP_LEFT.as_secs_f64());
+                    longest = longest.max(Some(Duration::from_secs_f64(seconds)));
+                }
+                _ => invalid = Some(InvalidField::new(value, "not a number of milliseconds")),
             }
-            _ => invalid = Some(InvalidField::new(value, "not a number of milliseconds")),
         }
     }
     match (longest, invalid) {
--- a/crates/fescueway_proxy/tests/server_statement.rs
+++ b/crates/fescueway_proxy/tests/server_statement.rs
@@ -1,11 +1,14 @@
 //! Header fields by which a backend server states its limit and that it is leaving.
 
+use std::time::Duration;
+
 use fescueway_core::RateLimit;
 use fescueway_proxy::{EdgeProfile, ServerStatement};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 const LIMIT: HeaderName = HeaderName::from_static("fescueway-rate-limit");
 const LEAVING: HeaderName = HeaderName::from_static("fescueway-leaving");
+const WARMUP_LEFT: HeaderName = HeaderName::from_static("fescueway-warmup-left-ms");
 
 fn fields(name: &HeaderName, values: &[&[u8]]) -> HeaderMap {
     let mut fields = HeaderMap::new();
@@ -91,6 +94,31 @@
     }
 }
 
+#[test]
+fn longest_valid_cold_time_counts() {
+    let cases: [(&[&[u8]], u64); 6] = [
+        (&[b"0"], 0),
+        (&[b" 2950 "], 2_950),
+        (&[b"12.0"], 12),
+        (&[b"100, 2000"], 2_000),
+        (&[b"soon", b"300"], 300),
+        (&[b"1e300"], 600_000),
+    ];
+    for (values, millis) in cases {
+        let left = read(&fields(&WARMUP_LEFT, values)).warmup_left;
+        assert_eq!(left, Ok(Some(Duration::from_millis(millis))), "{values:?}");
+    }
+    for value in [&b"-1"[..], b"", b"NaN", b"inf", b"3 s", b"\xff"] {
+        let statement = read(&fields(&WARMUP_LEFT, &[value]));
+        assert!(statement.warmup_left.is_err(), "{value:?}");
+        assert_eq!(
+            statement.invalid_field(),
+            statement.warmup_left.as_ref().err()
+        );
+    }
+    assert_eq!(read(&HeaderMap::new()).warmup_left, Ok(None));
+}
+
 /// 421 comes from a server that isn't the expected one.
 #[test]
 fn an_answer_of_another_server_states_nothing() {
