Test an announced warm target, a replaced gate and the query after an evacuation

Without the doubt at a start, at the end of an evacuation, or the takeover by a new gate these tests fail; before, the first two went unnoticed.

--- a/crates/fescueway_admission/tests/cold_target.rs
+++ b/crates/fescueway_admission/tests/cold_target.rs
@@ -347,6 +347,50 @@
     assert_eq!(gate.cold_left(at(0)), Duration::ZERO);
 }
 
+/// An announcement may be old, as heartbeats are: the host of a restarted node asks first.
+#[test]
+fn announced_warm_target_is_paced_until_it_confirms_that() {
+    let mut replay = ColdReplay::new(&[(0, 3_000)]);
+    replay.gate.set_cold_left(at(0), Duration::ZERO);
+    replay.is_answering = false;
+    replay.offer_until(at(400), 180);
+    replay.assert_bound();
+    let unknown = replay.starts.len();
+    assert!(unknown <= 10, "{unknown} starts in 400 ms");
+    replay.is_answering = true;
+    replay.offer_until(at(3_000), 180);
+    replay.assert_bound();
+}
+
+/// A gate is replaced when the same start announces other slots.
+#[test]
+fn gate_that_replaces_another_keeps_what_the_target_stated() {
+    let mut replay = ColdReplay::new(&[(2_000, 5_000)]);
+    replay.offer_until(at(1_500), OFFERED_PER_S);
+    let mut warm = new_gate(replay.now);
+    warm.inherit(replay.now, &replay.gate);
+    assert_eq!(warm.cold_left(replay.now), Duration::ZERO);
+    let terms = RequestTerms::new("records".into(), ms(800));
+    let result = warm.offer(replay.now, TicketId(1), &terms);
+    assert_eq!(result, GateResult::Run);
+    replay.offer_until(at(2_500), OFFERED_PER_S);
+    let mut cold = new_gate(replay.now);
+    cold.inherit(replay.now, &replay.gate);
+    replay.gate = cold;
+    replay.running.clear();
+    assert!(replay.gate.cold_left(replay.now) < ms(2_510));
+    replay.offer_until(at(8_000), OFFERED_PER_S);
+    replay.assert_bound();
+    // Another start of it is asked first.
+    let mut successor = new_gate(replay.now);
+    successor.set_server(ServerStart {
+        name_digest: 7,
+        born_ms: 9_000,
+    });
+    successor.inherit(replay.now, &replay.gate);
+    assert_eq!(successor.cold_left(replay.now), WARMUP);
+}
+
 #[test]
 fn lower_of_a_stated_limit_and_the_warmup_rate_holds() {
     for (stated, most_cold, most_warm) in [(4.0, 6, 6), (40.0, MOST_IN_A_SECOND, 51)] {
@@ -451,6 +495,9 @@
     replay.offer_until(at(2_000), OFFERED_PER_S);
     let actions = replay.gate.set_evacuated(replay.now, false);
     replay.apply(actions);
+    // It is asked before anything is offered.
+    let due = replay.gate.next_load_query(replay.now).expect("a query");
+    assert!(due <= replay.now, "{due:?}");
     // A third of the slots at first.
     assert!(replay.gate.report(replay.now).limit <= 6);
     replay.offer_until(at(8_000), OFFERED_PER_S);
