--- a/crates/fescueway_admission/src/target_gate/waiting.rs
+++ b/crates/fescueway_admission/src/target_gate/waiting.rs
@@ -81,6 +81,7 @@
 
     /// Refuses offers that are too late and starts waiting ones in the free slots.
     pub(super) fn fill_slots(&mut self, now: MonoTime) -> Vec<GateAction> {
+        self.warmup.update(now);
         let refusal = Self::refusal(RefusalReason::DeadlineTooShort, Duration::ZERO);
         let expired = self.queue.expire(now + self.start_margin());
         let mut actions: Vec<_> = expired
@@ -125,14 +126,18 @@
         };
         let queue_us = ahead * self.service.mean_us(now) * pace / f64::from(limit);
         let slot_wait = Duration::from_micros(delay_us.max(queue_us) as u64);
-        slot_wait.max(self.pacer.wait(now, offers_ahead))
+        slot_wait.max(self.pace_wait(now, offers_ahead))
     }
 
-    /// The reason for a refusal after an expected wait of `wait`: the rate limit if it causes that
-    /// wait, else `reason`.
+    /// The reason for a refusal after an expected wait of `wait`: the rate limit or the cold time if it
+    /// causes that wait, else `reason`.
     fn wait_reason(&self, now: MonoTime, wait: Duration, reason: RefusalReason) -> RefusalReason {
-        let is_paced = !self.pacer.has_token(now) && self.pacer.wait(now, self.queue.len()) >= wait;
-        if is_paced {
+        let ahead = self.queue.len();
+        let limit_wait = self.pacer.wait(now, ahead);
+        let cold_wait = self.warmup.wait(now, ahead);
+        if !self.warmup.has_token(now) && cold_wait >= wait.max(limit_wait) {
+            RefusalReason::TargetCold
+        } else if !self.pacer.has_token(now) && limit_wait >= wait {
             RefusalReason::RateLimited
         } else {
             reason
@@ -141,9 +146,16 @@
 
     /// Refuses an offer after an expected wait of `wait`.
     fn refuse(&mut self, reason: RefusalReason, wait: Duration) -> GateResult {
-        if reason == RefusalReason::RateLimited {
-            self.counts.rate_limited += 1;
-            self.pacer.record_refusal();
+        match reason {
+            RefusalReason::RateLimited => {
+                self.counts.rate_limited += 1;
+                self.pacer.record_refusal();
+            }
+            RefusalReason::TargetCold => {
+                self.counts.cold_limited += 1;
+                self.warmup.record_refusal();
+            }
+            _ => {}
         }
         GateResult::Refuse(Self::refusal(reason, wait))
     }
--- a/crates/fescueway_admission/tests/mixed_work.rs
+++ b/crates/fescueway_admission/tests/mixed_work.rs
@@ -54,6 +54,7 @@
             slot_share: 0.8,
             queue_per_slot: 2.0,
             ramp_time: Duration::ZERO,
+            ..GatePlan::default()
         };
         Self {
             gate: TargetGate::new(plan, MonoTime::ZERO),
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -1,6 +1,7 @@
 //! The shared state of a node's proxy.
 
-mod evacuated_domains;
+mod evacuation_effects;
+mod evacuations;
 mod key_proof;
 mod local_backends;
 mod server_statements;
@@ -20,7 +21,7 @@
 use fescueway_telemetry::{SourceRateLimit, events::path};
 use http::HeaderValue;
 
-use self::{evacuated_domains::EvacuatedDomains, key_proof::KeyProof};
+use self::{evacuations::Evacuations, key_proof::KeyProof};
 use crate::{
     call_table::CallTable,
     edge_profile::EdgeProfile,
@@ -75,8 +76,6 @@
     is_plan_behind: AtomicBool,
     /// When the configuration in force was last known to be the latest one.
     key_proof: KeyProof,
-    /// Failure domains whose targets should get no requests.
-    evacuated: EvacuatedDomains,
     /// When this node ends its work; unset until it is told to stop.
     stop_schedule: OnceLock<StopSchedule>,
     /// The local service whose name is sent to backend servers as the caller's.
@@ -107,6 +106,12 @@
     refused_peers: SourceRateLimit<IpAddr>,
     /// Limits the log lines about changed limits of backend servers.
     limit_changes: SourceRateLimit<ServiceName>,
+    /// Limits the log lines about backend servers that became cold.
+    cold_targets: SourceRateLimit<ServiceName>,
+    /// The evacuated failure domains.
+    evacuations: Evacuations,
+    /// Limits the log lines about services that have targets only in evacuated failure domains.
+    evacuated_services: SourceRateLimit<ServiceName>,
     /// Limits the log lines about invalid statements of backend servers.
     invalid_statements: SourceRateLimit<ServiceName>,
     /// Called for each request.
@@ -133,7 +138,6 @@
             is_plan_current: AtomicBool::new(true),
             is_plan_behind: AtomicBool::new(false),
             key_proof: KeyProof::default(),
-            evacuated: EvacuatedDomains::default(),
             stop_schedule: OnceLock::new(),
             caller_service: Mutex::default(),
             route_states: RouteStates::default(),
@@ -154,6 +158,9 @@
             refused_peers: SourceRateLimit::new(&path::PEER_REFUSED),
             limit_changes: SourceRateLimit::new(&path::SERVER_LIMIT_CHANGED),
             invalid_statements: SourceRateLimit::new(&path::SERVER_STATEMENT_INVALID),
+            cold_targets: SourceRateLimit::new(&path::TARGET_COLD),
+            evacuations: Evacuations::default(),
+            evacuated_services: SourceRateLimit::new(&path::SERVICE_EVACUATED),
             request_observer: ObserverSlot::default(),
             load_observer: ObserverSlot::default(),
             leaving_observer: ObserverSlot::default(),
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -77,6 +77,9 @@
     pub(crate) is_same_domain: bool,
     /// Whether the target is known to be draining.
     pub(crate) is_draining: bool,
+    /// Until when it gets no offers: [`MonoTime::NEVER`] while its failure domain is evacuated, or a
+    /// moment after a host of that domain refused an offer as evacuated.
+    excluded_until: MonoTime,
     /// Offers of this entry in flight at the target.
     pub(crate) open_offers: u32,
     /// When this entry last made an offer.
@@ -128,6 +131,7 @@
             node: record.node,
             is_same_domain,
             is_draining: record.state == TargetState::Draining,
+            excluded_until: MonoTime::ZERO,
             open_offers: 0,
             offered_at: MonoTime::ZERO,
             offer_pause: Duration::ZERO,
@@ -151,6 +155,39 @@
         self.is_draining = record.state == TargetState::Draining;
     }
 
+    /// Whether the failure domain of the target is evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.excluded_until == MonoTime::NEVER
+    }
+
+    /// Begins the evacuation of the target's failure domain.
+    pub(crate) fn begin_evacuation(&mut self) {
+        self.excluded_until = MonoTime::NEVER;
+    }
+
+    /// Ends the evacuation of the target's failure domain, and forgets what was reported before. The
+    /// target is assumed to offer as much as one that starts, so that entries with old views don't all
+    /// choose it at once.
+    pub(crate) fn end_evacuation(&mut self, now: MonoTime, slots: u32, pool: &PoolView) {
+        self.excluded_until = MonoTime::ZERO;
+        self.limit = f64::from(slots.max(1)) * COLD_SHARE;
+        let load = pool.load_share() * self.limit;
+        self.others_load = load;
+        self.mean_others_load = load;
+        self.mean_load = load;
+        self.reported_at = now;
+    }
+
+    /// Makes no offers to the target until `time` at least.
+    pub(crate) fn avoid_until(&mut self, time: MonoTime) {
+        self.excluded_until = self.excluded_until.max(time);
+    }
+
+    /// Whether the target gets no offers because of an evacuation.
+    pub(crate) fn is_excluded(&self, now: MonoTime) -> bool {
+        now < self.excluded_until
+    }
+
     /// Counts an offer as in flight.
     pub(crate) fn begin_offer(&mut self, now: MonoTime) {
         if self.open_offers == 0 {
--- a/crates/fescueway_telemetry/src/events/control.rs
+++ b/crates/fescueway_telemetry/src/events/control.rs
@@ -20,8 +20,6 @@
     &STORE_ITEM_IGNORED,
     &KEY_PROOF_LOST,
     &KEY_PROOF_REGAINED,
-    &EVACUATION_BEGAN,
-    &EVACUATION_ENDED,
     &ALLOTMENT_SPENT,
     &ALLOTMENT_SHARES_BEGAN,
     &ALLOTMENT_SHARES_ENDED,
@@ -153,24 +151,6 @@
     advice: "Nothing.",
 };
 
-/// Operators evacuate a failure domain.
-pub const EVACUATION_BEGAN: EventKind = EventKind {
-    number: 2040,
-    level: Level::Info,
-    summary: "evacuation of a failure domain began",
-    fields: &["domain"],
-    advice: "Nothing, if it was asked for. Otherwise delete its key in the store.",
-};
-
-/// The evacuation of a failure domain has ended.
-pub const EVACUATION_ENDED: EventKind = EventKind {
-    number: 2041,
-    level: Level::Info,
-    summary: "evacuation of a failure domain ended",
-    fields: &["domain"],
-    advice: "Nothing.",
-};
-
 /// A client account has used its allotment. Logged once a second for each account.
 pub const ALLOTMENT_SPENT: EventKind = EventKind {
     number: 2050,
--- a/crates/fescueway_telemetry/src/metric_set.rs
+++ b/crates/fescueway_telemetry/src/metric_set.rs
@@ -166,17 +166,17 @@
                 .with_unit("s")
                 .build(),
             known_nodes: gauge(&meter, "fescueway.nodes", "Nodes known to be up."),
+            evacuated_domains: gauge(
+                &meter,
+                "fescueway.evacuated.domains",
+                "Failure domains to whose targets nothing is sent.",
+            ),
             known_targets: gauge(&meter, "fescueway.targets", "Targets known."),
             key_proof_age: meter
                 .f64_gauge("fescueway.key.proof.age")
                 .with_description("Age of the proof that the configuration is the latest one.")
                 .with_unit("s")
                 .build(),
-            evacuated_domains: gauge(
-                &meter,
-                "fescueway.evacuated.domains",
-                "Failure domains that are evacuated.",
-            ),
             _provider: provider,
         })
     }
@@ -206,11 +206,11 @@
         self.config_revision.record(gauges.config_revision, &[]);
         self.config_age.record(gauges.config_age_s, &[]);
         self.known_nodes.record(gauges.nodes, &[]);
+        self.evacuated_domains.record(gauges.evacuated_domains, &[]);
         self.known_targets.record(gauges.targets, &[]);
         if let Some(age_s) = gauges.key_proof_age_s {
             self.key_proof_age.record(age_s, &[]);
         }
-        self.evacuated_domains.record(gauges.evacuated_domains, &[]);
     }
 
     /// Renders all metrics in the Prometheus text format.
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -41,6 +41,9 @@
         slots: 9,
         starts: 12,
         rate_limited: 3,
+        cold_limited: 8,
+        evacuated: 2,
+        cold_left: Some(Duration::from_millis(1_500)),
         retry_tokens: 2.5,
         refusal_tokens: -1.0,
     });
@@ -88,6 +91,10 @@
         r#"fescueway_target_leaving{service="bands"} 1"#,
         r#"fescueway_target_starts_total{service="bands"} 12"#,
         r#"fescueway_target_rate_limited_total{service="bands"} 3"#,
+        r#"fescueway_target_cold_limited_total{service="bands"} 8"#,
+        r#"fescueway_target_evacuation_refused_total{service="bands"} 2"#,
+        r#"fescueway_target_cold_left{service="bands"} 1.5"#,
+        "fescueway_evacuated_domains 1",
         r#"fescueway_retry_tokens{service="bands"} 2.5"#,
         r#"fescueway_refusal_tokens{service="bands"} -1"#,
         "fescueway_config_age_seconds 1.5",
@@ -95,7 +102,6 @@
         "fescueway_targets 5",
         "fescueway_key_proof_age_seconds 0.75",
         "fescueway_key_proof_losses_total 2",
-        "fescueway_evacuated_domains 1",
         "fescueway_log_lines_lost_total 6",
     ] {
         assert!(
--- a/crates/fescuewayd/src/document_proof.rs
+++ b/crates/fescuewayd/src/document_proof.rs
@@ -235,23 +235,13 @@
         });
     }
 
-    /// Changes the evacuations, hands them to the proxy, and logs what changed.
+    /// Changes the evacuations and hands them to the proxy, which logs what changed.
     fn change_evacuations(&self, change: impl FnOnce(&mut Option<EvacuationSet>)) {
         // Locked until the proxy has the set, so that a later one isn't overwritten.
         let mut state = self.state();
         change(&mut state.evacuations);
         let after = state.evacuations.as_ref().map(|set| &set.domains);
         let after = after.cloned().unwrap_or_default();
-        let before: Arc<BTreeSet<DomainName>> = self.proxy.evacuated();
-        if *before == after {
-            return;
-        }
-        for domain in after.difference(&before) {
-            emit(&control::EVACUATION_BEGAN, &[domain]);
-        }
-        for domain in before.difference(&after) {
-            emit(&control::EVACUATION_ENDED, &[domain]);
-        }
         self.proxy.set_evacuated(after);
     }
 
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -132,11 +132,19 @@
             let (retry_tokens, refusal_tokens) = state.routes().tokens(service).unwrap_or_default();
             let counts = target.as_ref().map(|target| target.counts());
             let counts = counts.unwrap_or_default();
+            let has_warmup = plan
+                .services
+                .get(service)
+                .is_some_and(|plan| plan.warmup.is_some());
+            let cold_left = target.as_ref().filter(|_| has_warmup);
             metrics.set_load(&ServiceLoad {
-                report: target.map(|target| target.report()),
+                report: target.as_ref().map(|target| target.report()),
                 slots: state.announced_slots(service),
                 starts: counts.starts,
                 rate_limited: counts.rate_limited,
+                cold_limited: counts.cold_limited,
+                evacuated: counts.evacuated,
+                cold_left: cold_left.map(|target| target.cold_left()),
                 retry_tokens,
                 refusal_tokens,
             });
