Hedge late requests within an operator's limit

So far a request was hedged only while its target was known to be slow, and only the retry budget bounded hedges. With retry.hedge_share or retry.hedge_per_s of a service or route, a late idempotent request is hedged after a quantile of the latency of its own route, also at a target that isn't known to be slow, while the service has spare capacity and the limit has room. The cap per second is divided among the live entries in whole parts, so that it holds in any second without messages. Hedges, those answered first and the time thrown away are counted by service. Without the fields nothing changes.

--- a/crates/fescueway_bench/benches/telemetry_cost.rs
+++ b/crates/fescueway_bench/benches/telemetry_cost.rs
@@ -37,6 +37,8 @@
         latency: Duration::from_millis(3),
         offers: 1,
         hedges: 0,
+        hedge_wins: 0,
+        hedge_waste: Duration::ZERO,
     };
     let mut now = MonoTime::ZERO;
     let mut count = || {
--- a/crates/fescueway_config/src/lib.rs
+++ b/crates/fescueway_config/src/lib.rs
@@ -39,8 +39,8 @@
         RawRoute, RawService,
     },
     service_plan::{
-        ClaimPlan, LimitPlan, LocalityPlan, ObjectivePlan, ProbePlan, RetryPlan, RoutePlan,
-        ServicePlan, WarmupPlan, WeightedService,
+        ClaimPlan, HedgePlan, LimitPlan, LocalityPlan, ObjectivePlan, ProbePlan, RetryPlan,
+        RoutePlan, ServicePlan, WarmupPlan, WeightedService,
     },
     service_rules::SERVICE_RULES,
     site_plan::{RouteMatch, SitePlan},
--- a/crates/fescueway_config/src/raw_service.rs
+++ b/crates/fescueway_config/src/raw_service.rs
@@ -68,6 +68,12 @@
     /// Maximum number of targets that may run one request.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub max_runs: Option<Number>,
+    /// Maximum hedges, as a share of the first offers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hedge_share: Option<Number>,
+    /// Maximum hedges per second of all entries together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hedge_per_s: Option<Number>,
     /// Weights of the services that share the requests.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub weights: BTreeMap<String, Number>,
@@ -98,6 +104,12 @@
     pub max_offers: Option<Number>,
     /// Whether idempotent requests are hedged.
     pub is_hedging: Option<bool>,
+    /// Maximum hedges, as a share of the first offers.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub hedge_share: Option<Number>,
+    /// Maximum hedges per second of all entries together.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub hedge_per_s: Option<Number>,
 }
 
 /// The service-level objective.
--- a/crates/fescueway_config/src/service_check.rs
+++ b/crates/fescueway_config/src/service_check.rs
@@ -7,8 +7,8 @@
 use serde_json::Number;
 
 use crate::{
-    ClaimPlan, FieldFault, LimitPlan, LocalityPlan, NumberRule, ObjectivePlan, ProbePlan,
-    RetryPlan, RoutePlan, ServicePlan, StoredService, TextRule, WeightedService,
+    ClaimPlan, FieldFault, HedgePlan, LimitPlan, LocalityPlan, NumberRule, ObjectivePlan,
+    ProbePlan, RetryPlan, RoutePlan, ServicePlan, StoredService, TextRule, WeightedService,
     raw_service::{
         RawClaim, RawDefaultRoute, RawLimit, RawLocality, RawObjective, RawProbe, RawRetry,
         RawRoute, RawService,
@@ -67,6 +67,8 @@
                 refusal_share: omit_default(&rules::REFUSAL_SHARE, plan.retry.refusal_share),
                 max_offers: rules::MAX_OFFERS.raw(plan.retry.max_offers.into()),
                 is_hedging: Some(plan.retry.is_hedging),
+                hedge_share: raw_hedge(plan.retry.hedge).0,
+                hedge_per_s: raw_hedge(plan.retry.hedge).1,
             },
             objective: RawObjective {
                 availability: rules::AVAILABILITY.raw(plan.objective.availability),
@@ -113,11 +115,43 @@
             .objective
             .and_then(|objective| millis(&rules::OBJECTIVE_LATENCY, objective)),
         max_runs: route.max_runs.map(Number::from),
+        hedge_share: raw_hedge(route.hedge).0,
+        hedge_per_s: raw_hedge(route.hedge).1,
         weights: route.split.iter().map(raw_weight).collect(),
     };
     (route.name.to_string(), raw)
 }
 
+/// The fields of a limit on hedges, in raw form: the share and the cap per second.
+fn raw_hedge(plan: Option<HedgePlan>) -> (Option<Number>, Option<Number>) {
+    let plan = plan.unwrap_or_default();
+    (
+        plan.share.and_then(Number::from_f64),
+        plan.per_s.and_then(Number::from_f64),
+    )
+}
+
+impl HedgePlan {
+    /// Validates the fields `hedge_share` and `hedge_per_s` at the path `scope`; `None` without them.
+    ///
+    /// # Errors
+    ///
+    /// When a value is out of range.
+    pub fn check(
+        scope: &str,
+        share: Option<&Number>,
+        per_s: Option<&Number>,
+    ) -> Result<Option<Self>, FieldFault> {
+        let number = |rule: &NumberRule, field: &str, raw| {
+            rule.check_optional(format!("{scope}.{field}"), raw)
+        };
+        Ok(Self::of_fields(
+            number(&rules::HEDGE_SHARE_RANGE, "hedge_share", share)?,
+            number(&rules::HEDGE_PER_S_RANGE, "hedge_per_s", per_s)?,
+        ))
+    }
+}
+
 /// One service's weight in a route, in raw form.
 fn raw_weight(part: &WeightedService) -> (String, Number) {
     (part.service.as_str().to_owned(), Number::from(part.weight))
@@ -197,6 +231,7 @@
         deadline: Duration::from_millis(deadline as u64),
         objective: None,
         max_runs: None,
+        hedge: None,
         is_public: false,
         split: Vec::new(),
     })
@@ -271,6 +306,7 @@
         deadline: deadline.unwrap_or(fallback.deadline),
         objective: millis(&rules::OBJECTIVE_LATENCY, "objective_ms", &raw.objective_ms)?,
         max_runs: number(&rules::MAX_OFFERS, "max_runs", &raw.max_runs)?.map(|runs| runs as u8),
+        hedge: HedgePlan::check(&path, raw.hedge_share.as_ref(), raw.hedge_per_s.as_ref())?,
         is_public: false,
         split: split(&path, &raw.weights)?,
     })
@@ -302,11 +338,17 @@
 
 /// Validates the limits on retries and hedges.
 fn retry(scope: &str, raw: &RawRetry) -> Result<RetryPlan, FieldFault> {
+    let hedge_scope = format!("{scope}.retry");
     Ok(RetryPlan {
         budget_share: rules::RETRY_SHARE.check(scope, raw.budget_share.as_ref())?,
         refusal_share: rules::REFUSAL_SHARE.check(scope, raw.refusal_share.as_ref())?,
         max_offers: rules::MAX_OFFERS.check(scope, raw.max_offers.as_ref())? as u8,
         is_hedging: raw.is_hedging.unwrap_or(true),
+        hedge: HedgePlan::check(
+            &hedge_scope,
+            raw.hedge_share.as_ref(),
+            raw.hedge_per_s.as_ref(),
+        )?,
     })
 }
 
--- a/crates/fescueway_config/src/service_plan.rs
+++ b/crates/fescueway_config/src/service_plan.rs
@@ -59,6 +59,8 @@
     /// Maximum number of backend servers that one request may be handed to; `None` for as many as
     /// it has offers. At least one.
     pub max_runs: Option<u8>,
+    /// The limit on its hedges, in addition to that of the service.
+    pub hedge: Option<HedgePlan>,
     /// Whether its requests need no key, at a site that has client accounts.
     pub is_public: bool,
     /// The services that share the route's requests by weight; empty for the service that the route
@@ -97,6 +99,25 @@
     pub max_offers: u8,
     /// Whether idempotent requests are hedged.
     pub is_hedging: bool,
+    /// The limit on hedges, `None` when only requests at slow targets are hedged.
+    pub hedge: Option<HedgePlan>,
+}
+
+/// A limit on the hedges of a service or route, within the retry budget. At least one field is set.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct HedgePlan {
+    /// Hedges as a share of the first offers, from 0 to 1; `None` if that is not limited.
+    pub share: Option<f64>,
+    /// Hedges per second of all entries together; `None` if that is not limited.
+    pub per_s: Option<f64>,
+}
+
+impl HedgePlan {
+    /// A limit of these fields, `None` without any.
+    #[must_use]
+    pub fn of_fields(share: Option<f64>, per_s: Option<f64>) -> Option<Self> {
+        (share.is_some() || per_s.is_some()).then_some(Self { share, per_s })
+    }
 }
 
 /// The service-level objective of a service.
--- a/crates/fescueway_config/src/service_rules.rs
+++ b/crates/fescueway_config/src/service_rules.rs
@@ -91,6 +91,22 @@
     meaning: "Targets that may run one request of the route. Refused offers don't count.",
 };
 
+pub(crate) const ROUTE_HEDGE_SHARE: TextRule = TextRule {
+    field: "routes.NAME.hedge_share",
+    default: "none",
+    allowed: "as `retry.hedge_share`",
+    meaning: "As `retry.hedge_share`, for the requests of the route and in addition to the limits of \
+              the service.",
+};
+
+pub(crate) const ROUTE_HEDGE_PER_S: TextRule = TextRule {
+    field: "routes.NAME.hedge_per_s",
+    default: "none",
+    allowed: "as `retry.hedge_per_s`",
+    meaning: "As `retry.hedge_per_s`, for the requests of the route and in addition to the limits of \
+              the service.",
+};
+
 pub(crate) const ROUTE_WEIGHTS: TextRule = TextRule {
     field: "routes.NAME.weights.SERVICE",
     default: "none (all to the route's own service)",
@@ -175,6 +191,47 @@
     meaning: "Whether a late idempotent request is offered to a second target.",
 };
 
+pub(crate) const HEDGE_SHARE: TextRule = TextRule {
+    field: "retry.hedge_share",
+    default: "none (only requests at slow targets are hedged)",
+    allowed: "a number from 0 to 1 (share of the first offers)",
+    meaning: "Hedges that one entry may make in any 10 s, within `retry.budget_share`. With it, late \
+              requests are hedged also when their target is not known to be slow. 0 switches hedges \
+              off.",
+};
+
+/// The range of [`HEDGE_SHARE`], which has no default.
+pub(crate) const HEDGE_SHARE_RANGE: NumberRule = NumberRule {
+    field: HEDGE_SHARE.field,
+    unit: "share of the first offers",
+    default: 0.0,
+    min: 0.0,
+    max: 1.0,
+    is_whole: false,
+    meaning: "Hedges that one entry may make.",
+};
+
+pub(crate) const HEDGE_PER_S: TextRule = TextRule {
+    field: "retry.hedge_per_s",
+    default: "none (no limit per second)",
+    allowed: "a number from 0 to 1000000 (hedges per second)",
+    meaning: "Hedges that all entries together may make in any second, within \
+              `retry.budget_share`. Each entry has a whole part of it; if there are more entries \
+              than hedges, some have none. With it, late requests are hedged also when their \
+              target is not known to be slow. 0 switches hedges off.",
+};
+
+/// The range of [`HEDGE_PER_S`], which has no default.
+pub(crate) const HEDGE_PER_S_RANGE: NumberRule = NumberRule {
+    field: HEDGE_PER_S.field,
+    unit: "hedges per second",
+    default: 0.0,
+    min: 0.0,
+    max: 1_000_000.0,
+    is_whole: false,
+    meaning: "Hedges that all entries together may make in any second.",
+};
+
 pub(crate) const AVAILABILITY: NumberRule = NumberRule {
     field: "objective.availability",
     unit: "share of requests",
@@ -302,6 +359,8 @@
     FieldRule::Text(&ROUTE_DEADLINE),
     FieldRule::Text(&ROUTE_OBJECTIVE),
     FieldRule::Text(&ROUTE_RUNS),
+    FieldRule::Text(&ROUTE_HEDGE_SHARE),
+    FieldRule::Text(&ROUTE_HEDGE_PER_S),
     FieldRule::Text(&ROUTE_WEIGHTS),
     FieldRule::Number(&PROBE_BUDGET),
     FieldRule::Text(&PROBE_PATH),
@@ -310,6 +369,8 @@
     FieldRule::Number(&REFUSAL_SHARE),
     FieldRule::Number(&MAX_OFFERS),
     FieldRule::Text(&IS_HEDGING),
+    FieldRule::Text(&HEDGE_SHARE),
+    FieldRule::Text(&HEDGE_PER_S),
     FieldRule::Number(&AVAILABILITY),
     FieldRule::Number(&OBJECTIVE_LATENCY),
     FieldRule::Number(&OBJECTIVE_WINDOW),
--- a/crates/fescueway_config/tests/pages.rs
+++ b/crates/fescueway_config/tests/pages.rs
@@ -32,8 +32,8 @@
     // Sets the fields that the canonical form omits when they have their default.
     let route = r#"{"name":"a","plan":{"path_prefixes":["/"],"routes":{"NAME":
         {"method":"GET","path_prefix":"/","idempotency":"idempotent","objective_ms":50,"max_runs":2,
-        "weights":{"SERVICE":1}}},
-        "limit":{"slot_share":0.8},"locality":{"far_cost_us_per_kib":700},"retry":{"refusal_share":0.5}}}"#;
+        "hedge_share":0.05,"hedge_per_s":3,"weights":{"SERVICE":1}}},
+        "limit":{"slot_share":0.8},"locality":{"far_cost_us_per_kib":700},"retry":{"refusal_share":0.5,"hedge_share":0.05,"hedge_per_s":30}}}"#;
     let stored: StoredService = serde_json::from_str(route).expect("a raw service");
     let mut fields = Vec::new();
     collect_fields(
--- a/crates/fescueway_proxy/src/entry/offer_attempt.rs
+++ b/crates/fescueway_proxy/src/entry/offer_attempt.rs
@@ -1,6 +1,8 @@
 //! Makes one offer and reports its end to the router.
 
-use fescueway_core::{LoadReport, MonoTime, NodeId, Refusal, RequestTerms, ServiceName};
+use fescueway_core::{
+    LoadReport, MonoTime, NodeId, OfferCause, Refusal, RequestTerms, ServiceName,
+};
 use fescueway_routing::{EjectionChange, HandedOver, OfferEnd, OfferPermit};
 use http::{Response, header::CONTENT_LENGTH};
 use http_body::Body;
@@ -41,6 +43,8 @@
     service: ServiceName,
     /// The host node.
     node: NodeId,
+    /// The request's work kind, `None` for a hedge, whose latency says nothing of other requests.
+    work_kind: Option<u64>,
     /// When the offer began.
     start: MonoTime,
     /// How it ended.
@@ -119,6 +123,8 @@
             state,
             service: permit.terms().service.clone(),
             node: permit.node(),
+            work_kind: (permit.terms().cause != OfferCause::Hedged)
+                .then_some(permit.terms().work_kind),
             start: state.now(),
             end: OfferEnd::Cancelled,
         }
@@ -180,7 +186,7 @@
     fn drop(&mut self) {
         let now = self.state.now();
         let routes = self.state.routes();
-        let change = routes.end_offer(now, &self.service, self.node, self.end);
+        let change = routes.end_offer(now, &self.service, self.node, self.work_kind, self.end);
         let cause = match self.end {
             OfferEnd::Refused(refusal) => refusal.reason.as_str(),
             OfferEnd::Lost => "answer lost",
--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -50,6 +50,10 @@
     runs_left: u8,
     /// Number of offers that were hedges.
     hedges: u32,
+    /// Number of hedges that were answered first.
+    hedge_wins: u32,
+    /// Total time of the offers that were cancelled because another one was answered first.
+    hedge_waste: Duration,
     /// The latest refusal by a host.
     refusal: Option<Refusal>,
     /// Whether the answer to an offer was lost, so that the request may have run.
@@ -74,6 +78,8 @@
             lost_at: None,
             last_offer: None,
             hedges: 0,
+            hedge_wins: 0,
+            hedge_waste: Duration::ZERO,
             refusal: None,
             is_answer_lost: false,
             failed_answer: None,
@@ -88,6 +94,8 @@
         record.target = self.tried.last().copied();
         record.offers = self.tried.len() as u32;
         record.hedges = self.hedges;
+        record.hedge_wins = self.hedge_wins;
+        record.hedge_waste = self.hedge_waste;
         let mut response = match ended {
             Ok(Ok(answer)) => backend_answer(self.state.profile(), answer, record),
             Ok(Err(refusal)) => self.give_up(refusal, record),
@@ -227,18 +235,43 @@
         log.hedged(now, &id, permit.node(), late_target, now.since(start));
         self.hedges += 1;
         self.runs_left = self.runs_left.saturating_sub(1);
+        let hedge_start = now;
         // Boxed since hedges are rare, to keep the future of every other request small.
         let mut second = Box::pin(attempt(state, permit, &request, &id, deadline, &unused));
+        // On return the offer that is still in flight is dropped, which cancels it at once, whether it
+        // waits or runs.
         tokio::select! {
             end = first.as_mut() => {
-                if is_success(&end) { end } else { more_conclusive_end(end, second.await) }
+                if is_success(&end) {
+                    self.hedge_waste += state.now().since(hedge_start);
+                    end
+                } else {
+                    more_conclusive_end(end, second.await)
+                }
             }
             end = second.as_mut() => {
-                if is_success(&end) { end } else { more_conclusive_end(end, first.await) }
+                if is_success(&end) {
+                    self.count_hedge_win(start);
+                    end
+                } else {
+                    more_conclusive_end(end, first.await)
+                }
             }
         }
     }
 
+    /// Counts a hedge that was answered before the first offer, which began at `start` and is
+    /// cancelled. Without the time that the first one took so far, the latencies known of the route
+    /// would lack the longest, and hedges would begin sooner and sooner.
+    fn count_hedge_win(&mut self, start: MonoTime) {
+        let elapsed = self.state.now().since(start);
+        self.hedge_wins += 1;
+        self.hedge_waste += elapsed;
+        let terms = &self.request.terms;
+        let routes = self.state.routes();
+        routes.observe_latency(&terms.service, terms.work_kind, elapsed);
+    }
+
     /// The terms of a hedge, and the delay before the offer is hedged unless its connection goes silent;
     /// without a delay it is hedged only then. Only idempotent requests without a body are hedged.
     fn hedge_plan(&self, permit: &OfferPermit) -> Option<(Option<Duration>, RequestTerms)> {
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod edge_profile;
 mod entry;
 mod headers;
+mod hedge_limits;
 mod host;
 mod idle_sweep;
 mod local_targets;
--- a/crates/fescueway_proxy/src/request_record.rs
+++ b/crates/fescueway_proxy/src/request_record.rs
@@ -33,6 +33,10 @@
     pub offers: u32,
     /// Number of offers that were hedges.
     pub hedges: u32,
+    /// Number of hedges that were answered before the offer that they hedged.
+    pub hedge_wins: u32,
+    /// Total time of the offers that were cancelled because another one was answered first.
+    pub hedge_waste: Duration,
 }
 
 impl RequestRecord {
@@ -45,6 +49,8 @@
             latency: self.latency,
             offers: self.offers,
             hedges: self.hedges,
+            hedge_wins: self.hedge_wins,
+            hedge_waste: self.hedge_waste,
         }
     }
 
--- a/crates/fescueway_proxy/src/route_table.rs
+++ b/crates/fescueway_proxy/src/route_table.rs
@@ -7,18 +7,19 @@
     time::Duration,
 };
 
-use fescueway_config::{ServicePlan, SitePlan};
+use fescueway_config::{HedgePlan, ServicePlan, SitePlan};
 use fescueway_core::{
     DomainName, LoadReport, MonoTime, NodeId, Refusal, RefusalReason, RequestTerms, ServerNotice,
     ServiceName, SiteName, TargetRecord,
 };
 use fescueway_routing::{
-    EjectionChange, NoticeBoard, OfferEnd, PickResult, RouteEvent, RoutingPlan, ServiceRouter,
+    EjectionChange, FleetShare, NoticeBoard, OfferEnd, PickResult, RouteEvent, RoutingPlan,
+    ServiceRouter,
 };
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::ProxyOptions;
+use crate::{ProxyOptions, hedge_limits::HedgeLimits};
 
 /// The targets of all services that this entry knows, and their routers.
 #[derive(Debug)]
@@ -41,6 +42,10 @@
     plans: BTreeMap<ServiceName, RoutingPlan>,
     /// Maximum number of saved tokens for retries and hedges of each service.
     max_retry_tokens: f64,
+    /// Limit on the hedges of services whose configuration has none.
+    hedge_default: Option<HedgePlan>,
+    /// This entry's share of limits of the fleet.
+    fleet: FleetShare,
     /// What the entry knows of backend servers that restrict the requests they get.
     notices: NoticeBoard,
 }
@@ -77,6 +82,8 @@
             services: BTreeMap::new(),
             plans: BTreeMap::new(),
             max_retry_tokens: RoutingPlan::default().max_retry_tokens,
+            hedge_default: None,
+            fleet: FleetShare::default(),
             notices: NoticeBoard::default(),
         }))
     }
@@ -84,11 +91,17 @@
     /// Puts a configuration in force.
     pub fn apply_plan(&self, plan: &SitePlan) {
         let mut state = self.state();
-        let plans = plan.services.values();
-        let max_retry_tokens = state.max_retry_tokens;
-        state.plans = plans
-            .map(|plan| (plan.name.clone(), routing_plan(plan, max_retry_tokens)))
-            .collect();
+        let services = plan.services.values();
+        let plans = services.map(|service| {
+            let hedges = HedgeLimits::of_service(plan, service, state.hedge_default);
+            let plan = RoutingPlan {
+                max_retry_tokens: state.max_retry_tokens,
+                fleet: state.fleet,
+                ..routing_plan(service, hedges)
+            };
+            (service.name.clone(), plan)
+        });
+        state.plans = plans.collect();
         state.apply_plans();
     }
 
@@ -102,6 +115,33 @@
         state.apply_plans();
     }
 
+    /// Sets the limit on the hedges of services whose configuration has none, for configurations
+    /// that are put in force from now on.
+    pub fn set_hedge_default(&self, hedge_default: Option<HedgePlan>) {
+        self.state().hedge_default = hedge_default;
+    }
+
+    /// Sets this entry's share of limits of the fleet.
+    pub fn set_fleet_share(&self, fleet: FleetShare) {
+        let mut state = self.state();
+        if state.fleet == fleet {
+            return;
+        }
+        state.fleet = fleet;
+        for plan in state.plans.values_mut() {
+            plan.fleet = fleet;
+        }
+        state.apply_plans();
+    }
+
+    /// Records how long an offer had taken when its hedge was answered.
+    pub fn observe_latency(&self, service: &ServiceName, work_kind: u64, latency: Duration) {
+        if let Some(routes) = self.state().services.get_mut(service) {
+            let event = RouteEvent::LatencyObserved { work_kind, latency };
+            routes.router.handle(MonoTime::ZERO, event);
+        }
+    }
+
     /// Adds or replaces a target of `site`. A target of another site is kept but never picked: the
     /// entry holds the configuration and the terms of its own site's services only.
     pub fn set_target(&self, now: MonoTime, site: &SiteName, record: &TargetRecord) {
@@ -152,20 +192,27 @@
         routes.router.hedge_after(now, terms, node)
     }
 
-    /// Reports to the router how an offer ended. Returns whether the target was ejected or restored
-    /// by it.
+    /// Reports to the router how an offer ended, and its latency unless it has no work kind. Returns
+    /// whether the target was ejected or restored by it.
     pub fn end_offer(
         &self,
         now: MonoTime,
         service: &ServiceName,
         node: NodeId,
+        work_kind: Option<u64>,
         end: OfferEnd,
     ) -> Option<EjectionChange> {
         let mut state = self.state();
-        let routes = state.services.get_mut(service)?;
-        routes
-            .router
-            .handle(now, RouteEvent::OfferEnded { node, end })
+        let router = &mut state.services.get_mut(service)?.router;
+        if let OfferEnd::Answered {
+            latency,
+            is_failure: false,
+        } = end
+            && let Some(work_kind) = work_kind
+        {
+            router.handle(now, RouteEvent::LatencyObserved { work_kind, latency });
+        }
+        router.handle(now, RouteEvent::OfferEnded { node, end })
     }
 
     /// Passes a load report to the router. Returns whether the target was ejected or restored by
@@ -296,9 +343,8 @@
 }
 
 /// Converts a service's configuration to its router's plan.
-fn routing_plan(plan: &ServicePlan, max_retry_tokens: f64) -> RoutingPlan {
+fn routing_plan(plan: &ServicePlan, hedges: HedgeLimits) -> RoutingPlan {
     RoutingPlan {
-        max_retry_tokens,
         max_offers: plan.retry.max_offers,
         budget_share: plan.retry.budget_share,
         refusal_share: plan.retry.refusal_share,
@@ -306,6 +352,9 @@
         far_cost_per_kib: plan.locality.far_cost_per_kib,
         subset_size: plan.locality.subset_size,
         is_hedging: plan.retry.is_hedging,
+        hedge_limit: hedges.service,
+        route_hedge_limits: hedges.routes,
+        ..RoutingPlan::default()
     }
 }
 
--- a/crates/fescueway_routing/src/lib.rs
+++ b/crates/fescueway_routing/src/lib.rs
@@ -6,6 +6,10 @@
 mod body_sizes;
 mod caller_wait_estimator;
 mod ejection_state;
+mod hedge_limit;
+mod hedge_limiter;
+mod hedge_policy;
+mod latency_histogram;
 mod latency_quantile;
 mod notice_board;
 mod offer_budget;
@@ -15,6 +19,7 @@
 mod routing_plan;
 mod service_router;
 mod silence_detector;
+mod sliding_count;
 mod target_choice;
 mod target_subset;
 mod target_view;
@@ -22,6 +27,7 @@
 
 pub use crate::{
     caller_wait_estimator::CallerWaitEstimator,
+    hedge_limit::{FleetShare, HedgeLimit},
     notice_board::NoticeBoard,
     offer_permit::{HandedOver, OfferPermit},
     route_event::{EjectionChange, OfferEnd, RouteEvent},
--- a/crates/fescueway_routing/src/route_event.rs
+++ b/crates/fescueway_routing/src/route_event.rs
@@ -39,6 +39,13 @@
         /// Bytes of the request and response bodies together.
         bytes: u64,
     },
+    /// The latency of an offer other than a hedge became known, at least as a lower bound.
+    LatencyObserved {
+        /// The request's [`fescueway_core::RequestTerms::work_kind`].
+        work_kind: u64,
+        /// Time from the offer to its answer, or to the answer of its hedge.
+        latency: Duration,
+    },
     /// A load report of `node` arrived.
     LoadReported {
         /// The host node that sent it.
--- a/crates/fescueway_routing/src/routing_plan.rs
+++ b/crates/fescueway_routing/src/routing_plan.rs
@@ -1,6 +1,8 @@
 //! Settings of one service's router.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{FleetShare, HedgeLimit};
 
 /// Settings of one service's router.
 #[derive(Clone, Debug, PartialEq)]
@@ -23,6 +25,13 @@
     pub subset_size: usize,
     /// Whether idempotent requests may be hedged.
     pub is_hedging: bool,
+    /// The operator's limit on hedges, within the retry budget. `None`: only requests at slow targets
+    /// are hedged.
+    pub hedge_limit: Option<HedgeLimit>,
+    /// Limits on the hedges of single work kinds, in addition.
+    pub route_hedge_limits: BTreeMap<u64, HedgeLimit>,
+    /// This entry's share of limits of the fleet.
+    pub fleet: FleetShare,
 }
 
 impl Default for RoutingPlan {
@@ -36,6 +45,9 @@
             far_cost_per_kib: Duration::ZERO,
             subset_size: 32,
             is_hedging: true,
+            hedge_limit: None,
+            route_hedge_limits: BTreeMap::new(),
+            fleet: FleetShare::default(),
         }
     }
 }
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -11,6 +11,7 @@
 use crate::{
     EjectionChange, OfferEnd, OfferPermit, RouteEvent, RoutingPlan,
     body_sizes::BodySizes,
+    hedge_policy::HedgePolicy,
     latency_quantile::LatencyQuantile,
     offer_budget::OfferBudget,
     pool_view::PoolView,
@@ -75,6 +76,8 @@
     retry_budget: OfferBudget,
     /// Latency after which a request without an answer is hedged.
     latency: LatencyQuantile,
+    /// Hedges of services and routes with a hedge limit.
+    hedges: HedgePolicy,
     /// Body sizes, which determine the cost of sending a request to another failure domain.
     body_sizes: BodySizes,
 }
@@ -84,6 +87,8 @@
     #[must_use]
     pub fn new(plan: RoutingPlan, domain: DomainName) -> Self {
         let capacity = plan.subset_size;
+        let mut hedges = HedgePolicy::default();
+        hedges.set_plan(&plan);
         Self {
             domain,
             seed: 0,
@@ -93,6 +98,7 @@
             refusal_budget: OfferBudget::new(MAX_REFUSAL_TOKENS).with_max_debt(MAX_REFUSAL_DEBT),
             retry_budget: OfferBudget::new(plan.max_retry_tokens),
             latency: LatencyQuantile::default(),
+            hedges,
             body_sizes: BodySizes::default(),
             plan,
         }
@@ -109,6 +115,7 @@
     /// Replaces the settings and keeps the state of the targets.
     pub fn set_plan(&mut self, plan: RoutingPlan) {
         self.retry_budget.set_max_tokens(plan.max_retry_tokens);
+        self.hedges.set_plan(&plan);
         self.plan = plan;
         self.views.truncate(self.plan.subset_size);
         self.fill_subset(MonoTime::ZERO);
@@ -146,7 +153,9 @@
     /// round trip to another failure domain, so that the host's queue serves requests with a long
     /// way back first.
     ///
-    /// A hedge is refused unless the target that has the request, the last of `tried`, is slow.
+    /// A hedge without a hedge limit is refused unless the target that has the request, the last of
+    /// `tried`, is slow. One with a limit is refused when the limit has no room or the service no
+    /// spare capacity.
     pub fn pick(
         &mut self,
         now: MonoTime,
@@ -154,7 +163,7 @@
         tried: &[NodeId],
         random: &mut impl Rng,
     ) -> PickResult {
-        if terms.cause == OfferCause::Hedged && !self.is_slow(now, tried.last()) {
+        if terms.cause == OfferCause::Hedged && !self.may_hedge(now, terms.work_kind, tried) {
             return PickResult::Refuse(self.refusal(RefusalReason::BudgetSpent));
         }
         if terms.offers_left == 0 || !self.may_charge(terms.cause) {
@@ -163,22 +172,44 @@
         if terms.cause == OfferCause::First {
             self.refusal_budget.deposit(self.plan.refusal_share);
             self.retry_budget.deposit(self.plan.budget_share);
+            self.hedges.record_first(now, terms.work_kind);
         }
         let transfer_us = self.transfer_us(terms.work_kind);
+        let is_limited_hedge = is_limited_hedge(&self.hedges, &terms);
+        let disturbed = is_limited_hedge.then(|| self.disturbed_domain(now, tried));
+        let avoided = disturbed.unwrap_or_default();
         let context = PickContext {
             now,
             pool: &self.pool,
             cross_domain_us: 2.0 * self.plan.domain_trip.as_micros() as f64 + transfer_us,
         };
-        let choice = choose_target(&mut self.views, &context, tried, random);
+        let choice = if avoided.is_empty() {
+            None
+        } else {
+            choose_target(
+                &mut self.views,
+                &context,
+                &[tried, &avoided].concat(),
+                random,
+            )
+        };
+        let choice = choice.or_else(|| choose_target(&mut self.views, &context, tried, random));
         let Some(choice) = choice else {
             return PickResult::Refuse(self.refusal(RefusalReason::NoTarget));
         };
         self.charge(terms.cause);
+        if terms.cause == OfferCause::Hedged {
+            self.hedges.record_hedge(now, terms.work_kind);
+        }
         terms.offers_left -= 1;
         let is_same_domain = self.views[choice.best].is_same_domain;
         let saved_us = if is_same_domain { transfer_us } else { 0.0 };
-        terms.wait_limit = self.wait_limit(&terms, choice.runner_up_score_us, saved_us);
+        terms.wait_limit = if is_limited_hedge {
+            // It runs where it hardly waits or not at all.
+            Duration::from_micros((MIN_WAIT_SHARE * self.pool.service_us()) as u64)
+        } else {
+            self.wait_limit(&terms, choice.runner_up_score_us, saved_us)
+        };
         let view = &mut self.views[choice.best];
         if !view.is_same_domain {
             let trips = self.plan.domain_trip * 2;
@@ -206,6 +237,9 @@
         if !may_hedge {
             return None;
         }
+        if self.hedges.is_limited(terms.work_kind) {
+            return self.hedges.delay(terms);
+        }
         let silence_us = SILENCE_LIMIT * self.pool.service_us();
         let silence = Duration::from_micros(silence_us as u64);
         self.latency.get().map(|quantile| quantile.max(silence))
@@ -226,6 +260,10 @@
                 self.body_sizes.observe(work_kind, bytes);
                 None
             }
+            RouteEvent::LatencyObserved { work_kind, latency } => {
+                self.hedges.observe_latency(work_kind, latency);
+                None
+            }
             RouteEvent::LoadReported { node, report } => {
                 self.pool.observe(&report);
                 let view = self.view_mut(node)?;
@@ -300,6 +338,33 @@
         }
     }
 
+    /// Whether a request that the last of `tried` has may be hedged.
+    fn may_hedge(&mut self, now: MonoTime, work_kind: u64, tried: &[NodeId]) -> bool {
+        if !self.hedges.is_limited(work_kind) {
+            return self.is_slow(now, tried.last());
+        }
+        self.pool.load_share() < MAX_HEDGED_LOAD && self.hedges.has_room(now, work_kind)
+    }
+
+    /// The targets of the failure domain of the last of `tried`, if that target is disturbed: its
+    /// neighbours are likely to be disturbed too.
+    fn disturbed_domain(&self, now: MonoTime, tried: &[NodeId]) -> Vec<NodeId> {
+        let late = tried.last().and_then(|node| self.targets.get(node));
+        let late = late.filter(|late| {
+            let view = self.views.iter().find(|view| view.node == late.node);
+            view.is_some_and(|view| view.is_disturbed(now, &self.pool))
+        });
+        let Some(late) = late else {
+            return Vec::new();
+        };
+        let nodes = self.views.iter().map(|view| view.node);
+        let is_neighbour = |node: &NodeId| {
+            let record = self.targets.get(node);
+            record.is_some_and(|record| record.domain == late.domain)
+        };
+        nodes.filter(is_neighbour).collect()
+    }
+
     /// Whether a target of the subset is slow or unresponsive.
     fn is_slow(&self, now: MonoTime, node: Option<&NodeId>) -> bool {
         let view = self.views.iter().find(|view| Some(&view.node) == node);
@@ -359,3 +424,8 @@
         }
     }
 }
+
+/// Whether an offer is a hedge under a hedge limit.
+fn is_limited_hedge(hedges: &HedgePolicy, terms: &RequestTerms) -> bool {
+    terms.cause == OfferCause::Hedged && hedges.is_limited(terms.work_kind)
+}
--- a/crates/fescueway_routing/src/target_view.rs
+++ b/crates/fescueway_routing/src/target_view.rs
@@ -56,6 +56,10 @@
 /// tenants of a VM occupy the processor.
 const PACE_DECAY_US: f64 = 300_000.0;
 
+/// Pace, as a multiple of the pool's, above which a target counts as disturbed. Paces of undisturbed
+/// targets differ by 10% by chance.
+const DISTURBED_PACE: f64 = 1.3;
+
 /// Inputs of a pick that are common to all targets.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PickContext<'router> {
@@ -310,6 +314,11 @@
         self.current_service_us(now, pool) > SLOWNESS_TOLERANCE * pool.service_us() * pool.pace()
     }
 
+    /// Whether the target reports that its work takes longer than usual, and longer than the pool's.
+    pub(crate) fn is_disturbed(&self, now: MonoTime, pool: &PoolView) -> bool {
+        self.current_pace(now, pool) > DISTURBED_PACE * pool.pace().max(1.0)
+    }
+
     /// Pace of work now: the reported one, which decays to the pool's as the report ages.
     fn current_pace(&self, now: MonoTime, pool: &PoolView) -> f64 {
         let retained = decay(elapsed_us(self.reported_at, now), PACE_DECAY_US);
--- a/crates/fescueway_telemetry/src/burn_report.rs
+++ b/crates/fescueway_telemetry/src/burn_report.rs
@@ -66,6 +66,17 @@
     pub bad: u64,
 }
 
+/// Hedges of a service since its nodes started.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HedgeCount {
+    /// Hedges made.
+    pub started: u64,
+    /// Hedges that were answered before the offer that they hedged.
+    pub won: u64,
+    /// Time of offers that were cancelled because another one was answered first, in milliseconds.
+    pub wasted_ms: u64,
+}
+
 /// Request counts of one service at one site, from which its burn rate follows.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServiceBurn {
@@ -79,6 +90,9 @@
     pub windows: BTreeMap<BurnWindow, WindowCount>,
     /// Requests in each past hour, the latest hour first.
     pub hours: Vec<WindowCount>,
+    /// Hedges. Nodes of earlier versions don't report them.
+    #[serde(default, skip_serializing_if = "HedgeCount::is_zero")]
+    pub hedges: HedgeCount,
 }
 
 /// Request counts and burn rates of services.
@@ -197,6 +211,21 @@
     }
 }
 
+impl HedgeCount {
+    /// Adds another count.
+    pub fn add(&mut self, other: Self) {
+        self.started = self.started.saturating_add(other.started);
+        self.won = self.won.saturating_add(other.won);
+        self.wasted_ms = self.wasted_ms.saturating_add(other.wasted_ms);
+    }
+
+    /// Whether nothing was hedged.
+    #[must_use]
+    pub fn is_zero(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 impl ServiceBurn {
     /// The burn rate over a window.
     #[must_use]
@@ -233,6 +262,7 @@
         for (hour, count) in self.hours.iter_mut().zip(&other.hours) {
             hour.add(*count);
         }
+        self.hedges.add(other.hedges);
     }
 }
 
@@ -253,7 +283,7 @@
     }
 
     /// The report as a table: a row for each service, the burn over each window, and the most
-    /// urgent alarm.
+    /// urgent alarm. If anything was hedged, the hedges follow.
     #[must_use]
     pub fn table(&self) -> Vec<Vec<String>> {
         let mut heading = vec!["SITE", "SERVICE", "OBJECTIVE"];
@@ -261,10 +291,26 @@
         heading.push("ALARM");
         let mut rows = vec![heading.into_iter().map(ToOwned::to_owned).collect()];
         rows.extend(self.services.iter().map(table_row));
+        if self.services.iter().any(|burn| !burn.hedges.is_zero()) {
+            let heading = ["HEDGES", "WON", "WASTED S"].map(ToOwned::to_owned);
+            let hedges = self.services.iter().map(|burn| hedge_cells(burn.hedges));
+            for (row, cells) in rows.iter_mut().zip([heading].into_iter().chain(hedges)) {
+                row.extend(cells);
+            }
+        }
         rows
     }
 }
 
+/// The cells of a service's hedges.
+fn hedge_cells(hedges: HedgeCount) -> [String; 3] {
+    [
+        hedges.started.to_string(),
+        hedges.won.to_string(),
+        format!("{:.1}", hedges.wasted_ms as f64 / 1e3),
+    ]
+}
+
 /// The row of one service.
 fn table_row(burn: &ServiceBurn) -> Vec<String> {
     let mut row = vec![
--- a/crates/fescueway_telemetry/src/burn_tracker.rs
+++ b/crates/fescueway_telemetry/src/burn_tracker.rs
@@ -9,7 +9,7 @@
 use fescueway_core::{MonoTime, ServiceName, SiteName};
 
 use crate::{
-    BURN_ALARMS, BurnAlarm, BurnReport, BurnWindow, ServiceBurn, WindowCount,
+    BURN_ALARMS, BurnAlarm, BurnReport, BurnWindow, HedgeCount, ServiceBurn, WindowCount,
     count_ring::CountRing, emit, events::operator,
 };
 
@@ -93,6 +93,8 @@
     fine: CountRing,
     /// Counts for windows above an hour.
     coarse: CountRing,
+    /// Hedges since the start.
+    hedges: HedgeCount,
     /// Alarms that were active at the last check, as indexes into [`BURN_ALARMS`].
     active: BTreeSet<usize>,
 }
@@ -127,6 +129,13 @@
         }
     }
 
+    /// Counts the hedges of a request that ended, also of one that missed its objective.
+    pub fn record_hedges(&mut self, service: &ServiceName, hedges: HedgeCount) {
+        if let Some(counts) = self.services.get_mut(service) {
+            counts.hedges.add(hedges);
+        }
+    }
+
     /// The counts of this node.
     #[must_use]
     pub fn report(&mut self, now: MonoTime) -> BurnReport {
@@ -156,6 +165,7 @@
             availability,
             fine: CountRing::new(FINE_BUCKET, FINE_BUCKET_COUNT),
             coarse: CountRing::new(COARSE_BUCKET, COARSE_BUCKET_COUNT),
+            hedges: HedgeCount::default(),
             active: BTreeSet::new(),
         }
     }
@@ -169,6 +179,7 @@
             availability: self.availability,
             windows: windows.into_iter().collect(),
             hours: self.hours(now),
+            hedges: self.hedges,
         }
     }
 
--- a/crates/fescueway_telemetry/src/lib.rs
+++ b/crates/fescueway_telemetry/src/lib.rs
@@ -27,7 +27,8 @@
 pub use crate::{
     burn_plot::{PlotError, burn_svg},
     burn_report::{
-        BURN_ALARMS, BurnAlarm, BurnReport, BurnSeverity, BurnWindow, ServiceBurn, WindowCount,
+        BURN_ALARMS, BurnAlarm, BurnReport, BurnSeverity, BurnWindow, HedgeCount, ServiceBurn,
+        WindowCount,
     },
     burn_tracker::{AlarmChange, BurnTracker},
     event_kind::{EventKind, LOG_TARGET, emit},
--- a/crates/fescueway_telemetry/src/request_end.rs
+++ b/crates/fescueway_telemetry/src/request_end.rs
@@ -17,6 +17,10 @@
     pub offers: u32,
     /// How many of the offers were hedges.
     pub hedges: u32,
+    /// How many of the hedges were answered first.
+    pub hedge_wins: u32,
+    /// Total time of the offers that were cancelled because another one was answered first.
+    pub hedge_waste: Duration,
 }
 
 /// Result of a request for its caller.
--- a/crates/fescueway_telemetry/src/service_metrics.rs
+++ b/crates/fescueway_telemetry/src/service_metrics.rs
@@ -41,6 +41,8 @@
     refusals: Counter<u64>,
     offers: Histogram<u64>,
     hedges: Counter<u64>,
+    hedge_wins: Counter<u64>,
+    hedge_waste: Counter<f64>,
     repeats: Counter<u64>,
     routes: Counter<u64>,
     retry_tokens: Gauge<f64>,
@@ -101,6 +103,15 @@
         let hedges = meter
             .u64_counter("fescueway.hedges")
             .with_description("Second offers of late idempotent requests.");
+        let hedge_wins = meter
+            .u64_counter("fescueway.hedge.wins")
+            .with_description("Hedges that were answered before the offer that they hedged.");
+        let hedge_waste = meter
+            .f64_counter("fescueway.hedge.waste")
+            .with_description(
+                "Time of offers that were cancelled since another was answered first.",
+            )
+            .with_unit("s");
         let spent = meter
             .f64_counter("fescueway.probe.spent")
             .with_description("Backend time that probes took.")
@@ -124,6 +135,8 @@
             refusals: refusals.build(),
             offers: offers.build(),
             hedges: hedges.build(),
+            hedge_wins: hedge_wins.build(),
+            hedge_waste: hedge_waste.build(),
             repeats: repeats.build(),
             routes: routes.build(),
             retry_tokens: float_gauge(
@@ -191,6 +204,8 @@
     latency: BoundHistogram<f64>,
     offers: BoundHistogram<u64>,
     hedges: BoundCounter<u64>,
+    hedge_wins: BoundCounter<u64>,
+    hedge_waste: BoundCounter<f64>,
     repeats: BoundCounter<u64>,
     retry_tokens: BoundGauge<f64>,
     refusal_tokens: BoundGauge<f64>,
@@ -246,6 +261,8 @@
             latency: instruments.latency.bind(&labels),
             offers: instruments.offers.bind(&labels),
             hedges: instruments.hedges.bind(&labels),
+            hedge_wins: instruments.hedge_wins.bind(&labels),
+            hedge_waste: instruments.hedge_waste.bind(&labels),
             probe_spent: instruments.probe_spent.bind(&labels),
             probe_budget: instruments.probe_budget.bind(&labels),
             utilization: OnceLock::new(),
@@ -278,6 +295,9 @@
         self.offers.record(end.offers.into());
         if end.hedges > 0 {
             self.hedges.add(end.hedges.into());
+            self.hedge_wins.add(end.hedge_wins.into());
+            self.hedge_waste
+                .add(end.hedge_waste.as_micros() as f64 / MICROS_PER_S);
         }
         let repeats = end.offers.saturating_sub(1 + end.hedges);
         if repeats > 0 {
--- a/crates/fescueway_telemetry/tests/burn.rs
+++ b/crates/fescueway_telemetry/tests/burn.rs
@@ -121,6 +121,8 @@
         latency: limit,
         offers: 1,
         hedges: 0,
+        hedge_wins: 0,
+        hedge_waste: Duration::ZERO,
     };
     assert!(end.is_good(limit));
     let late = limit + Duration::from_micros(1);
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -18,6 +18,8 @@
         latency: Duration::from_millis(3),
         offers: 2,
         hedges: 1,
+        hedge_wins: 1,
+        hedge_waste: Duration::from_millis(250),
     };
     bands.request_ended(&end);
     set.service(&ServiceName::new("bands")).request_ended(&end);
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -7,6 +7,7 @@
 };
 
 use fescueway_admission::StopSchedule;
+use fescueway_config::HedgePlan;
 use fescueway_core::NodeId;
 use fescueway_membership::MemberEvent;
 use fescueway_proxy::{ProxyOptions, ProxyState, TaskGroup, serve_callers, serve_peers};
@@ -104,6 +105,8 @@
         let options = proxy_options(&settings, &adapter, addresses.peers)?;
         let state = ProxyState::new(options, tasks);
         apply_caller_service(&state, &settings);
+        let hedge_default = HedgePlan::of_fields(settings.hedge_share, settings.hedge_per_s);
+        state.routes().set_hedge_default(hedge_default);
         if let Some(plan) = &settings.plan {
             state.apply_plan(Arc::clone(plan));
         }
--- a/crates/fescuewayd/src/daemon_settings.rs
+++ b/crates/fescuewayd/src/daemon_settings.rs
@@ -55,6 +55,11 @@
     /// Retries and hedges beyond their share that all entries together may make for a service; `None`
     /// for a fixed number for each entry.
     pub retry_slack: Option<f64>,
+    /// Hedges of a service as a share of its first offers, where its configuration doesn't limit them.
+    pub hedge_share: Option<f64>,
+    /// Hedges per second of a service, of all entries together, where its configuration doesn't limit
+    /// them.
+    pub hedge_per_s: Option<f64>,
     /// Whether requests are deduplicated by their idempotency keys.
     pub takes_keys: bool,
     /// The initial configuration, in force until the store or a peer has a newer one.
@@ -103,6 +108,8 @@
             backend_address: None,
             caller_service: None,
             retry_slack: None,
+            hedge_share: None,
+            hedge_per_s: None,
             takes_keys: true,
             plan: None,
         }
--- a/crates/fescuewayd/src/member_link.rs
+++ b/crates/fescuewayd/src/member_link.rs
@@ -11,9 +11,11 @@
 
 use fescueway_core::{ConfigMark, MonoTime, NodeId};
 use fescueway_membership::{
-    FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings, TrafficCounts, jittered,
+    FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings, MemberState, TrafficCounts,
+    jittered,
 };
 use fescueway_proxy::ProxyState;
+use fescueway_routing::FleetShare;
 use fescueway_telemetry::{emit, events::control};
 use rand_pcg::Pcg64Mcg;
 use tokio::{
@@ -273,10 +275,29 @@
             let reserve = RETRY_RESERVE_SHARE * slack / live.max(1) as f64;
             self.0.proxy.routes().set_max_retry_tokens(reserve.max(1.0));
         }
+        self.0.proxy.routes().set_fleet_share(self.fleet_share());
         let peers = live.saturating_sub(1) as u32;
         self.0.board.change(|facts| facts.peers = peers);
     }
 
+    /// This node's position among the live nodes of its site. A node whose site isn't known yet counts.
+    fn fleet_share(&self) -> FleetShare {
+        let options = self.0.proxy.options();
+        let core = self.core();
+        let is_counted = |state: &MemberState| {
+            let record = state.record.as_ref();
+            let is_other_site = record.is_some_and(|record| record.site != options.site);
+            state.status.is_live() && !is_other_site
+        };
+        let live = core.list.members().filter(|(_, state)| is_counted(state));
+        let (mut rank, mut entries) = (0, 0);
+        for (node, _) in live {
+            entries += 1;
+            rank += u32::from(node < options.node);
+        }
+        FleetShare { rank, entries }
+    }
+
     /// Locks the state machine.
     fn core(&self) -> MutexGuard<'_, MemberCore> {
         self.0.core.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -11,8 +11,8 @@
 use fescueway_platform::StoreClient;
 use fescueway_proxy::{ProxyState, RequestRecord};
 use fescueway_telemetry::{
-    AlarmChange, BurnReport, BurnTracker, LogQueue, MetricError, MetricSet, NodeGauges, NodeTotals,
-    RequestEnd, ServiceLoad, StoreCalls,
+    AlarmChange, BurnReport, BurnTracker, HedgeCount, LogQueue, MetricError, MetricSet, NodeGauges,
+    NodeTotals, RequestEnd, ServiceLoad, StoreCalls,
 };
 use tokio::time::sleep;
 
@@ -201,6 +201,14 @@
         self.plan.services.get(service)?;
         let is_good = end.is_good(objective);
         self.tracker.record(state.now(), service, is_good);
+        if end.hedges > 0 {
+            let hedges = HedgeCount {
+                started: end.hedges.into(),
+                won: end.hedge_wins.into(),
+                wasted_ms: end.hedge_waste.as_millis() as u64,
+            };
+            self.tracker.record_hedges(service, hedges);
+        }
         Some(is_good)
     }
 
--- a/crates/fescuewayd/src/raw_settings.rs
+++ b/crates/fescuewayd/src/raw_settings.rs
@@ -53,6 +53,11 @@
     pub caller_service: Option<String>,
     /// Retries and hedges beyond their share that all entries together may make for a service.
     pub retry_slack: Option<Number>,
+    /// Maximum hedges of a service whose configuration doesn't limit them, as a share of the first
+    /// offers.
+    pub hedge_share: Option<Number>,
+    /// Maximum hedges per second of such a service.
+    pub hedge_per_s: Option<Number>,
     /// Whether requests are deduplicated by their idempotency keys.
     pub takes_keys: Option<bool>,
 }
@@ -165,6 +170,14 @@
                 rules::RETRY_SLACK.field.to_owned(),
                 raw.retry_slack.as_ref(),
             )?,
+            hedge_share: rules::HEDGE_SHARE.check_optional(
+                rules::HEDGE_SHARE.field.to_owned(),
+                raw.hedge_share.as_ref(),
+            )?,
+            hedge_per_s: rules::HEDGE_PER_S.check_optional(
+                rules::HEDGE_PER_S.field.to_owned(),
+                raw.hedge_per_s.as_ref(),
+            )?,
             takes_keys: raw.takes_keys.unwrap_or(true),
             plan: None,
         })
--- a/crates/fescuewayd/src/settings_rules.rs
+++ b/crates/fescuewayd/src/settings_rules.rs
@@ -18,6 +18,8 @@
     &ANNOUNCE_TIMEOUT,
     &STOP_LINGER,
     &RETRY_SLACK,
+    &HEDGE_SHARE,
+    &HEDGE_PER_S,
 ];
 
 /// Maximum number of open connections of callers.
@@ -173,3 +175,25 @@
     is_whole: false,
     meaning: "Retries and hedges beyond their share that all entries together may make for a service. Not given: 10 for each entry.",
 };
+
+/// Hedges of a service whose configuration doesn't limit them, as a share of the first offers.
+pub const HEDGE_SHARE: NumberRule = NumberRule {
+    field: "hedge_share",
+    unit: "share of the first offers",
+    default: 0.0,
+    min: 0.0,
+    max: 1.0,
+    is_whole: false,
+    meaning: "As `retry.hedge_share`, for services whose configuration doesn't limit hedges. Not given: no such limit.",
+};
+
+/// Hedges per second of a service whose configuration doesn't limit them.
+pub const HEDGE_PER_S: NumberRule = NumberRule {
+    field: "hedge_per_s",
+    unit: "hedges per second",
+    default: 0.0,
+    min: 0.0,
+    max: 1_000_000.0,
+    is_whole: false,
+    meaning: "As `retry.hedge_per_s`, for services whose configuration doesn't limit hedges. Not given: no such limit.",
+};
