Test that a hedge's loser is cancelled and leaves slot, queue and connection

Two nodes and a raw stub: the loser that runs is cancelled at the backend server and its slot is free; the loser that waits leaves the host's queue. Both held already, by the reset of the dropped stream.

--- a/crates/fescuewayd/tests/path/main.rs
+++ b/crates/fescuewayd/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod concurrent_responses;
 mod decision_logs;
+mod hedges;
 mod host_field;
 mod hostile_peers;
 mod load_header;
