Answer 502 when a status is none of a final answer

A backend server's answer with a status of 600 to 999 was delivered as it was, 101 too, and informational answers without end kept the slot until the deadline and ended in 504. From a host, 1xx and 600 to 999 in an answer head were delivered (a 1xx as a bare 500, on h2 as a reset stream), and any status but 200 of the stream counted as not run. 000, 099 and statuses that are no number were failures already.

Now only 200 to 599 are final answers, where a status is received from the backend server, from a host and before it goes to the caller. The connection is dropped, the caller gets 502 as for a lost answer, and E1122 and E1111 name the target.

--- a/crates/fescueway_proxy/src/entry/offer_loop.rs
+++ b/crates/fescueway_proxy/src/entry/offer_loop.rs
@@ -18,6 +18,7 @@
 use crate::{
     body::AnswerBody,
     edge_profile::EdgeProfile,
+    final_status::final_status,
     offer_answer::AnswerWithOutcome,
     offer_request::OfferRequest,
     proxy_state::ProxyState,
@@ -347,6 +348,11 @@
         mut response,
         outcome,
     } = answer;
+    if final_status(response.status().as_u16()).is_none() {
+        // Each way by which answers come in checks this; no caller gets one by a way added later.
+        record.outcome = Some(Outcome::Unknown);
+        return lost_answer(profile, StatusCode::BAD_GATEWAY);
+    }
     record.outcome = Some(outcome);
     insert_outcome(profile, response.headers_mut(), outcome);
     response
--- a/crates/fescueway_proxy/src/host/backend_pool.rs
+++ b/crates/fescueway_proxy/src/host/backend_pool.rs
@@ -21,9 +21,10 @@
     time::{Instant, timeout},
 };
 
-use super::{BackendError, BackendStep};
+use super::{BackendError, BackendStep, informational_limit::InformationalLimit};
 use crate::{
     body::{BodyError, HostBody},
+    final_status::final_status,
     idle_sweep::IdleSweep,
     proxy_limits::ProxyLimits,
     socket_options::set_socket_options,
@@ -64,6 +65,8 @@
 struct IdleConnection {
     /// Sends the next request.
     sender: SendRequest<HostBody>,
+    /// Limits the informational answers.
+    informational: InformationalLimit,
     /// Time at which it became idle.
     since: Instant,
 }
@@ -73,6 +76,8 @@
 pub struct BackendConnection {
     /// Sends the request.
     sender: SendRequest<HostBody>,
+    /// Limits the informational answers.
+    informational: InformationalLimit,
     /// Whether it is a keep-alive connection, which the backend server may be closing.
     is_reused: bool,
 }
@@ -127,8 +132,9 @@
         let may_reuse = terms.idempotency == Idempotency::Idempotent && terms.lost_runs == 0;
         let reused = may_reuse.then(|| self.take_idle()).flatten();
         match reused {
-            Some(sender) => Ok(BackendConnection {
-                sender,
+            Some(idle) => Ok(BackendConnection {
+                sender: idle.sender,
+                informational: idle.informational,
                 is_reused: true,
             }),
             None => self.connect().await,
@@ -143,7 +149,7 @@
     ///
     /// # Errors
     ///
-    /// If no response arrives. [`BackendError::is_unsent`] tells whether the request may have run.
+    /// If no response with the status of a final one arrives. [`BackendError::is_unsent`] tells whether the request may have run.
     pub async fn send(
         &self,
         mut connection: BackendConnection,
@@ -175,15 +181,37 @@
     async fn send_once(
         &self,
         connection: &mut BackendConnection,
-        request: Request<HostBody>,
+        mut request: Request<HostBody>,
     ) -> Result<Response<Incoming>, SendFailure> {
-        let sent = connection.sender.try_send_request(request).await;
-        sent.map_err(|mut failure| {
+        connection.informational.observe(&mut request);
+        let sending = connection.sender.try_send_request(request);
+        let sent = tokio::select! {
+            sent = sending => Some(sent),
+            () = connection.informational.exceeded() => None,
+        };
+        let Some(sent) = sent.filter(|_| !connection.informational.is_exceeded()) else {
+            return Err(self.invalid(&"too many informational answers"));
+        };
+        let response = sent.map_err(|mut failure| {
             let unsent = failure.take_message();
             let step = failed_step(unsent.is_some(), failure.error());
             let error = BackendError::new(step, self.0.address, failure.error());
             SendFailure { error, unsent }
-        })
+        })?;
+        let status = response.status().as_u16();
+        if final_status(status).is_none() {
+            return Err(self.invalid(&format!("the status {status} is none of a final answer")));
+        }
+        Ok(response)
+    }
+
+    /// The failure of a response that is not valid, to a request that may have run.
+    fn invalid(&self, detail: &impl ToString) -> SendFailure {
+        let error = BackendError::new(BackendStep::Receive, self.0.address, detail);
+        SendFailure {
+            error,
+            unsent: None,
+        }
     }
 
     /// Returns a connection whose response was read to its end.
@@ -197,6 +225,7 @@
         }
         idle.push_back(IdleConnection {
             sender: connection.sender,
+            informational: connection.informational,
             since: Instant::now(),
         });
         drop(idle);
@@ -204,11 +233,11 @@
     }
 
     /// Takes the most recently used idle connection that is ready for a request.
-    fn take_idle(&self) -> Option<SendRequest<HostBody>> {
+    fn take_idle(&self) -> Option<IdleConnection> {
         let mut idle = self.idle();
         while let Some(connection) = idle.pop_back() {
             if connection.sender.is_ready() {
-                return Some(connection.sender);
+                return Some(connection);
             }
         }
         None
@@ -222,6 +251,7 @@
         match connecting.await {
             Ok(Ok(sender)) => Ok(BackendConnection {
                 sender,
+                informational: InformationalLimit::default(),
                 is_reused: false,
             }),
             Ok(Err(detail)) => Err(error(detail)),
--- a/crates/fescueway_proxy/src/host/mod.rs
+++ b/crates/fescueway_proxy/src/host/mod.rs
@@ -6,6 +6,7 @@
 mod host_offer;
 mod host_run;
 mod host_target;
+mod informational_limit;
 mod run_checks;
 mod run_ticket;
 
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -14,6 +14,7 @@
 mod duplicate_answer;
 mod edge_profile;
 mod entry;
+mod final_status;
 mod headers;
 mod hedge_limits;
 mod host;
--- a/crates/fescueway_proxy/src/peer/peer_error.rs
+++ b/crates/fescueway_proxy/src/peer/peer_error.rs
@@ -58,6 +58,9 @@
     /// The peer refused the stream with this HTTP status.
     #[error("the peer answered with status {0}")]
     Status(u16),
+    /// The status of the backend server's answer is none of a final answer.
+    #[error("the status {0} is none of a final answer")]
+    InvalidStatus(u16),
     /// The answer is not valid HTTP or not expected at this point.
     #[error("the answer is malformed")]
     Malformed,
--- a/crates/fescueway_proxy/src/peer/peer_offer.rs
+++ b/crates/fescueway_proxy/src/peer/peer_offer.rs
@@ -6,7 +6,7 @@
 use fescueway_core::{Idempotency, Refusal, RefusalReason};
 use fescueway_wire::{AnswerHead, MAX_HEAD_BYTES, StreamHead, encode_frame};
 use h2::Reason;
-use http::{Response, StatusCode};
+use http::Response;
 use tokio::sync::Notify;
 
 use super::{
@@ -16,6 +16,7 @@
 };
 use crate::{
     body::{AnswerBody, RequestBody, send_body},
+    final_status::final_status,
     offer_answer::{AnswerWithOutcome, OfferAnswer},
     offer_request::OfferRequest,
 };
@@ -44,11 +45,11 @@
 
 /// Whether the error proves that the request did not run.
 ///
-/// A host rejects a stream with an HTTP status only if it did not hand the request over. A refused
-/// stream was not processed at all (RFC 9113, section 8.7).
+/// A host rejects a stream with a 4xx status only if it did not hand the request over; any other status
+/// proves nothing. A refused stream was not processed at all (RFC 9113, section 8.7).
 fn is_refusal(error: &PeerError) -> bool {
     match &error.cause {
-        PeerCause::Status(_) => true,
+        PeerCause::Status(status) => matches!(status, 400..=499),
         PeerCause::Stream(cause) if cause.is_remote() => {
             error.is_unsent() || cause.reason() == Some(Reason::REFUSED_STREAM)
         }
@@ -169,7 +170,7 @@
             };
             let mut response = Response::new(body);
             *response.status_mut() =
-                StatusCode::from_u16(status).map_err(|_invalid| PeerCause::Malformed)?;
+                final_status(status).ok_or(PeerCause::InvalidStatus(status))?;
             *response.headers_mut() = headers.into_map();
             let answer = AnswerWithOutcome { response, outcome };
             Ok(OfferAnswer::Answered { answer, load })
--- a/crates/fescueway_proxy/src/peer/peer_pool.rs
+++ b/crates/fescueway_proxy/src/peer/peer_pool.rs
@@ -2,11 +2,14 @@
 
 use std::{
     collections::BTreeMap,
+    future::poll_fn,
     net::SocketAddr,
+    pin::Pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    task::Poll,
     time::Duration,
 };
 
@@ -349,9 +352,21 @@
     }
 }
 
-/// Waits for the head of the answer. Any status but 200 is an error.
-pub(crate) async fn receive(response: ResponseFuture) -> Result<RecvStream, PeerCause> {
-    let response = response.await?;
+/// Waits for the head of the answer. Any status but 200 is an error, also an informational one: no node
+/// sends any, and a faulty one could send them without end.
+pub(crate) async fn receive(mut response: ResponseFuture) -> Result<RecvStream, PeerCause> {
+    let received = poll_fn(|context| match response.poll_informational(context) {
+        Poll::Ready(Some(Ok(informational))) => {
+            let status = informational.status().as_u16();
+            Poll::Ready(Err(PeerCause::Status(status)))
+        }
+        Poll::Ready(Some(Err(error))) => Poll::Ready(Err(error.into())),
+        Poll::Ready(None) | Poll::Pending => {
+            let response = Pin::new(&mut response).poll(context);
+            response.map_err(PeerCause::from)
+        }
+    });
+    let response = received.await?;
     let status = response.status().as_u16();
     if status != http::StatusCode::OK.as_u16() {
         return Err(PeerCause::Status(status));
--- a/crates/fescuewayd/tests/path/decision_logs.rs
+++ b/crates/fescuewayd/tests/path/decision_logs.rs
@@ -16,7 +16,13 @@
 use serde_json::Value;
 use tokio::time::sleep;
 
-use crate::common::{TwoNodes, plan, request, send, start_hosts, start_node, text, wait_until};
+use crate::{
+    common::{
+        TwoNodes, announce, plan, request, send, start_hosts, start_node, text, wait_until,
+        wait_until_targets_known,
+    },
+    raw_backend::{BadAnswer, RawBackend},
+};
 
 const DEADLINE: Duration = Duration::from_secs(5);
 
@@ -94,6 +100,7 @@
     check_success_logs_two_lines(&log).await;
     check_late_and_cancelled_requests(&log).await;
     check_ejection_after_lost_responses(&log).await;
+    check_invalid_status_names_its_target(&log).await;
     check_refused_and_unrouted_requests(&log).await;
     check_repeated_offers(&log).await;
     check_hedged_requests(&log).await;
@@ -174,6 +181,27 @@
     assert!(log.has_event(&nodes.entry, 1131), "the target is restored");
 }
 
+async fn check_invalid_status_names_its_target(log: &SharedLog) {
+    let plan = plan("windows", DEADLINE);
+    for status in ["099", "101", "700", "abc"] {
+        let answer = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 0\r\n\r\n");
+        let backend = RawBackend::start(BadAnswer::Once(answer)).await;
+        let entry = start_node(&plan, &[]).await;
+        let host = start_node(&plan, &[entry.addresses().peers]).await;
+        announce(&host, "windows", backend.address());
+        wait_until_targets_known(&entry, 1).await;
+        let id = format!("status-{status}");
+        let outgoing = request("POST", "/windows/bad", &[("x-request-id", &id)], "");
+        let response = send(entry.addresses().callers, outgoing).await;
+        assert_eq!(response.status(), 502);
+        let lost = log.wait_for_line(&id, 1122).await;
+        let error = lost["fields"]["error"].to_string();
+        assert!(error.contains(&backend.address().to_string()), "{error}");
+        let offer = log.wait_for_line(&id, 1111).await;
+        assert_eq!(offer["fields"]["target"], host.state().node().to_string());
+    }
+}
+
 async fn check_refused_and_unrouted_requests(log: &SharedLog) {
     let node_without_targets = start_node(&plan("windows", DEADLINE), &[]).await;
     assert_eq!(
