--- a/crates/fescueway_config/tests/documents.rs
+++ b/crates/fescueway_config/tests/documents.rs
@@ -304,3 +304,37 @@
     }
     checker().quickcheck(property as fn(u32, u16, bool) -> TestResult);
 }
+
+#[test]
+fn limits_on_hedges_are_optional_and_keep_the_canonical_form() {
+    let overlay = |retry: &str| {
+        format!(
+            r#"{{ "site": "bala", "services": {{ "bookings": {{ "retry": {{ {retry} }} }} }} }}"#
+        )
+    };
+    let value = |overlay: &str| {
+        let config = check(BASE, overlay).expect("accepted");
+        let values = config.service_values();
+        let mut values = values.values();
+        let value = values.find(|value| String::from_utf8_lossy(&value.bytes).contains("bookings"));
+        value.expect("the service").clone()
+    };
+    // Nodes compare digests; one that is upgraded must find the same for the same configuration.
+    let without = value(r#"{ "site": "bala" }"#);
+    assert!(!String::from_utf8_lossy(&without.bytes).contains("hedge_"));
+    let limited = value(&overlay(r#""hedge_share": 0.05, "hedge_per_s": 30"#));
+    assert_ne!(limited.digest, without.digest);
+    let plan = ServicePlan::try_from(&*limited.bytes).expect("read back");
+    let hedge = plan.retry.hedge.expect("a limit");
+    assert_eq!((hedge.share, hedge.per_s), (Some(0.05), Some(30.0)));
+    assert_eq!(ServiceValue::from(&plan), limited);
+    for (retry, field) in [
+        (r#""hedge_share": 1.5"#, "retry.hedge_share"),
+        (r#""hedge_share": -0.1"#, "retry.hedge_share"),
+        (r#""hedge_per_s": -1"#, "retry.hedge_per_s"),
+    ] {
+        let errors = check(BASE, &overlay(retry)).expect_err("out of range");
+        let error = errors[0].to_string();
+        assert!(error.contains(field), "{error}");
+    }
+}
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -46,6 +46,7 @@
     backend_announcement::BackendAnnouncement,
     edge_profile::{AnswerVerdict, EdgeProfile, LoadReader},
     entry::serve_callers,
+    hedge_limits::HedgeLimits,
     host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunDenial, RunPermit},
     mono_clock::MonoClock,
     peer::{ControlTable, PeerError, PeerPool, PeerStep, serve_peers},
--- a/crates/fescueway_telemetry/tests/burn.rs
+++ b/crates/fescueway_telemetry/tests/burn.rs
@@ -4,7 +4,7 @@
 
 use fescueway_core::{MonoTime, Outcome, ServiceName};
 use fescueway_telemetry::{
-    BURN_ALARMS, BurnReport, BurnTracker, BurnWindow, RequestEnd, WindowCount, burn_svg,
+    BURN_ALARMS, BurnReport, BurnTracker, BurnWindow, HedgeCount, RequestEnd, WindowCount, burn_svg,
 };
 use quickcheck::{Gen, QuickCheck};
 
@@ -184,3 +184,31 @@
     let mut checker = QuickCheck::new().rng(Gen::from_size_and_seed(60, 0x00fe_5c0e));
     checker.quickcheck(property as fn(Requests, Requests) -> bool);
 }
+
+#[test]
+fn hedges_are_summed_over_nodes_and_shown_where_there_are_any() {
+    let (mut one, service) = tracker();
+    let (mut other, _) = tracker();
+    let without = one.report(MonoTime::ZERO);
+    assert!(!without.table()[0].contains(&"HEDGES".to_owned()));
+    let json = serde_json::to_string(&without).expect("JSON");
+    // Commands of earlier versions read the report of a service without hedges as before.
+    assert!(!json.contains("hedges"), "{json}");
+    let hedges = |started, won, wasted_ms| HedgeCount {
+        started,
+        won,
+        wasted_ms,
+    };
+    one.record_hedges(&service, hedges(2, 1, 700));
+    one.record_hedges(&service, hedges(1, 1, 300));
+    other.record_hedges(&service, hedges(4, 0, 250));
+    let mut report = one.report(MonoTime::ZERO);
+    report.merge(&other.report(MonoTime::ZERO));
+    assert_eq!(report.services[0].hedges, hedges(7, 2, 1_250));
+    let table = report.table();
+    let ends: Vec<_> = table
+        .iter()
+        .map(|row| row[row.len() - 3..].join(" "))
+        .collect();
+    assert_eq!(ends, ["HEDGES WON WASTED S", "7 2 1.2"]);
+}
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -71,6 +71,8 @@
         r#"fescueway_objective_requests_total{kept="false",service="bands"} 1"#,
         r#"fescueway_objective_requests_total{kept="true",service="bands"} 0"#,
         r#"fescueway_hedges_total{service="bands"} 2"#,
+        r#"fescueway_hedge_wins_total{service="bands"} 2"#,
+        r#"fescueway_hedge_waste_seconds_total{service="bands"} 0.5"#,
         r#"fescueway_refusals_total{reason="queue-full",service="bands"} 1"#,
         r#"fescueway_probe_spent_seconds_total{service="bands"} 0.005"#,
         r#"fescueway_probe_budget{service="bands"} 0.01"#,
