--- a/crates/fescueway_routing/src/lib.rs
+++ b/crates/fescueway_routing/src/lib.rs
@@ -5,7 +5,9 @@
 
 mod body_sizes;
 mod caller_wait_estimator;
+mod disturbed_domain;
 mod ejection_state;
+mod fleet_share;
 mod hedge_limit;
 mod hedge_limiter;
 mod hedge_policy;
@@ -27,7 +29,8 @@
 
 pub use crate::{
     caller_wait_estimator::CallerWaitEstimator,
-    hedge_limit::{FleetShare, HedgeLimit},
+    fleet_share::FleetShare,
+    hedge_limit::HedgeLimit,
     notice_board::NoticeBoard,
     offer_permit::{HandedOver, OfferPermit},
     route_event::{EjectionChange, OfferEnd, RouteEvent},
--- a/crates/fescueway_routing/src/service_router.rs
+++ b/crates/fescueway_routing/src/service_router.rs
@@ -11,6 +11,7 @@
 use crate::{
     EjectionChange, OfferEnd, OfferPermit, RouteEvent, RoutingPlan,
     body_sizes::BodySizes,
+    disturbed_domain::disturbed_domain,
     hedge_policy::HedgePolicy,
     latency_quantile::LatencyQuantile,
     offer_budget::OfferBudget,
@@ -176,8 +177,12 @@
         }
         let transfer_us = self.transfer_us(terms.work_kind);
         let is_limited_hedge = is_limited_hedge(&self.hedges, &terms);
-        let disturbed = is_limited_hedge.then(|| self.disturbed_domain(now, tried));
-        let avoided = disturbed.unwrap_or_default();
+        let avoided = match tried.last().and_then(|node| self.targets.get(node)) {
+            Some(late) if is_limited_hedge => {
+                disturbed_domain(&self.views, &self.targets, &self.pool, now, late)
+            }
+            _ => Vec::new(),
+        };
         let context = PickContext {
             now,
             pool: &self.pool,
@@ -346,25 +351,6 @@
         self.pool.load_share() < MAX_HEDGED_LOAD && self.hedges.has_room(now, work_kind)
     }
 
-    /// The targets of the failure domain of the last of `tried`, if that target is disturbed: its
-    /// neighbours are likely to be disturbed too.
-    fn disturbed_domain(&self, now: MonoTime, tried: &[NodeId]) -> Vec<NodeId> {
-        let late = tried.last().and_then(|node| self.targets.get(node));
-        let late = late.filter(|late| {
-            let view = self.views.iter().find(|view| view.node == late.node);
-            view.is_some_and(|view| view.is_disturbed(now, &self.pool))
-        });
-        let Some(late) = late else {
-            return Vec::new();
-        };
-        let nodes = self.views.iter().map(|view| view.node);
-        let is_neighbour = |node: &NodeId| {
-            let record = self.targets.get(node);
-            record.is_some_and(|record| record.domain == late.domain)
-        };
-        nodes.filter(is_neighbour).collect()
-    }
-
     /// Whether a target of the subset is slow or unresponsive.
     fn is_slow(&self, now: MonoTime, node: Option<&NodeId>) -> bool {
         let view = self.views.iter().find(|view| Some(&view.node) == node);
