--- a/crates/fescueway_routing/src/latency_histogram.rs
+++ b/crates/fescueway_routing/src/latency_histogram.rs
@@ -70,7 +70,7 @@
             sum >= wanted
         });
         let bucket = found.unwrap_or(BUCKET_COUNT - 1);
-        let bound_us = FIRST_US * RATIO.powi(bucket as i32 + 1);
+        let bound_us = FIRST_US * RATIO.powf(bucket as f64 + 1.0);
         Some(Duration::from_micros(bound_us as u64))
     }
 }
--- a/crates/fescueway_routing/tests/hedging.rs
+++ b/crates/fescueway_routing/tests/hedging.rs
@@ -352,8 +352,11 @@
             let inside = times.filter(|time| **time >= start && time.since(start) < window);
             inside.count() as f64
         };
-        let (hedged, offered) = (within(&hedges), within(&firsts));
-        assert!(hedged <= share * offered, "{hedged} hedges of {offered}");
+        let (repeated, offered) = (within(&hedges), within(&firsts));
+        assert!(
+            repeated <= share * offered,
+            "{repeated} hedges of {offered}"
+        );
     }
     // No entry makes more than one in a second here, as a second earns it less than one.
     assert!(most_within(&hedges, SECOND) <= 20, "{hedges:?}");
