--- a/crates/fescueway_config/src/raw_service.rs
+++ b/crates/fescueway_config/src/raw_service.rs
@@ -71,6 +71,12 @@
     /// Whether requests need no key of a client account.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub is_public: Option<bool>,
+    /// Maximum hedges, as a share of the first offers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hedge_share: Option<Number>,
+    /// Maximum hedges per second of all entries together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hedge_per_s: Option<Number>,
     /// Weights of the services that share the requests.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub weights: BTreeMap<String, Number>,
@@ -101,6 +107,12 @@
     pub max_offers: Option<Number>,
     /// Whether idempotent requests are hedged.
     pub is_hedging: Option<bool>,
+    /// Maximum hedges, as a share of the first offers.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub hedge_share: Option<Number>,
+    /// Maximum hedges per second of all entries together.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub hedge_per_s: Option<Number>,
 }
 
 /// The service-level objective.
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -15,7 +15,9 @@
 mod duplicate_answer;
 mod edge_profile;
 mod entry;
+mod final_status;
 mod headers;
+mod hedge_limits;
 mod host;
 mod idle_sweep;
 mod local_targets;
@@ -48,6 +50,7 @@
     entry::{
         AccountCheck, AccountRequest, AllotmentCheck, AllotmentPermit, PresentedKey, serve_callers,
     },
+    hedge_limits::HedgeLimits,
     host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunDenial, RunPermit},
     mono_clock::MonoClock,
     peer::{ControlTable, PeerError, PeerPool, PeerStep, serve_peers},
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -18,6 +18,8 @@
         latency: Duration::from_millis(3),
         offers: 2,
         hedges: 1,
+        hedge_wins: 1,
+        hedge_waste: Duration::from_millis(250),
     };
     bands.request_ended(&end);
     set.service(&ServiceName::new("bands")).request_ended(&end);
@@ -76,6 +78,8 @@
         r#"fescueway_objective_requests_total{kept="false",service="bands"} 1"#,
         r#"fescueway_objective_requests_total{kept="true",service="bands"} 0"#,
         r#"fescueway_hedges_total{service="bands"} 2"#,
+        r#"fescueway_hedge_wins_total{service="bands"} 2"#,
+        r#"fescueway_hedge_waste_seconds_total{service="bands"} 0.5"#,
         r#"fescueway_refusals_total{reason="queue-full",service="bands"} 1"#,
         r#"fescueway_probe_spent_seconds_total{service="bands"} 0.005"#,
         r#"fescueway_probe_budget{service="bands"} 0.01"#,
--- a/crates/fescuewayd/src/document_proof.rs
+++ b/crates/fescuewayd/src/document_proof.rs
@@ -1,7 +1,6 @@
 //! What a node can prove about its configuration document, and the evacuations that it knows.
 
 use std::{
-    collections::BTreeSet,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
--- a/crates/fescuewayd/src/settings_rules.rs
+++ b/crates/fescuewayd/src/settings_rules.rs
@@ -19,6 +19,8 @@
     &STOP_LINGER,
     &RETRY_SLACK,
     &KEY_PROOF,
+    &HEDGE_SHARE,
+    &HEDGE_PER_S,
 ];
 
 /// Maximum number of open connections of callers.
@@ -185,3 +187,25 @@
     is_whole: false,
     meaning: "The keys of client accounts are accepted only while the configuration is proven to have been the latest one at most this long ago. Needs a configuration that is stored as a single document. Not given: no bound.",
 };
+
+/// Hedges of a service whose configuration doesn't limit them, as a share of the first offers.
+pub const HEDGE_SHARE: NumberRule = NumberRule {
+    field: "hedge_share",
+    unit: "share of the first offers",
+    default: 0.0,
+    min: 0.0,
+    max: 1.0,
+    is_whole: false,
+    meaning: "As `retry.hedge_share`, for services whose configuration doesn't limit hedges. Not given: no such limit.",
+};
+
+/// Hedges per second of a service whose configuration doesn't limit them.
+pub const HEDGE_PER_S: NumberRule = NumberRule {
+    field: "hedge_per_s",
+    unit: "hedges per second",
+    default: 0.0,
+    min: 0.0,
+    max: 1_000_000.0,
+    is_whole: false,
+    meaning: "As `retry.hedge_per_s`, for services whose configuration doesn't limit hedges. Not given: no such limit.",
+};
