--- a/crates/fescueway_telemetry/src/service_metrics.rs
+++ b/crates/fescueway_telemetry/src/service_metrics.rs
@@ -92,29 +92,15 @@
         let requests = meter
             .u64_counter("fescueway.requests")
             .with_description("Requests that ended at this entry, by outcome and status class.");
-        let objective = meter
-            .u64_counter("fescueway.objective.requests")
-            .with_description(
-                "Requests that ended at this entry, by whether they kept the objective.",
-            );
         let latency = meter
             .f64_histogram("fescueway.request.latency")
             .with_description("From the arrival to the first byte of the answer.")
             .with_unit("s")
             .with_boundaries(LATENCY_BOUNDS_S.to_vec());
-        let refusals = meter
-            .u64_counter("fescueway.refusals")
-            .with_description("Refusals by this node, by reason.");
         let offers = meter
             .u64_histogram("fescueway.request.offers")
             .with_description("Offers made for one request.")
             .with_boundaries(OFFER_BOUNDS.to_vec());
-        let hedges = meter
-            .u64_counter("fescueway.hedges")
-            .with_description("Second offers of late idempotent requests.");
-        let hedge_wins = meter
-            .u64_counter("fescueway.hedge.wins")
-            .with_description("Hedges that were answered before the offer that they hedged.");
         let hedge_waste = meter
             .f64_counter("fescueway.hedge.waste")
             .with_description(
@@ -125,29 +111,35 @@
             .f64_counter("fescueway.probe.spent")
             .with_description("Backend time that probes took.")
             .with_unit("s");
-        let repeats = meter
-            .u64_counter("fescueway.repeats")
-            .with_description("Further offers of requests after a refusal, a failure or a loss.");
-        let routes = meter
-            .u64_counter("fescueway.route.requests")
-            .with_description("Requests that ended at this entry, by route and result.");
-        let float_gauge = |name: &'static str, description: &'static str| {
-            meter.f64_gauge(name).with_description(description).build()
-        };
-        let gauge = |name: &'static str, description: &'static str| {
-            meter.u64_gauge(name).with_description(description).build()
-        };
+        let counter = |name, description| counter(meter, name, description);
+        let gauge = |name, description| gauge(meter, name, description);
+        let float_gauge = |name, description| float_gauge(meter, name, description);
         Self {
             requests: requests.build(),
-            objective: objective.build(),
+            objective: counter(
+                "fescueway.objective.requests",
+                "Requests that ended at this entry, by whether they kept the objective.",
+            ),
             latency: latency.build(),
-            refusals: refusals.build(),
+            refusals: counter("fescueway.refusals", "Refusals by this node, by reason."),
             offers: offers.build(),
-            hedges: hedges.build(),
-            hedge_wins: hedge_wins.build(),
+            hedges: counter(
+                "fescueway.hedges",
+                "Second offers of late idempotent requests.",
+            ),
+            hedge_wins: counter(
+                "fescueway.hedge.wins",
+                "Hedges that were answered before the offer that they hedged.",
+            ),
             hedge_waste: hedge_waste.build(),
-            repeats: repeats.build(),
-            routes: routes.build(),
+            repeats: counter(
+                "fescueway.repeats",
+                "Further offers of requests after a refusal, a failure or a loss.",
+            ),
+            routes: counter(
+                "fescueway.route.requests",
+                "Requests that ended at this entry, by route and result.",
+            ),
             retry_tokens: float_gauge(
                 "fescueway.retry.tokens",
                 "Retries and hedges that this entry may make now.",
@@ -174,22 +166,22 @@
                 "Requests per second that the backend server accepts from all nodes; infinite \
                  without a limit.",
             ),
-            starts: meter
-                .u64_counter("fescueway.target.starts")
-                .with_description("Requests that this host started at its target.")
-                .build(),
-            rate_limited: meter
-                .u64_counter("fescueway.target.rate.limited")
-                .with_description("Offers refused here for the rate limit of the backend server.")
-                .build(),
-            cold_limited: meter
-                .u64_counter("fescueway.target.cold.limited")
-                .with_description("Offers refused here since the backend server is cold.")
-                .build(),
-            evacuation_refused: meter
-                .u64_counter("fescueway.target.evacuation.refused")
-                .with_description("Offers refused here since the failure domain is evacuated.")
-                .build(),
+            starts: counter(
+                "fescueway.target.starts",
+                "Requests that this host started at its target.",
+            ),
+            rate_limited: counter(
+                "fescueway.target.rate.limited",
+                "Offers refused here for the rate limit of the backend server.",
+            ),
+            cold_limited: counter(
+                "fescueway.target.cold.limited",
+                "Offers refused here since the backend server is cold.",
+            ),
+            evacuation_refused: counter(
+                "fescueway.target.evacuation.refused",
+                "Offers refused here since the failure domain is evacuated.",
+            ),
             cold_left: float_gauge(
                 "fescueway.target.cold.left",
                 "Seconds until the backend server is warm; zero when it is.",
@@ -202,6 +194,22 @@
     }
 }
 
+/// Creates a counter.
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    let counter = meter.u64_counter(name);
+    counter.with_description(description).build()
+}
+
+/// Creates a gauge of whole numbers.
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
+
+/// Creates a gauge of numbers with fractions.
+fn float_gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<f64> {
+    meter.f64_gauge(name).with_description(description).build()
+}
+
 /// Counters of requests by route and result.
 type RouteCounters = BTreeMap<(Arc<str>, RouteResult), BoundCounter<u64>>;
 
--- a/crates/fescueway_telemetry/tests/metrics.rs
+++ b/crates/fescueway_telemetry/tests/metrics.rs
@@ -7,10 +7,9 @@
     MetricSet, NodeGauges, NodeTotals, RequestEnd, RouteResult, ServiceLoad, StoreCalls,
 };
 
-#[test]
-fn metrics_render_as_prometheus_text_and_sets_are_independent() {
+/// Metrics with a value for each instrument that the tests look for.
+fn filled_set() -> MetricSet {
     let set = MetricSet::new().expect("metrics");
-    let other = MetricSet::new().expect("a second set in one process");
     let bands = set.service(&ServiceName::new("bands"));
     let end = RequestEnd {
         outcome: Outcome::Ran,
@@ -68,7 +67,13 @@
         log_lines_lost: 6,
         ..NodeTotals::default()
     });
+    set
+}
 
+#[test]
+fn metrics_render_as_prometheus_text_and_sets_are_independent() {
+    let set = filled_set();
+    let other = MetricSet::new().expect("a second set in one process");
     let text = set.render().expect("text");
     for line in [
         r#"fescueway_requests_total{class="2xx",outcome="ran",service="bands"} 2"#,
