--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -3,7 +3,11 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use fescueway_core::{Idempotency, MonoTime, Outcome, Refusal, RefusalReason};
-use http::{Response, StatusCode, Version, header::HOST, request::Parts};
+use http::{
+    HeaderValue, Response, StatusCode, Version,
+    header::{HOST, WWW_AUTHENTICATE},
+    request::Parts,
+};
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
@@ -180,7 +184,12 @@
         AccountCheck::Unauthorized(fault) => {
             record.route = Some(Arc::clone(&found.route.name));
             record.key_fault = Some(fault);
-            return reject(state, StatusCode::UNAUTHORIZED, fault.text(), record);
+            let mut response = reject(state, StatusCode::UNAUTHORIZED, fault.text(), record);
+            // Required by RFC 9110, section 11.6.1.
+            response
+                .headers_mut()
+                .insert(WWW_AUTHENTICATE, HeaderValue::from_static("ApiKey"));
+            return response;
         }
         AccountCheck::Refused(reason) => {
             record.route = Some(Arc::clone(&found.route.name));
--- a/crates/fescuewayd/tests/path/accounts.rs
+++ b/crates/fescuewayd/tests/path/accounts.rs
@@ -91,6 +91,7 @@
         let answer = send(entry, request("POST", "/rejected", fields, "text")).await;
         assert_eq!(answer.status(), 401);
         assert_eq!(answer.headers()["fescueway-outcome"], "not-run");
+        assert_eq!(answer.headers()["www-authenticate"], "ApiKey");
     }
     for account in ["mill", "quarry", "mill"] {
         let key = format!("key-of-{account}");
