Use the full fixed share only where no majority is seen

After 2.5 s without an answer of the owner, an entry used its whole share. Where a partition is noticed more slowly, the owner on the other side still grants the full rate then. The share now depends on what the entry sees. The test's partitions are noticed after 2.5 to 10 s, was 1 to 4 s.

--- a/crates/fescueway_allotment/src/allotment_entry.rs
+++ b/crates/fescueway_allotment/src/allotment_entry.rs
@@ -8,6 +8,8 @@
 use fescueway_config::AllotmentPlan;
 use fescueway_core::{AccountName, MonoTime, NodeId, Priority};
 
+mod owner_answers;
+
 use crate::{
     AccountAnswer, AllotmentTotals, EntryDecision, FallbackShare, FleetView, OwnerQuestion,
     ReleasedBucket, TOKEN_LIFETIME, WaitEnd, WaitId,
@@ -114,11 +116,11 @@
             return EntryDecision::Admitted;
         }
         let Some(owner) = owner else {
-            return self.decide_by_share(now, view, (name, plan), None);
+            return self.decide_by_share(now, view, (name, plan));
         };
         if is_failed || now < account.denied_until {
             self.set_due(owner, name);
-            return self.decide_by_share(now, view, (name, plan), Some(owner));
+            return self.decide_by_share(now, view, (name, plan));
         }
         let id = self.next_id;
         self.next_id += 1;
@@ -128,7 +130,7 @@
             is_asked: false,
         });
         self.set_due(owner, name);
-        EntryDecision::Wait(id, owner)
+        EntryDecision::Wait(id)
     }
 
     /// The messages to send now, each with the owner to which it goes, which may be this node.
@@ -229,7 +231,7 @@
                     self.moved(now, view, (name, &plan), step, &mut ends);
                 }
                 AccountAnswer::NotGranting => {
-                    self.denied(now, view, (name, &plan), owner, &mut ends);
+                    self.denied(now, view, (name, &plan), &mut ends);
                 }
             }
         }
@@ -258,7 +260,7 @@
         let mut ends = Vec::new();
         for name in &names {
             match plan_of(name) {
-                Some(plan) => self.end_waits_by_share(now, view, (name, &plan), owner, &mut ends),
+                Some(plan) => self.end_waits_by_share(now, view, (name, &plan), &mut ends),
                 None => {
                     self.accounts.remove(name);
                 }
@@ -273,12 +275,12 @@
         now: MonoTime,
         view: &FleetView,
         (name, plan): (&AccountName, &AllotmentPlan),
-        (id, owner): (WaitId, NodeId),
+        id: WaitId,
     ) -> Option<EntryDecision> {
         if !self.cancel(name, id) {
             return None;
         }
-        Some(self.decide_by_share(now, view, (name, plan), Some(owner)))
+        Some(self.decide_by_share(now, view, (name, plan)))
     }
 
     /// Removes a waiting request whose caller has left. Returns whether it waited. A token that arrives
@@ -352,147 +354,19 @@
         accounts.filter(|account| account.share.is_some()).count()
     }
 
-    /// Handles an owner's decision.
-    fn decided(
-        &mut self,
-        now: MonoTime,
-        (name, plan): (&AccountName, &AllotmentPlan),
-        owner: NodeId,
-        question: &OwnerQuestion,
-        answer: &AccountAnswer,
-        ends: &mut Vec<WaitEnd>,
-    ) {
-        let AccountAnswer::Decided {
-            granted,
-            prefetched,
-            open_classes,
-            pause_ms,
-            room_after_ms,
-        } = answer
-        else {
-            return;
-        };
-        // Not present if all its requests have left and it was idle for long.
-        let account = self.accounts.entry(name.clone()).or_default();
-        account.end_share();
-        account.tokens.add(question.sent_at, *prefetched);
-        if usize::from(*open_classes) < crate::CLASSES {
-            account.open_classes = *open_classes;
-            account.blocked_until = now + Duration::from_millis((*pause_ms).into());
-            account.room_at = now + Duration::from_millis((*room_after_ms).into());
-        }
-        let mut left: u32 = granted.iter().map(|count| u32::from(*count)).sum();
-        let mut waits = std::mem::take(&mut account.waits);
-        waits.sort_by_key(|wait| (wait.class, wait.id));
-        let mut refused = Vec::new();
-        let mut remaining = Vec::new();
-        let mut admitted = 0;
-        for wait in waits {
-            let is_admitted = if wait.is_asked {
-                let has_token = left > 0;
-                left = left.saturating_sub(1);
-                has_token
-            } else {
-                let class = usize::from(wait.class);
-                let is_blocked = account.is_blocked(now, class);
-                if is_blocked {
-                    account.refused[class] = account.refused[class].saturating_add(1);
-                }
-                let has_token = !is_blocked && account.tokens.try_take();
-                if !is_blocked && !has_token {
-                    remaining.push(wait);
-                    continue;
-                }
-                has_token
-            };
-            if is_admitted {
-                admitted += 1;
-                ends.push(WaitEnd {
-                    id: wait.id,
-                    result: Ok(()),
-                });
-            } else {
-                refused.push(wait.id);
-            }
-        }
-        let has_remaining = !remaining.is_empty();
-        account.waits = remaining;
-        // Tokens of requests whose callers have left.
-        let unused = u16::try_from(left).unwrap_or(u16::MAX);
-        account.tokens.add(question.sent_at, unused);
-        self.totals.admitted += admitted;
-        if has_remaining {
-            self.set_due(owner, name);
-        }
-        for id in refused {
-            if let EntryDecision::Refused(retry_after) = self.refuse(now, name, plan) {
-                ends.push(WaitEnd {
-                    id,
-                    result: Err(retry_after),
-                });
-            }
-        }
-    }
-
-    /// Handles that another node owns the account.
-    fn moved(
-        &mut self,
-        now: MonoTime,
-        view: &FleetView,
-        (name, plan): (&AccountName, &AllotmentPlan),
-        (owner, to, released): (NodeId, NodeId, Option<ReleasedBucket>),
-        ends: &mut Vec<WaitEnd>,
-    ) {
-        let Some(account) = self.accounts.get_mut(name) else {
-            return;
-        };
-        if account.redirects >= MAX_REDIRECTS || to == owner {
-            account.moved = None;
-            self.denied(now, view, (name, plan), owner, ends);
-            return;
-        }
-        account.redirects += 1;
-        account.moved = Some((to, now + MOVED_TIME));
-        account.released = released;
-        for wait in &mut account.waits {
-            wait.is_asked = false;
-        }
-        if !account.waits.is_empty() || released.is_some() {
-            self.set_due(to, name);
-        }
-    }
-
-    /// Handles that the owner may not grant.
-    fn denied(
-        &mut self,
-        now: MonoTime,
-        view: &FleetView,
-        (name, plan): (&AccountName, &AllotmentPlan),
-        owner: NodeId,
-        ends: &mut Vec<WaitEnd>,
-    ) {
-        if let Some(account) = self.accounts.get_mut(name) {
-            account.redirects = 0;
-            account.denied_since.get_or_insert(now);
-            account.denied_until = now + DENIED_TIME;
-        }
-        self.end_waits_by_share(now, view, (name, plan), owner, ends);
-    }
-
     /// Decides on all waiting requests of an account by the fixed share, the most urgent first.
     fn end_waits_by_share(
         &mut self,
         now: MonoTime,
         view: &FleetView,
         (name, plan): (&AccountName, &AllotmentPlan),
-        owner: NodeId,
         ends: &mut Vec<WaitEnd>,
     ) {
         let account = self.accounts.get_mut(name);
         let mut waits = account.map_or_else(Vec::new, |account| std::mem::take(&mut account.waits));
         waits.sort_by_key(|wait| (wait.class, wait.id));
         for wait in waits {
-            let decision = self.decide_by_share(now, view, (name, plan), Some(owner));
+            let decision = self.decide_by_share(now, view, (name, plan));
             let result = match decision {
                 EntryDecision::Refused(retry_after) => Err(retry_after),
                 EntryDecision::Admitted | EntryDecision::Wait(..) => Ok(()),
@@ -508,16 +382,11 @@
         now: MonoTime,
         view: &FleetView,
         (name, plan): (&AccountName, &AllotmentPlan),
-        owner: Option<NodeId>,
     ) -> EntryDecision {
         let phase = self.fraction();
         let spread = self.fraction();
-        let link = owner.and_then(|owner| self.owners.get(&owner));
-        let failed_since = link.and_then(|link| link.failed_since);
         let account = self.accounts.entry(name.clone()).or_default();
-        let since = [failed_since, account.denied_since];
-        let since = since.into_iter().flatten().min().unwrap_or(now);
-        let rate_per_s = plan.rate_per_s * view.share(now, now.since(since));
+        let rate_per_s = plan.rate_per_s * view.share(now);
         let share = account
             .share
             .get_or_insert_with(|| FallbackShare::new(now, plan.rate_per_s, rate_per_s, phase));
--- a/crates/fescueway_allotment/src/entry_account.rs
+++ b/crates/fescueway_allotment/src/entry_account.rs
@@ -47,9 +47,7 @@
     pub refused: [u16; CLASSES],
     /// The fixed share, while no owner answers.
     pub share: Option<FallbackShare>,
-    /// Since when the owner has answered that it may not grant.
-    pub denied_since: Option<MonoTime>,
-    /// Until when it is not asked again.
+    /// Until when an owner that may not grant is not asked again.
     pub denied_until: MonoTime,
     /// Last request.
     pub used_at: MonoTime,
@@ -115,7 +113,6 @@
     /// Ends the use of the fixed share, since the owner answers.
     pub fn end_share(&mut self) {
         self.share = None;
-        self.denied_since = None;
         self.redirects = 0;
     }
 
--- a/crates/fescueway_allotment/src/entry_decision.rs
+++ b/crates/fescueway_allotment/src/entry_decision.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use fescueway_core::NodeId;
-
 /// Identifies a request that waits for an owner's answer.
 pub type WaitId = u64;
 
@@ -14,8 +12,8 @@
     Admitted,
     /// The account has used its allotment. The request may come again after this time.
     Refused(Duration),
-    /// The request waits for an answer of this owner.
-    Wait(WaitId, NodeId),
+    /// The request waits for the answer of the account's owner.
+    Wait(WaitId),
 }
 
 /// Decision on a request that has waited.
--- a/crates/fescueway_allotment/src/fleet_view.rs
+++ b/crates/fescueway_allotment/src/fleet_view.rs
@@ -44,11 +44,14 @@
 /// a tenth of that stays below the permitted overshoot of a tenth.
 const MINORITY_FACTOR: f64 = 0.1;
 
-/// Time in which the nodes notice that an owner was lost or that the fleet is partitioned.
-const DETECTION_TIME: Duration = Duration::from_millis(2_500);
+/// Factor of the fixed shares while a node sees a majority: an owner that doesn't answer may still grant the
+/// full rate to others. If half of the fleet is cut off and that goes unnoticed for 5 s, the shares use a
+/// tenth of the rate, which is the permitted overshoot.
+const UNDETECTED_FACTOR: f64 = 0.2;
 
-/// Factor of the fixed shares in that time, while the owner may still grant the full rate to others.
-const DETECTION_FACTOR: f64 = 0.25;
+/// Time for which a node has seen no majority after which it uses its full share. By then the owners of the
+/// majority, if there is one, have noticed the partition too and grant less.
+const DETECTION_TIME: Duration = Duration::from_millis(2_500);
 
 /// Longest time between two updates; after a longer one this node was paused, and others may own its
 /// accounts meanwhile.
@@ -92,6 +95,8 @@
     updated_at: Option<MonoTime>,
     /// Since when this node has seen more than half of the nodes; `None` while it doesn't.
     majority_since: Option<MonoTime>,
+    /// Since when this node has not seen more than half of the nodes.
+    lost_since: Option<MonoTime>,
     /// Since when this node has seen less than half of the nodes.
     minority_since: Option<MonoTime>,
 }
@@ -112,6 +117,7 @@
             resumed_at: None,
             updated_at: None,
             majority_since: Some(MonoTime::ZERO),
+            lost_since: None,
             minority_since: None,
         }
     }
@@ -264,10 +270,9 @@
         (self.seen as f64 / self.max_count().max(1) as f64).min(1.0)
     }
 
-    /// The part of an account's rate that an entry may use by itself whose owner has not answered for
-    /// `failed_for`.
+    /// The part of an account's rate that an entry may use by itself while no owner answers.
     #[must_use]
-    pub fn share(&self, now: MonoTime, failed_for: Duration) -> f64 {
+    pub fn share(&self, now: MonoTime) -> f64 {
         let known = self.max_count().max(1);
         let is_young = self.own_since() > now;
         let nodes = match self.settled_at {
@@ -275,13 +280,13 @@
             Some(_) if is_young => known.max(YOUNG_FLEET_NODES),
             Some(_) => known,
         };
-        let minority_for = self.minority_since.map(|since| now.since(since));
-        let factor = if minority_for.is_some_and(|time| time >= MINORITY_SHARE_TIME) {
+        let lasts = |since: Option<MonoTime>, time| since.is_some_and(|at| now.since(at) >= time);
+        let factor = if lasts(self.minority_since, MINORITY_SHARE_TIME) {
             MINORITY_FACTOR
-        } else if failed_for < DETECTION_TIME && !is_young {
-            DETECTION_FACTOR
-        } else {
+        } else if is_young || lasts(self.lost_since, DETECTION_TIME) {
             1.0
+        } else {
+            UNDETECTED_FACTOR
         };
         factor / nodes as f64
     }
@@ -320,6 +325,10 @@
             Some(since) if has_majority => Some(since),
             _ => has_majority.then_some(now),
         };
+        self.lost_since = match self.lost_since {
+            Some(since) if !has_majority => Some(since),
+            _ => (!has_majority).then_some(now),
+        };
         let memory = if has_majority {
             COUNT_MEMORY
         } else {
--- a/crates/fescueway_allotment/tests/allotments/fleet.rs
+++ b/crates/fescueway_allotment/tests/allotments/fleet.rs
@@ -69,7 +69,7 @@
 enum Event {
     Tick(usize),
     Arrival(usize, AccountName, Priority),
-    GiveUp(usize, AccountName, WaitId, NodeId),
+    GiveUp(usize, AccountName, WaitId),
     Question(u64),
     Answer(u64, Vec<AccountAnswer>),
     TimeOut(u64),
@@ -326,6 +326,9 @@
             return (is_first || self.now >= known_at).then_some(false);
         };
         let lost_for = self.now.since(lost_at);
+        // Many nodes that are cut off at once are noticed more slowly than one.
+        let slowness = if own.group == other.group { 1.0 } else { 2.5 };
+        let lost_for = lost_for.div_f64(slowness);
         let is_suspect = lost_for >= Duration::from_secs(1) + spread.mul_f64(1.5);
         let is_gone = lost_for >= Duration::from_millis(3_500) + spread / 2;
         (!is_gone).then_some(is_suspect)
@@ -361,11 +364,10 @@
         match event {
             Event::Tick(_) => self.tick(index),
             Event::Arrival(_, account, priority) => self.arrive(index, account, priority),
-            Event::GiveUp(_, account, id, owner) => {
+            Event::GiveUp(_, account, id) => {
                 let plan = self.plans[&account];
                 let node = &mut self.nodes[index];
-                let wait = (id, owner);
-                let decision = node.entry.give_up(now, &node.view, (&account, &plan), wait);
+                let decision = node.entry.give_up(now, &node.view, (&account, &plan), id);
                 let result = match decision {
                     None => return,
                     Some(EntryDecision::Refused(retry_after)) => Err(retry_after),
@@ -427,10 +429,10 @@
         let result = match decision {
             EntryDecision::Admitted => Ok(()),
             EntryDecision::Refused(retry_after) => Err(retry_after),
-            EntryDecision::Wait(id, owner) => {
+            EntryDecision::Wait(id) => {
                 self.waits
                     .insert((index, id), (now, account.clone(), priority));
-                self.push(now + TIME_LIMIT, Event::GiveUp(index, account, id, owner));
+                self.push(now + TIME_LIMIT, Event::GiveUp(index, account, id));
                 return;
             }
         };
--- a/crates/fescuewayd/src/allotment_task.rs
+++ b/crates/fescuewayd/src/allotment_task.rs
@@ -157,14 +157,14 @@
         let result = match self.request(name, &plan, priority) {
             (EntryDecision::Admitted, _) => Ok(()),
             (EntryDecision::Refused(retry_after), _) => Err(retry_after),
-            (EntryDecision::Wait(id, owner), receiver) => {
+            (EntryDecision::Wait(id), receiver) => {
                 let _guard = WaitGuard {
                     task: self,
                     name,
                     id,
                 };
                 self.send();
-                self.wait((name, &plan), (id, owner), receiver).await
+                self.wait((name, &plan), id, receiver).await
             }
         };
         self.send();
@@ -194,7 +194,7 @@
         let mut core = self.core();
         let TaskCore { view, entry, .. } = &mut *core;
         let decision = entry.request(now, view, (name, plan), priority);
-        if let EntryDecision::Wait(id, _) = decision {
+        if let EntryDecision::Wait(id) = decision {
             core.waiting.insert(id, sender);
         }
         (decision, receiver)
@@ -204,7 +204,7 @@
     async fn wait(
         &self,
         (name, plan): (&AccountName, &AllotmentPlan),
-        (id, owner): (WaitId, NodeId),
+        id: WaitId,
         mut receiver: oneshot::Receiver<WaitResult>,
     ) -> WaitResult {
         if let Ok(Ok(result)) = timeout(ANSWER_TIMEOUT, &mut receiver).await {
@@ -213,7 +213,7 @@
         let now = self.now();
         let mut core = self.core();
         let TaskCore { view, entry, .. } = &mut *core;
-        match entry.give_up(now, view, (name, plan), (id, owner)) {
+        match entry.give_up(now, view, (name, plan), id) {
             Some(EntryDecision::Admitted) => Ok(()),
             Some(EntryDecision::Refused(retry_after)) => Err(retry_after),
             // Decided just now.
