--- a/crates/fescueway_allotment/tests/allotments/losses.rs
+++ b/crates/fescueway_allotment/tests/allotments/losses.rs
@@ -22,7 +22,7 @@
     (fleet, account)
 }
 
-/// Guards against a new owner that starts with a full bucket, and against an account that gets nothing
+/// Guards against more than the bound while the owner is replaced, and against an account that gets nothing
 /// after its owner was killed.
 #[test]
 fn killed_owner_is_replaced_within_the_bound() {
