--- a/crates/fescueway/tests/cli/command_line.rs
+++ b/crates/fescueway/tests/cli/command_line.rs
@@ -234,6 +234,36 @@
     assert!(run.stdout.contains("can't connect"), "{run:?}");
 }
 
+/// Nodes of earlier versions report neither, as in the test above.
+#[test]
+fn status_shows_cold_targets_and_evacuated_domains() {
+    let status = |domain: &str, evacuated: &[&str]| {
+        let status = json!({
+            "node": "00000000000000aa", "domain": domain, "site": "wales", "revision": 7,
+            "in_force": 7, "targets": 4, "store": "reachable", "peers": 3, "uptime_ms": 65_000,
+            "cold_targets": [{"service": "bands", "left_ms": 2_250}], "evacuated": evacuated,
+        });
+        (200, status.to_string())
+    };
+    let answers = vec![status("south", &[]), status("south", &["north", "south"])];
+    let (node, _requests) = node_stub(answers);
+    let node = node.to_string();
+    let run = fescueway(&["status", "--node", &node]);
+    assert!(run.stdout.contains(" cold "), "{run:?}");
+    assert!(
+        run.stdout
+            .contains("the target of bands is cold for 2250 ms more"),
+        "{run:?}"
+    );
+    assert!(!run.stdout.contains("evacuated"), "{run:?}");
+    let run = fescueway(&["status", "--node", &node]);
+    assert!(run.stdout.contains(" evacuated "), "{run:?}");
+    assert!(
+        run.stdout.contains("evacuated domains north, south"),
+        "{run:?}"
+    );
+}
+
 #[test]
 fn drain_waits_until_no_request_runs() {
     let answers = vec![
--- a/crates/fescueway_admission/src/target_gate/evacuation.rs
+++ b/crates/fescueway_admission/src/target_gate/evacuation.rs
@@ -33,12 +33,6 @@
         Vec::new()
     }
 
-    /// Whether the failure domain is evacuated.
-    #[must_use]
-    pub fn is_evacuated(&self) -> bool {
-        self.is_evacuated
-    }
-
     /// Refusal given while the failure domain is evacuated.
     #[must_use]
     pub fn evacuation_refusal() -> Refusal {
--- a/crates/fescueway_proxy/src/host/host_target.rs
+++ b/crates/fescueway_proxy/src/host/host_target.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
     time::Duration,
 };
 
@@ -35,6 +35,9 @@
     identity: Option<HeaderValue>,
     /// Gate and waiting offers.
     state: Mutex<GateState>,
+    /// Whether the failure domain is evacuated, as the gate knows it. Read for each request at its
+    /// hand-over, without the lock.
+    is_evacuated: AtomicBool,
     /// Notifies the timer that the gate's next wake-up time may have changed.
     wake: Notify,
     /// Notifies [`Self::load_query_due`] that the time of the next load query may have changed.
@@ -100,6 +103,7 @@
                 is_timer_running: false,
                 invalid_field: None,
             }),
+            is_evacuated: AtomicBool::new(false),
             wake: Notify::new(),
             load_query_change: Notify::new(),
             clock,
--- a/crates/fescueway_proxy/src/host/host_target/warmup.rs
+++ b/crates/fescueway_proxy/src/host/host_target/warmup.rs
@@ -1,6 +1,6 @@
 //! The cold time of the backend server, and the evacuation of its failure domain.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use fescueway_admission::WarmupPace;
 
@@ -35,12 +35,15 @@
     /// Begins or ends the evacuation of the failure domain: refuses waiting and new offers and lets the
     /// running requests finish.
     pub(crate) fn set_evacuated(&self, is_evacuated: bool) {
-        self.with_gate(|gate, now| gate.set_evacuated(now, is_evacuated));
+        self.with_gate(|gate, now| {
+            self.is_evacuated.store(is_evacuated, Ordering::SeqCst);
+            gate.set_evacuated(now, is_evacuated)
+        });
     }
 
     /// Whether the failure domain is evacuated.
     #[must_use]
     pub fn is_evacuated(&self) -> bool {
-        self.state().gate.is_evacuated()
+        self.is_evacuated.load(Ordering::SeqCst)
     }
 }
--- a/crates/fescueway_proxy/src/proxy_state/server_statements.rs
+++ b/crates/fescueway_proxy/src/proxy_state/server_statements.rs
@@ -36,7 +36,8 @@
             return;
         }
         if let Some(mut statement) = ServerStatement::read(self.profile(), status, fields) {
-            if !target.is_warmup_paced() {
+            // Where starts aren't paced the field is not in use, so an invalid value is not logged.
+            if statement.warmup_left.is_err() && !target.is_warmup_paced() {
                 statement.warmup_left = Ok(None);
             }
             let change = target.learn_statement(asked_at, source, &statement);
