--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -395,12 +395,14 @@
                 return None;
             }
         };
-        let is_newer = replace(&mut self.held(), version);
-        if !is_newer {
+        let mut held = self.held();
+        if !replace(&mut held, version) {
             return Some(version);
         }
         let (services, now) = (plan.services.len(), self.proxy.now());
+        // Locked until the plan is in force: a proof of the version held counts for the plan.
         self.proxy.apply_plan(Arc::new(plan));
+        drop(held);
         if self.proxy.is_plan_current() {
             self.announce();
         }
