--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use fescueway_config::{AccountPlan, RoutePlan, SitePlan};
 use fescueway_core::{Idempotency, MonoTime, Outcome, Refusal, RefusalReason};
 use http::{
     HeaderValue, Response, StatusCode, Version,
@@ -175,32 +176,15 @@
             record,
         );
     };
-    let account = AccountRequest {
-        plan: &plan,
-        route: found.route,
-        key: &head.api_key,
-        is_call: head.parent.is_some(),
-        is_plan_current: state.is_key_check_final(),
-        // Reads a clock, which requests without a key don't need.
-        is_key_proven: head.api_key == PresentedKey::None || state.is_key_proven(&plan),
-    };
-    let account = match account.check(state.profile(), &mut parts.headers) {
-        AccountCheck::Anonymous => None,
-        AccountCheck::Known(account) => Some(account),
-        AccountCheck::Unauthorized(fault) => {
+    let account = match find_account(state, &plan, found.route, &head, &mut parts.headers) {
+        Ok(account) => account,
+        Err(denial) => {
             record.route = Some(Arc::clone(&found.route.name));
-            record.key_fault = Some(fault);
-            let mut response = reject(state, StatusCode::UNAUTHORIZED, fault.text(), record);
-            // Required by RFC 9110, section 11.6.1.
-            response
-                .headers_mut()
-                .insert(WWW_AUTHENTICATE, HeaderValue::from_static("ApiKey"));
-            return response;
-        }
-        AccountCheck::Refused(reason) => {
-            record.route = Some(Arc::clone(&found.route.name));
-            record.key_fault = Some(KeyFault::Unproven);
-            return refuse(state, reason, record);
+            record.key_fault = Some(denial.fault);
+            return match denial.reason {
+                Some(reason) => refuse(state, reason, record),
+                None => reject(state, StatusCode::UNAUTHORIZED, denial.fault.text(), record),
+            };
         }
     };
     record.account = account.as_ref().map(|account| account.name.clone());
@@ -259,6 +243,46 @@
         .await
 }
 
+/// Why a request is not offered for its key.
+struct KeyDenial {
+    /// What is wrong with the key.
+    fault: KeyFault,
+    /// Why the request is refused; `None` if it is rejected for good.
+    reason: Option<RefusalReason>,
+}
+
+/// Finds the client account of a request, `None` if it belongs to none, and sets the header fields for
+/// its backend server.
+fn find_account(
+    state: &ProxyState,
+    plan: &SitePlan,
+    route: &RoutePlan,
+    head: &RequestHead,
+    headers: &mut HeaderMap,
+) -> Result<Option<Arc<AccountPlan>>, KeyDenial> {
+    let request = AccountRequest {
+        plan,
+        route,
+        key: &head.api_key,
+        is_call: head.parent.is_some(),
+        is_plan_current: state.is_key_check_final(),
+        // Reads a clock, which requests without a key don't need.
+        is_key_proven: head.api_key == PresentedKey::None || state.is_key_proven(plan),
+    };
+    match request.check(state.profile(), headers) {
+        AccountCheck::Anonymous => Ok(None),
+        AccountCheck::Known(account) => Ok(Some(account)),
+        AccountCheck::Unauthorized(fault) => Err(KeyDenial {
+            fault,
+            reason: None,
+        }),
+        AccountCheck::Refused(reason) => Err(KeyDenial {
+            fault: KeyFault::Unproven,
+            reason: Some(reason),
+        }),
+    }
+}
+
 /// Whether the number of `Host` fields is valid for the HTTP version (RFC 9112, section 3.2).
 fn has_valid_host(parts: &Parts) -> bool {
     let fields = parts.headers.get_all(HOST).iter().count();
--- a/crates/fescueway_telemetry/src/service_metrics.rs
+++ b/crates/fescueway_telemetry/src/service_metrics.rs
@@ -89,9 +89,6 @@
 impl ServiceInstruments {
     /// Creates the instruments.
     pub(crate) fn new(meter: &Meter) -> Self {
-        let requests = meter
-            .u64_counter("fescueway.requests")
-            .with_description("Requests that ended at this entry, by outcome and status class.");
         let latency = meter
             .f64_histogram("fescueway.request.latency")
             .with_description("From the arrival to the first byte of the answer.")
@@ -101,21 +98,14 @@
             .u64_histogram("fescueway.request.offers")
             .with_description("Offers made for one request.")
             .with_boundaries(OFFER_BOUNDS.to_vec());
-        let hedge_waste = meter
-            .f64_counter("fescueway.hedge.waste")
-            .with_description(
-                "Time of offers that were cancelled since another was answered first.",
-            )
-            .with_unit("s");
-        let spent = meter
-            .f64_counter("fescueway.probe.spent")
-            .with_description("Backend time that probes took.")
-            .with_unit("s");
-        let counter = |name, description| counter(meter, name, description);
-        let gauge = |name, description| gauge(meter, name, description);
-        let float_gauge = |name, description| float_gauge(meter, name, description);
+        let counter = |name, about| counter(meter, name, about);
+        let gauge = |name, about| gauge(meter, name, about);
+        let float_gauge = |name, about| float_gauge(meter, name, about);
         Self {
-            requests: requests.build(),
+            requests: counter(
+                "fescueway.requests",
+                "Requests that ended at this entry, by outcome and status class.",
+            ),
             objective: counter(
                 "fescueway.objective.requests",
                 "Requests that ended at this entry, by whether they kept the objective.",
@@ -131,7 +121,11 @@
                 "fescueway.hedge.wins",
                 "Hedges that were answered before the offer that they hedged.",
             ),
-            hedge_waste: hedge_waste.build(),
+            hedge_waste: seconds(
+                meter,
+                "fescueway.hedge.waste",
+                "Time of offers that were cancelled since another was answered first.",
+            ),
             repeats: counter(
                 "fescueway.repeats",
                 "Further offers of requests after a refusal, a failure or a loss.",
@@ -148,15 +142,19 @@
                 "fescueway.refusal.tokens",
                 "Further offers after refusals that this entry may make now.",
             ),
-            probe_spent: spent.build(),
-            probe_budget: meter
-                .f64_gauge("fescueway.probe.budget")
-                .with_description("Backend time that probes may take, in seconds per second.")
-                .build(),
-            utilization: meter
-                .f64_gauge("fescueway.target.reported.utilization")
-                .with_description("What the backend server last told of its use, as a share.")
-                .build(),
+            probe_spent: seconds(
+                meter,
+                "fescueway.probe.spent",
+                "Backend time that probes took.",
+            ),
+            probe_budget: float_gauge(
+                "fescueway.probe.budget",
+                "Backend time that probes may take, in seconds per second.",
+            ),
+            utilization: float_gauge(
+                "fescueway.target.reported.utilization",
+                "What the backend server last told of its use, as a share.",
+            ),
             in_flight: gauge("fescueway.target.in.flight", "Requests that run here."),
             queued: gauge("fescueway.target.queued", "Requests that wait here."),
             limit: gauge("fescueway.target.limit", "Requests that may run here now."),
@@ -200,6 +198,12 @@
     counter.with_description(description).build()
 }
 
+/// Creates a counter of time.
+fn seconds(meter: &Meter, name: &'static str, description: &'static str) -> Counter<f64> {
+    let counter = meter.f64_counter(name).with_description(description);
+    counter.with_unit("s").build()
+}
+
 /// Creates a gauge of whole numbers.
 fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
     meter.u64_gauge(name).with_description(description).build()
