--- a/crates/fescueway_proxy/src/entry/answer_request.rs
+++ b/crates/fescueway_proxy/src/entry/answer_request.rs
@@ -5,7 +5,7 @@
 use fescueway_config::{AccountPlan, RoutePlan, SitePlan};
 use fescueway_core::{Idempotency, MonoTime, Outcome, Refusal, RefusalReason};
 use http::{
-    HeaderValue, Response, StatusCode, Version,
+    HeaderMap, HeaderValue, Response, StatusCode, Version,
     header::{HOST, WWW_AUTHENTICATE},
     request::Parts,
 };
@@ -183,7 +183,7 @@
             record.key_fault = Some(denial.fault);
             return match denial.reason {
                 Some(reason) => refuse(state, reason, record),
-                None => reject(state, StatusCode::UNAUTHORIZED, denial.fault.text(), record),
+                None => reject_key(state, denial.fault, record),
             };
         }
     };
@@ -319,6 +319,19 @@
     refused_answer(state.profile(), &refusal, Outcome::NotRun)
 }
 
+/// Answers a request whose key is no valid one.
+fn reject_key(
+    state: &ProxyState,
+    fault: KeyFault,
+    record: &mut RequestRecord,
+) -> Response<AnswerBody> {
+    let mut response = reject(state, StatusCode::UNAUTHORIZED, fault.text(), record);
+    // Required by RFC 9110, section 11.6.1.
+    let fields = response.headers_mut();
+    fields.insert(WWW_AUTHENTICATE, HeaderValue::from_static("ApiKey"));
+    response
+}
+
 /// Refuses a request that this entry can't offer at the moment.
 fn refuse(
     state: &ProxyState,
