--- a/crates/fescueway_allotment/src/allotment_entry.rs
+++ b/crates/fescueway_allotment/src/allotment_entry.rs
@@ -1,5 +1,7 @@
 //! An entry's decisions on the requests of accounts with an allotment.
 
+mod owner_answers;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -8,8 +10,6 @@
 use fescueway_config::AllotmentPlan;
 use fescueway_core::{AccountName, MonoTime, NodeId, Priority};
 
-mod owner_answers;
-
 use crate::{
     AccountAnswer, AllotmentTotals, EntryDecision, FallbackShare, FleetView, OwnerQuestion,
     ReleasedBucket, TOKEN_LIFETIME, WaitEnd, WaitId,
@@ -326,6 +326,8 @@
             let idle = link.sent_at.map_or(Duration::ZERO, |at| now.since(at));
             !(link.is_idle() && idle >= OWNER_IDLE_TIME)
         });
+        let owners = &self.owners;
+        self.ready.retain(|owner| owners.contains_key(owner));
     }
 
     /// Counts of decisions since the start.
