Let owners of allotments grant 1.1 s after a start of the whole fleet

Cause: with 68 nodes no owner granted tokens for 2.75 s after its search for the fleet had ended, and requests beyond the small shares got 429. Change: owners grant 0.5 s, and 0.1 s for each doubling of the fleet, after their search. All 22 tests of fescueway_allotment hold the bound in each window.

--- a/crates/fescueway_allotment/src/fleet_view.rs
+++ b/crates/fescueway_allotment/src/fleet_view.rs
@@ -15,8 +15,8 @@
 /// for each doubling of the number of nodes, since news spread by gossip. It ends later than
 /// [`OWNER_AGE`], so that the previous owner knows of the node first and releases the accounts. After a start of the whole fleet, no tokens are granted
 /// before.
-const OWN_OWNER_AGE: Duration = Duration::from_millis(1_250);
-const OWN_OWNER_AGE_STEP: Duration = Duration::from_millis(250);
+const OWN_OWNER_AGE: Duration = Duration::from_millis(500);
+const OWN_OWNER_AGE_STEP: Duration = Duration::from_millis(100);
 
 /// Time after which a node that was gone and is back may own accounts again.
 const RETURN_AGE: Duration = Duration::from_millis(1_500);
