--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -66,6 +66,16 @@
     baseline: BaselineMean,
 }
 
+/// Share of a kind of work in the requests that the means are of. It follows the mix of kinds as fast as
+/// the means do, so that a mix with longer requests is not taken for a slowdown.
+#[derive(Clone, Copy, Debug, Default)]
+struct MixShare {
+    /// Share in the recent mean, from 0 to 1.
+    recent: f64,
+    /// Share in the short-term mean, from 0 to 1.
+    short: f64,
+}
+
 /// Mean service time without disturbances.
 #[derive(Clone, Copy, Debug, Default)]
 struct BaselineMean {
@@ -75,17 +85,19 @@
     baseline_us: f64,
     /// Number of samples, up to [`MIN_BASELINE_COUNT`].
     count: u32,
+    /// Share of the kind in the means of all kinds.
+    share: MixShare,
 }
 
 impl BaselineMean {
-    /// Records one sample and returns the baseline.
-    fn learn(&mut self, service_us: f64) -> f64 {
+    /// Records one sample.
+    fn learn(&mut self, service_us: f64) {
         self.count = (self.count + 1).min(MIN_BASELINE_COUNT);
         let weight = LONG_WEIGHT.max(1.0 / f64::from(self.count));
         self.long_mean_us += (service_us - self.long_mean_us) * weight;
         if self.count < MIN_BASELINE_COUNT {
             self.baseline_us = self.long_mean_us;
-            return self.baseline_us;
+            return;
         }
         let rate = if self.long_mean_us < self.baseline_us {
             BASELINE_FALL
@@ -93,7 +105,13 @@
             BASELINE_RISE
         };
         self.baseline_us += (self.long_mean_us - self.baseline_us) * rate;
-        self.baseline_us
+    }
+
+    /// Adjusts the share after a request, which is of this kind if `is_kind`.
+    fn learn_share(&mut self, is_kind: bool, recent_weight: f64) {
+        let sample = if is_kind { 1.0 } else { 0.0 };
+        self.share.recent += (sample - self.share.recent) * recent_weight;
+        self.share.short += (sample - self.share.short) * SHORT_WEIGHT;
     }
 }
 
@@ -131,14 +149,8 @@
     last_end_at: MonoTime,
     /// Recent mean, in microseconds; zero until the first request succeeded.
     recent_mean_us: f64,
-    /// Mean that the requests of `recent_mean_us` would have without disturbances, in microseconds.
-    /// It follows the mix of kinds as fast as `recent_mean_us`, so that a mix with longer requests is
-    /// not taken for a slowdown.
-    recent_baseline_us: f64,
     /// Short-term mean, in microseconds.
     short_mean_us: f64,
-    /// Mean that the requests of `short_mean_us` would have without disturbances, in microseconds.
-    short_baseline_us: f64,
     /// Number of requests that succeeded, up to [`MIN_BASELINE_COUNT`].
     count: u32,
     /// Recent share of failures, from 0 to 1.
@@ -159,9 +171,7 @@
             min_stall_runs: (slots as usize).div_ceil(2),
             last_end_at: MonoTime::ZERO,
             recent_mean_us: 0.0,
-            recent_baseline_us: 0.0,
             short_mean_us: 0.0,
-            short_baseline_us: 0.0,
             other_baseline: BaselineMean::default(),
             count: 0,
             failure_share: 0.0,
@@ -266,24 +276,27 @@
             return;
         }
         let service_us = finished.service_us;
-        let baseline_us = self.learn_kind(finished);
+        self.learn_kind(finished);
         self.count = (self.count + 1).min(MIN_BASELINE_COUNT);
         let weight = RECENT_WEIGHT.max(1.0 / f64::from(self.count));
         self.recent_mean_us += (service_us - self.recent_mean_us) * weight;
-        self.recent_baseline_us += (baseline_us - self.recent_baseline_us) * weight;
+        let has_kind = self.kinds.contains_key(&finished.kind);
+        self.other_baseline.learn_share(!has_kind, weight);
+        for (kind, known) in &mut self.kinds {
+            known.baseline.learn_share(*kind == finished.kind, weight);
+        }
         self.short_mean_us += (service_us - self.short_mean_us) * SHORT_WEIGHT;
-        self.short_baseline_us += (baseline_us - self.short_baseline_us) * SHORT_WEIGHT;
     }
 
-    /// Updates the mean of a kind of work, and returns its baseline.
-    fn learn_kind(&mut self, finished: FinishedRun) -> f64 {
+    /// Updates the mean of a kind of work, and its baseline.
+    fn learn_kind(&mut self, finished: FinishedRun) {
         let Some(known) = self.kind_mut(finished.kind) else {
             return self.other_baseline.learn(finished.service_us);
         };
         known.count = known.count.saturating_add(1);
         let weight = KIND_WEIGHT.max(1.0 / f64::from(known.count));
         known.mean_us += (finished.service_us - known.mean_us) * weight;
-        known.baseline.learn(finished.service_us)
+        known.baseline.learn(finished.service_us);
     }
 
     /// The mean of a kind of work. `None` for an unnamed kind, and for a new one when there are too
@@ -323,13 +336,15 @@
         self.short_mean_us > JUMP_FACTOR * self.recent_mean_us
     }
 
-    /// The mean that [`Self::mean_us`] would be without disturbances, in microseconds.
-    fn baseline_us(&self) -> f64 {
-        if self.has_jumped() {
-            self.short_baseline_us
-        } else {
-            self.recent_baseline_us
-        }
+    /// The mean of the baselines of all kinds, weighted by `share`, in microseconds.
+    fn baseline_us(&self, share: impl Fn(&MixShare) -> f64) -> f64 {
+        let kinds = self.kinds.values().map(|known| &known.baseline);
+        let all = kinds.chain([&self.other_baseline]);
+        let (sum, shares) = all.fold((0.0, 0.0), |(sum, shares), baseline| {
+            let share = share(&baseline.share);
+            (sum + share * baseline.baseline_us, shares + share)
+        });
+        if shares > 0.0 { sum / shares } else { 0.0 }
     }
 
     /// When the backend server will be considered stalled if no request ends before. `None` while
@@ -351,7 +366,12 @@
     /// Mean service time above the baseline, in microseconds, if the target is a straggler; zero
     /// otherwise.
     pub(crate) fn straggler_us(&self, now: MonoTime) -> f64 {
-        let (mean_us, baseline_us) = (self.mean_us(now), self.baseline_us());
+        let mean_us = self.mean_us(now);
+        let baseline_us = if self.has_jumped() {
+            self.baseline_us(|share| share.short)
+        } else {
+            self.baseline_us(|share| share.recent)
+        };
         if mean_us > STRAGGLER_FACTOR * baseline_us {
             mean_us - baseline_us
         } else {
@@ -366,10 +386,11 @@
 
     /// Recent service time as a multiple of the baseline, at least 1.
     pub(crate) fn slowdown(&self) -> f64 {
-        if self.recent_baseline_us <= 0.0 {
+        let baseline_us = self.baseline_us(|share| share.recent);
+        if baseline_us <= 0.0 {
             return 1.0;
         }
-        (self.recent_mean_us / self.recent_baseline_us).max(1.0)
+        (self.recent_mean_us / baseline_us).max(1.0)
     }
 
     /// Whether most of the recent requests failed.
