--- a/crates/fescueway_allotment/src/fleet_view.rs
+++ b/crates/fescueway_allotment/src/fleet_view.rs
@@ -12,9 +12,10 @@
 const OWNER_AGE: Duration = Duration::from_secs(2);
 
 /// Time from the end of its search after which a node may own accounts by its own view, and the addition
-/// for each doubling of the number of nodes, since news spread by gossip. It ends later than
-/// [`OWNER_AGE`], so that the previous owner knows of the node first and releases the accounts. After a start of the whole fleet, no tokens are granted
-/// before.
+/// for each doubling of the number of nodes, since news spread by gossip. After a start of the whole fleet,
+/// no tokens are granted before. A search ends about 1 s after others learn of the node. So in a fleet of
+/// 32 nodes or more this isn't over before [`OWNER_AGE`], when the previous owner releases the accounts; in a
+/// smaller one the node's own callers may get tokens from its nearly empty buckets up to 0.5 s earlier.
 const OWN_OWNER_AGE: Duration = Duration::from_millis(500);
 const OWN_OWNER_AGE_STEP: Duration = Duration::from_millis(100);
 
--- a/crates/fescueway_proxy/src/entry/account_check.rs
+++ b/crates/fescueway_proxy/src/entry/account_check.rs
@@ -31,7 +31,8 @@
     pub route: &'a RoutePlan,
     /// The key that its caller sent.
     pub key: &'a PresentedKey,
-    /// Whether a backend server of this node may have made the request. Counts only without a key.
+    /// Whether the token of a running request shows that a backend server of this node made the request.
+    /// Counts only without a key.
     pub is_call: bool,
     /// Whether the configuration is the newest one, as far as is known.
     pub is_plan_current: bool,
