--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""The store goes down shortly after the first start of the machines, until traffic has begun."""
+"""Machines are added while the store is down."""
 
 import asyncio
 import os
@@ -12,8 +12,8 @@
 from standins import TROUBLE, document, route, run_case  # noqa: E402
 
 HOST, KEY = "ficu95.example", "rjvz48wuakn2ftimaj3n"
-MACHINES, LEAD_S, TRAFFIC_S = 6, 8.0, 6.0
-DOWN_AT_S, DOWN_S = 0.4, 8.0
+FIRST_MACHINES, ADDED_MACHINES = 3, 6
+DOWN_S, ADDED_AFTER_S, TRAFFIC_S = 4.5, 0.5, 14.0
 RATE_PER_S, BURST = 20, 20
 QUOTA_WINDOW_S, QUOTA_OVERSHOOT, QUOTA_SLACK = 5.0, 0.1, 20
 CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "health", "tenants", "quota", "platform"]
@@ -31,32 +31,47 @@
 async def play(world):
     tenant = {"ApiKeys": [KEY], "Priority": 1, "RatePerS": RATE_PER_S, "Burst": BURST}
     await world.configure(document(3, {"r1": route(HOST, "/pufi/", "portal")}, ["portal"], {"mill": tenant}))
-    started = time.monotonic()
-    for number in range(MACHINES):
-        machine = world.machine("abc"[number % 3], "portal", contracts=CONTRACTS)
-        machine.start()
-        await world.target(machine, "portal", f"i-portal-{number}")
-
-    async def outage():
-        await asyncio.sleep(started + DOWN_AT_S - time.monotonic())
-        world.store.is_down = TROUBLE
-        world.record.write("store goes down" if TROUBLE else "store stays up")
-        await world.store.notify()
-        await asyncio.sleep(DOWN_S)
-        world.store.is_down = False
-        world.record.write("store is up")
-
-    down = asyncio.create_task(outage())
-    await asyncio.sleep(started + LEAD_S - time.monotonic())
+
+    async def add_machines(count):
+        for _ in range(count):
+            number = len(world.machines)
+            machine = world.machine("abc"[number % 3], "portal", contracts=CONTRACTS)
+            machine.start()
+            await world.target(machine, "portal", f"i-portal-{number}")
+
+    async def serves():
+        return all([(await machine.request("GET", HOST, "/pufi/1", key=KEY))["status"] == 200
+                    for machine in world.machines])
+
+    await add_machines(FIRST_MACHINES)
+    await world.until("the first machines serve", serves)
+    await asyncio.sleep(6.0)
     sent, end = [], time.monotonic() + TRAFFIC_S
 
     async def client(machine):
+        # A machine gets clients once it is ready.
+        while not await machine.is_ready():
+            await asyncio.sleep(0.1)
         while time.monotonic() < end:
-            sent.append(await machine.request("GET", HOST, "/pufi/1", key=KEY))
+            sent.append(await machine.request("GET", HOST, "/pufi/2", key=KEY))
             await asyncio.sleep(0.03)
 
-    await asyncio.gather(*(client(machine) for machine in world.machines for _ in range(2)))
-    await down
+    def clients(machines):
+        return [asyncio.create_task(client(machine)) for machine in machines for _ in range(2)]
+
+    tasks = clients(world.machines)
+    await asyncio.sleep(2.0)
+    world.store.is_down = TROUBLE
+    world.record.write("store goes down" if TROUBLE else "store stays up")
+    await world.store.notify()
+    back = time.monotonic() + DOWN_S
+    await asyncio.sleep(ADDED_AFTER_S)
+    await add_machines(ADDED_MACHINES)
+    tasks += clients(world.machines[FIRST_MACHINES:])
+    await asyncio.sleep(back - time.monotonic())
+    world.store.is_down = False
+    world.record.write("store is up")
+    await asyncio.gather(*tasks)
     arrived = {run["attempt"]: run["arrived"] for run in world.runs()}
     runs = [(request["sent"], arrived[request["attempt"]]) for request in sent
             if request["attempt"] in arrived]
