--- a/crates/fescueway_config/src/account_directory.rs
+++ b/crates/fescueway_config/src/account_directory.rs
@@ -17,6 +17,8 @@
     by_name: BTreeMap<AccountName, Arc<AccountPlan>>,
     /// Every key with its account, in the order of the keys' digests. No digest occurs twice.
     keys: Vec<KeyEntry>,
+    /// Whether requests without a key are allowed on every route. A key is unknown all the same.
+    is_key_optional: bool,
 }
 
 /// A key of an account.
@@ -88,9 +90,26 @@
         Ok(Self {
             keys: keys.collect(),
             by_name,
+            is_key_optional: false,
         })
     }
 
+    /// The directory of a site that uses accounts, under a configuration that states none: requests
+    /// need no key, and every key is unknown.
+    #[must_use]
+    pub fn without_accounts() -> Self {
+        Self {
+            is_key_optional: true,
+            ..Self::default()
+        }
+    }
+
+    /// Whether requests without a key are allowed on every route.
+    #[must_use]
+    pub fn is_key_optional(&self) -> bool {
+        self.is_key_optional
+    }
+
     /// The account that has `key`.
     #[must_use]
     pub fn find(&self, key: &[u8]) -> Option<&FoundAccount> {
--- a/crates/fescueway_config/src/site_plan.rs
+++ b/crates/fescueway_config/src/site_plan.rs
@@ -16,7 +16,8 @@
     /// Routes by host, which take precedence over the path prefixes of the services. Each names its
     /// services in `split`. The routes of a host are sorted, the longest prefix first.
     pub host_routes: BTreeMap<Arc<str>, Vec<Arc<RoutePlan>>>,
-    /// The client accounts; `None` at a site without accounts, where requests need no key.
+    /// The client accounts; `None` at a site without accounts, where keys have no meaning. With an
+    /// empty directory no key is valid.
     pub accounts: Option<Arc<AccountDirectory>>,
     /// The largest request body of any route, in bytes; `None` for the node's own limit.
     pub max_body_bytes: Option<u64>,
--- a/crates/fescueway_proxy/src/entry/account_check.rs
+++ b/crates/fescueway_proxy/src/entry/account_check.rs
@@ -59,7 +59,7 @@
             return AccountCheck::Refused(RefusalReason::KeyUnproven);
         }
         self.find_account(accounts, profile, headers)
-            .unwrap_or_else(|fault| self.without_account(fault))
+            .unwrap_or_else(|fault| self.without_account(accounts, fault))
     }
 
     /// Finds the account and sets its name; fails with the fault of the key.
@@ -82,9 +82,10 @@
     }
 
     /// The result for a request whose key identifies no account.
-    fn without_account(&self, fault: KeyFault) -> AccountCheck {
+    fn without_account(&self, accounts: &AccountDirectory, fault: KeyFault) -> AccountCheck {
+        let needs_no_key = self.is_call || accounts.is_key_optional();
         match fault {
-            KeyFault::Missing if self.is_call => AccountCheck::Anonymous,
+            KeyFault::Missing if needs_no_key => AccountCheck::Anonymous,
             fault if self.is_plan_current => AccountCheck::Unauthorized(fault),
             // The key may have been added since.
             _ => AccountCheck::Refused(RefusalReason::NoConfiguration),
--- a/crates/fescueway_proxy/tests/account_check.rs
+++ b/crates/fescueway_proxy/tests/account_check.rs
@@ -177,6 +177,45 @@
     assert_eq!(check, AccountCheck::Unauthorized(KeyFault::Unknown));
 }
 
+/// Guards against a key that runs, or reaches a backend server, after the last account was withdrawn.
+#[test]
+fn no_key_is_valid_in_an_empty_directory() {
+    let case = CheckCase {
+        plan: SitePlan {
+            accounts: Some(Arc::default()),
+            ..site_plan(true)
+        },
+        ..CheckCase::new()
+    };
+    for (fields, fault) in [
+        (&[(KEY_FIELD, "mill-key")][..], KeyFault::Unknown),
+        (&[], KeyFault::Missing),
+    ] {
+        let (check, headers) = case.check(fields);
+        assert_eq!(check, AccountCheck::Unauthorized(fault));
+        assert!(headers.is_empty());
+    }
+}
+
+/// Guards against a withdrawn key that runs under a configuration that states no accounts, and against
+/// the rejection of requests that need no key there.
+#[test]
+fn without_accounts_a_key_is_unknown_and_none_is_needed() {
+    let case = CheckCase {
+        plan: SitePlan {
+            accounts: Some(Arc::new(AccountDirectory::without_accounts())),
+            ..site_plan(true)
+        },
+        ..CheckCase::new()
+    };
+    let (check, headers) = case.check(&[(KEY_FIELD, "mill-key")]);
+    assert_eq!(check, AccountCheck::Unauthorized(KeyFault::Unknown));
+    assert!(headers.is_empty());
+    let (check, headers) = case.check(&[(ACCOUNT_FIELD, "mill")]);
+    assert_eq!(check, AccountCheck::Anonymous);
+    assert!(headers.is_empty());
+}
+
 /// Guards against changes at sites that have no accounts.
 #[test]
 fn site_without_accounts_leaves_requests_as_they_are() {
--- a/crates/fescuewayd/src/document_task.rs
+++ b/crates/fescuewayd/src/document_task.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use fescueway_config::AccountDirectory;
 use fescueway_core::{BootTime, ConfigMark};
 use fescueway_membership::MemberEvent;
 use fescueway_platform::{KeyRange, RangeReply, StoreError, StoreRevision, WatchBatch, WatchEvent};
@@ -71,6 +72,8 @@
     board: StatusBoard,
     /// The document's key and its decoder.
     source: DocumentSource,
+    /// Whether the deployment uses client accounts, so that a document without any makes keys invalid.
+    uses_accounts: bool,
     /// What is proven of the document in force.
     proof: DocumentProof,
     /// The document in force.
@@ -88,11 +91,13 @@
         source: DocumentSource,
     ) {
         let proof = DocumentProof::new(proxy, members, board, settings, &source);
+        let is_interface_used = settings.interfaces.contains(&*source.account_interface);
         let task = Self {
             proxy: proxy.clone(),
             members: members.clone(),
             board: board.clone(),
             source,
+            uses_accounts: is_interface_used || settings.key_proof.is_some(),
             proof,
             held: Arc::default(),
         };
@@ -239,14 +244,25 @@
             self.confirm();
         }
         // A document that is absent or can't be read leaves the accepted one in force.
-        let found = found.unwrap_or_default();
-        self.proof.prove(sent_at, found, self.version());
+        self.prove(sent_at, found.unwrap_or_default());
+    }
+
+    /// Records that the store was asked at `sent_at` and held no readable version above `found`. Proves
+    /// nothing while its document can't be read: that one may withdraw keys.
+    fn prove(&self, sent_at: BootTime, found: u64) {
+        let held = self.held();
+        if !held.is_latest_unreadable() {
+            self.proof.prove(sent_at, found, held.version());
+        }
     }
 
     /// Applies the document among the values of a read. Returns its version if it could be read.
     fn apply_values(&self, reply: &RangeReply) -> Option<u64> {
         let mut values = reply.values.iter();
-        let value = values.find(|value| *value.key == *self.source.key)?;
+        let Some(value) = values.find(|value| *value.key == *self.source.key) else {
+            self.held().set_latest_unreadable(false);
+            return None;
+        };
         self.apply_plain(&value.value)
     }
 
@@ -331,7 +347,7 @@
                 Ok(None) if is_behind => return Ok(()),
                 Ok(None) => {
                     if let Some(proven_at) = watch.proven_at() {
-                        self.proof.prove(proven_at, watched_version, self.version());
+                        self.prove(proven_at, watched_version);
                     }
                 }
                 Err(error) => {
@@ -379,7 +395,9 @@
 
     /// Applies a plain document from the store. Returns its version if it could be read.
     fn apply_plain(&self, plain: &[u8]) -> Option<u64> {
-        self.put_in_force(plain, |held, version| held.set_plain(version, plain))
+        let version = self.put_in_force(plain, |held, version| held.set_plain(version, plain));
+        self.held().set_latest_unreadable(version.is_none());
+        version
     }
 
     /// Puts a document in force unless `replace` reports that it is not newer than the current one.
@@ -390,7 +408,7 @@
         replace: impl FnOnce(&mut HeldDocument, u64) -> bool,
     ) -> Option<u64> {
         let read = (self.source.read)(&self.proxy.options().site, bytes);
-        let PlanDocument { version, plan } = match read {
+        let PlanDocument { version, mut plan } = match read {
             Ok(document) => document,
             Err(reason) => {
                 emit(&control::CONFIG_REJECTED, &[&"unknown", &reason]);
@@ -400,6 +418,9 @@
                 return None;
             }
         };
+        if self.uses_accounts && plan.accounts.is_none() {
+            plan.accounts = Some(Arc::new(AccountDirectory::without_accounts()));
+        }
         let mut held = self.held();
         if !replace(&mut held, version) {
             return Some(version);
--- a/crates/fescuewayd/src/held_document.rs
+++ b/crates/fescuewayd/src/held_document.rs
@@ -21,6 +21,8 @@
     version: u64,
     /// Its bytes.
     form: DocumentForm,
+    /// Whether the store was last seen to hold a document that can't be read.
+    is_latest_unreadable: bool,
 }
 
 /// The bytes of a document, either plain or compressed.
@@ -74,6 +76,16 @@
         is_newer
     }
 
+    /// Records whether the document that the store holds can't be read.
+    pub fn set_latest_unreadable(&mut self, is_unreadable: bool) {
+        self.is_latest_unreadable = is_unreadable;
+    }
+
+    /// Whether the store was last seen to hold a document that can't be read.
+    pub fn is_latest_unreadable(&self) -> bool {
+        self.is_latest_unreadable
+    }
+
     /// The compressed document for peers. It is compressed on first use.
     pub fn compressed(&mut self) -> Arc<[u8]> {
         let compressed = match &self.form {
--- a/crates/fescuewayd/src/node_adapter.rs
+++ b/crates/fescuewayd/src/node_adapter.rs
@@ -40,7 +40,10 @@
     pub evacuation_prefix: Arc<str>,
     /// The optional interface of the installation that enables evacuations.
     pub evacuation_interface: Arc<str>,
-    /// A prefix of both, which is read and watched where evacuations are enabled.
+    /// The optional interface of the installation that enables client accounts. Where it is used, or
+    /// keys need a proof, no key is valid under a document that states no accounts.
+    pub account_interface: Arc<str>,
+    /// A prefix of both keys, which is read and watched where evacuations are enabled.
     pub prefix: Arc<str>,
     /// Parses the document.
     pub read: DocumentReader,
