--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -64,8 +64,6 @@
     timeout: Duration,
     /// The only address at which a backend server may be; `None` for any.
     allowed_address: Option<SocketAddr>,
-    /// The service of the local backend server, if the settings name it.
-    service: Option<ServiceName>,
     /// Parses the calls of the installation's backend servers.
     read_call: Option<CallReader>,
     /// Limits the log lines about unreadable calls.
@@ -74,6 +72,8 @@
     report_log_limit: Arc<SourceRateLimit<String>>,
     /// The identity that is being verified, and the number of its reports so far.
     unverified: Arc<Mutex<(Option<HeaderValue>, u32)>>,
+    /// The latest report that came before there was a configuration, and is to be verified.
+    early_report: Arc<Mutex<Option<BackendAnnouncement>>>,
     /// The registry of backend server instances, fed by their reports.
     registry: Arc<Mutex<BackendRegistry>>,
     /// Time at which the announcement of each service expires.
@@ -94,11 +94,11 @@
             drains,
             timeout: settings.announce_timeout,
             allowed_address: settings.backend_address,
-            service: settings.caller_service.clone(),
             read_call,
             log_limit: Arc::new(SourceRateLimit::new(&path::BACKEND_CALL_INVALID)),
             report_log_limit: Arc::new(SourceRateLimit::new(&path::REPORT_NOT_ACKNOWLEDGED)),
             unverified: Arc::default(),
+            early_report: Arc::default(),
             registry: Arc::default(),
             deadlines: Arc::default(),
         };
--- a/crates/fescuewayd/src/backend_api/reports.rs
+++ b/crates/fescuewayd/src/backend_api/reports.rs
@@ -28,8 +28,8 @@
 /// that is leaving sends no further reports, and only a few are delayed in transit.
 const REPORTS_BEFORE_TRUST: u32 = 3;
 
-/// Number of queries by which a starting node that has a configuration looks for a backend server
-/// that kept running. After that it waits for reports.
+/// Number of queries by which a node verifies a report that it got before its configuration. After that
+/// it waits for further reports.
 const STARTUP_QUERIES: u32 = 10;
 
 /// Interval between these queries.
@@ -112,6 +112,9 @@
     /// before it is acknowledged.
     fn handle_report(&self, report: &BackendReport, announcement: &BackendAnnouncement) {
         let outcome = self.registry().report(report);
+        if outcome == ReportOutcome::Serves && !self.state.is_configured() {
+            *self.early_report() = Some(announcement.clone());
+        }
         match outcome {
             ReportOutcome::Serves if self.is_verified(announcement) => self.apply(announcement),
             ReportOutcome::Serves => {
@@ -197,11 +200,10 @@
             } else {
                 1
             };
-            *unverified = (identity.clone(), reports);
+            *unverified = (identity, reports);
             reports
         };
-        let name = identity.as_ref().and_then(|name| name.to_str().ok());
-        let is_current = self.registry().is_serving(name.unwrap_or_default());
+        let is_current = self.is_reported_serving(&announcement);
         if is_current && (answer.is_some() || reports >= REPORTS_BEFORE_TRUST) {
             self.apply(&announcement);
             if let Some(answer) = answer {
@@ -240,78 +242,45 @@
         name.and_then(|name| answer.headers.get(name))
     }
 
-    /// Finds a backend server that kept running while this process was restarted, before its next
-    /// report.
-    pub async fn find_running_backend(self) {
-        let (Some(address), Some(service)) = (self.allowed_address, self.service.clone()) else {
+    /// Verifies the latest report that came before there was a configuration, without which its sender
+    /// could not be queried.
+    ///
+    /// A target is only made from a report: the answer to a query doesn't tell which service its sender
+    /// belongs to, and the address may have gone to another service.
+    pub async fn verify_early_report(self) {
+        while !self.state.is_configured() {
+            sleep(STARTUP_QUERY_INTERVAL).await;
+        }
+        let Some(announcement) = self.early_report().take() else {
             return;
         };
-        if self.state.profile().identity.is_none() {
-            return;
-        }
-        let mut queries_left = STARTUP_QUERIES;
-        while queries_left > 0 && !self.is_startup_over() {
-            if self.state.host_target(&service).is_some() {
+        for _ in 0..STARTUP_QUERIES {
+            if self.state.host_target(&announcement.service).is_some() {
                 return;
             }
-            // Without a configuration the path of a query is unknown.
-            if !self.state.is_configured() {
-                sleep(STARTUP_QUERY_INTERVAL).await;
-                continue;
-            }
-            queries_left -= 1;
-            if let Some(answer) = self.query(&service, address).await
-                && self.apply_startup_answer(&service, address, &answer)
+            if let Some(answer) = self.serving_answer(&announcement).await
+                && self.is_reported_serving(&announcement)
             {
+                self.apply(&announcement);
+                self.learn_statement(&announcement.service, &answer);
                 return;
             }
             sleep(STARTUP_QUERY_INTERVAL).await;
         }
     }
 
-    /// Applies the response of a backend server to a startup query. Returns whether it was
-    /// sufficient.
-    fn apply_startup_answer(
-        &self,
-        service: &ServiceName,
-        address: SocketAddr,
-        answer: &QueryAnswer,
-    ) -> bool {
-        let profile = self.state.profile();
-        let load = answer.headers.get(&profile.load);
-        let load = load.zip(profile.read_load);
-        let load = load.and_then(|(field, read)| read(field.as_bytes()));
-        let (Some(identity), Some(load)) = (self.answer_identity(answer), load) else {
-            return false;
-        };
-        let name = identity.to_str().unwrap_or_default();
-        let report = BackendReport {
-            identity: name.to_owned(),
-            born_ms: 0,
-            sequence: 0,
-            is_draining: !answer.status.is_success(),
-        };
-        let outcome = self.registry().report(&report);
-        // A backend server that reported before there was a configuration could not be queried
-        // then.
-        let is_confirmed = outcome == ReportOutcome::Stale
-            && !report.is_draining
-            && self.registry().is_serving(&report.identity);
-        if load.slots == 0 || (outcome != ReportOutcome::Serves && !is_confirmed) {
-            return false;
-        }
-        self.apply(&BackendAnnouncement {
-            identity: Some(identity.clone()),
-            warmup_left: Some(Duration::ZERO),
-            ..BackendAnnouncement::new(
-                service.clone(),
-                address,
-                load.slots,
-                load.slots.saturating_mul(CONNECTIONS_PER_SLOT),
-            )
-        });
-        self.learn_statement(service, answer);
-        true
+    /// Whether the announced backend server accepts requests, according to its latest report.
+    fn is_reported_serving(&self, announcement: &BackendAnnouncement) -> bool {
+        let identity = announcement.identity.as_ref();
+        let name = identity.and_then(|name| name.to_str().ok());
+        self.registry().is_serving(name.unwrap_or_default())
+    }
+
+    /// Locks the latest report that came before there was a configuration.
+    fn early_report(&self) -> MutexGuard<'_, Option<BackendAnnouncement>> {
+        self.early_report
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Locks the identity that is being verified and the number of its reports.
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -265,7 +265,7 @@
             &self.settings,
             self.adapter.read_call,
         );
-        tasks.spawn(backends.clone().find_running_backend());
+        tasks.spawn(backends.clone().verify_early_report());
         let answer = move |request| backends.answer(&request);
         tasks.spawn(serve_local(
             tasks.clone(),
