Follow settings that change without a signal, and the service that a target reports

Cause: the service of the settings was read at the start and on SIGHUP only.

The first report of a target with another identity states the service of the machine as well, and withdraws the targets that other services had at its address; before, these stayed until their reports were 15 s old, and the new target answered 421 to their requests.

--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -20,6 +20,7 @@
 pub use self::reports::CONNECTIONS_PER_SLOT;
 use crate::{
     DaemonSettings,
+    daemon::apply_caller_service,
     drain_requests::DrainRequests,
     local_http::{LocalAnswer, LocalRequest, text},
     node_adapter::CallReader,
@@ -64,6 +65,8 @@
     timeout: Duration,
     /// The only address at which a backend server may be; `None` for any.
     allowed_address: Option<SocketAddr>,
+    /// Whether the settings name the service of requests of this VM.
+    names_caller: bool,
     /// Parses the calls of the installation's backend servers.
     read_call: Option<CallReader>,
     /// Limits the log lines about unreadable calls.
@@ -94,6 +97,7 @@
             drains,
             timeout: settings.announce_timeout,
             allowed_address: settings.backend_address,
+            names_caller: settings.caller_service.is_some(),
             read_call,
             log_limit: Arc::new(SourceRateLimit::new(&path::BACKEND_CALL_INVALID)),
             report_log_limit: Arc::new(SourceRateLimit::new(&path::REPORT_NOT_ACKNOWLEDGED)),
@@ -141,6 +145,13 @@
     fn apply(&self, announcement: &BackendAnnouncement) {
         let service = announcement.service.clone();
         let before = self.state.host_target(&service);
+        let is_new = before.as_ref().is_none_or(|before| {
+            before.pool().address() != announcement.address
+                || before.identity() != announcement.identity.as_ref()
+        });
+        if is_new && announcement.identity.is_some() {
+            self.replace_former(announcement);
+        }
         if before.is_none() {
             emit(&path::BACKEND_ANNOUNCED, &[&service, &announcement.address]);
         }
@@ -158,6 +169,26 @@
         }
     }
 
+    /// Records that a backend server with an identity took an address. Any other one that had it is
+    /// gone, and requests of this VM come from the new one's service.
+    fn replace_former(&self, announcement: &BackendAnnouncement) {
+        let is_former = |service: &ServiceName| {
+            let target = self.state.host_target(service);
+            target.is_some_and(|target| {
+                target.pool().address() == announcement.address
+                    && target.identity() != announcement.identity.as_ref()
+            })
+        };
+        for service in self.state.local_services() {
+            if service != announcement.service && is_former(&service) {
+                self.leave(&service);
+            }
+        }
+        if self.names_caller {
+            apply_caller_service(&self.state, Some(&announcement.service));
+        }
+    }
+
     /// Runs `action` on the announced service that the body names.
     fn on_service(
         &self,
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -1,14 +1,15 @@
 //! One running node.
 
 use std::{
+    mem::replace,
     net::SocketAddr,
-    sync::{Arc, OnceLock},
+    sync::{Arc, Mutex, OnceLock, PoisonError},
     time::Duration,
 };
 
 use fescueway_admission::StopSchedule;
 use fescueway_config::HedgePlan;
-use fescueway_core::NodeId;
+use fescueway_core::{NodeId, ServiceName};
 use fescueway_membership::MemberEvent;
 use fescueway_proxy::{ProxyOptions, ProxyState, TaskGroup, serve_callers, serve_peers};
 use fescueway_rollout::ProofTimes;
@@ -64,6 +65,8 @@
     addresses: DaemonAddresses,
     /// The settings that it was started with.
     settings: Arc<DaemonSettings>,
+    /// The service beside the node, according to the latest settings.
+    stated_service: Mutex<Option<ServiceName>>,
     /// The adapter of the installation.
     adapter: NodeAdapter,
     /// Metrics and the service-level burn.
@@ -111,7 +114,7 @@
         let tasks = TaskGroup::default();
         let options = proxy_options(&settings, &adapter, addresses.peers)?;
         let state = ProxyState::new(options, tasks);
-        apply_caller_service(&state, &settings);
+        apply_caller_service(&state, settings.caller_service.as_ref());
         let hedge_default = HedgePlan::of_fields(settings.hedge_share, settings.hedge_per_s);
         state.routes().set_hedge_default(hedge_default);
         if let Some(plan) = &settings.plan {
@@ -127,6 +130,7 @@
             members: OnceLock::new(),
             state,
             addresses,
+            stated_service: Mutex::new(settings.caller_service.clone()),
             settings: Arc::new(settings),
             adapter,
             closing_callers: CancellationToken::new(),
@@ -173,9 +177,18 @@
         self.addresses
     }
 
-    /// Applies the settings that can change while a node runs, which is only the service beside it.
+    /// Applies the settings that can change while a node runs, which is only the service beside it. A
+    /// service that the settings stated before doesn't replace what a backend server has reported since.
     pub fn reload(&self, settings: &DaemonSettings) {
-        apply_caller_service(&self.state, settings);
+        let service = &settings.caller_service;
+        let former = {
+            let stated = self.stated_service.lock();
+            let mut stated = stated.unwrap_or_else(PoisonError::into_inner);
+            replace(&mut *stated, service.clone())
+        };
+        if former != *service {
+            apply_caller_service(&self.state, service.as_ref());
+        }
         emit(&operator::SETTINGS_RELOADED, &[]);
     }
 
@@ -374,8 +387,7 @@
 }
 
 /// Sets the service beside the node in the proxy.
-fn apply_caller_service(state: &ProxyState, settings: &DaemonSettings) {
-    let service = settings.caller_service.as_ref();
+pub fn apply_caller_service(state: &ProxyState, service: Option<&ServiceName>) {
     // A name that is not a valid header value is left out.
     state.set_caller_service(service.and_then(|name| name.as_str().parse().ok()));
 }
--- a/crates/fescuewayd/src/lib.rs
+++ b/crates/fescuewayd/src/lib.rs
@@ -33,6 +33,7 @@
 mod seed_task;
 mod settings_file;
 mod settings_rules;
+mod settings_watch;
 mod status_board;
 mod store_link;
 mod suspect_task;
--- a/crates/fescuewayd/src/node_process.rs
+++ b/crates/fescuewayd/src/node_process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, Write},
-    path::{Path, PathBuf},
+    path::PathBuf,
     process::ExitCode,
     time::Duration,
 };
@@ -13,9 +13,13 @@
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
+    time::sleep,
 };
 
-use crate::{Daemon, DaemonSettings, NodeAdapter, read_settings};
+use crate::{
+    Daemon, DaemonSettings, NodeAdapter, read_settings,
+    settings_watch::{SETTINGS_CHECK_PERIOD, SettingsWatch},
+};
 
 /// First part of the output of `--help`.
 const INTRODUCTION: &str = "\
@@ -54,7 +58,7 @@
 
 /// Runs a node as a process of its own until SIGTERM or SIGINT. `program` is its name in messages.
 ///
-/// SIGHUP reloads the settings that can change while a node runs.
+/// The settings that can change while a node runs are reloaded on SIGHUP, and when their file changes.
 ///
 /// The exit status is 0 after a stop, 1 when the node can't start, and 2 for invalid usage or
 /// settings.
@@ -69,6 +73,8 @@
         Ok(CliCommand::Run(file)) => (file, false),
         Err(error) => return report_failure(program, USAGE_STATUS, &error),
     };
+    // Created first, so that a change after the settings were read is noticed.
+    let watch = SettingsWatch::new(&file);
     let settings = match read_settings(&file) {
         Ok(settings) => settings,
         Err(error) => return report_failure(program, USAGE_STATUS, &error.into()),
@@ -76,7 +82,7 @@
     if is_check {
         return ExitCode::SUCCESS;
     }
-    match run(&file, settings, adapter) {
+    match run(watch, settings, adapter) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => report_failure(program, 1, &error),
     }
@@ -111,13 +117,13 @@
 }
 
 /// Sets up logging and runs a node until it is stopped.
-fn run(file: &Path, settings: DaemonSettings, adapter: &NodeAdapter) -> Result<()> {
+fn run(watch: SettingsWatch, settings: DaemonSettings, adapter: &NodeAdapter) -> Result<()> {
     let plan = LogConfig {
         level: settings.log.level,
         ..LogConfig::default()
     };
     let queue = plan.apply().wrap_err("setting up the log")?;
-    let result = run_node(file, settings, adapter, &queue);
+    let result = run_node(watch, settings, adapter, &queue);
     // A blocked reader of the log must not keep the process from exiting; lines that it doesn't
     // read in time are lost.
     let _ = queue.flush(LOG_FLUSH_TIMEOUT);
@@ -126,7 +132,7 @@
 
 /// Runs a node until a signal stops it. Logging is set up already.
 fn run_node(
-    file: &Path,
+    mut watch: SettingsWatch,
     settings: DaemonSettings,
     adapter: &NodeAdapter,
     queue: &LogQueue,
@@ -143,7 +149,12 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hangup.recv() => reload(&daemon, file),
+                _ = hangup.recv() => reload(&daemon, &mut watch),
+                () = sleep(SETTINGS_CHECK_PERIOD) => {
+                    if watch.has_changed() {
+                        reload(&daemon, &mut watch);
+                    }
+                }
             }
         }
         daemon.stop().await;
@@ -152,8 +163,9 @@
 }
 
 /// Reloads the settings. If they are invalid, the node keeps the current ones.
-fn reload(daemon: &Daemon, file: &Path) {
-    match read_settings(file) {
+fn reload(daemon: &Daemon, watch: &mut SettingsWatch) {
+    watch.note_content();
+    match read_settings(watch.file()) {
         Ok(settings) => daemon.reload(&settings),
         Err(error) => emit(&operator::RELOAD_REFUSED, &[&error]),
     }
