--- a/crates/fescueway_admission/src/service_estimate.rs
+++ b/crates/fescueway_admission/src/service_estimate.rs
@@ -164,10 +164,11 @@
 }
 
 impl ServiceEstimate {
-    /// Creates an estimate without samples, for at most `slots` running requests.
+    /// Creates an estimate without samples, for at most `slots` running requests. No room is reserved for
+    /// them: the backend server states the number.
     pub(crate) fn new(slots: u32) -> Self {
         Self {
-            running: Vec::with_capacity(slots as usize),
+            running: Vec::new(),
             min_stall_runs: (slots as usize).div_ceil(2),
             last_end_at: MonoTime::ZERO,
             recent_mean_us: 0.0,
--- a/crates/fescueway_admission/src/target_gate.rs
+++ b/crates/fescueway_admission/src/target_gate.rs
@@ -134,12 +134,11 @@
     /// Creates the gate of a target that starts at `now`, which begins the slow start.
     #[must_use]
     pub fn new(plan: GatePlan, now: MonoTime) -> Self {
-        let capacity = Self::queue_capacity(&plan);
         Self {
             service: ServiceEstimate::new(plan.slots),
             limit: ConcurrencyLimit::new(plan.max_running()),
             slow_start: SlowStart::new(now, plan.ramp_time),
-            queue: WaitQueue::new(capacity),
+            queue: WaitQueue::default(),
             last_tick: MonoTime::ZERO,
             next_trial: MonoTime::ZERO,
             is_draining: false,
--- a/crates/fescueway_admission/src/wait_queue.rs
+++ b/crates/fescueway_admission/src/wait_queue.rs
@@ -37,7 +37,7 @@
 ///
 /// Invariant: sorted by descending `rank`. An offer waits at most [`DEADLINE_CAP`] plus
 /// [`LOW_PENALTY`] longer than in a first-in, first-out queue, so none starves.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct WaitQueue {
     /// The offers; the next to start is the last element.
     offers: Vec<QueuedOffer>,
@@ -63,13 +63,6 @@
 }
 
 impl WaitQueue {
-    /// Creates an empty queue with preallocated space for `capacity` offers.
-    pub(crate) fn new(capacity: usize) -> Self {
-        Self {
-            offers: Vec::with_capacity(capacity),
-        }
-    }
-
     /// Number of waiting offers.
     pub(crate) fn len(&self) -> usize {
         self.offers.len()
--- a/crates/fescueway_admission/tests/gate/main.rs
+++ b/crates/fescueway_admission/tests/gate/main.rs
@@ -400,3 +400,15 @@
     let running = results.filter(|result| *result == GateResult::Run).count();
     assert_eq!(running, 7);
 }
+
+/// Guards against memory that is reserved for the slots that a backend server states: review/10.
+#[test]
+fn gate_reserves_no_memory_for_stated_slots() {
+    let plan = GatePlan {
+        slots: u32::MAX,
+        ..GatePlan::default()
+    };
+    let mut gate = TargetGate::new(plan, MonoTime::ZERO);
+    let result = gate.offer(millis(1), TicketId(1), &terms(Priority::Normal, 1_000));
+    assert_eq!(result, GateResult::Run);
+}
--- a/crates/fescueway_core/src/lib.rs
+++ b/crates/fescueway_core/src/lib.rs
@@ -16,6 +16,7 @@
 mod request_terms;
 mod server_load;
 mod server_notice;
+mod target_capacity;
 mod target_record;
 mod token_bucket;
 
@@ -33,6 +34,7 @@
     request_terms::{Idempotency, KeyDigest, OfferCause, Priority, RequestTerms},
     server_load::ServerLoad,
     server_notice::{ServerNotice, ServerStart, StatementSource},
+    target_capacity::{CapacityError, RawCapacity, TargetCapacity},
     target_record::{TargetRecord, TargetState},
     token_bucket::TokenBucket,
 };
--- a/crates/fescueway_membership/src/node_record.rs
+++ b/crates/fescueway_membership/src/node_record.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use fescueway_core::{DomainName, NodeId, ServiceName, SiteName, TargetRecord, TargetState};
+use fescueway_core::{
+    DomainName, NodeId, ServiceName, SiteName, TargetCapacity, TargetRecord, TargetState,
+};
 use serde::{Deserialize, Serialize};
 
 /// The record that a node publishes about itself: its addresses and the services of its backend
@@ -44,8 +46,9 @@
             service: served.service.clone(),
             peer_address: self.peer_address,
             domain: self.domain.clone(),
-            slots: served.slots,
-            connections: served.connections,
+            // A node of another version may not have checked them.
+            slots: served.slots.min(TargetCapacity::MAX),
+            connections: served.connections.min(TargetCapacity::MAX),
             state: served.state,
         })
     }
--- a/crates/fescueway_proxy/src/backend_announcement.rs
+++ b/crates/fescueway_proxy/src/backend_announcement.rs
@@ -12,9 +12,10 @@
     pub service: ServiceName,
     /// The address at which it accepts requests.
     pub address: SocketAddr,
-    /// Requests that it can run at once. At least one.
+    /// Requests that it can run at once, from 1 to
+    /// [`TargetCapacity::MAX`](fescueway_core::TargetCapacity::MAX).
     pub slots: u32,
-    /// Connections that it accepts at once. At least one.
+    /// Connections that it accepts at once, from 1 to the same number.
     pub connections: u32,
     /// Identifies one start of the backend server, if announced. A different identity at the same
     /// address is a different target.
--- a/crates/fescuewayd/src/backend_api.rs
+++ b/crates/fescuewayd/src/backend_api.rs
@@ -10,7 +10,7 @@
 };
 
 use fescueway_admission::BackendRegistry;
-use fescueway_core::{MonoTime, ServiceName};
+use fescueway_core::{MonoTime, RawCapacity, ServiceName, TargetCapacity};
 use fescueway_proxy::{BackendAnnouncement, HostTarget, ProxyState};
 use fescueway_telemetry::{SourceRateLimit, emit, events::path};
 use http::{HeaderValue, Method, StatusCode};
@@ -136,7 +136,8 @@
     /// Handles an announcement or heartbeat.
     fn announce(&self, body: &[u8]) -> Result<&'static str, Box<LocalAnswer>> {
         let raw: RawAnnouncement = parse(body)?;
-        let announcement = BackendAnnouncement::try_from(raw).map_err(bad_request)?;
+        let announcement =
+            BackendAnnouncement::try_from(raw).map_err(|error| bad_request(&error))?;
         self.apply(&announcement);
         Ok(DONE)
     }
@@ -254,23 +255,22 @@
 }
 
 impl TryFrom<RawAnnouncement> for BackendAnnouncement {
-    type Error = &'static str;
+    type Error = String;
 
     fn try_from(raw: RawAnnouncement) -> Result<Self, Self::Error> {
         if raw.service.is_empty() {
-            return Err("field service: found an empty text; allowed: a name");
-        }
-        if raw.slots == 0 {
-            return Err("field slots: found 0; allowed: at least 1");
-        }
-        if raw.connections == 0 {
-            return Err("field connections: found 0; allowed: at least 1");
+            return Err("field service: found an empty text; allowed: a name".to_owned());
         }
+        let capacity = TargetCapacity::try_from(RawCapacity {
+            slots: raw.slots,
+            connections: raw.connections,
+        });
+        let capacity = capacity.map_err(|error| error.to_string())?;
         Ok(Self {
             service: ServiceName::new(raw.service),
             address: raw.address,
-            slots: raw.slots,
-            connections: raw.connections,
+            slots: capacity.slots(),
+            connections: capacity.connections(),
             identity: None,
             born_ms: 0,
             warmup_left: None,
--- a/crates/fescuewayd/tests/path/hostile_peers.rs
+++ b/crates/fescuewayd/tests/path/hostile_peers.rs
@@ -3,9 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fescueway_core::RequestTerms;
 use fescueway_testkit::BackendPlan;
-use fescueway_wire::{ControlKind, WIRE_VERSION};
-use http::Request;
+use fescueway_wire::{
+    AnswerHead, ControlKind, HeaderList, MAX_HEAD_BYTES, OfferHead, PREFIX_BYTES, StreamHead,
+    WIRE_VERSION, decode_payload, decode_prefix, encode_frame,
+};
+use http::{HeaderMap, HeaderValue, Method, Request, uri::PathAndQuery};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -55,6 +59,47 @@
     assert_eq!(nodes.send(get("/windows")).await.status(), 200);
 }
 
+/// The time limit of an offer is a number that another process states, like the slots of review/10.
+#[tokio::test]
+async fn offer_with_an_unbounded_time_limit_is_answered() {
+    let nodes = TwoNodes::start(Duration::from_secs(2), BackendPlan::default()).await;
+    let terms = RequestTerms {
+        objective: Some(Duration::MAX),
+        ..RequestTerms::new("windows".into(), Duration::MAX)
+    };
+    let head = StreamHead::Offer(Box::new(OfferHead {
+        entry: nodes.entry.state().node(),
+        host: nodes.host.state().node(),
+        terms,
+        method: Method::GET,
+        target: PathAndQuery::from_static("/windows"),
+        authority: HeaderValue::from_static("a.example"),
+        headers: HeaderList::new(HeaderMap::new()),
+        notice: None,
+        is_body_held: false,
+    }));
+    let socket = TcpStream::connect(nodes.host.addresses().peers).await;
+    let (sender, connection) = h2::client::handshake(socket.expect("a connection"))
+        .await
+        .expect("HTTP/2");
+    tokio::spawn(connection);
+    let mut sender = sender.ready().await.expect("a stream");
+    let request = Request::post("http://fescueway/").body(()).expect("valid");
+    let (response, mut stream) = sender.send_request(request, false).expect("a stream");
+    let frame = encode_frame(&head).expect("a frame");
+    stream
+        .send_data(Bytes::from(frame), true)
+        .expect("an open stream");
+    let response = timeout(WAIT_TIMEOUT, response).await.expect("in time");
+    let mut body = response.expect("a response").into_body();
+    let first = timeout(WAIT_TIMEOUT, body.data()).await.expect("in time");
+    let first = first.expect("a frame").expect("an open stream");
+    let length = decode_prefix(&first, MAX_HEAD_BYTES).expect("a prefix");
+    let payload = &first[PREFIX_BYTES..PREFIX_BYTES + length.expect("a whole prefix")];
+    let answer = decode_payload::<AnswerHead>(payload).expect("an answer");
+    assert!(matches!(answer, AnswerHead::Answered { .. }), "{answer:?}");
+}
+
 #[tokio::test]
 async fn control_messages_reach_their_handlers() {
     let nodes = TwoNodes::start(Duration::from_secs(2), BackendPlan::default()).await;
--- a/crates/fescuewayd/tests/path/process.rs
+++ b/crates/fescuewayd/tests/path/process.rs
@@ -105,6 +105,14 @@
         r#"{{"service":"w","address":"{}","slots":10,"connections":20}}"#,
         backend.address()
     );
+    // A number of slots that no backend server can have ends nothing.
+    let unbounded = body.replace("10,", "4294967295,");
+    let response = send(
+        backends,
+        request("POST", "/v1/announce", &[], unbounded.leak()),
+    )
+    .await;
+    assert_eq!(response.status(), 400);
     let response = send(backends, request("POST", "/v1/announce", &[], body.leak())).await;
     assert_eq!(response.status(), 200);
     let targets = text(send(operators, get("/targets")).await).await;
