--- a/crates/fescueway_allotment/src/fleet_view.rs
+++ b/crates/fescueway_allotment/src/fleet_view.rs
@@ -64,7 +64,7 @@
 /// Time for which departed nodes are remembered, to tell how long a node has owned an account.
 const DEPARTED_MEMORY: Duration = Duration::from_mins(1);
 
-/// Number of nodes that a node assumes at least which has not searched for the fleet.
+/// Number of nodes that a node assumes at least which doesn't know the fleet.
 const UNKNOWN_FLEET_NODES: usize = 1_000;
 
 /// Number of nodes that a node assumes at least until it may own accounts, when many nodes may be
@@ -124,7 +124,8 @@
     }
 
     /// Takes over the live nodes of the site, this one included, each with whether it is suspected to
-    /// be down. `has_searched` tells whether the search for the fleet after the start has ended.
+    /// be down. `has_searched` tells whether the search for the fleet after the start has ended: the node
+    /// knows the fleet, or that there is none.
     /// To be called several times a second.
     pub fn update(
         &mut self,
--- a/crates/fescueway_membership/src/lib.rs
+++ b/crates/fescueway_membership/src/lib.rs
@@ -29,6 +29,7 @@
 mod datagram_codec;
 mod datagram_handling;
 mod fleet_join;
+mod fleet_search;
 mod fleet_sync;
 mod gossip_push;
 mod member_event;
@@ -49,6 +50,7 @@
 pub use crate::{
     datagram::{Datagram, MessageBody},
     datagram_codec::{DatagramCodec, DatagramError, FleetSecret, MAX_DATAGRAM_BYTES},
+    fleet_search::{FleetKnowledge, FleetSearch},
     member_event::{DownCause, MemberAction, MemberEvent},
     member_list::{MemberList, PING_PERIOD, jittered},
     member_settings::MemberSettings,
--- a/crates/fescueway_wire/src/control_message.rs
+++ b/crates/fescueway_wire/src/control_message.rs
@@ -18,6 +18,8 @@
     Freshness,
     /// Asks the owner of client accounts for tokens of their allotments.
     Allotment,
+    /// Asks whether the peer knows the fleet.
+    Search,
 }
 
 /// A request to a peer's handler of `kind`.
--- a/crates/fescuewayd/src/allotment_task.rs
+++ b/crates/fescuewayd/src/allotment_task.rs
@@ -54,7 +54,7 @@
     proxy: ProxyState,
     /// The membership.
     members: MemberLink,
-    /// Whether the node searches for the fleet in the store.
+    /// Whether the node searches for the fleet in the store, and asks other nodes whether they know it.
     is_searching: bool,
     /// The decisions.
     core: Mutex<TaskCore>,
@@ -327,7 +327,7 @@
         let now = self.now();
         let members = &self.0.members;
         let has_searched = if self.0.is_searching {
-            members.has_searched()
+            members.is_fleet_known()
         } else {
             members.is_joined() || now.since(MonoTime::ZERO) >= SEARCH_TIME
         };
--- a/crates/fescuewayd/src/daemon.rs
+++ b/crates/fescuewayd/src/daemon.rs
@@ -292,6 +292,10 @@
             self.board.clone(),
             self.claims.get().cloned(),
             self.drains.clone(),
+            self.members
+                .get()
+                .cloned()
+                .filter(|_| self.searches_fleet()),
         );
         if let Some(listener) = sockets.metrics {
             let operators = operators.clone();
@@ -327,8 +331,7 @@
                 DocumentTask::start(state, &link, board, settings, store.clone(), source);
             }
         }
-        let is_searching = store.is_some() && self.adapter.document.is_some();
-        let allotments = AllotmentTask::start(state, &link, is_searching);
+        let allotments = AllotmentTask::start(state, &link, self.searches_fleet());
         self.meter.watch_allotments(allotments.clone());
         // Can't fail: the allotments are started only here.
         let _ = self.allotments.set(allotments);
@@ -337,6 +340,11 @@
         let _ = self.members.set(link);
     }
 
+    /// Whether the node searches for the fleet in the store.
+    fn searches_fleet(&self) -> bool {
+        !self.settings.store.is_empty() && self.adapter.document.is_some()
+    }
+
     /// Starts the checks made before a request is handed over.
     fn run_rules(&self, store: Option<StoreLink>) {
         let takes_keys = self.settings.takes_keys;
--- a/crates/fescuewayd/src/member_link.rs
+++ b/crates/fescuewayd/src/member_link.rs
@@ -1,6 +1,7 @@
 //! The membership instance of a node, shared by its tasks.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -11,12 +12,13 @@
 
 use fescueway_core::{ConfigMark, MonoTime, NodeId};
 use fescueway_membership::{
-    FleetSecret, MemberAction, MemberEvent, MemberList, MemberSettings, MemberState, MemberStatus,
-    TrafficCounts, jittered,
+    FleetKnowledge, FleetSearch, FleetSecret, MemberAction, MemberEvent, MemberList,
+    MemberSettings, MemberState, MemberStatus, TrafficCounts, jittered,
 };
 use fescueway_proxy::ProxyState;
 use fescueway_routing::FleetShare;
 use fescueway_telemetry::{emit, events::control};
+use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
 use tokio::{
     net::UdpSocket,
@@ -67,6 +69,8 @@
     retry_slack: Option<f64>,
     /// Whether the search for the fleet after the start has ended.
     has_searched: AtomicBool,
+    /// What is known of the fleet by asking the store and other nodes.
+    search: Mutex<FleetSearch>,
 }
 
 /// The state machine and its random number generator.
@@ -108,6 +112,7 @@
             notes,
             retry_slack: settings.retry_slack,
             has_searched: AtomicBool::new(false),
+            search: Mutex::default(),
         }));
         (link, received)
     }
@@ -187,6 +192,43 @@
         self.0.has_searched.load(Ordering::Relaxed)
     }
 
+    /// What is known of the fleet by asking the store and other nodes.
+    pub fn search(&self) -> MutexGuard<'_, FleetSearch> {
+        self.0.search.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this node knows the fleet that it belongs to.
+    pub fn is_fleet_known(&self) -> bool {
+        self.search().knowledge() == FleetKnowledge::Known
+    }
+
+    /// Peer addresses of `count` other nodes of this node's site, or of all if there are fewer. They are
+    /// drawn at random.
+    pub fn sample_peers(&self, count: usize) -> Vec<SocketAddr> {
+        let own = self.0.proxy.node();
+        let mut others = self.site_nodes();
+        others.retain(|(node, _, is_suspect)| *node != own && !is_suspect);
+        let mut sampled = Vec::new();
+        while sampled.len() < count && !others.is_empty() {
+            let index = self.core().random.next_u64() % others.len() as u64;
+            let (_, address, _) = others.swap_remove(index as usize);
+            sampled.push(address);
+        }
+        sampled
+    }
+
+    /// Whether each of these peer addresses is one of a live node that this one knows.
+    pub fn are_known(&self, addresses: &[SocketAddr]) -> bool {
+        let core = self.core();
+        let live = core
+            .list
+            .members()
+            .filter(|(_, state)| state.is_reachable());
+        let records = live.filter_map(|(_, state)| state.record.as_ref());
+        let known: BTreeSet<_> = records.map(|record| record.peer_address).collect();
+        addresses.iter().all(|address| known.contains(address))
+    }
+
     /// The peer address of this node.
     pub fn address(&self) -> SocketAddr {
         self.0.proxy.options().peer_address
--- a/crates/fescuewayd/src/operator_api.rs
+++ b/crates/fescuewayd/src/operator_api.rs
@@ -13,13 +13,19 @@
     claim_task::ClaimTask,
     drain_requests::DrainRequests,
     local_http::{LocalAnswer, LocalRequest, content, json, text},
+    member_link::MemberLink,
     node_meter::NodeMeter,
+    seed_task::has_allotments,
     status_board::StatusBoard,
 };
 
 /// The content type of Prometheus' text format.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
+/// A node that doesn't know the fleet is not ready for this long after a configuration came in force, so that
+/// requests without an allotment are served then.
+const FLEET_TIMEOUT: Duration = Duration::from_secs(7);
+
 /// How often a drain checks whether its last request has ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -36,6 +42,8 @@
     claims: Option<ClaimTask>,
     /// Drain requests for the local targets.
     drains: DrainRequests,
+    /// The membership, if the node searches for the fleet.
+    search: Option<MemberLink>,
 }
 
 impl OperatorApi {
@@ -47,6 +55,7 @@
         board: StatusBoard,
         claims: Option<ClaimTask>,
         drains: DrainRequests,
+        search: Option<MemberLink>,
     ) -> Self {
         Self {
             state,
@@ -54,6 +63,7 @@
             board,
             claims,
             drains,
+            search,
         }
     }
 
@@ -101,9 +111,24 @@
             let reason = "not proven yet that the configuration is the latest one";
             return text(StatusCode::SERVICE_UNAVAILABLE, reason);
         }
+        if self.is_awaiting_fleet() {
+            let reason = "not known yet which other nodes share the allotments";
+            return text(StatusCode::SERVICE_UNAVAILABLE, reason);
+        }
         text(StatusCode::OK, "ready")
     }
 
+    /// Whether the node doesn't know the fleet yet, and so could serve next to nothing of the accounts with
+    /// an allotment.
+    fn is_awaiting_fleet(&self) -> bool {
+        let in_force_for = self.state.now().since(self.board.facts().in_force_at);
+        let is_unknown = self
+            .search
+            .as_ref()
+            .is_some_and(|members| !members.is_fleet_known());
+        is_unknown && in_force_for < FLEET_TIMEOUT && has_allotments(&self.state.plan())
+    }
+
     /// The status of the node.
     fn status(&self) -> NodeStatus {
         let facts = self.board.facts();
--- a/crates/fescuewayd/src/seed_task.rs
+++ b/crates/fescuewayd/src/seed_task.rs
@@ -4,14 +4,20 @@
 //! other node it publishes its own, and then reads again, so that of two nodes that start at the same
 //! time at least one sees the other. Of a fleet that has joined, two nodes of each failure domain
 //! keep their addresses published. So the store's load grows with the number of failure domains.
+//!
+//! Where client accounts have allotments, a node also finds out whether it knows the whole fleet
+//! ([`FleetSearch`](fescueway_membership::FleetSearch)): it asks other nodes, and, if these can't tell, the
+//! store until that has answered for a while.
 
 use std::{net::SocketAddr, time::Duration};
 
-use fescueway_membership::MemberEvent;
+use fescueway_config::SitePlan;
+use fescueway_membership::{FleetKnowledge, MemberEvent};
 use fescueway_platform::{KeyRange, LeaseId, StoreError, StoreOp, StoreTxn};
 use fescueway_proxy::ProxyState;
 use fescueway_rollout::store_keys;
-use tokio::time::sleep;
+use fescueway_wire::{ControlKind, PREFIX_BYTES, decode_payload, encode_frame};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
     member_link::MemberLink,
@@ -29,6 +35,10 @@
 /// How often a node that knows no other node reads the addresses.
 const SEARCH_PERIOD: Duration = Duration::from_secs(2);
 
+/// How often a node that doesn't know the fleet yet, and is alone or a seed, reads the addresses where
+/// client accounts have allotments.
+const CONFIRM_PERIOD: Duration = Duration::from_secs(1);
+
 /// Stale reads of the addresses by a node that starts, before it publishes its own.
 const FIRST_READS: u32 = 3;
 
@@ -46,6 +56,15 @@
 /// Time after which a node that joined knows which nodes watch the store.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// How often a node that doesn't know the fleet asks others whether they do.
+const ASK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Number of nodes that it asks each time.
+const ASKED_PEERS: usize = 3;
+
+/// Timeout of such a question.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// How recent the addresses that are read from the store have to be.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum SeedReading {
@@ -77,6 +96,13 @@
             store,
             lease: None,
         };
+        let members = members.clone();
+        let answer = move |_peer, _body| {
+            let knowledge = members.search().knowledge();
+            let answer = encode_frame(&knowledge).map_err(|error| error.to_string());
+            async move { answer }
+        };
+        proxy.controls().register(ControlKind::Search, answer);
         proxy.tasks().spawn(task.run());
     }
 
@@ -84,24 +110,75 @@
     /// it knows none.
     async fn run(mut self) {
         if self.join().await {
+            self.ask_peers().await;
             sleep(SETTLE_TIME).await;
+            if self.lease.is_some() {
+                // This node found no other at first, and others may have published theirs since.
+                self.confirm_fleet().await;
+            }
         }
         self.members.end_search();
         loop {
-            if self.members.is_seed() {
+            let is_seed = self.members.is_seed();
+            if is_seed {
                 // The store's call budget limits the retry rate.
                 let _ = self.renew_address().await;
             }
             if self.is_alone() {
                 // As above; the store link has logged the failure.
                 let _ = self.find_peers(SeedReading::Current).await;
+            } else if is_seed {
+                self.confirm_fleet().await;
             }
-            sleep(if self.is_alone() {
+            let pause = if self.needs_search() {
+                CONFIRM_PERIOD
+            } else if self.is_alone() {
                 SEARCH_PERIOD
             } else {
                 RENEWAL_PERIOD
-            })
-            .await;
+            };
+            self.ask_peers_for(pause).await;
+        }
+    }
+
+    /// Waits for `pause`, and meanwhile asks other nodes whether they know the fleet.
+    async fn ask_peers_for(&self, pause: Duration) {
+        let end = Instant::now() + pause;
+        while Instant::now() < end && (!self.proxy.is_configured() || self.needs_search()) {
+            self.ask_peers().await;
+            sleep(ASK_PERIOD).await;
+        }
+        sleep_until(end).await;
+    }
+
+    /// Whether this node has to know the whole fleet, and doesn't yet.
+    fn needs_search(&self) -> bool {
+        has_allotments(&self.proxy.plan()) && !self.members.is_fleet_known()
+    }
+
+    /// Asks some other nodes whether they know the fleet, unless this one does.
+    async fn ask_peers(&self) {
+        if self.is_alone() || !self.needs_search() {
+            return;
+        }
+        let mut answers = Vec::new();
+        for address in self.members.sample_peers(ASKED_PEERS) {
+            let peers = self.proxy.peers();
+            let call = peers.call(address, ControlKind::Search, Vec::new(), ASK_TIMEOUT);
+            // Nodes of earlier versions don't answer.
+            let Ok(answer) = call.await else { continue };
+            let payload = answer.get(PREFIX_BYTES..).unwrap_or_default();
+            answers.extend(decode_payload::<FleetKnowledge>(payload).ok());
+        }
+        let now = self.proxy.now();
+        self.members.search().record_peers(now, &answers);
+    }
+
+    /// Reads the addresses again, unless this node knows the fleet.
+    async fn confirm_fleet(&self) {
+        if self.needs_search() {
+            // The store link has logged the failure.
+            let _ = self.find_peers(SeedReading::Current).await;
         }
     }
 
@@ -181,12 +258,23 @@
 
     /// Joins the fleet through the published addresses. Returns whether there were any.
     async fn find_peers(&self, reading: SeedReading) -> Result<bool, StoreError> {
-        read_seeds(&self.store, &self.members, store_keys::SEEDS, reading).await
+        let read = read_seeds(&self.store, &self.members, store_keys::SEEDS, reading).await;
+        match &read {
+            Ok(others) if reading == SeedReading::Current => {
+                let is_complete = self.members.are_known(others);
+                let now = self.proxy.now();
+                self.members.search().record_list(now, is_complete);
+            }
+            // A stale list may be one of before an outage.
+            Ok(_) => {}
+            Err(_) => self.members.search().record_failure(),
+        }
+        read.map(|others| !others.is_empty())
     }
 }
 
-/// Reads the addresses under a prefix of the store, and uses them as seeds. Returns whether there
-/// were any but this node's own.
+/// Reads the addresses under a prefix of the store, and uses them as seeds. Returns those of other
+/// nodes.
 ///
 /// # Errors
 ///
@@ -196,7 +284,7 @@
     members: &MemberLink,
     prefix: &str,
     reading: SeedReading,
-) -> Result<bool, StoreError> {
+) -> Result<Vec<SocketAddr>, StoreError> {
     let range = KeyRange::Prefix(prefix.to_owned());
     let client = &store.client;
     let reply = match reading {
@@ -207,7 +295,17 @@
     let texts = texts.filter_map(|value| std::str::from_utf8(&value.value).ok());
     // Skips values that are not an address.
     let seeds: Vec<SocketAddr> = texts.filter_map(|text| text.parse().ok()).collect();
-    let has_others = seeds.iter().any(|seed| *seed != members.address());
+    let mut others = seeds.clone();
+    others.retain(|seed| *seed != members.address());
     members.handle(MemberEvent::Seeds(seeds));
-    Ok(has_others)
+    Ok(others)
+}
+
+/// Whether an account of the site has an allotment, which holds over the whole fleet.
+pub fn has_allotments(plan: &SitePlan) -> bool {
+    let directory = plan.accounts.as_ref();
+    directory.is_some_and(|directory| {
+        let mut accounts = directory.accounts().values();
+        accounts.any(|account| account.allotment.is_some())
+    })
 }
