Bound the answers that a node reads from a target and doesn't pass on

Callers saw, at operators of similar systems: a faulty target sent bytes without an end, the machine that had called it ran out of memory, and the requests of other clients there ended with it.

Cause: the body of an answer to a query was collected without a bound in bytes, and the rest of an answer whose caller has left was read on without one in bytes or time, so that its run held a slot, a connection and the processor for good.

Change: `discard_body` reads what nobody wants up to a bound: 64 KiB for a query, 8 MiB and 0.5 s after the deadline for a rest.

--- a/crates/fescueway_proxy/src/body/idle_timer.rs
+++ b/crates/fescueway_proxy/src/body/idle_timer.rs
@@ -42,6 +42,13 @@
         self.sleep = None;
     }
 
+    /// When the caller stops waiting for an answer; now if that is over or unknown.
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        let now = Instant::now();
+        self.deadline.map_or(now, |deadline| deadline.max(now))
+    }
+
     /// A timer with the same limits.
     #[must_use]
     pub fn renewed(&self) -> Self {
--- a/crates/fescueway_proxy/src/body/mod.rs
+++ b/crates/fescueway_proxy/src/body/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer_body;
 mod body_error;
+mod discarded_body;
 mod host_body;
 mod idle_timer;
 mod peer_body;
@@ -12,6 +13,7 @@
 pub use self::{
     answer_body::{AnswerBody, CountedBody},
     body_error::BodyError,
+    discarded_body::{DiscardError, discard_body},
     host_body::HostBody,
     idle_timer::IdleTimer,
     peer_body::PeerBody,
--- a/crates/fescueway_proxy/src/host/backend_body.rs
+++ b/crates/fescueway_proxy/src/host/backend_body.rs
@@ -4,25 +4,36 @@
     net::SocketAddr,
     pin::Pin,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
 use fescueway_admission::RunEnd;
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::timeout_at;
 
 use super::{RunTicket, backend_pool::BackendConnection};
 use crate::{
-    body::{BodyError, IdleTimer},
+    ProxyState,
+    body::{BodyError, DiscardError, IdleTimer, discard_body},
     call_table::CallGuard,
+    overlong_answer::OverlongAnswer,
 };
 
+/// Longest rest of an answer that is read after its caller disconnected, in bytes. More than the answers
+/// of non-idempotent requests have, and read within milliseconds.
+const MAX_DISCARDED_BYTES: u64 = 8 * 1_024 * 1_024;
+
+/// Time after the deadline of a request in which the rest of its answer is read on.
+const DISCARD_GRACE: Duration = Duration::from_millis(500);
+
 /// Response body of a backend server.
 ///
 /// At the end of the body the connection returns to the pool and the run ends. Dropping the body
 /// earlier closes the connection, which tells the backend server that the caller disconnected. If
-/// the run must not be cancelled, the rest of the body is read in the background and discarded.
+/// the run must not be cancelled, the rest of the body is read in the background and discarded, up to
+/// [`MAX_DISCARDED_BYTES`] and [`DISCARD_GRACE`] after the deadline.
 #[derive(Debug)]
 pub struct BackendBody {
     /// Address of the backend server.
@@ -31,8 +42,9 @@
     incoming: Option<Incoming>,
     /// Resources of the run. `None` once the run has ended.
     run: Option<RunResources>,
-    /// Whether to read the body to its end after the caller disconnects.
-    is_detached: bool,
+    /// Where to report a body that is read on after the caller disconnected and doesn't end. `None` if
+    /// the run ends when the caller disconnects.
+    detached: Option<ProxyState>,
     /// End of the run to record when the body is complete.
     end: RunEnd,
     /// Limits the wait for the next byte.
@@ -56,7 +68,7 @@
     pub(super) fn new(
         incoming: Incoming,
         run: RunResources,
-        is_detached: bool,
+        detached: Option<ProxyState>,
         end: RunEnd,
         timer: IdleTimer,
     ) -> Self {
@@ -64,7 +76,7 @@
             address: run.ticket.target().pool().address(),
             incoming: Some(incoming),
             run: Some(run),
-            is_detached,
+            detached,
             end,
             timer,
         };
@@ -101,7 +113,7 @@
             address: self.address,
             incoming: Some(self.incoming.take()?),
             run: Some(self.run.take()?),
-            is_detached: false,
+            detached: None,
             end: self.end,
             timer: self.timer.renewed(),
         })
@@ -143,22 +155,30 @@
 
 impl Drop for BackendBody {
     fn drop(&mut self) {
-        if !self.is_detached {
+        let Some(state) = self.detached.take() else {
             return;
-        }
+        };
         if let Some(rest) = self.take_rest() {
             let tasks = rest
                 .run
                 .as_ref()
                 .map(|run| run.ticket.target().tasks().clone());
             if let Some(tasks) = tasks {
-                tasks.spawn(discard(rest));
+                tasks.spawn(discard(state, rest));
             }
         }
     }
 }
 
-/// Reads a body to its end and discards it.
-async fn discard(mut body: BackendBody) {
-    while let Some(Ok(_frame)) = body.frame().await {}
+/// Reads a body to its end and discards it. The run of one that doesn't end in time, or is too long, is
+/// lost: its slot and its connection serve others.
+async fn discard(state: ProxyState, mut body: BackendBody) {
+    let end = body.timer.deadline() + DISCARD_GRACE;
+    let cut = match timeout_at(end, discard_body(&mut body, MAX_DISCARDED_BYTES)).await {
+        Ok(Err(DiscardError::Overlong { .. })) => OverlongAnswer::Rest,
+        Err(_elapsed) => OverlongAnswer::Late,
+        Ok(Ok(()) | Err(DiscardError::Broken(_))) => return,
+    };
+    state.record_overlong_answer(body.address, cut);
+    body.fail();
 }
--- a/crates/fescueway_proxy/src/host/host_run.rs
+++ b/crates/fescueway_proxy/src/host/host_run.rs
@@ -167,7 +167,8 @@
                     connection,
                     call,
                 };
-                let answer = to_answer(profile, response, run, is_detached, timer);
+                let detached = is_detached.then(|| state.clone());
+                let answer = to_answer(profile, response, run, detached, timer);
                 RunAnswer::Answered(Box::new(answer))
             }
             Err(error) => {
@@ -229,7 +230,7 @@
     profile: &EdgeProfile,
     response: Response<Incoming>,
     run: RunResources,
-    is_detached: bool,
+    detached: Option<ProxyState>,
     timer: IdleTimer,
 ) -> Response<BackendBody> {
     let is_failure = response.status().is_server_error();
@@ -239,7 +240,7 @@
         RunEnd::Answered
     };
     let mut response =
-        response.map(|incoming| BackendBody::new(incoming, run, is_detached, end, timer));
+        response.map(|incoming| BackendBody::new(incoming, run, detached, end, timer));
     headers::strip_answer(response.headers_mut(), profile);
     response
 }
--- a/crates/fescueway_proxy/src/lib.rs
+++ b/crates/fescueway_proxy/src/lib.rs
@@ -27,6 +27,7 @@
 mod offer_request;
 mod open_counts;
 mod open_guard;
+mod overlong_answer;
 mod peer;
 mod proxy_limits;
 mod proxy_options;
@@ -53,6 +54,7 @@
     hedge_limits::HedgeLimits,
     host::{BackendBody, HostTarget, PermitEnd, RunChecks, RunDenial, RunPermit},
     mono_clock::MonoClock,
+    overlong_answer::OverlongAnswer,
     peer::{ControlTable, PeerError, PeerPool, PeerStep, serve_peers},
     proxy_limits::ProxyLimits,
     proxy_options::ProxyOptions,
--- a/crates/fescueway_proxy/src/proxy_state.rs
+++ b/crates/fescueway_proxy/src/proxy_state.rs
@@ -31,6 +31,7 @@
     mono_clock::MonoClock,
     observer_slot::ObserverSlot,
     open_counts::OpenCounts,
+    overlong_answer::{OverlongAnswer, OverlongAnswers},
     peer::{ControlTable, PeerPool},
     proxy_limits::ProxyLimits,
     proxy_options::ProxyOptions,
@@ -114,6 +115,8 @@
     evacuated_services: SourceRateLimit<ServiceName>,
     /// Limits the log lines about invalid statements of backend servers.
     invalid_statements: SourceRateLimit<ServiceName>,
+    /// Answers of backend servers that were cut.
+    overlong_answers: OverlongAnswers,
     /// Called for each request.
     request_observer: ObserverSlot<RequestObserver>,
     /// Called for each load report.
@@ -158,6 +161,7 @@
             refused_peers: SourceRateLimit::new(&path::PEER_REFUSED),
             limit_changes: SourceRateLimit::new(&path::SERVER_LIMIT_CHANGED),
             invalid_statements: SourceRateLimit::new(&path::SERVER_STATEMENT_INVALID),
+            overlong_answers: OverlongAnswers::default(),
             cold_targets: SourceRateLimit::new(&path::TARGET_COLD),
             evacuations: Evacuations::default(),
             evacuated_services: SourceRateLimit::new(&path::SERVICE_EVACUATED),
@@ -334,6 +338,17 @@
         self.0.stop_schedule.get()
     }
 
+    /// Records that an answer of the backend server at `address` was cut, since it didn't end.
+    pub fn record_overlong_answer(&self, address: SocketAddr, answer: OverlongAnswer) {
+        self.0.overlong_answers.record(self.now(), address, answer);
+    }
+
+    /// Number of answers of backend servers that were cut since the start.
+    #[must_use]
+    pub fn overlong_answers(&self) -> u64 {
+        self.0.overlong_answers.count()
+    }
+
     /// Sets the service that backend servers are told as the caller of requests received here.
     pub fn set_caller_service(&self, service: Option<HeaderValue>) {
         *lock(&self.0.caller_service) = service;
--- a/crates/fescueway_telemetry/src/events/path.rs
+++ b/crates/fescueway_telemetry/src/events/path.rs
@@ -123,6 +123,16 @@
              set back between two starts. In the latter case the next reports take effect.",
 };
 
+/// An answer of a backend server was cut, since it doesn't end. Logged once a second for each backend server.
+pub const BACKEND_ANSWER_CUT: EventKind = EventKind {
+    number: 1014,
+    level: Level::Warn,
+    summary: "an answer of a backend server was cut",
+    fields: &["address", "reason", "suppressed"],
+    advice: "Check the backend server. It counts as failing: query-too-long, its health endpoint sent more than 64 KiB; \
+             rest-too-long or rest-too-late, an answer went on for 8 MiB, or beyond the deadline, after its caller had left.",
+};
+
 /// A connection to another node went silent while another one to the same node works.
 pub const PEER_SILENT: EventKind = EventKind {
     number: 1013,
@@ -186,6 +196,7 @@
     &SERVER_LEAVING,
     &REPORT_NOT_ACKNOWLEDGED,
     &PEER_SILENT,
+    &BACKEND_ANSWER_CUT,
     &TARGET_COLD,
     &EVACUATION_CHANGED,
     &EVACUATION_CAPACITY,
--- a/crates/fescueway_telemetry/src/metric_set.rs
+++ b/crates/fescueway_telemetry/src/metric_set.rs
@@ -37,6 +37,8 @@
     pub store_calls: Vec<StoreCalls>,
     /// Times that a node came to be without a proof that its configuration is the latest one.
     pub key_proof_losses: u64,
+    /// Answers of backend servers that were cut.
+    pub overlong_answers: u64,
     /// Decisions on requests of client accounts with an allotment.
     pub allotments: AllotmentCounts,
     /// Log lines dropped because the log was not read in time.
@@ -273,6 +275,15 @@
         })
         .build();
     let shared = Arc::clone(totals);
+    meter
+        .u64_observable_counter("fescueway.backend.answers.cut")
+        .with_description("Answers of backend servers that were cut, since they didn't end.")
+        .with_callback(move |observer| {
+            let totals = shared.lock().unwrap_or_else(PoisonError::into_inner);
+            observer.observe(totals.overlong_answers, &[]);
+        })
+        .build();
+    let shared = Arc::clone(totals);
     meter
         .u64_observable_counter("fescueway.log.lines.lost")
         .with_description("Log lines that were left out because nobody read the log in time.")
--- a/crates/fescuewayd/src/backend_api/reports.rs
+++ b/crates/fescuewayd/src/backend_api/reports.rs
@@ -232,7 +232,7 @@
     async fn query(&self, service: &ServiceName, address: SocketAddr) -> Option<QueryAnswer> {
         let plan = self.state.plan();
         let path = Arc::clone(&plan.services.get(service)?.probe.path);
-        let query = query_backend(address, &path);
+        let query = query_backend(&self.state, address, &path);
         timeout(QUERY_TIMEOUT, query).await.ok()?.ok()
     }
 
--- a/crates/fescuewayd/src/backend_query.rs
+++ b/crates/fescuewayd/src/backend_query.rs
@@ -4,9 +4,12 @@
 
 use eyre::Result;
 use fescueway_core::{MonoTime, ServiceName, StatementSource};
-use fescueway_proxy::{HostTarget, ProxyState};
+use fescueway_proxy::{
+    HostTarget, OverlongAnswer, ProxyState,
+    body::{DiscardError, discard_body},
+};
 use http::{HeaderMap, Request, StatusCode, header::HOST};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::Empty;
 use hyper::{body::Bytes, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -14,6 +17,9 @@
 /// Size of the read buffer. Responses consist of a head and hardly any body.
 const READ_BUFFER_BYTES: usize = 8 * 1_024;
 
+/// Longest body of a response, in bytes. What counts is in the head, and a body is a line of text.
+const MAX_BODY_BYTES: u64 = 64 * 1_024;
+
 /// The response of a backend server.
 #[derive(Clone, Debug)]
 pub struct QueryAnswer {
@@ -59,8 +65,9 @@
     ///
     /// # Errors
     ///
-    /// When no complete response arrives. The next query opens a new connection then.
-    pub async fn query(&mut self, path: &str) -> Result<QueryAnswer> {
+    /// When no complete response arrives, or its body is longer than [`MAX_BODY_BYTES`]. The next query
+    /// opens a new connection then.
+    pub async fn query(&mut self, proxy: &ProxyState, path: &str) -> Result<QueryAnswer> {
         let mut sender = match self.sender.take() {
             Some(sender) if sender.is_ready() => sender,
             _ => self.connect().await?,
@@ -70,8 +77,13 @@
             .body(Empty::<Bytes>::new())?;
         let asked_at = Instant::now();
         let response = sender.send_request(request).await?;
-        let (parts, body) = response.into_parts();
-        body.collect().await?;
+        let (parts, mut body) = response.into_parts();
+        if let Err(error) = discard_body(&mut body, MAX_BODY_BYTES).await {
+            if matches!(error, DiscardError::Overlong { .. }) {
+                proxy.record_overlong_answer(self.address, OverlongAnswer::Query);
+            }
+            return Err(error.into());
+        }
         self.sender = Some(sender);
         Ok(QueryAnswer {
             status: parts.status,
@@ -99,6 +111,10 @@
 /// # Errors
 ///
 /// When no complete response arrives.
-pub async fn query_backend(address: SocketAddr, path: &str) -> Result<QueryAnswer> {
-    QueryConnection::new(address).query(path).await
+pub async fn query_backend(
+    proxy: &ProxyState,
+    address: SocketAddr,
+    path: &str,
+) -> Result<QueryAnswer> {
+    QueryConnection::new(address).query(proxy, path).await
 }
--- a/crates/fescuewayd/src/node_meter.rs
+++ b/crates/fescuewayd/src/node_meter.rs
@@ -168,6 +168,7 @@
             gossip_received_bytes: facts.traffic.received_bytes,
             store_calls: calls.collect(),
             key_proof_losses: facts.key_proof_losses,
+            overlong_answers: state.overlong_answers(),
             allotments: self
                 .sources
                 .allotments
--- a/crates/fescuewayd/src/pace_task.rs
+++ b/crates/fescuewayd/src/pace_task.rs
@@ -89,7 +89,11 @@
         };
         target.begin_load_query();
         // A backend server that doesn't answer is detected by the requests to it.
-        let Ok(Ok(answer)) = timeout(ANSWER_TIMEOUT, connection.query(&service.probe.path)).await
+        let Ok(Ok(answer)) = timeout(
+            ANSWER_TIMEOUT,
+            connection.query(&self.proxy, &service.probe.path),
+        )
+        .await
         else {
             sleep(RETRY_DELAY).await;
             return;
--- a/crates/fescuewayd/src/probe_task.rs
+++ b/crates/fescuewayd/src/probe_task.rs
@@ -168,7 +168,7 @@
             let Some((address, path, limit)) = self.begin_probe(&service) else {
                 continue;
             };
-            let probe = timeout(limit, query_backend(address, &path));
+            let probe = timeout(limit, query_backend(&self.0.proxy, address, &path));
             let end = match probe.await {
                 Ok(Ok(answer)) => {
                     self.learn_statement(&service, address, &answer);
