--- a/crates/fescueway_admission/src/backend_registry.rs
+++ b/crates/fescueway_admission/src/backend_registry.rs
@@ -211,8 +211,13 @@
             identity: identity.to_owned(),
             born_ms,
         });
-        if let Some(known) = key.and_then(|key| self.instances.get_mut(&key)) {
+        if let Some(key) = key {
+            // Also if its reports are still on their way: they don't bring it back.
+            self.report_count += 1;
+            let known = self.instances.entry(key).or_default();
             known.departure = Departure::Left;
+            known.heard_at = self.report_count;
+            self.forget_oldest();
         }
         false
     }
@@ -238,6 +243,11 @@
         known.is_draining |= report.is_draining;
         known.reports_since_current += 1;
         known.heard_at = self.report_count;
+        self.forget_oldest();
+    }
+
+    /// Forgets the instances that were not heard of for longest, if there are too many.
+    fn forget_oldest(&mut self) {
         while self.instances.len() > MAX_INSTANCES {
             let others = self.instances.iter();
             let others = others.filter(|(other, _)| Some(*other) != self.current.as_ref());
--- a/crates/fescueway_admission/tests/backend_register.rs
+++ b/crates/fescueway_admission/tests/backend_register.rs
@@ -196,3 +196,28 @@
     assert!(!registry.is_in_force(&report("b", 20, 2)));
     assert!(registry.is_in_force(&draining("b", 20, 2)));
 }
+
+/// Guards against a report that was overtaken by the leave of its sender, and brings it back: found with
+/// review/9.
+#[test]
+fn report_that_arrives_after_the_leave_of_an_unknown_instance_is_outdated() {
+    let mut registry = BackendRegistry::default();
+    let report = |identity: &str, born_ms, sequence| BackendReport {
+        identity: identity.to_owned(),
+        born_ms,
+        sequence,
+        is_draining: false,
+    };
+    registry.report(&report("a", 1_000, 7));
+    assert!(!registry.leave("b", Some(2_000)));
+    assert_eq!(
+        registry.report(&report("b", 2_000, 1)),
+        ReportOutcome::Stale
+    );
+    assert!(registry.is_serving("a"));
+    // Another start of that name is another instance.
+    assert_eq!(
+        registry.report(&report("b", 3_000, 1)),
+        ReportOutcome::Serves
+    );
+}
--- a/crates/fescueway_proxy/src/host/host_target/notices.rs
+++ b/crates/fescueway_proxy/src/host/host_target/notices.rs
@@ -67,7 +67,8 @@
     }
 
     /// The backend server.
-    pub(crate) fn server(&self) -> ServerStart {
+    #[must_use]
+    pub fn server(&self) -> ServerStart {
         self.state().gate.server()
     }
 
--- a/crates/fescuewayd/src/backend_api/reports.rs
+++ b/crates/fescuewayd/src/backend_api/reports.rs
@@ -10,7 +10,7 @@
 
 use fescueway_admission::{BackendRegistry, BackendReport, ReportOutcome};
 use fescueway_core::{MonoTime, ServiceName};
-use fescueway_proxy::BackendAnnouncement;
+use fescueway_proxy::{BackendAnnouncement, HostTarget};
 use http::{HeaderValue, StatusCode};
 use tokio::time::{sleep, timeout};
 
@@ -290,19 +290,22 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Handles the leave call of a backend server.
+    /// Handles the leave call of a backend server. The call is acknowledged, so that the target gets no
+    /// more requests, whichever instance the registry takes for the one in use.
     fn handle_leave(&self, identity: &str, born_ms: Option<u64>) {
-        if !self.registry().leave(identity, born_ms) {
-            return;
-        }
-        let has_identity = |service: &ServiceName| {
-            let target = self.state.host_target(service);
-            let known = target.and_then(|target| target.identity().cloned());
-            known.is_some_and(|known| known.as_bytes() == identity.as_bytes())
+        let is_current = self.registry().leave(identity, born_ms);
+        let is_leaving = |target: &HostTarget| {
+            let known = target.identity();
+            let is_named = known.is_some_and(|known| known.as_bytes() == identity.as_bytes());
+            let known_ms = target.server().born_ms;
+            let is_same_start = born_ms.is_none_or(|born_ms| known_ms == 0 || born_ms == known_ms);
+            is_named && (is_current || is_same_start)
         };
-        let services = self.state.local_services();
-        for service in services.iter().filter(|service| has_identity(service)) {
-            self.leave(service);
+        for service in self.state.local_services() {
+            let target = self.state.host_target(&service);
+            if target.is_some_and(|target| is_leaving(&target)) {
+                self.leave(&service);
+            }
         }
     }
 
