--- a/crates/fescueway_proxy/src/host/backend_body.rs
+++ b/crates/fescueway_proxy/src/host/backend_body.rs
@@ -33,7 +33,7 @@
 /// At the end of the body the connection returns to the pool and the run ends. Dropping the body
 /// earlier closes the connection, which tells the backend server that the caller disconnected. If
 /// the run must not be cancelled, the rest of the body is read in the background and discarded, up to
-/// [`MAX_DISCARDED_BYTES`] and [`DISCARD_GRACE`] after the deadline.
+/// 8 MiB and 0.5 s after the deadline.
 #[derive(Debug)]
 pub struct BackendBody {
     /// Address of the backend server.
