--- a/crates/fescueway_admission/src/backend_registry.rs
+++ b/crates/fescueway_admission/src/backend_registry.rs
@@ -277,7 +277,7 @@
             let is_same_name = current.identity == key.identity;
             let has_left = in_use.departure != Departure::Present;
             let is_later = if is_same_name {
-                // The instance in use was found by a query, and this is its first report.
+                // The instance in use didn't report when it started, and this report of it does.
                 key.born_ms != 0
             } else {
                 !known.was_in_use && (key.born_ms != 0 || current.born_ms == 0 || has_left)
--- a/crates/fescuewayd/src/daemon_settings.rs
+++ b/crates/fescuewayd/src/daemon_settings.rs
@@ -68,8 +68,8 @@
     pub key_proof: Option<Duration>,
     /// Whether operators evacuate failure domains by keys in the store.
     pub evacuations: bool,
-    /// Optional interfaces of the installation that the deployment uses. One may enable evacuations, as
-    /// the adapter says.
+    /// Optional interfaces of the installation that the deployment uses. One may enable evacuations or
+    /// client accounts, as the adapter says.
     pub interfaces: BTreeSet<String>,
     /// The initial configuration, in force until the store or a peer has a newer one.
     pub plan: Option<Arc<SitePlan>>,
